Shared types of the packages

Ids, rows, versions, platform interface, messages and the events and effects of the decision core. They come before the parts so that these can be written at the same time.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Everything a contributor runs. Tools are pinned in tools/go.mod.
+
+GO      ?= go
+TOOL    := $(GO) tool -modfile=tools/go.mod
+BIN     := bin
+OWN     := $(shell git ls-files -co --exclude-standard '*.go' | grep -v 'internal/operator/api/')
+JSON    ?=
+
+.PHONY: build test lint vet format generate demo bench fuzz
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/... ./test/...
+
+test:
+	$(GO) test ./...
+
+lint: vet
+	@out="$$($(TOOL) gofumpt -l $(OWN))"; if [ -n "$$out" ]; then echo "not formatted (run make format):"; echo "$$out"; exit 1; fi
+	$(TOOL) revive -config revive.toml -set_exit_status $(shell $(GO) list -f '{{.Dir}}' ./... | grep -v internal/operator/api)
+
+vet:
+	$(GO) vet ./...
+
+format:
+	$(TOOL) gofumpt -w $(OWN)
+
+generate:
+	$(TOOL) ogen --target internal/operator/api --package api --clean api/operator.yaml
+
+demo: build
+	$(BIN)/demo $(if $(JSON),--json)
+
+bench: build
+	$(BIN)/bench
+
+fuzz:
+	$(GO) test ./internal/document -run '^$$' -fuzz FuzzParse -fuzztime 5s
+	$(GO) test ./internal/message -run '^$$' -fuzz FuzzDecode -fuzztime 5s
--- /dev/null
+++ b/cmd/peridotlb/main.go
@@ -0,0 +1,4 @@
+// Command peridotlb is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/peridotlbd/main.go
@@ -0,0 +1,4 @@
+// Command peridotlbd is the daemon beside each backend server host.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,56 @@
+// Package backend holds the row of a backend server.
+package backend
+
+import (
+	"net/netip"
+
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// ServerID identifies a backend server, for example "bead-stock-pwani-a-1".
+type ServerID string
+
+// ServiceName names a service of the document.
+type ServiceName string
+
+// State is the state that a backend server announces.
+type State uint8
+
+// States of a backend server.
+const (
+	Starting State = iota // announced, gets no work yet
+	Ready
+	Draining // gets no new work, finishes what it has
+	Gone     // withdrawn; kept as a tombstone
+)
+
+// String returns the name of the state in kebab case.
+func (s State) String() string {
+	switch s {
+	case Starting:
+		return "starting"
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	case Gone:
+		return "gone"
+	default:
+		return "unknown"
+	}
+}
+
+// Server is the row of a backend server. Only the daemon on its host writes it.
+type Server struct {
+	ID      ServerID       `cbor:"1,keyasint"`
+	Service ServiceName    `cbor:"2,keyasint"`
+	Host    host.ID        `cbor:"3,keyasint"`
+	Addr    netip.AddrPort `cbor:"4,keyasint"`
+	Slots   uint16         `cbor:"5,keyasint"` // concurrent calls; 0 takes the document's
+	State   State          `cbor:"6,keyasint"`
+	// Stamp is the owner's incarnation and its sequence at the last change.
+	Stamp host.Stamp `cbor:"7,keyasint"`
+}
+
+// Supersedes reports whether s replaces o in the server table.
+func (s Server) Supersedes(o Server) bool { return s.Stamp.Compare(o.Stamp) > 0 }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,134 @@
+// Package fleet is the decision core of the daemon: membership, distribution
+// of versions and reports. It takes events and the time, and returns effects.
+package fleet
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+// Event is an input of the core.
+type Event interface{ isEvent() }
+
+// Tick lets time pass. The daemon sends one every 100 ms; every other event
+// runs the systems too.
+type Tick struct{}
+
+// Received is a message from another daemon. From is its control address; ID
+// is its host when the sender is known.
+type Received struct {
+	From    netip.AddrPort
+	Message message.Message
+}
+
+// ServerAnnounced is an announcement or a state change of a backend server on
+// this host. The core sets host and stamp of the row.
+type ServerAnnounced struct{ Server backend.Server }
+
+// VersionAccepted says that this daemon committed a version.
+type VersionAccepted struct{ Snapshot version.Snapshot }
+
+// HeadRead is the answer to ReadHead. Err is not nil when the table did not
+// answer; Number zero means that there is no version yet.
+type HeadRead struct {
+	Manifest version.Manifest
+	Err      error
+}
+
+// VersionLoaded is the answer to LoadVersion.
+type VersionLoaded struct {
+	Snapshot version.Snapshot
+	Err      error
+}
+
+// PeersRead is the answer to ReadPeers: control addresses of possible peers.
+type PeersRead struct {
+	Peers []netip.AddrPort
+	Err   error
+}
+
+// Leaving starts a planned stop of this daemon.
+type Leaving struct{}
+
+// Effect is an output of the core.
+type Effect interface{ isEffect() }
+
+// Send sends a message. It may be lost; the core repairs losses.
+type Send struct {
+	To      netip.AddrPort
+	Message message.Message
+}
+
+// Apply puts a snapshot into force on this host.
+type Apply struct{ Snapshot version.Snapshot }
+
+// ServersChanged says that the host or server tables changed, so that the
+// routing table has to be rebuilt.
+type ServersChanged struct{}
+
+// ReadHead asks for the head row; HeadRead answers.
+type ReadHead struct{}
+
+// LoadVersion asks for the version of a manifest from the object store;
+// VersionLoaded answers. Have holds the sections that need no reading.
+type LoadVersion struct {
+	Manifest version.Manifest
+	Have     version.Snapshot
+}
+
+// ReadPeers asks for host rows of the table; PeersRead answers.
+type ReadPeers struct{}
+
+// WriteHost publishes the row of this host in the table.
+type WriteHost struct{ Row host.Row }
+
+// Record adds an event to the time line.
+type Record struct {
+	Kind    string // kebab case, for example "version-applied"
+	Host    host.ID
+	Server  backend.ServerID
+	Version version.Number
+	Detail  string
+}
+
+func (Tick) isEvent()            {}
+func (Received) isEvent()        {}
+func (ServerAnnounced) isEvent() {}
+func (VersionAccepted) isEvent() {}
+func (HeadRead) isEvent()        {}
+func (VersionLoaded) isEvent()   {}
+func (PeersRead) isEvent()       {}
+func (Leaving) isEvent()         {}
+
+func (Send) isEffect()           {}
+func (Apply) isEffect()          {}
+func (ServersChanged) isEffect() {}
+func (ReadHead) isEffect()       {}
+func (LoadVersion) isEffect()    {}
+func (ReadPeers) isEffect()      {}
+func (WriteHost) isEffect()      {}
+func (Record) isEffect()         {}
+
+// Distribution selects how a version spreads.
+type Distribution uint8
+
+// Ways of spreading a version.
+const (
+	Economical Distribution = iota // announce, then fetch: fewest bytes
+	Fast                           // push the delta at once: fewest delays
+)
+
+// Config holds the settings of a core.
+type Config struct {
+	Self           host.Row         // stamp and state are set by the core
+	Started        time.Time        // start of the process; sets the incarnation
+	Peers          []netip.AddrPort // first contacts; empty reads the table
+	PlatformRegion host.Region
+	Distribution   Distribution
+	Seed           uint64 // seeds jitter and choices
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,82 @@
+// Package host names hosts, availability zones and regions, and holds the row
+// of a host in the member table.
+package host
+
+import (
+	"cmp"
+	"net/netip"
+)
+
+// ID identifies a host, for example "pwani-a-1". It is unique in the fleet.
+type ID string
+
+// AvailabilityZone identifies an availability zone. It is unique in the fleet.
+type AvailabilityZone string
+
+// Region identifies a region.
+type Region string
+
+// Incarnation numbers the runs of a host's daemon: the start time in Unix
+// milliseconds, or one more than the highest known for the host.
+type Incarnation uint64
+
+// Sequence numbers the changes of a row within one incarnation.
+type Sequence uint64
+
+// State is the membership state of a host.
+type State uint8
+
+// States of a host. On equal stamps a higher value wins.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+	Left
+)
+
+// String returns the name of the state in kebab case.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	case Left:
+		return "left"
+	default:
+		return "unknown"
+	}
+}
+
+// Stamp orders the rows that one host publishes.
+type Stamp struct {
+	Incarnation Incarnation `cbor:"1,keyasint"`
+	Sequence    Sequence    `cbor:"2,keyasint"`
+}
+
+// Compare returns -1, 0 or +1, by incarnation and then by sequence.
+func (s Stamp) Compare(o Stamp) int {
+	return cmp.Or(cmp.Compare(s.Incarnation, o.Incarnation), cmp.Compare(s.Sequence, o.Sequence))
+}
+
+// Row is the entry of a host in the member table. Only the daemon of that host
+// raises the stamp; other daemons may raise the state.
+type Row struct {
+	ID          ID               `cbor:"1,keyasint"`
+	Zone        AvailabilityZone `cbor:"2,keyasint"`
+	Region      Region           `cbor:"3,keyasint"`
+	ControlAddr netip.AddrPort   `cbor:"4,keyasint"` // QUIC between daemons
+	GateAddr    netip.AddrPort   `cbor:"5,keyasint"` // calls from entry daemons
+	Stamp       Stamp            `cbor:"6,keyasint"`
+	State       State            `cbor:"7,keyasint"`
+}
+
+// Supersedes reports whether r replaces o in the member table.
+func (r Row) Supersedes(o Row) bool {
+	if c := r.Stamp.Compare(o.Stamp); c != 0 {
+		return c > 0
+	}
+	return r.State > o.State
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,91 @@
+// Package platform is the narrow interface to the platform's transactional
+// table service and object store.
+package platform
+
+import (
+	"context"
+	"errors"
+)
+
+// Key names a row of the table, for example "head" or "submission/4f1c".
+type Key string
+
+// Revision counts the writes to a row. Zero means that the row is absent.
+type Revision uint64
+
+// Row is a row of the table.
+type Row struct {
+	Key      Key
+	Value    []byte
+	Revision Revision
+}
+
+// Write is one conditional write of a transaction. It applies only when the
+// row has revision If; If zero requires the row to be absent.
+type Write struct {
+	Key    Key
+	If     Revision
+	Value  []byte
+	Delete bool
+}
+
+// Outcome tells what became of a transaction.
+type Outcome uint8
+
+// Outcomes of a transaction.
+const (
+	Unknown    Outcome = iota // the answer was lost; the writes may have applied
+	Applied                   // every write applied
+	NotApplied                // no write applied, because a condition failed
+)
+
+// String returns the name of the outcome in kebab case.
+func (o Outcome) String() string {
+	switch o {
+	case Applied:
+		return "applied"
+	case NotApplied:
+		return "not-applied"
+	default:
+		return "unknown"
+	}
+}
+
+// Result is the outcome of a transaction. On NotApplied, Failed holds the
+// indexes of the writes whose condition failed, where the platform tells them.
+type Result struct {
+	Outcome Outcome
+	Failed  []int
+}
+
+// ErrNotFound is returned for an absent object.
+var ErrNotFound = errors.New("object not found")
+
+// Table is the transactional table service.
+type Table interface {
+	// Get reads rows consistently with earlier commits. An absent row has
+	// revision zero. Rows come in the order of keys.
+	Get(ctx context.Context, keys ...Key) ([]Row, error)
+	// Scan returns up to limit rows whose key starts with prefix and is
+	// greater than after, in the order of keys.
+	Scan(ctx context.Context, prefix, after Key, limit int) ([]Row, error)
+	// Commit applies all writes or none, at most 100 in one transaction. A nil
+	// error goes with Applied and NotApplied only; with Unknown, the error says
+	// why. An error before anything was sent returns NotApplied and the error.
+	Commit(ctx context.Context, writes ...Write) (Result, error)
+}
+
+// Objects is the object store. Objects are named by their content and never
+// change.
+type Objects interface {
+	// PutObject stores data under name; storing it twice is harmless.
+	PutObject(ctx context.Context, name string, data []byte) error
+	// GetObject returns the object or ErrNotFound.
+	GetObject(ctx context.Context, name string) ([]byte, error)
+}
+
+// Service is the platform as a whole.
+type Service interface {
+	Table
+	Objects
+}
