message: strict CBOR encoding with zstd and deltas against a held version

Daemons need one encoding that both sides agree on byte for byte, and a small change must not cost a whole section on the paid link.

A message is a protocol version byte, a kind byte and a CBOR body. Decode compares the body with its own encoding, so null, missing fields and long number forms are refused as well as unknown fields, duplicate keys, trailing bytes, depth and size. A body above 256 bytes is compressed when that makes it smaller.

A Delta carries full sections. Codec.Held gives Encode and Decode access to held versions; a delta is then compressed against the manifest and the changed sections of its base. Compressing the sections alone was considered: the digests in the manifest don't compress and would outweigh a small change.

--- /dev/null
+++ b/internal/message/codec.go
@@ -0,0 +1,259 @@
+package message
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+// ProtocolVersion is the first byte of every encoded message.
+const ProtocolVersion = 1
+
+// MaxSize is the largest encoded message and the largest decompressed body, in
+// bytes. A document is limited to 4 MiB, so a full delta fits.
+const MaxSize = 8 << 20
+
+// compressAbove is the body size in bytes above which compression is tried. A
+// zstd frame of a smaller body rarely saves a byte.
+const compressAbove = 256
+
+// Flags of the kind byte.
+const (
+	flagCompressed = 0x80 // the body is a zstd frame
+	flagBased      = 0x40 // the body is a zstd frame with a dictionary, see based.go
+	kindMask       = 0x3f
+)
+
+// ErrMalformed marks a message that can't be decoded.
+var ErrMalformed = errors.New("malformed message")
+
+// ErrNoBase is returned for a delta whose base version the receiver doesn't
+// hold. The message is well formed as far as can be told.
+var ErrNoBase = errors.New("base version of the delta is not held")
+
+// Kind is the kind byte of an encoded message.
+type Kind uint8
+
+// Kinds of messages. The values are part of the protocol.
+const (
+	KindProbe Kind = iota + 1
+	KindProbeAnswer
+	KindIndirectProbe
+	KindIndirectAnswer
+	KindAnnounce
+	KindFetch
+	KindDelta
+	KindHeld
+	KindNews
+	KindSyncRequest
+	KindSync
+	KindJoin
+	KindJoinAnswer
+	KindLeave
+	KindReport
+)
+
+// kinds lists the type and the name of every kind.
+var kinds = map[Kind]struct {
+	name string
+	zero Message
+}{
+	KindProbe:          {"probe", Probe{}},
+	KindProbeAnswer:    {"probe-answer", ProbeAnswer{}},
+	KindIndirectProbe:  {"indirect-probe", IndirectProbe{}},
+	KindIndirectAnswer: {"indirect-answer", IndirectAnswer{}},
+	KindAnnounce:       {"announce", Announce{}},
+	KindFetch:          {"fetch", Fetch{}},
+	KindDelta:          {"delta", Delta{}},
+	KindHeld:           {"held", Held{}},
+	KindNews:           {"news", News{}},
+	KindSyncRequest:    {"sync-request", SyncRequest{}},
+	KindSync:           {"sync", Sync{}},
+	KindJoin:           {"join", Join{}},
+	KindJoinAnswer:     {"join-answer", JoinAnswer{}},
+	KindLeave:          {"leave", Leave{}},
+	KindReport:         {"report", Report{}},
+}
+
+var kindOfType = func() map[reflect.Type]Kind {
+	m := make(map[reflect.Type]Kind, len(kinds))
+	for k, d := range kinds {
+		m[reflect.TypeOf(d.zero)] = k
+	}
+	return m
+}()
+
+// String returns the name of the kind in kebab case.
+func (k Kind) String() string {
+	if d, ok := kinds[k]; ok {
+		return d.name
+	}
+	return fmt.Sprintf("kind-%d", uint8(k))
+}
+
+// KindOf returns the kind of a message, or zero for nil.
+func KindOf(m Message) Kind { return kindOfType[reflect.TypeOf(m)] }
+
+var encMode = func() cbor.EncMode {
+	o := cbor.CoreDetEncOptions()
+	o.NilContainers = cbor.NilContainerAsEmpty // a nil slice has the encoding of an empty one
+	o.TagsMd = cbor.TagsForbidden
+	m, err := o.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		// The deepest message is Sync: news, rows, row, stamp.
+		MaxNestedLevels: 8,
+		// 4,096 sections and 1,200 hosts are the design limits; the bound keeps a
+		// forged array of empty maps from taking gigabytes.
+		MaxArrayElements: 16384,
+		MaxMapPairs:      4096,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// Snapshot is the part of version.Snapshot that a Codec reads.
+type Snapshot interface {
+	Manifest() version.Manifest
+	Blob(version.Digest) []byte
+}
+
+// Codec encodes and decodes messages. The zero Codec has no access to held
+// versions: it encodes a delta in full and can't decode one that was encoded
+// against a base version.
+type Codec struct {
+	// Held returns the snapshot of a version that this daemon holds, and false
+	// when it doesn't. It may be called from several goroutines.
+	Held func(version.Number) (Snapshot, bool)
+}
+
+// Encode encodes a message without access to held versions.
+func Encode(m Message) ([]byte, error) { return Codec{}.Encode(m) }
+
+// Decode decodes a message without access to held versions.
+func Decode(data []byte) (Message, error) { return Codec{}.Decode(data) }
+
+// Encode returns the encoding of a message. A delta whose base version is held
+// is compressed against that version, which its receiver holds too.
+func (c Codec) Encode(m Message) ([]byte, error) {
+	k := KindOf(m)
+	if k == 0 {
+		return nil, fmt.Errorf("encode message: unknown type %T", m)
+	}
+	body, err := encMode.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", k, err)
+	}
+	if len(body) > MaxSize-2 {
+		return nil, fmt.Errorf("encode %s: body of %d bytes exceeds the limit of %d", k, len(body), MaxSize-2)
+	}
+	flag, body, err := c.compress(m, body)
+	if err != nil {
+		return nil, fmt.Errorf("compress %s: %w", k, err)
+	}
+	return append([]byte{ProtocolVersion, byte(k) | flag}, body...), nil
+}
+
+// compress returns the smallest known form of a body and the flag of that form.
+func (c Codec) compress(m Message, body []byte) (flag byte, out []byte, err error) {
+	if len(body) <= compressAbove {
+		return 0, body, nil
+	}
+	if d, ok := m.(Delta); ok {
+		if based, ok, err := c.packDelta(d, body); err != nil || ok {
+			return flagBased, based, err
+		}
+	}
+	packed, err := Pack(body, nil)
+	if err != nil || len(packed) >= len(body) {
+		return 0, body, err
+	}
+	return flagCompressed, packed, nil
+}
+
+// Decode decodes one message and rejects everything that Encode would not have
+// written, except for a different compression. Errors wrap ErrMalformed or
+// ErrNoBase.
+func (c Codec) Decode(data []byte) (Message, error) {
+	switch {
+	case len(data) < 2:
+		return nil, fmt.Errorf("%w: %d bytes is too short", ErrMalformed, len(data))
+	case len(data) > MaxSize:
+		return nil, fmt.Errorf("%w: %d bytes exceeds the limit of %d", ErrMalformed, len(data), MaxSize)
+	case data[0] != ProtocolVersion:
+		return nil, fmt.Errorf("%w: protocol version %d, want %d", ErrMalformed, data[0], ProtocolVersion)
+	}
+	k := Kind(data[1] & kindMask)
+	desc, ok := kinds[k]
+	if !ok {
+		return nil, fmt.Errorf("%w: unknown kind %d", ErrMalformed, k)
+	}
+	body, err := c.decompress(k, data[1]&^kindMask, data[2:])
+	if err != nil {
+		return nil, fmt.Errorf("decode %s: %w", desc.name, err)
+	}
+	m, err := decodeBody(desc.zero, body)
+	if err != nil {
+		return nil, fmt.Errorf("decode %s: %w: %w", desc.name, ErrMalformed, err)
+	}
+	return m, nil
+}
+
+func (c Codec) decompress(k Kind, flags byte, body []byte) ([]byte, error) {
+	switch {
+	case flags == 0:
+		return body, nil
+	case flags == flagCompressed:
+		out, err := Unpack(body, nil, MaxSize-2)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
+		return out, nil
+	case flags == flagBased && k == KindDelta:
+		return c.unpackDelta(body)
+	default:
+		return nil, fmt.Errorf("%w: flags %#x", ErrMalformed, flags)
+	}
+}
+
+// decodeBody decodes a CBOR body into a new value of the type of zero. The body
+// must be byte for byte what Encode writes, so that every message has exactly
+// one encoding: this excludes null, missing fields and long forms of numbers.
+func decodeBody(zero Message, body []byte) (Message, error) {
+	v := reflect.New(reflect.TypeOf(zero))
+	if err := decMode.Unmarshal(body, v.Interface()); err != nil {
+		return nil, err
+	}
+	m := v.Elem().Interface().(Message)
+	buf := scratch.Get().(*bytes.Buffer)
+	defer scratch.Put(buf)
+	buf.Reset()
+	if err := encMode.NewEncoder(buf).Encode(m); err != nil {
+		return nil, err
+	}
+	if !bytes.Equal(buf.Bytes(), body) {
+		return nil, errors.New("body is not in canonical form")
+	}
+	return m, nil
+}
+
+// scratch holds buffers for the comparison with the canonical form.
+var scratch = sync.Pool{New: func() any { return new(bytes.Buffer) }}
--- /dev/null
+++ b/internal/message/codec_test.go
@@ -0,0 +1,296 @@
+package message
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+func addrs(t *rapid.T) netip.AddrPort {
+	ip, _ := netip.AddrFromSlice(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "ip"))
+	return netip.AddrPortFrom(ip, rapid.Uint16().Draw(t, "port"))
+}
+
+// fill sets every field of a message to a drawn value. It fails on a field
+// type that it doesn't know, so that a new field can't go untested.
+func fill(t *rapid.T, v reflect.Value) {
+	if v.Type() == reflect.TypeFor[netip.AddrPort]() {
+		v.Set(reflect.ValueOf(addrs(t)))
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(t, v.Field(i))
+		}
+	case reflect.Slice:
+		n := rapid.IntRange(0, 4).Draw(t, "length")
+		v.Set(reflect.MakeSlice(v.Type(), n, n))
+		for i := range n {
+			fill(t, v.Index(i))
+		}
+	case reflect.Array:
+		for i := range v.Len() {
+			fill(t, v.Index(i))
+		}
+	case reflect.Map:
+		v.Set(reflect.MakeMap(v.Type()))
+		for range rapid.IntRange(0, 4).Draw(t, "pairs") {
+			key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
+			fill(t, key)
+			fill(t, value)
+			v.SetMapIndex(key, value)
+		}
+	case reflect.String:
+		v.SetString(rapid.StringN(0, 20, -1).Draw(t, "text"))
+	case reflect.Bool:
+		v.SetBool(rapid.Bool().Draw(t, "bool"))
+	case reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		v.SetUint(rapid.Uint64().Draw(t, "uint") >> (64 - v.Type().Bits()))
+	case reflect.Int64:
+		v.SetInt(rapid.Int64().Draw(t, "int"))
+	default:
+		t.Fatalf("no generator for %v", v.Type())
+	}
+}
+
+func TestRoundTrip(t *testing.T) { // guards against a field or kind that is lost on the wire
+	for kind, desc := range kinds {
+		t.Run(desc.name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				v := reflect.New(reflect.TypeOf(desc.zero))
+				fill(t, v.Elem())
+				m := v.Elem().Interface().(Message)
+				data, err := Encode(m)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got, err := Decode(data)
+				if err != nil {
+					t.Fatalf("decode %x: %v", data, err)
+				}
+				if !reflect.DeepEqual(got, m) {
+					t.Fatalf("got %+v, want %+v", got, m)
+				}
+				if KindOf(got) != kind {
+					t.Fatalf("got kind %v, want %v", KindOf(got), kind)
+				}
+			})
+		})
+	}
+}
+
+func body(t *testing.T, v any) []byte {
+	t.Helper()
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestDecodeRejects(t *testing.T) { // guards against lenient decoding of forged input
+	bomb, err := Pack(make([]byte, MaxSize), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	valid, err := Encode(Probe{Nonce: 7, Stamp: host.Stamp{Incarnation: 1 << 40}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	many := append([]byte{ProtocolVersion, byte(KindNews), 0xa2, 0x01, 0x9a, 0, 0x0f, 0xff, 0xff}, bytes.Repeat([]byte{0xa0}, 0xfffff)...)
+	with := func(k Kind, b ...byte) []byte { return append([]byte{ProtocolVersion, byte(k)}, b...) }
+	for name, c := range map[string]struct {
+		data []byte
+		want string
+	}{
+		"empty":           {nil, "too short"},
+		"old protocol":    {append([]byte{0}, valid[1:]...), "protocol version 0"},
+		"unknown kind":    {with(63, valid[2:]...), "unknown kind 63"},
+		"unknown flags":   {with(KindProbe|flagBased, valid[2:]...), "flags"},
+		"trailing byte":   {append(bytes.Clone(valid), 0), "extraneous data"},
+		"truncated":       {valid[:len(valid)-1], "EOF"},
+		"unknown field":   {with(KindHeld, body(t, map[int]int{1: 1, 9: 1})...), "unknown field"},
+		"missing field":   {with(KindHeld, 0xa0), "canonical"},
+		"null":            {with(KindHeld, 0xa1, 0x01, 0xf6), "canonical"},
+		"long number":     {with(KindHeld, 0xa1, 0x01, 0x18, 0x01), "canonical"},
+		"duplicate key":   {with(KindHeld, 0xa2, 0x01, 0x01, 0x01, 0x02), "duplicate"},
+		"indefinite":      {with(KindHeld, 0xbf, 0x01, 0x01, 0xff), "indefinite"},
+		"tag":             {with(KindHeld, 0xa1, 0x01, 0xc1, 0x01), "tag"},
+		"wrong type":      {with(KindHeld, 0xa1, 0x01, 0x61, 'x'), "cannot unmarshal"},
+		"deep":            {with(KindNews, append([]byte{0xa1, 0x01}, bytes.Repeat([]byte{0x81}, 20)...)...), "nested"},
+		"many elements":   {many, "exceeded max number of elements"},
+		"too long":        {make([]byte, MaxSize+1), "exceeds the limit"},
+		"bad frame":       {with(KindNews|flagCompressed, 1, 2, 3), "zstd"},
+		"expanding frame": {with(KindNews|flagCompressed, bomb...), "decompressed size exceeds"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, err := Decode(c.data)
+			if !errors.Is(err, ErrMalformed) || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %v and error %v, want ErrMalformed with %q", m, err, c.want)
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	row := host.Row{ID: "pwani-a-1", Zone: "pwani-a", Region: "pwani", ControlAddr: netip.MustParseAddrPort("127.1.0.1:7000")}
+	for _, m := range []Message{
+		Probe{Nonce: 1, Head: Head{Secured: 3, Applied: 3, Rows: 1 << 60}},
+		Delta{Manifest: version.Manifest{Number: 2, Sections: []version.SectionRef{{Name: "stock"}}}, Blobs: []Blob{bytes.Repeat([]byte("stock "), 100)}},
+		News{Hosts: []host.Row{row}, Servers: []backend.Server{{ID: "bead-stock-1", Addr: row.ControlAddr}}},
+		SyncRequest{Hashes: map[host.AvailabilityZone]uint64{"pwani-a": 1}},
+		Report{Zone: "pwani-a", Counts: []Count{{Number: 2, Hosts: 9}}, Stragglers: []host.ID{"pwani-a-3"}},
+	} {
+		data, err := Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(m)
+		if err != nil {
+			t.Fatalf("decoded message can't be encoded: %v", err)
+		}
+		if data[1]&flagCompressed == 0 && len(data) <= compressAbove && !bytes.Equal(again, data) {
+			t.Fatalf("got %x, want %x", again, data)
+		}
+	})
+}
+
+// held is a version with its sections for tests.
+type held struct {
+	manifest version.Manifest
+	blobs    map[version.Digest][]byte
+}
+
+func (h held) Manifest() version.Manifest   { return h.manifest }
+func (h held) Blob(d version.Digest) []byte { return h.blobs[d] }
+
+// holding returns a version with one blob per section.
+func holding(n version.Number, blobs ...[]byte) held {
+	h := held{manifest: version.Manifest{Number: n, Submission: "0f6c1d6e", AcceptedMS: 1_790_000_000_000 + int64(n)}, blobs: map[version.Digest][]byte{}}
+	for i, b := range blobs {
+		d := version.Digest(sha256.Sum256(b))
+		h.blobs[d] = b
+		h.manifest.Sections = append(h.manifest.Sections, version.SectionRef{
+			Name: document.SectionName(fmt.Sprintf("section-%03d", i)), Team: "stock-team", Digest: d, Size: uint32(len(b)),
+		})
+	}
+	return h
+}
+
+func section(seed, size int) []byte {
+	var b bytes.Buffer
+	for i := 0; b.Len() < size; i++ {
+		x := sha256.Sum256(fmt.Appendf(nil, "%d/%d", seed, i))
+		fmt.Fprintf(&b, "route read-%x prefix /%x/%x service s-%x timeout %dms;", x[:4], x[4:8], x[8:12], x[12:14], x[14])
+	}
+	return b.Bytes()[:size]
+}
+
+func TestBasedDelta(t *testing.T) { // guards against a delta that resends what the receiver holds
+	blobs := make([][]byte, 57)
+	for i := range blobs {
+		blobs[i] = section(i, 20_000)
+	}
+	base := holding(8, blobs...)
+	blobs[5] = bytes.Replace(blobs[5], []byte("timeout 1"), []byte("timeout 73"), 1)
+	next := holding(9, blobs...)
+	d := Delta{Manifest: next.manifest, Base: 8, Secured: true, Blobs: []Blob{blobs[5]}}
+	c := Codec{Held: func(n version.Number) (Snapshot, bool) { return base, n == 8 }}
+	based, err := c.Encode(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	full, err := Encode(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("one-line change: %d bytes against the base, %d bytes in full", len(based), len(full))
+	if len(based) > 300 {
+		t.Errorf("got %d bytes against the base, want at most 300", len(based))
+	}
+	got, err := c.Decode(based)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, d) {
+		t.Errorf("got %+v, want %+v", got, d)
+	}
+	if _, err := Decode(based); !errors.Is(err, ErrNoBase) || errors.Is(err, ErrMalformed) {
+		t.Errorf("without the base: got error %v, want ErrNoBase", err)
+	}
+	other := Codec{Held: func(version.Number) (Snapshot, bool) { return holding(8, section(1, 20_000)), true }}
+	if _, err := other.Decode(based); !errors.Is(err, ErrMalformed) {
+		t.Errorf("with another base: got error %v, want ErrMalformed", err)
+	}
+}
+
+func TestPack(t *testing.T) { // guards against unbounded output and against a wrong dictionary
+	base := section(1, 20_000)
+	next := bytes.Replace(base, []byte("timeout 1"), []byte("timeout 73"), 1)
+	packed, err := Pack(next, base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	alone, err := Pack(next, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("one-line change of 20,000 bytes: %d bytes with the base, %d without", len(packed), len(alone))
+	if len(packed) > 100 {
+		t.Errorf("got %d bytes, want at most 100", len(packed))
+	}
+	if got, err := Unpack(packed, base, len(next)); err != nil || !bytes.Equal(got, next) {
+		t.Errorf("got %d bytes and error %v, want the packed %d bytes", len(got), err, len(next))
+	}
+	if _, err := Unpack(packed, base, len(next)-1); err == nil {
+		t.Error("output above the limit was accepted")
+	}
+	if _, err := Unpack(packed, section(2, 20_000), MaxSize); err == nil {
+		t.Error("a wrong base was accepted")
+	}
+	if got, err := Unpack(alone, nil, MaxSize); err != nil || !bytes.Equal(got, next) {
+		t.Errorf("without base: got %d bytes and error %v, want %d bytes", len(got), err, len(next))
+	}
+}
+
+func BenchmarkPackBase(b *testing.B) {
+	base := section(1, 20_000)
+	next := bytes.Replace(base, []byte("timeout 1"), []byte("timeout 73"), 1)
+	for b.Loop() {
+		if _, err := Pack(next, base); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkDecodeProbe(b *testing.B) {
+	data, _ := Encode(Probe{Nonce: 7, Stamp: host.Stamp{Incarnation: 1 << 40, Sequence: 5}, Head: Head{Secured: 900, Applied: 900, Rows: 1 << 63}})
+	b.ReportMetric(float64(len(data)), "bytes")
+	for b.Loop() {
+		if _, err := Decode(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
