link: QUIC transport with mutual TLS over one UDP socket

Daemons need an authenticated transport whose idle cost is small, because bytes between regions are paid for.

One socket serves both directions, so that a peer sees the control address. Encoding and sending run per peer behind bounded queues; transfers on streams run apart from datagrams, so that a slow one doesn't delay probes. Of two connections dialled at the same time, both ends choose the one of the lower address. A stateless reset key derived from the host's private key lets a restarted daemon end the connections of its former process.

--- /dev/null
+++ b/internal/link/keys.go
@@ -0,0 +1,111 @@
+package link
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"math/big"
+	"time"
+)
+
+// PeerName is the DNS name that the certificate of every daemon must carry.
+const PeerName = "peridotlb"
+
+// Keys is a certificate and its private key, both PEM encoded.
+type Keys struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// NewCA creates a certificate authority for one fleet, valid from notBefore for
+// the given time.
+func NewCA(name string, notBefore time.Time, valid time.Duration) (Keys, error) {
+	template := &x509.Certificate{
+		Subject:               pkix.Name{CommonName: name},
+		NotBefore:             notBefore,
+		NotAfter:              notBefore.Add(valid),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	keys, err := sign(template, nil)
+	if err != nil {
+		return Keys{}, fmt.Errorf("create certificate authority: %w", err)
+	}
+	return keys, nil
+}
+
+// NewHostKeys creates the certificate of a host's daemon, signed by ca. Its
+// subject is the host id and its DNS names are PeerName and extraNames.
+func NewHostKeys(ca Keys, hostID string, notBefore time.Time, valid time.Duration, extraNames ...string) (Keys, error) {
+	return newLeaf(ca, hostID, notBefore, valid, append([]string{PeerName}, extraNames...))
+}
+
+func newLeaf(ca Keys, subject string, notBefore time.Time, valid time.Duration, names []string) (Keys, error) {
+	template := &x509.Certificate{
+		Subject:     pkix.Name{CommonName: subject},
+		DNSNames:    names,
+		NotBefore:   notBefore,
+		NotAfter:    notBefore.Add(valid),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	keys, err := sign(template, &ca)
+	if err != nil {
+		return Keys{}, fmt.Errorf("create certificate for %s: %w", subject, err)
+	}
+	return keys, nil
+}
+
+// sign creates a P-256 key and its certificate, signed by ca or by itself.
+func sign(template *x509.Certificate, ca *Keys) (Keys, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 63))
+	if err != nil {
+		return Keys{}, err
+	}
+	template.SerialNumber = serial
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Keys{}, err
+	}
+	parent, signer := template, any(key)
+	if ca != nil {
+		if parent, signer, err = ca.parse(); err != nil {
+			return Keys{}, fmt.Errorf("certificate authority: %w", err)
+		}
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key.Public(), signer)
+	if err != nil {
+		return Keys{}, err
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Keys{}, err
+	}
+	return Keys{
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}),
+	}, nil
+}
+
+func (k Keys) parse() (*x509.Certificate, any, error) {
+	cert, _ := pem.Decode(k.Certificate)
+	key, _ := pem.Decode(k.Key)
+	if cert == nil || key == nil {
+		return nil, nil, errors.New("no PEM block found")
+	}
+	c, err := x509.ParseCertificate(cert.Bytes)
+	if err != nil {
+		return nil, nil, err
+	}
+	signer, err := x509.ParsePKCS8PrivateKey(key.Bytes)
+	if err != nil {
+		return nil, nil, err
+	}
+	return c, signer, nil
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,431 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/peridotlb/peridotlb/internal/message"
+)
+
+// fleet is a certificate authority with a directory for its files.
+type fleet struct {
+	t  testing.TB
+	ca Keys
+}
+
+func newFleet(t testing.TB) fleet {
+	t.Helper()
+	ca, err := NewCA("test", time.Now().Add(-time.Hour), 24*time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fleet{t, ca}
+}
+
+func (f fleet) leaf(start time.Time, valid time.Duration, names ...string) Keys {
+	f.t.Helper()
+	keys, err := newLeaf(f.ca, "test-host", start, valid, names)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return keys
+}
+
+func (f fleet) host() Keys {
+	return f.leaf(time.Now().Add(-time.Hour), 24*time.Hour, PeerName)
+}
+
+// files writes the authority and a host's keys into a new directory.
+func (f fleet) files(keys Keys) TLSConfig {
+	f.t.Helper()
+	dir := f.t.TempDir()
+	c := TLSConfig{CA: filepath.Join(dir, "ca.pem"), Certificate: filepath.Join(dir, "host.pem"), Key: filepath.Join(dir, "host.key")}
+	for name, data := range map[string][]byte{c.CA: f.ca.Certificate, c.Certificate: keys.Certificate, c.Key: keys.Key} {
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	return c
+}
+
+type received struct {
+	from netip.AddrPort
+	m    message.Message
+}
+
+// node is a link with what it received.
+type node struct {
+	*Link
+	received chan received
+	logs     *observer.ObservedLogs
+}
+
+func (f fleet) listen(keys Keys, change func(*Config)) node {
+	f.t.Helper()
+	return f.listenTLS(f.files(keys), change)
+}
+
+func (f fleet) listenTLS(files TLSConfig, change func(*Config)) node {
+	f.t.Helper()
+	server, client, err := LoadTLS(files)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	core, logs := observer.New(zapcore.DebugLevel)
+	n := node{received: make(chan received, 1024), logs: logs}
+	config := Config{
+		Addr: netip.MustParseAddrPort("127.0.0.1:0"), Server: server, Client: client, Log: zap.New(core),
+		Receive: func(from netip.AddrPort, m message.Message) { n.received <- received{from, m} },
+	}
+	if change != nil {
+		change(&config)
+	}
+	n.Link, err = Listen(context.Background(), config)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.config.Addr = n.Addr()
+	f.t.Cleanup(func() { _ = n.Close() })
+	return n
+}
+
+// until repeats a step until it reports true; the test's own time-out ends it.
+func until(t testing.TB, what string, step func() bool) {
+	t.Helper()
+	for !step() {
+		select {
+		case <-t.Context().Done():
+			t.Fatal(what)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (n node) connections(to node) int {
+	p := n.peer(to.Addr())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+// random returns bytes that don't compress.
+func random(size int) []byte {
+	b := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(b)
+	return b
+}
+
+func TestSend(t *testing.T) { // guards against lost sizes, a wrong sender and one connection per direction
+	f := newFleet(t)
+	a, b := f.listen(f.host(), nil), f.listen(f.host(), nil)
+	for _, size := range []int{0, 900, 5000, 3 << 20} {
+		a.Send(b.Addr(), message.Delta{Blobs: []message.Blob{random(size)}})
+		got := <-b.received
+		if d, ok := got.m.(message.Delta); !ok || got.from != a.Addr() || len(d.Blobs) != 1 || len(d.Blobs[0]) != size {
+			t.Fatalf("size %d: got %T from %v, want the delta from %v", size, got.m, got.from, a.Addr())
+		}
+	}
+	b.Send(a.Addr(), message.Announce{Number: 7})
+	if got := <-a.received; got.m != (message.Announce{Number: 7}) || got.from != b.Addr() {
+		t.Errorf("got %+v, want an announcement from %v", got, b.Addr())
+	}
+	if got := b.connections(a); got != 1 {
+		t.Errorf("got %d connections, want the incoming one only", got)
+	}
+}
+
+func TestSimultaneousDial(t *testing.T) { // guards against a pair that keeps two connections in use
+	f := newFleet(t)
+	a, b := f.listen(f.host(), nil), f.listen(f.host(), nil)
+	a.Send(b.Addr(), message.Announce{Number: 1})
+	b.Send(a.Addr(), message.Announce{Number: 2})
+	<-a.received
+	<-b.received
+	until(t, "ends chose different connections", func() bool {
+		dialer := func(n, other node) netip.AddrPort {
+			p := n.peer(other.Addr())
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if c := p.best(); c != nil {
+				return c.dialer
+			}
+			return netip.AddrPort{}
+		}
+		return dialer(a, b) == dialer(b, a)
+	})
+}
+
+func TestCertificates(t *testing.T) { // guards against peers outside the fleet
+	f, foreign := newFleet(t), newFleet(t)
+	now := time.Now()
+	for name, c := range map[string]struct {
+		keys   Keys
+		signer fleet
+		want   string
+	}{
+		"foreign authority": {foreign.host(), foreign, "unknown authority"},
+		"wrong name":        {f.leaf(now.Add(-time.Hour), 2*time.Hour, "gate"), f, "valid for gate"},
+		"expired":           {f.leaf(now.Add(-2*time.Hour), time.Hour, PeerName), f, "expired"},
+		"not yet valid":     {f.leaf(now.Add(time.Hour), time.Hour, PeerName), f, "not yet valid"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// The bad node itself loads a good certificate and then presents the
+			// bad one, since LoadTLS refuses to load it.
+			g := fleet{t, f.ca}
+			good := g.listen(g.host(), nil)
+			files := fleet{t, c.signer.ca}.files(c.signer.host())
+			server, client, err := LoadTLS(files)
+			if err != nil {
+				t.Fatal(err)
+			}
+			presented := f.pair(c.keys)
+			present(server, client, presented)
+			bad := fleet{t, c.signer.ca}.listen(c.signer.host(), func(config *Config) { config.Server, config.Client = server, client })
+
+			ctx := t.Context()
+			if _, err := good.Ask(ctx, bad.Addr(), nil); err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("dialling the bad host: got error %v, want %q", err, c.want)
+			}
+			if _, err := bad.Ask(ctx, good.Addr(), nil); err == nil || errors.Is(err, ErrAnswer) {
+				t.Errorf("dialled by the bad host: got error %v, want a refused connection", err)
+			}
+			if len(good.received) != 0 {
+				t.Error("a message of the bad host was received")
+			}
+		})
+	}
+}
+
+func TestMalformed(t *testing.T) { // guards against forged input that passes silently or harms other peers
+	f := newFleet(t)
+	a, b, other := f.listen(f.host(), nil), f.listen(f.host(), nil), f.listen(f.host(), nil)
+	other.Send(b.Addr(), message.Announce{Number: 1})
+	<-b.received
+	for name, send := range map[string]func(*conn, context.Context, []byte) error{
+		"datagram": (*conn).sendDatagram, "stream": (*conn).sendStream,
+	} {
+		c, err := a.peer(b.Addr()).connection(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := send(c, t.Context(), []byte{message.ProtocolVersion, 63, 0}); err != nil {
+			t.Fatal(err)
+		}
+		<-c.Context().Done()
+		var app *quic.ApplicationError
+		if err := context.Cause(c.Context()); !errors.As(err, &app) || app.ErrorCode != codeMalformed {
+			t.Errorf("%s: connection ended with %v, want code %d", name, err, codeMalformed)
+		}
+		logged := b.logs.FilterField(zap.Stringer("from", a.Addr())).FilterMessageSnippet("malformed").TakeAll()
+		if len(logged) != 1 || !strings.Contains(logged[0].ContextMap()["error"].(string), "unknown kind 63") {
+			t.Errorf("%s: got log %v, want one line with sender and reason", name, logged)
+		}
+		b.logs.TakeAll()
+		until(t, "connection stays registered", func() bool { return a.connections(b) == 0 })
+	}
+	other.Send(b.Addr(), message.Announce{Number: 2})
+	if got := <-b.received; got.from != other.Addr() {
+		t.Errorf("got %+v, want the announcement of the other peer", got)
+	}
+	if got := b.connections(other); got != 1 {
+		t.Errorf("got %d connections to the other peer, want 1", got)
+	}
+}
+
+func TestMissingBaseKeepsConnection(t *testing.T) { // guards against a late delta that cuts a healthy peer off
+	f := newFleet(t)
+	b := f.listen(f.host(), nil)
+	base := snapshot{}
+	a := f.listen(f.host(), func(c *Config) {
+		c.Codec.Held = func(n messageNumber) (message.Snapshot, bool) { return base, n == 1 }
+	})
+	a.Send(b.Addr(), message.Delta{Base: 1, Blobs: []message.Blob{bytes.Repeat([]byte("route"), 100)}})
+	a.Send(b.Addr(), message.Announce{Number: 2})
+	if got := <-b.received; got.m != (message.Announce{Number: 2}) {
+		t.Errorf("got %+v, want the announcement only", got)
+	}
+	if got := b.connections(a); got != 1 {
+		t.Errorf("got %d connections, want 1", got)
+	}
+}
+
+func TestAsk(t *testing.T) { // guards against answers without limits and errors that get lost
+	f := newFleet(t)
+	a := f.listen(f.host(), nil)
+	b := f.listen(f.host(), func(c *Config) {
+		c.Answer = func(ctx context.Context, from netip.AddrPort, query []byte) ([]byte, error) {
+			switch string(query) {
+			case "fail":
+				return nil, errors.New("no such version")
+			case "large":
+				return make([]byte, maxAnswer), nil
+			case "never":
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return append([]byte(from.String()+" "), query...), nil
+		}
+	})
+	got, err := a.Ask(t.Context(), b.Addr(), []byte("status"))
+	if want := a.Addr().String() + " status"; err != nil || string(got) != want {
+		t.Errorf("got %q and error %v, want %q", got, err, want)
+	}
+	if _, err := a.Ask(t.Context(), b.Addr(), []byte("fail")); !errors.Is(err, ErrAnswer) || !strings.Contains(err.Error(), "no such version") {
+		t.Errorf("got error %v, want the daemon's own", err)
+	}
+	if _, err := a.Ask(t.Context(), b.Addr(), []byte("large")); !errors.Is(err, ErrAnswer) || !strings.Contains(err.Error(), "exceeds") {
+		t.Errorf("got error %v, want a size error", err)
+	}
+	if _, err := a.Ask(t.Context(), b.Addr(), make([]byte, maxQuery+1)); err == nil || !strings.Contains(err.Error(), "exceeds") {
+		t.Errorf("got error %v, want a size error", err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := a.Ask(ctx, b.Addr(), []byte("never")); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("got error %v, want the deadline", err)
+	}
+	if _, err := b.Ask(t.Context(), a.Addr(), nil); !errors.Is(err, ErrAnswer) {
+		t.Errorf("without Config.Answer: got error %v, want ErrAnswer", err)
+	}
+}
+
+func TestRestartedPeer(t *testing.T) { // guards against sending into the connection of a former process until the idle timeout
+	f := newFleet(t)
+	files := f.files(f.host())
+	a, b := f.listen(f.host(), nil), f.listenTLS(files, nil)
+	a.Send(b.Addr(), message.Announce{Number: 1})
+	<-b.received
+	addr := b.Addr()
+	// A crash: the socket disappears without a word to the peers.
+	_ = b.socket.udp.Close()
+	again := f.listenTLS(files, func(c *Config) { c.Addr = addr })
+	until(t, "no message reached the restarted peer", func() bool {
+		a.Send(addr, message.Probe{Nonce: 1 << 60, Head: message.Head{Rows: 1 << 60}})
+		return len(again.received) > 0
+	})
+}
+
+func TestUnreachablePeer(t *testing.T) { // guards against an unbounded queue
+	f := newFleet(t)
+	a := f.listen(f.host(), nil)
+	to := netip.MustParseAddrPort("127.0.0.1:9")
+	for range 10 * queueLength {
+		a.Send(to, message.Announce{Number: 1})
+	}
+	p := a.peer(to)
+	p.mu.Lock()
+	queued := len(p.queue)
+	p.mu.Unlock()
+	if queued > queueLength || a.Dropped() < 9*queueLength-1 {
+		t.Errorf("got %d queued and %d dropped, want at most %d queued", queued, a.Dropped(), queueLength)
+	}
+}
+
+func TestBackoff(t *testing.T) { // guards against dials in step and against waits that outlast a restored link
+	for failures := 1; failures < 100; failures++ {
+		low, high := backoff(failures, 0), backoff(failures, 0.999)
+		if low < minBackoff/2 || high > maxBackoff || high <= low {
+			t.Errorf("after %d failures: got %v to %v", failures, low, high)
+		}
+	}
+	if got := backoff(3, 0); got != 2*minBackoff {
+		t.Errorf("after 3 failures: got %v, want %v", got, 2*minBackoff)
+	}
+}
+
+func TestRemoteTraffic(t *testing.T) { // guards against link bytes counted for the wrong peers
+	f := newFleet(t)
+	b, c := f.listen(f.host(), nil), f.listen(f.host(), func(c *Config) { c.Addr = netip.MustParseAddrPort("127.0.0.2:0") })
+	a := f.listen(f.host(), func(c *Config) {
+		c.Remote = func(a netip.Addr) bool { return a == netip.MustParseAddr("127.0.0.2") }
+	})
+	a.Send(b.Addr(), message.Announce{Number: 1})
+	<-b.received
+	until(t, "counters of the two ends don't agree", func() bool {
+		ta, tb := a.Traffic().Total, b.Traffic().Total
+		return ta == Counters{tb.BytesReceived, tb.BytesSent, tb.PacketsReceived, tb.PacketsSent}
+	})
+	if got := a.Traffic(); got.Remote != (Counters{}) || got.Total.BytesSent == 0 {
+		t.Errorf("got %+v, want local bytes only", got)
+	}
+	a.Send(c.Addr(), message.Announce{Number: 1})
+	<-c.received
+	if got := a.Traffic(); got.Remote.BytesSent == 0 || got.Remote.BytesSent >= got.Total.BytesSent {
+		t.Errorf("got %+v, want a part of the bytes as remote", got)
+	}
+}
+
+// BenchmarkHandshake reports the bytes of both directions and the CPU time of
+// both ends for a connection that carries one announcement.
+func BenchmarkHandshake(b *testing.B) {
+	f := newFleet(b)
+	a, to := f.listen(f.host(), nil), f.listen(f.host(), nil)
+	var bytes uint64
+	var used time.Duration
+	for b.Loop() {
+		before, start := a.Traffic().Total, cpu()
+		a.Send(to.Addr(), message.Announce{Number: 1})
+		<-to.received
+		time.Sleep(60 * time.Millisecond) // longer than the delay of an acknowledgement
+		after := a.Traffic().Total
+		bytes += after.BytesSent - before.BytesSent + after.BytesReceived - before.BytesReceived
+		used += cpu() - start
+		_ = a.peer(to.Addr()).conns[0].CloseWithError(codeStopping, "")
+		until(b, "connection stays registered", func() bool { return a.connections(to)+to.connections(a) == 0 })
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op")
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+// BenchmarkProbe reports the bytes of both directions for one probe and its
+// answer on an idle connection.
+func BenchmarkProbe(b *testing.B) {
+	f := newFleet(b)
+	a := f.listen(f.host(), nil)
+	var to node
+	to = f.listen(f.host(), func(c *Config) {
+		c.Receive = func(from netip.AddrPort, _ message.Message) {
+			to.Send(from, message.ProbeAnswer{Nonce: 1 << 30, Head: message.Head{Secured: 70000, Applied: 70000, Rows: 1 << 60}})
+		}
+	})
+	probe := message.Probe{Nonce: 1 << 30, Head: message.Head{Secured: 70000, Applied: 70000, Rows: 1 << 60}}
+	exchange := func() {
+		a.Send(to.Addr(), probe)
+		<-a.received
+		time.Sleep(100 * time.Millisecond)
+	}
+	exchange()
+	data, _ := message.Encode(probe)
+	before := a.Traffic().Total
+	for b.Loop() {
+		exchange()
+	}
+	after := a.Traffic().Total
+	n := float64(b.N)
+	b.ReportMetric(float64(len(data)), "probe-bytes")
+	b.ReportMetric(float64(after.BytesSent-before.BytesSent+after.BytesReceived-before.BytesReceived)/n, "bytes/op")
+	b.ReportMetric(float64(after.PacketsSent-before.PacketsSent+after.PacketsReceived-before.PacketsReceived)/n, "packets/op")
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/link/stream.go
@@ -0,0 +1,235 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
+
+	"github.com/peridotlb/peridotlb/internal/message"
+)
+
+// First byte of an answer.
+const (
+	answerOK    = 0
+	answerError = 1
+)
+
+// streamCanceled is the code of streams that are given up.
+const streamCanceled quic.StreamErrorCode = 1
+
+// ErrAnswer is wrapped by errors that the asked daemon returned.
+var ErrAnswer = errors.New("daemon refused the query")
+
+func (c *conn) sendDatagram(_ context.Context, data []byte) error { return c.SendDatagram(data) }
+
+func (c *conn) sendStream(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, streamTimeout)
+	defer cancel()
+	s, err := c.OpenUniStreamSync(ctx)
+	if err != nil {
+		return fmt.Errorf("open stream: %w", err)
+	}
+	if err := write(s, data, time.Now().Add(streamTimeout)); err != nil {
+		s.CancelWrite(streamCanceled)
+		return err
+	}
+	return nil
+}
+
+// sendSide is the sending half of a stream.
+type sendSide interface {
+	io.WriteCloser
+	SetWriteDeadline(time.Time) error
+}
+
+// write sends data and ends the sending half.
+func write(s sendSide, data []byte, deadline time.Time) error {
+	if err := s.SetWriteDeadline(deadline); err != nil {
+		return fmt.Errorf("set deadline: %w", err)
+	}
+	if _, err := s.Write(data); err != nil {
+		return fmt.Errorf("write stream: %w", err)
+	}
+	if err := s.Close(); err != nil {
+		return fmt.Errorf("close stream: %w", err)
+	}
+	return nil
+}
+
+// receiveSide is the receiving half of a stream.
+type receiveSide interface {
+	io.Reader
+	SetReadDeadline(time.Time) error
+}
+
+// read returns all data of the receiving half, at most limit bytes.
+func read(s receiveSide, limit int, deadline time.Time) ([]byte, error) {
+	if err := s.SetReadDeadline(deadline); err != nil {
+		return nil, fmt.Errorf("set deadline: %w", err)
+	}
+	data, err := io.ReadAll(io.LimitReader(s, int64(limit)+1))
+	if err != nil {
+		return nil, fmt.Errorf("read stream: %w", err)
+	}
+	if len(data) > limit {
+		return nil, fmt.Errorf("%w: stream exceeds %d bytes", message.ErrMalformed, limit)
+	}
+	return data, nil
+}
+
+// receive takes messages and queries from a connection until it closes.
+func (p *peer) receive(c *conn) {
+	defer p.remove(c)
+	p.link.start(func() { p.receiveStreams(c) })
+	p.link.start(func() { p.receiveQueries(c) })
+	for {
+		data, err := c.ReceiveDatagram(c.Context())
+		if err != nil {
+			return
+		}
+		p.handle(c, data)
+	}
+}
+
+func (p *peer) receiveStreams(c *conn) {
+	for {
+		s, err := c.AcceptUniStream(c.Context())
+		if err != nil {
+			return
+		}
+		p.link.start(func() {
+			data, err := read(s, message.MaxSize, time.Now().Add(streamTimeout))
+			if err != nil {
+				s.CancelRead(streamCanceled)
+				p.refuse(c, err)
+				return
+			}
+			p.handle(c, data)
+		})
+	}
+}
+
+func (p *peer) handle(c *conn, data []byte) {
+	p.heard(c)
+	m, err := p.link.config.Codec.Decode(data)
+	if err != nil {
+		p.refuse(c, err)
+		return
+	}
+	if p.link.config.Receive != nil {
+		p.link.config.Receive(p.addr, m)
+	}
+}
+
+// refuse logs a message that was not taken and closes the connection when its
+// sender broke the protocol.
+func (p *peer) refuse(c *conn, err error) {
+	if !errors.Is(err, message.ErrMalformed) {
+		p.link.config.Log.Debug("Message not received.", zap.Stringer("from", p.addr), zap.Error(err))
+		return
+	}
+	p.link.config.Log.Warn("Connection closed after a malformed message.", zap.Stringer("from", p.addr), zap.Error(err))
+	_ = c.CloseWithError(codeMalformed, "malformed message")
+}
+
+func (p *peer) receiveQueries(c *conn) {
+	for {
+		s, err := c.AcceptStream(c.Context())
+		if err != nil {
+			return
+		}
+		p.link.start(func() {
+			p.heard(c)
+			if err := p.answer(c, s); err != nil {
+				s.CancelRead(streamCanceled)
+				s.CancelWrite(streamCanceled)
+				p.refuse(c, err)
+			}
+		})
+	}
+}
+
+// answer reads one query, calls Config.Answer and writes what it returned.
+func (p *peer) answer(c *conn, s *quic.Stream) error {
+	ctx, cancel := context.WithTimeout(c.Context(), queryTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	query, err := read(s, maxQuery, deadline)
+	if err != nil {
+		return fmt.Errorf("query: %w", err)
+	}
+	answer, err := []byte(nil), errors.New("queries are not served here")
+	if p.link.config.Answer != nil {
+		answer, err = p.link.config.Answer(ctx, p.addr, query)
+	}
+	if err == nil && len(answer) >= maxAnswer {
+		err = fmt.Errorf("answer of %d bytes exceeds the limit of %d", len(answer), maxAnswer-1)
+	}
+	if err != nil {
+		return write(s, append([]byte{answerError}, err.Error()...), deadline)
+	}
+	return write(s, append([]byte{answerOK}, answer...), deadline)
+}
+
+// Ask sends a query to a daemon and returns its answer. Without a deadline in
+// ctx it waits up to 10 s. An error that the daemon returned wraps ErrAnswer.
+func (l *Link) Ask(ctx context.Context, to netip.AddrPort, query []byte) ([]byte, error) {
+	answer, err := l.ask(ctx, to, query)
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", to, err)
+	}
+	return answer, nil
+}
+
+func (l *Link) ask(ctx context.Context, to netip.AddrPort, query []byte) ([]byte, error) {
+	if len(query) > maxQuery {
+		return nil, fmt.Errorf("query of %d bytes exceeds the limit of %d", len(query), maxQuery)
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, queryTimeout)
+		defer cancel()
+	}
+	p := l.peer(to)
+	if p == nil {
+		return nil, errors.New("link is closed")
+	}
+	c, err := p.connection(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s, err := c.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("open stream: %w", err)
+	}
+	giveUp := func() {
+		s.CancelRead(streamCanceled)
+		s.CancelWrite(streamCanceled)
+	}
+	defer context.AfterFunc(ctx, giveUp)()
+	// The context ends the stream, so that its error is the one returned.
+	if err := write(s, query, time.Time{}); err != nil && ctx.Err() == nil {
+		giveUp()
+		return nil, err
+	}
+	answer, err := read(s, maxAnswer, time.Time{})
+	switch {
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	case err != nil:
+		giveUp()
+		return nil, err
+	case len(answer) == 0:
+		return nil, errors.New("answer is empty")
+	case answer[0] == answerError:
+		return nil, fmt.Errorf("%w: %s", ErrAnswer, answer[1:])
+	}
+	p.heard(c)
+	return answer[1:], nil
+}
--- /dev/null
+++ b/internal/link/tls.go
@@ -0,0 +1,205 @@
+package link
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// reloadInterval is the least time between two looks at the certificate files.
+const reloadInterval = 10 * time.Second
+
+// TLSConfig names the PEM files of a daemon.
+type TLSConfig struct {
+	CA          string // certificates of the fleet's certificate authority
+	Certificate string // certificate of this host
+	Key         string // private key of this host
+	// Now is the clock for validity and reloading; nil takes time.Now.
+	Now func() time.Time
+	// Log gets a line when changed files can't be loaded; nil discards it.
+	Log *zap.Logger
+}
+
+// LoadTLS reads the files and returns configurations for accepting and for
+// making connections. Both require TLS 1.3 and a certificate of the fleet's
+// authority with the name PeerName from the peer. Changed files are loaded
+// during later handshakes, at most every 10 s; when that fails, the previous
+// content stays in use. Errors name the file and the fault.
+func LoadTLS(config TLSConfig) (server, client *tls.Config, err error) {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Log == nil {
+		config.Log = zap.NewNop()
+	}
+	s := &tlsStore{config: config}
+	if s.current, err = config.load(); err != nil {
+		return nil, nil, err
+	}
+	s.checked = config.Now()
+	server = &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		Time:       config.Now,
+		// The chain is checked in VerifyConnection, where reloaded authorities
+		// take effect and which also runs for resumed sessions.
+		ClientAuth:       tls.RequireAnyClientCert,
+		VerifyConnection: s.verify(x509.ExtKeyUsageClientAuth),
+		GetCertificate:   func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.get().certificate, nil },
+	}
+	client = &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		Time:       config.Now,
+		ServerName: PeerName,
+		// Only replaces the built-in check by the one in VerifyConnection.
+		InsecureSkipVerify: true,
+		VerifyConnection:   s.verify(x509.ExtKeyUsageServerAuth),
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return s.get().certificate, nil
+		},
+	}
+	return server, client, nil
+}
+
+// tlsFiles is the parsed content of the files and what they looked like.
+type tlsFiles struct {
+	certificate *tls.Certificate
+	pool        *x509.CertPool
+	stamps      [3]fileStamp
+}
+
+type fileStamp struct {
+	modified time.Time
+	size     int64
+}
+
+type tlsStore struct {
+	config TLSConfig
+
+	mu      sync.Mutex
+	checked time.Time
+	failed  [3]fileStamp // state of the files that last failed to load
+	current *tlsFiles
+}
+
+// get returns the current files, after a reload when they changed.
+func (s *tlsStore) get() *tlsFiles {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.Now()
+	if now.Sub(s.checked) < reloadInterval {
+		return s.current
+	}
+	s.checked = now
+	stamps, err := s.config.stamps()
+	if err == nil && (stamps == s.current.stamps || stamps == s.failed) {
+		return s.current
+	}
+	var next *tlsFiles
+	if err == nil {
+		next, err = s.config.load()
+	}
+	if err != nil {
+		s.failed = stamps
+		s.config.Log.Warn("Certificate files not reloaded; the previous ones stay in use.", zap.Error(err))
+		return s.current
+	}
+	s.current = next
+	s.config.Log.Info("Certificate files reloaded.", zap.String("certificate", s.config.Certificate))
+	return next
+}
+
+// verify returns a check of the peer's chain and name for one key usage.
+func (s *tlsStore) verify(usage x509.ExtKeyUsage) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		if len(state.PeerCertificates) == 0 {
+			return errors.New("peer presented no certificate")
+		}
+		intermediates := x509.NewCertPool()
+		for _, c := range state.PeerCertificates[1:] {
+			intermediates.AddCert(c)
+		}
+		leaf := state.PeerCertificates[0]
+		_, err := leaf.Verify(x509.VerifyOptions{
+			DNSName:       PeerName,
+			Roots:         s.get().pool,
+			Intermediates: intermediates,
+			CurrentTime:   s.config.Now(),
+			KeyUsages:     []x509.ExtKeyUsage{usage},
+		})
+		if err != nil {
+			return fmt.Errorf("certificate of %q refused: %w", leaf.Subject.CommonName, err)
+		}
+		return nil
+	}
+}
+
+func (c TLSConfig) stamps() (stamps [3]fileStamp, err error) {
+	for i, name := range []string{c.CA, c.Certificate, c.Key} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return stamps, fileError(name, err)
+		}
+		stamps[i] = fileStamp{info.ModTime(), info.Size()}
+	}
+	return stamps, nil
+}
+
+func (c TLSConfig) load() (*tlsFiles, error) {
+	// The stamps are taken first, so that a change during the load is found by
+	// the next look.
+	stamps, err := c.stamps()
+	if err != nil {
+		return nil, err
+	}
+	var content [3][]byte
+	for i, name := range []string{c.CA, c.Certificate, c.Key} {
+		if content[i], err = os.ReadFile(name); err != nil {
+			return nil, fileError(name, err)
+		}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(content[0]) {
+		return nil, fmt.Errorf("CA file %s: no PEM certificate found", c.CA)
+	}
+	pair, err := tls.X509KeyPair(content[1], content[2])
+	if err != nil {
+		return nil, fmt.Errorf("certificate file %s with key file %s: %w", c.Certificate, c.Key, err)
+	}
+	if err := pair.Leaf.VerifyHostname(PeerName); err != nil {
+		return nil, fmt.Errorf("certificate file %s: %w", c.Certificate, err)
+	}
+	if _, err := pair.Leaf.Verify(x509.VerifyOptions{Roots: pool, Intermediates: chain(pair), CurrentTime: c.Now()}); err != nil {
+		return nil, fmt.Errorf("certificate file %s, checked with CA file %s: %w", c.Certificate, c.CA, err)
+	}
+	return &tlsFiles{certificate: &pair, pool: pool, stamps: stamps}, nil
+}
+
+// chain returns the intermediate certificates that follow the leaf.
+func chain(pair tls.Certificate) *x509.CertPool {
+	pool := x509.NewCertPool()
+	for _, der := range pair.Certificate[1:] {
+		if c, err := x509.ParseCertificate(der); err == nil {
+			pool.AddCert(c)
+		}
+	}
+	return pool
+}
+
+// fileError names the file once; errors of package os name it as well.
+func fileError(name string, err error) error {
+	var p *fs.PathError
+	if errors.As(err, &p) {
+		err = p.Err
+	}
+	if name == "" {
+		return fmt.Errorf("name of a certificate, key or CA file is empty: %w", err)
+	}
+	return fmt.Errorf("file %s: %w", name, err)
+}
