--- /dev/null
+++ b/internal/timeline/timeline.go
@@ -0,0 +1,154 @@
+// Package timeline records what happened on a host in a bounded ring of events
+// and merges the rings of several hosts into one causal order.
+package timeline
+
+import (
+	"sync"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+// DefaultSize is the number of events kept when Config.Size is zero. At about
+// 200 bytes each they take less than 1 MB.
+const DefaultSize = 4096
+
+// Kind names what happened, in kebab case, for example "version-applied".
+type Kind string
+
+// CallID identifies a call of the call path.
+type CallID string
+
+// Event is something that happened on a host. Add sets Stamp, and Host and Zone
+// where they are empty.
+type Event struct {
+	Stamp   Stamp                 `json:"stamp"`
+	Kind    Kind                  `json:"kind"`
+	Host    host.ID               `json:"host"` // where it happened
+	Zone    host.AvailabilityZone `json:"zone,omitempty"`
+	Subject host.ID               `json:"subject-host,omitempty"` // the other host concerned
+	Server  backend.ServerID      `json:"server,omitempty"`
+	Version version.Number        `json:"version,omitempty"`
+	Call    CallID                `json:"call-id,omitempty"`
+	Detail  string                `json:"detail,omitempty"`
+}
+
+// Config holds the settings of a Ring.
+type Config struct {
+	Host host.ID
+	Zone host.AvailabilityZone
+	Size int              // events kept; 0 takes DefaultSize
+	Now  func() time.Time // nil takes time.Now
+}
+
+// Ring keeps the newest events of a host. It is safe for concurrent use.
+type Ring struct {
+	config Config
+	clock  clock
+
+	mu     sync.Mutex
+	events []Event
+	next   int    // position of the oldest event once the ring is full
+	lost   uint64 // events overwritten
+	newest Stamp  // newest overwritten stamp
+}
+
+// New returns an empty ring.
+func New(config Config) *Ring {
+	if config.Size <= 0 {
+		config.Size = DefaultSize
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Ring{config: config, clock: clock{now: config.Now}}
+}
+
+// Add records an event and returns its stamp, to be sent along with a message
+// that the event causes.
+func (r *Ring) Add(e Event) Stamp {
+	if e.Host == "" {
+		e.Host = r.config.Host
+	}
+	if e.Zone == "" {
+		e.Zone = r.config.Zone
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// The stamp is taken under the lock, so that the ring is in stamp order.
+	e.Stamp = r.clock.next()
+	if len(r.events) < r.config.Size {
+		r.events = append(r.events, e)
+		return e.Stamp
+	}
+	r.lost++
+	r.newest = r.events[r.next].Stamp
+	r.events[r.next] = e
+	r.next = (r.next + 1) % len(r.events)
+	return e.Stamp
+}
+
+// Stamp returns a new stamp without recording an event, for messages to peers.
+func (r *Ring) Stamp() Stamp { return r.clock.next() }
+
+// Observe takes a stamp that came with a message of a peer. Events added later
+// are ordered after it.
+func (r *Ring) Observe(s Stamp) { r.clock.observe(s) }
+
+// Page is a part of one host's ring.
+type Page struct {
+	Host   host.ID `json:"host"`
+	Events []Event `json:"events"` // in stamp order
+	// Lost counts the events of the asked period that were overwritten; it is an
+	// upper bound, since they can't be matched with the filter any more.
+	Lost uint64 `json:"lost,omitempty"`
+}
+
+// Since returns the events after a stamp that match the filter.
+func (r *Ring) Since(s Stamp, f Filter) Page {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := Page{Host: r.config.Host, Events: []Event{}}
+	if r.lost > 0 && r.newest.Compare(s) > 0 {
+		p.Lost = r.lost
+	}
+	for i := range r.events {
+		e := r.events[(r.next+i)%len(r.events)]
+		if e.Stamp.Compare(s) > 0 && f.Match(e) {
+			p.Events = append(p.Events, e)
+		}
+	}
+	return p
+}
+
+// Filter selects events. An empty field selects all; all given fields must
+// match.
+type Filter struct {
+	Kinds   []Kind                `json:"kinds,omitempty"` // any of them
+	Version version.Number        `json:"version,omitempty"`
+	Server  backend.ServerID      `json:"server,omitempty"`
+	Call    CallID                `json:"call-id,omitempty"`
+	Zone    host.AvailabilityZone `json:"zone,omitempty"`
+}
+
+// Match reports whether the filter selects an event.
+func (f Filter) Match(e Event) bool {
+	return matchAny(f.Kinds, e.Kind) && match(f.Version, e.Version) && match(f.Server, e.Server) &&
+		match(f.Call, e.Call) && match(f.Zone, e.Zone)
+}
+
+func match[T comparable](want, got T) bool {
+	var empty T
+	return want == empty || want == got
+}
+
+func matchAny(kinds []Kind, k Kind) bool {
+	for _, want := range kinds {
+		if want == k {
+			return true
+		}
+	}
+	return len(kinds) == 0
+}
