relay: stand-in for the network between zones and regions

Tests need several zones and two regions on one machine, with delay, limited bandwidth and cuts, without a cluster or root rights.

The relay translates addresses 1:1 on loopback: a datagram or connection to the translated address of a host leaves from the translated address of its sender, after the delay of the pair and through one bandwidth limit per region direction that UDP and TCP share. Cuts drop datagrams and hold TCP data. The kernel completes a TCP handshake at once, so the relay adds its round trip before the first byte.

Two links that talk through the relay see only addresses of host rows, and their byte counters equal the relay's.

--- /dev/null
+++ b/test/relay/relay/config.go
@@ -0,0 +1,165 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// offset is added to the second byte of a host's address to get the address at
+// which hosts of other zones reach it.
+const offset = 100
+
+// Defaults of a Config.
+const (
+	defaultBandwidth = 30_000_000 // bits per second
+	defaultQueue     = 256 << 10  // bytes; 70 ms at 30 Mbit/s
+	minQueue         = 64 << 10   // bytes
+)
+
+// Duration is a time.Duration that is text in JSON, for example "12ms".
+type Duration time.Duration
+
+// MarshalText returns the duration with its unit.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText parses a duration with its unit.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	if v < 0 {
+		return fmt.Errorf("duration %s is negative", v)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Zone is an availability zone. Its hosts have the addresses
+// 127.<number>.0.0/16.
+type Zone struct {
+	Name   string `json:"name"`
+	Number byte   `json:"number"` // 1 to 99
+	Region string `json:"region"`
+}
+
+// Host is a host with the ports that other zones may reach.
+type Host struct {
+	Address netip.Addr `json:"address"`
+	UDP     []uint16   `json:"udp,omitempty"`
+	TCP     []uint16   `json:"tcp,omitempty"`
+}
+
+// Delay sets the one-way delay between two zones or two regions.
+type Delay struct {
+	A      string   `json:"a"`
+	B      string   `json:"b"`
+	OneWay Duration `json:"one-way"`
+}
+
+// Config describes the network.
+type Config struct {
+	// Control is the address of the control API; port 0 chooses one, and the
+	// zero value leaves it out.
+	Control     netip.AddrPort `json:"control,omitzero"`
+	Zones       []Zone         `json:"zones"`
+	Hosts       []Host         `json:"hosts"`
+	ZoneDelay   Duration       `json:"zone-delay"`   // one way, zones of a region
+	RegionDelay Duration       `json:"region-delay"` // one way, zones of different regions
+	Delays      []Delay        `json:"delays,omitempty"`
+	// Bandwidth of each pair of regions in each direction, in bits per second.
+	Bandwidth int64 `json:"bandwidth,omitempty"`
+	// Queue is the number of bytes that wait for that bandwidth; more are dropped
+	// (UDP) or not read from the sender (TCP).
+	Queue int64 `json:"queue,omitempty"`
+}
+
+// ParseConfig parses JSON and refuses unknown keys.
+func ParseConfig(data []byte) (Config, error) {
+	var c Config
+	if err := unmarshalStrict(data, &c); err != nil {
+		return Config{}, fmt.Errorf("relay configuration: %w", err)
+	}
+	return c, nil
+}
+
+// Translated returns the address at which hosts of other zones reach a host.
+func Translated(a netip.Addr) netip.Addr { return shift(a, offset) }
+
+// original is the reverse of Translated.
+func original(a netip.Addr) netip.Addr { return shift(a, 256-offset) }
+
+func shift(a netip.Addr, by int) netip.Addr {
+	b := a.As4()
+	b[1] += byte(by)
+	return netip.AddrFrom4(b)
+}
+
+// NAT returns the address translation rules of a daemon in the zone with the
+// given number, in the form of its setting --nat.
+func (c Config) NAT(zone byte) []string {
+	var rules []string
+	for _, z := range c.Zones {
+		if z.Number != zone {
+			rules = append(rules, fmt.Sprintf("127.%d.0.0/16=127.%d.0.0/16", z.Number, int(z.Number)+offset))
+		}
+	}
+	return rules
+}
+
+// check reports all faults of a configuration.
+func (c Config) check() error {
+	var errs []error
+	fault := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
+	numbers, names := map[byte]bool{}, map[string]bool{}
+	for _, z := range c.Zones {
+		if z.Name == "" || z.Region == "" || z.Number < 1 || z.Number >= offset {
+			fault("zone %q needs a name, a region and a number from 1 to %d", z.Name, offset-1)
+		}
+		if numbers[z.Number] || names[z.Name] {
+			fault("zone %q has the name or number of another zone", z.Name)
+		}
+		numbers[z.Number], names[z.Name] = true, true
+	}
+	regions := map[string]bool{}
+	for _, z := range c.Zones {
+		regions[z.Region] = true
+		if names[z.Region] {
+			fault("region %q has the name of a zone", z.Region)
+		}
+	}
+	for _, h := range c.Hosts {
+		if !h.Address.Is4() || h.Address.As4()[0] != 127 || !numbers[h.Address.As4()[1]] {
+			fault("host %s is in no zone; want 127.<zone number>.x.y", h.Address)
+		}
+	}
+	for _, d := range c.Delays {
+		if bothZones, bothRegions := names[d.A] && names[d.B], regions[d.A] && regions[d.B]; !bothZones && !bothRegions {
+			fault("delay between %q and %q: want two zones or two regions", d.A, d.B)
+		}
+	}
+	if c.Bandwidth < 0 {
+		fault("bandwidth %d is negative", c.Bandwidth)
+	}
+	// A chunk of a TCP connection and a datagram must fit.
+	if c.Queue != 0 && c.Queue < minQueue {
+		fault("queue of %d bytes is less than %d", c.Queue, minQueue)
+	}
+	return errors.Join(errs...)
+}
+
+func unmarshalStrict(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if d.More() {
+		return errors.New("data after the end of the object")
+	}
+	return nil
+}
--- /dev/null
+++ b/test/relay/relay/relay.go
@@ -0,0 +1,279 @@
+// Package relay stands for the network between availability zones and regions
+// in tests: address translation on loopback with delay, bandwidth, loss and
+// cuts.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Relay is a running network.
+type Relay struct {
+	config  Config
+	zones   map[byte]Zone
+	paths   map[[2]byte]*path // by numbers of the zones, sender first
+	sockets map[netip.AddrPort]*net.UDPConn
+	api     net.Listener
+	server  *http.Server
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	cuts    map[[2]string]bool
+	closers map[io.Closer]bool // listeners, sockets and connections
+	closed  bool
+}
+
+// Start opens all sockets. The relay stops when ctx ends or Close is called.
+func Start(ctx context.Context, config Config) (*Relay, error) {
+	if err := config.check(); err != nil {
+		return nil, fmt.Errorf("relay configuration: %w", err)
+	}
+	if config.Bandwidth == 0 {
+		config.Bandwidth = defaultBandwidth
+	}
+	if config.Queue == 0 {
+		config.Queue = defaultQueue
+	}
+	r := &Relay{
+		config: config, zones: map[byte]Zone{}, paths: map[[2]byte]*path{}, sockets: map[netip.AddrPort]*net.UDPConn{},
+		cuts: map[[2]string]bool{}, closers: map[io.Closer]bool{},
+	}
+	r.ctx, r.cancel = context.WithCancel(ctx)
+	r.makePaths()
+	if err := r.listen(); err != nil {
+		r.Close()
+		return nil, fmt.Errorf("start relay: %w", err)
+	}
+	context.AfterFunc(ctx, r.Close)
+	return r, nil
+}
+
+// makePaths creates the paths between all zones with their initial delays.
+func (r *Relay) makePaths() {
+	pipes := map[[2]string]*pipe{}
+	for _, from := range r.config.Zones {
+		r.zones[from.Number] = from
+		for _, to := range r.config.Zones {
+			var shared *pipe
+			if from.Region != to.Region {
+				key := [2]string{from.Region, to.Region}
+				if pipes[key] == nil {
+					pipes[key] = &pipe{bandwidth: r.config.Bandwidth, queue: r.config.Queue}
+				}
+				shared = pipes[key]
+			}
+			p := newPath(from, to, shared)
+			switch {
+			case from.Region != to.Region:
+				p.delay.Store(int64(r.config.RegionDelay))
+			case from != to:
+				p.delay.Store(int64(r.config.ZoneDelay))
+			}
+			r.paths[[2]byte{from.Number, to.Number}] = p
+			r.running.Go(func() { p.run(r.ctx) })
+		}
+	}
+	for _, d := range r.config.Delays {
+		for _, p := range r.between(d.A, d.B) {
+			p.delay.Store(int64(d.OneWay))
+		}
+	}
+}
+
+// listen opens the sockets of all hosts and the control API.
+func (r *Relay) listen() error {
+	for _, h := range r.config.Hosts {
+		for _, port := range h.UDP {
+			if err := r.listenUDP(netip.AddrPortFrom(h.Address, port)); err != nil {
+				return err
+			}
+		}
+		for _, port := range h.TCP {
+			if err := r.listenTCP(netip.AddrPortFrom(h.Address, port)); err != nil {
+				return err
+			}
+		}
+	}
+	for host, socket := range r.sockets {
+		r.running.Go(func() { r.forward(host, socket) })
+	}
+	return r.listenControl()
+}
+
+// between returns the paths between two zones or two regions, both directions.
+func (r *Relay) between(a, b string) []*path {
+	var found []*path
+	for _, p := range r.paths {
+		zones := p.from.Name == a && p.to.Name == b || p.from.Name == b && p.to.Name == a
+		regions := p.from.Region == a && p.to.Region == b || p.from.Region == b && p.to.Region == a
+		if zones || regions {
+			found = append(found, p)
+		}
+	}
+	return found
+}
+
+func (r *Relay) pair(a, b string) ([]*path, error) {
+	paths := r.between(a, b)
+	if len(paths) == 0 {
+		return nil, fmt.Errorf("%q and %q are not two zones or two regions of this relay", a, b)
+	}
+	return paths, nil
+}
+
+// Cut stops all data between two zones or two regions: datagrams are dropped,
+// TCP data waits.
+func (r *Relay) Cut(a, b string) error { return r.setCut(a, b, true) }
+
+// Heal ends the cut of the same pair.
+func (r *Relay) Heal(a, b string) error { return r.setCut(a, b, false) }
+
+func (r *Relay) setCut(a, b string, cut bool) error {
+	paths, err := r.pair(a, b)
+	if err != nil {
+		return err
+	}
+	key := [2]string{min(a, b), max(a, b)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cuts[key] == cut {
+		return nil
+	}
+	r.cuts[key] = cut
+	change := -1
+	if cut {
+		change = 1
+	}
+	for _, p := range paths {
+		p.change(change)
+	}
+	return nil
+}
+
+// SetDelay changes the one-way delay between two zones or two regions.
+func (r *Relay) SetDelay(a, b string, oneWay time.Duration) error {
+	paths, err := r.pair(a, b)
+	if err != nil {
+		return err
+	}
+	if oneWay < 0 {
+		return fmt.Errorf("delay %s is negative", oneWay)
+	}
+	for _, p := range paths {
+		p.delay.Store(int64(oneWay))
+	}
+	return nil
+}
+
+// SetLoss sets the percentage of datagrams lost between two zones or regions.
+func (r *Relay) SetLoss(a, b string, percent float64) error {
+	paths, err := r.pair(a, b)
+	if err != nil {
+		return err
+	}
+	if !(percent >= 0 && percent <= 100) {
+		return fmt.Errorf("loss of %v%% is not between 0 and 100", percent)
+	}
+	for _, p := range paths {
+		p.loss.Store(uint64(percent * 10_000))
+	}
+	return nil
+}
+
+// Report holds the counters of all pairs with traffic, one entry per direction.
+type Report struct {
+	Regions []Counters `json:"regions"` // pairs of different regions
+	Zones   []Counters `json:"zones"`   // pairs of zones
+}
+
+// Counters returns the counters in the order of the configured zones.
+func (r *Relay) Counters() Report {
+	report := Report{Regions: []Counters{}, Zones: []Counters{}}
+	index := map[[2]string]int{}
+	for _, from := range r.config.Zones {
+		for _, to := range r.config.Zones {
+			c := r.paths[[2]byte{from.Number, to.Number}].counters()
+			if c.UDPPackets+c.UDPDropped+c.TCPBytes > 0 {
+				report.Zones = append(report.Zones, c)
+			}
+			if from.Region == to.Region {
+				continue
+			}
+			key := [2]string{from.Region, to.Region}
+			i, ok := index[key]
+			if !ok {
+				i = len(report.Regions)
+				index[key] = i
+				report.Regions = append(report.Regions, Counters{From: from.Region, To: to.Region})
+			}
+			report.Regions[i].add(c)
+		}
+	}
+	return report
+}
+
+// path returns the path between the zones of two hosts, or nil.
+func (r *Relay) path(from, to netip.Addr) *path {
+	if !from.Is4() || !to.Is4() {
+		return nil
+	}
+	return r.paths[[2]byte{from.As4()[1], to.As4()[1]}]
+}
+
+// keep registers something to close at the end. It closes it at once and
+// returns false when the relay is closed.
+func (r *Relay) keep(c io.Closer) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		_ = c.Close()
+		return false
+	}
+	r.closers[c] = true
+	return true
+}
+
+// release closes something that keep registered.
+func (r *Relay) release(c io.Closer) {
+	r.mu.Lock()
+	delete(r.closers, c)
+	r.mu.Unlock()
+	_ = c.Close()
+}
+
+// start runs f in a goroutine that Close waits for.
+func (r *Relay) start(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.closed {
+		r.running.Go(f)
+	}
+}
+
+// Close ends all connections, closes all sockets and waits for the goroutines.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	r.closed = true
+	closers := r.closers
+	r.closers = map[io.Closer]bool{}
+	r.mu.Unlock()
+	r.cancel()
+	for c := range closers {
+		_ = c.Close()
+	}
+	r.running.Wait()
+}
+
+// errUnknownSource is reported for data from an address in no zone.
+var errUnknownSource = errors.New("source address is in no zone")
