--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,129 @@
+// Package settings holds the settings of the daemon in one table, from which
+// flags, environment variables, checks, help and docs/settings.md come.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// EnvPrefix precedes the names of environment variables.
+const EnvPrefix = "PERIDOTLB"
+
+// Platform selects the table service and object store.
+type Platform string
+
+// Platforms.
+const (
+	Memory Platform = "memory" // embedded, lost when the process ends
+	AWS    Platform = "aws"    // DynamoDB and S3 protocols
+)
+
+// LogFormat selects the form of log lines.
+type LogFormat string
+
+// Log formats.
+const (
+	Console LogFormat = "console"
+	JSON    LogFormat = "json"
+)
+
+// Secret is a value that fmt, encoders and loggers do not print.
+type Secret string
+
+const hidden = "[hidden]"
+
+// Reveal returns the secret itself.
+func (s Secret) Reveal() string { return string(s) }
+
+// Format implements fmt.Formatter for every verb.
+func (s Secret) Format(f fmt.State, _ rune) { _, _ = f.Write([]byte(hidden)) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Secret) MarshalText() ([]byte, error) { return []byte(hidden), nil }
+
+// OperatorToken is a bearer token and the team it is bound to.
+type OperatorToken struct {
+	Team  document.TeamName
+	Token Secret
+}
+
+// NAT maps the addresses of a prefix to those of another of equal length.
+type NAT struct{ From, To netip.Prefix }
+
+// Daemon holds the checked settings of a daemon.
+type Daemon struct {
+	HostID           host.ID
+	AvailabilityZone host.AvailabilityZone
+	Region           host.Region
+
+	ControlAddress  netip.AddrPort // QUIC between daemons
+	GateAddress     netip.AddrPort // TLS, calls from other daemons
+	CallAddress     netip.AddrPort // HTTP, calls from callers
+	AnnounceAddress netip.AddrPort // HTTP on loopback, backend servers of this host
+	OperatorAddress netip.AddrPort // operator API
+	MetricsAddress  netip.AddrPort // /metrics, /healthz, /readyz
+	Peers           []netip.AddrPort
+	NAT             []NAT
+
+	Platform              Platform
+	PlatformRegion        host.Region
+	TableEndpoint         *url.URL // may be nil with Memory, as the next one
+	ObjectEndpoint        *url.URL
+	TableName             string
+	Bucket                string
+	PlatformAccessKey     string
+	PlatformSecretKey     Secret
+	PlatformSigningRegion string
+
+	Distribution fleet.Distribution
+
+	CAFile          string
+	CertificateFile string
+	KeyFile         string
+	OperatorTokens  []OperatorToken // none: the operator API refuses every request
+	OperatorTLS     bool
+
+	AnnounceLease time.Duration
+	TimelineSize  int // events
+	DrainTimeout  time.Duration
+	LogLevel      zapcore.Level
+	LogFormat     LogFormat
+	Check         bool // check the settings and exit
+}
+
+// Fault is one thing wrong with the settings.
+type Fault struct {
+	Setting string // empty when it concerns an argument that is no setting
+	Message string
+}
+
+// String returns the fault as one line.
+func (f Fault) String() string {
+	if f.Setting == "" {
+		return f.Message
+	}
+	return "--" + f.Setting + ": " + f.Message
+}
+
+// Faults is the error that lists everything wrong with the settings.
+type Faults []Fault
+
+// Error returns one line for each fault.
+func (fs Faults) Error() string {
+	lines := make([]string, 0, len(fs)+1)
+	for _, f := range fs {
+		lines = append(lines, f.String())
+	}
+	lines = append(lines, "run peridotlbd --help for the settings and their ranges")
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/settings/table.go
@@ -0,0 +1,349 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// Setting is one row of the table.
+type Setting struct {
+	Name     string
+	Default  string // empty: none
+	Unit     string // or form of the value
+	Range    string
+	Help     string
+	Secret   bool
+	Required bool
+	Repeated bool // may be given several times; values are joined with commas
+	Bool     bool
+
+	// apply parses the text into the field. Its error must not quote a secret.
+	apply func(d *Daemon, text string) error
+}
+
+// Env returns the environment variable of the setting.
+func (s Setting) Env() string {
+	return EnvPrefix + "_" + strings.ToUpper(strings.ReplaceAll(s.Name, "-", "_"))
+}
+
+// Table returns all settings in the order of the reference page.
+func Table() []Setting {
+	return slices.Concat(placeSettings(), addressSettings(), platformSettings(), securitySettings(), behaviourSettings())
+}
+
+func placeSettings() []Setting {
+	return []Setting{
+		name("host-id", "Id of this host, unique in the fleet.", func(d *Daemon, s string) { d.HostID = host.ID(s) }),
+		name("availability-zone", "Availability zone of this host, unique in the fleet.", func(d *Daemon, s string) { d.AvailabilityZone = host.AvailabilityZone(s) }),
+		name("region", "Region of this host.", func(d *Daemon, s string) { d.Region = host.Region(s) }),
+	}
+}
+
+func addressSettings() []Setting {
+	return []Setting{
+		address("control-address", "127.0.0.1:7401", published, "QUIC between daemons. It is published to the fleet.", func(d *Daemon) *netip.AddrPort { return &d.ControlAddress }),
+		address("gate-address", "127.0.0.1:7402", published, "Calls from other daemons, TLS. It is published to the fleet.", func(d *Daemon) *netip.AddrPort { return &d.GateAddress }),
+		address("call-address", "127.0.0.1:7403", anyIP, "Calls from callers, HTTP.", func(d *Daemon) *netip.AddrPort { return &d.CallAddress }),
+		address("announce-address", "127.0.0.1:7404", loopback, "Announcements of the backend servers of this host, HTTP.", func(d *Daemon) *netip.AddrPort { return &d.AnnounceAddress }),
+		address("operator-address", "127.0.0.1:7405", anyIP, "Operator API. Away from loopback it needs --operator-tls.", func(d *Daemon) *netip.AddrPort { return &d.OperatorAddress }),
+		address("metrics-address", "127.0.0.1:7406", anyIP, "Metrics, /healthz and /readyz, HTTP.", func(d *Daemon) *netip.AddrPort { return &d.MetricsAddress }),
+		{
+			Name: "peers", Unit: "IP:port,...", Range: published.String(), Repeated: true,
+			Help:  "Control addresses of first contacts. Without them, host rows of the table are read.",
+			apply: func(d *Daemon, s string) (err error) { d.Peers, err = parseEach(s, published.parse); return err },
+		},
+		{
+			Name: "nat", Unit: "prefix=prefix,...", Range: "prefixes of one family and equal length", Repeated: true,
+			Help:  "Address translation towards other zones or regions, for example 127.2.0.0/16=127.102.0.0/16.",
+			apply: func(d *Daemon, s string) (err error) { d.NAT, err = parseEach(s, parseNAT); return err },
+		},
+	}
+}
+
+func platformSettings() []Setting {
+	return []Setting{
+		choice("platform", "memory", "Table service and object store. The one in memory is embedded and lost at exit.", map[string]Platform{"memory": Memory, "aws": AWS}, func(d *Daemon) *Platform { return &d.Platform }),
+		endpoint("table-endpoint", "Table service. Needed with --platform=aws.", func(d *Daemon) **url.URL { return &d.TableEndpoint }),
+		text("table-name", "Table. Needed with --platform=aws.", func(d *Daemon) *string { return &d.TableName }),
+		endpoint("object-endpoint", "Object store. Needed with --platform=aws.", func(d *Daemon) **url.URL { return &d.ObjectEndpoint }),
+		text("bucket", "Bucket of the object store. Needed with --platform=aws.", func(d *Daemon) *string { return &d.Bucket }),
+		text("platform-access-key", "Access key id. Needed with --platform=aws.", func(d *Daemon) *string { return &d.PlatformAccessKey }),
+		{
+			Name: "platform-secret-key", Unit: "text", Secret: true,
+			Help:  "Secret access key. Needed with --platform=aws. Use the environment: arguments are visible to other users.",
+			apply: func(d *Daemon, s string) error { d.PlatformSecretKey = Secret(s); return nil },
+		},
+		text("platform-signing-region", "Region name that requests to the platform are signed for. Needed with --platform=aws.", func(d *Daemon) *string { return &d.PlatformSigningRegion }),
+		{
+			Name: "platform-region", Unit: "name", Range: nameRange,
+			Help:  "Mesh region in which the platform runs. Needed with --platform=aws; otherwise the region of this host.",
+			apply: func(d *Daemon, s string) error { d.PlatformRegion = host.Region(s); return checkName(s) },
+		},
+	}
+}
+
+func securitySettings() []Setting {
+	return []Setting{
+		file("ca-file", "CA certificates that daemons trust, PEM.", func(d *Daemon) *string { return &d.CAFile }),
+		file("certificate-file", "Certificate of this host, signed by the CA, PEM.", func(d *Daemon) *string { return &d.CertificateFile }),
+		file("key-file", "Private key of the certificate, PEM.", func(d *Daemon) *string { return &d.KeyFile }),
+		{
+			Name: "operator-tokens", Unit: "team:token,...", Secret: true, Repeated: true,
+			Range: fmt.Sprintf("tokens of at least %d characters, each used once", minTokenLength),
+			Help:  "Bearer tokens of the operator API and their teams. Without any, every request is refused. Use the environment: arguments are visible to other users.",
+			apply: parseTokens,
+		},
+		boolean("operator-tls", "Serve the operator API with the certificate of this host.", func(d *Daemon) *bool { return &d.OperatorTLS }),
+	}
+}
+
+func behaviourSettings() []Setting {
+	return []Setting{
+		choice("distribution", "economical", "How versions spread: economical takes the fewest bytes, fast the fewest delays.", map[string]fleet.Distribution{"economical": fleet.Economical, "fast": fleet.Fast}, func(d *Daemon) *fleet.Distribution { return &d.Distribution }),
+		duration("announce-lease", "3s", time.Second, time.Minute, "A backend server that does not renew its announcement for this long gets no new work.", func(d *Daemon) *time.Duration { return &d.AnnounceLease }),
+		// At the maximum, events of about 200 bytes take 50 MB of the 256 MB
+		// that a daemon may use.
+		integer("timeline-size", "16384", "events", 256, 262144, "Events kept in memory; the oldest are dropped first.", func(d *Daemon) *int { return &d.TimelineSize }),
+		duration("drain-timeout", "30s", time.Second, 10*time.Minute, "Longest wait for requests in flight during a planned stop.", func(d *Daemon) *time.Duration { return &d.DrainTimeout }),
+		choice("log-level", "info", "Lowest level that is logged.", map[string]zapcore.Level{"debug": zapcore.DebugLevel, "info": zapcore.InfoLevel, "warn": zapcore.WarnLevel, "error": zapcore.ErrorLevel}, func(d *Daemon) *zapcore.Level { return &d.LogLevel }),
+		choice("log-format", "console", "Form of log lines.", map[string]LogFormat{"console": Console, "json": JSON}, func(d *Daemon) *LogFormat { return &d.LogFormat }),
+		boolean("check", "Check the settings and exit.", func(d *Daemon) *bool { return &d.Check }),
+	}
+}
+
+const nameRange = "kebab case, 1 to 63 characters"
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
+
+func checkName(s string) error {
+	if len(s) > 63 || !namePattern.MatchString(s) {
+		return fmt.Errorf("%q is not a name in %s", s, nameRange)
+	}
+	return nil
+}
+
+func name(name, help string, set func(*Daemon, string)) Setting {
+	return Setting{
+		Name: name, Unit: "name", Range: nameRange, Help: help, Required: true,
+		apply: func(d *Daemon, s string) error { set(d, s); return checkName(s) },
+	}
+}
+
+func text(name, help string, field func(*Daemon) *string) Setting {
+	return Setting{
+		Name: name, Unit: "text", Help: help,
+		apply: func(d *Daemon, s string) error { *field(d) = s; return nil },
+	}
+}
+
+func file(name, help string, field func(*Daemon) *string) Setting {
+	s := text(name, help, field)
+	s.Unit, s.Range, s.Required = "path", "readable file", true
+	return s
+}
+
+func boolean(name, help string, field func(*Daemon) *bool) Setting {
+	return Setting{
+		Name: name, Default: "false", Unit: "bool", Range: "true, false", Help: help, Bool: true,
+		apply: func(d *Daemon, s string) error {
+			b, err := strconv.ParseBool(s)
+			if err != nil {
+				return fmt.Errorf("%q is neither true nor false", s)
+			}
+			*field(d) = b
+			return nil
+		},
+	}
+}
+
+// reach states which IPs an address may have.
+type reach uint8
+
+const (
+	anyIP     reach = iota
+	loopback        // not reachable from other hosts
+	published       // other daemons connect to it
+)
+
+func (r reach) String() string {
+	switch r {
+	case loopback:
+		return "loopback IP, port 1 to 65535"
+	case published:
+		return "specified IP, port 1 to 65535"
+	default:
+		return "any IP, port 1 to 65535"
+	}
+}
+
+func (r reach) parse(s string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(s)
+	switch {
+	case err != nil:
+		return a, fmt.Errorf("%q is not a numeric IP and port, for example 10.0.0.1:7401", s)
+	case a.Port() == 0:
+		return a, fmt.Errorf("%q has port 0; ports go from 1 to 65535", s)
+	case r == loopback && !a.Addr().IsLoopback():
+		return a, fmt.Errorf("%q is not a loopback address", s)
+	case r == published && (a.Addr().IsUnspecified() || a.Addr().IsMulticast()):
+		return a, fmt.Errorf("%q is not an address that other hosts can connect to", s)
+	}
+	return a, nil
+}
+
+func address(name, def string, r reach, help string, field func(*Daemon) *netip.AddrPort) Setting {
+	return Setting{
+		Name: name, Default: def, Unit: "IP:port", Range: r.String(), Help: help,
+		apply: func(d *Daemon, s string) (err error) { *field(d), err = r.parse(s); return err },
+	}
+}
+
+func endpoint(name, help string, field func(*Daemon) **url.URL) Setting {
+	return Setting{
+		Name: name, Unit: "URL", Range: "http or https, numeric IP and port, no path", Help: help,
+		apply: func(d *Daemon, s string) error {
+			u, err := url.Parse(s)
+			if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.User != nil || strings.Trim(u.Path, "/") != "" || u.RawQuery != "" {
+				return errors.New("not a URL like http://10.0.0.1:8000")
+			}
+			*field(d) = u
+			_, err = published.parse(u.Host)
+			return err
+		},
+	}
+}
+
+func duration(name, def string, low, high time.Duration, help string, field func(*Daemon) *time.Duration) Setting {
+	return Setting{
+		Name: name, Default: def, Unit: "duration", Range: fmt.Sprintf("%s to %s", short(low), short(high)), Help: help,
+		apply: func(d *Daemon, s string) error {
+			v, err := time.ParseDuration(s)
+			if err != nil {
+				return fmt.Errorf("%q is not a duration with a unit, for example 500ms or 3s", s)
+			}
+			*field(d) = v
+			if v < low || v > high {
+				return fmt.Errorf("%s is out of range %s to %s", s, short(low), short(high))
+			}
+			return nil
+		},
+	}
+}
+
+// short prints a duration without trailing zero units: 10m, not 10m0s.
+func short(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	return s
+}
+
+func integer(name, def, unit string, low, high int, help string, field func(*Daemon) *int) Setting {
+	return Setting{
+		Name: name, Default: def, Unit: unit, Range: fmt.Sprintf("%d to %d", low, high), Help: help,
+		apply: func(d *Daemon, s string) error {
+			v, err := strconv.Atoi(s)
+			if err != nil {
+				return fmt.Errorf("%q is not a whole number", s)
+			}
+			*field(d) = v
+			if v < low || v > high {
+				return fmt.Errorf("%d is out of range %d to %d", v, low, high)
+			}
+			return nil
+		},
+	}
+}
+
+func choice[T any](name, def, help string, values map[string]T, field func(*Daemon) *T) Setting {
+	names := make([]string, 0, len(values))
+	for n := range values {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	list := strings.Join(names, ", ")
+	return Setting{
+		Name: name, Default: def, Unit: "choice", Range: list, Help: help,
+		apply: func(d *Daemon, s string) error {
+			v, ok := values[s]
+			if !ok {
+				return fmt.Errorf("%q is not one of %s", s, list)
+			}
+			*field(d) = v
+			return nil
+		},
+	}
+}
+
+// parseEach parses a comma-separated list and reports the first bad element.
+func parseEach[T any](s string, parse func(string) (T, error)) ([]T, error) {
+	var all []T
+	for part := range strings.SplitSeq(s, ",") {
+		part = strings.TrimSpace(part)
+		if part == "" {
+			continue
+		}
+		v, err := parse(part)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, v)
+	}
+	return all, nil
+}
+
+func parseNAT(s string) (NAT, error) {
+	left, right, ok := strings.Cut(s, "=")
+	from, err1 := netip.ParsePrefix(left)
+	to, err2 := netip.ParsePrefix(right)
+	if !ok || err1 != nil || err2 != nil {
+		return NAT{}, fmt.Errorf("%q is not like 127.2.0.0/16=127.102.0.0/16", s)
+	}
+	if from.Bits() != to.Bits() || from.Addr().Is4() != to.Addr().Is4() {
+		return NAT{}, fmt.Errorf("%q maps prefixes of unequal family or length", s)
+	}
+	return NAT{From: from.Masked(), To: to.Masked()}, nil
+}
+
+// minTokenLength keeps tokens out of reach of guessing: 16 random hexadecimal
+// digits are 64 bits.
+const minTokenLength = 16
+
+// parseTokens reads team:token pairs. Its errors name an element by position,
+// since a mistyped element may consist of the secret alone.
+func parseTokens(d *Daemon, s string) error {
+	seen := map[string]bool{}
+	position := 0
+	tokens, err := parseEach(s, func(part string) (OperatorToken, error) {
+		position++
+		team, token, ok := strings.Cut(part, ":")
+		switch {
+		case !ok:
+			return OperatorToken{}, fmt.Errorf("element %d is not like team:token", position)
+		case checkName(team) != nil:
+			return OperatorToken{}, fmt.Errorf("the team of element %d is not a name in %s", position, nameRange)
+		case len(token) < minTokenLength:
+			return OperatorToken{}, fmt.Errorf("the token of element %d is shorter than %d characters", position, minTokenLength)
+		case seen[token]:
+			return OperatorToken{}, fmt.Errorf("the token of element %d is used twice", position)
+		}
+		seen[token] = true
+		return OperatorToken{Team: document.TeamName(team), Token: Secret(token)}, nil
+	})
+	d.OperatorTokens = tokens
+	return err
+}
