--- /dev/null
+++ b/internal/document/check.go
@@ -0,0 +1,251 @@
+package document
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+)
+
+// Limits of a document.
+const (
+	MaxBytes    = 4 << 20 // of the YAML text, as written and as formatted
+	MaxSections = 4096
+	MaxDepth    = 16 // nested lists and mappings
+	MaxName     = 63 // characters of a name; the longest label in DNS
+	MaxPath     = 1024
+	MaxRetries  = 10
+	// MaxDuration bounds timeouts and warm-ups. A longer one is a wrong unit
+	// rather than an intention.
+	MaxDuration = time.Hour
+	// MinTimeout is the resolution of the timeout header between daemons.
+	MinTimeout = time.Millisecond
+)
+
+var (
+	nameForm = regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
+	// Percent signs are left out because a prefix would otherwise match or
+	// not depending on how the caller encoded the path.
+	pathForm   = regexp.MustCompile(`^/[A-Za-z0-9._~!$&'()*+,;=:@/-]*$`)
+	methodForm = regexp.MustCompile(`^[A-Z]+(-[A-Z]+)*$`)
+)
+
+// ValidName reports whether s is kebab case and not too long.
+func ValidName(s string) bool { return len(s) <= MaxName && nameForm.MatchString(s) }
+
+// Check checks a document without positions. The error is Faults.
+func Check(d Document) error {
+	c := checker{report: func(faults *Faults, _ place, message string) {
+		*faults = append(*faults, Fault{Message: message})
+	}}
+	c.document(d)
+	if len(c.faults) == 0 && formattedSize(d) > MaxBytes {
+		c.fault(place{}, "document is larger than %d bytes when formatted", MaxBytes)
+	}
+	if len(c.faults) > 0 {
+		return c.faults
+	}
+	return nil
+}
+
+// checker collects the faults of a document. The function report adds a fault
+// with the position that it knows for the place.
+type checker struct {
+	faults Faults
+	report func(faults *Faults, at place, message string)
+}
+
+func (c *checker) fault(at place, format string, args ...any) {
+	c.report(&c.faults, at, fmt.Sprintf(format, args...))
+}
+
+func (c *checker) document(d Document) {
+	if len(d.Sections) > MaxSections {
+		c.fault(place{}, "document has %d sections, more than %d", len(d.Sections), MaxSections)
+	}
+	sections := map[SectionName]bool{}
+	services := map[backend.ServiceName]SectionName{}
+	routes := map[RouteName]SectionName{}
+	for i, s := range d.Sections {
+		at := place{section: i + 1}
+		label := fmt.Sprintf("section %q", s.Name)
+		c.name(at, "section", string(s.Name))
+		if !validTeam(s.Team) {
+			c.badName(at.in("team"), label+": team", string(s.Team))
+		}
+		if sections[s.Name] && s.Name != "" {
+			c.fault(at.in("name"), "%s is defined twice", label)
+		}
+		sections[s.Name] = true
+		for j, v := range s.Services {
+			at := place{section: i + 1, kind: serviceItem, item: j + 1}
+			c.service(at, label, v)
+			if other, ok := services[v.Name]; ok && v.Name != "" {
+				c.fault(at.in("name"), "%s: service %q is already defined in section %q", label, v.Name, other)
+				continue
+			}
+			services[v.Name] = s.Name
+		}
+		for j, r := range s.Routes {
+			at := place{section: i + 1, kind: routeItem, item: j + 1}
+			c.route(at, label, r)
+			if other, ok := routes[r.Name]; ok && r.Name != "" {
+				c.fault(at.in("name"), "%s: route %q is already defined in section %q", label, r.Name, other)
+				continue
+			}
+			routes[r.Name] = s.Name
+		}
+	}
+	c.references(d, services)
+	c.overlaps(d)
+}
+
+func validTeam(t TeamName) bool { return ValidName(string(t)) }
+
+func (c *checker) name(at place, what, name string) {
+	if !ValidName(name) {
+		c.badName(at.in("name"), what, name)
+	}
+}
+
+func (c *checker) badName(at place, what, name string) {
+	switch {
+	case name == "":
+		c.fault(at, "%s: name is missing", what)
+	case len(name) > MaxName:
+		c.fault(at, "%s: name %q is longer than %d characters", what, name, MaxName)
+	default:
+		c.fault(at, "%s: name %q is not kebab case (lower-case letters, digits and single hyphens, starting with a letter)", what, name)
+	}
+}
+
+func (c *checker) service(at place, section string, s Service) {
+	label := fmt.Sprintf("%s: service %q", section, s.Name)
+	c.name(at, section+": service", string(s.Name))
+	if s.Slots == 0 {
+		c.fault(at.in("slots"), "%s: slots must be 1 to 65535", label)
+	}
+	if s.Connections == 0 {
+		c.fault(at.in("connections"), "%s: connections must be 1 to 65535", label)
+	}
+	if s.WarmUp < 0 || s.WarmUp > MaxDuration {
+		c.fault(at.in("warm-up"), "%s: warm-up must be 0s to %s", label, MaxDuration)
+	}
+	for i, h := range s.SuspendedHosts {
+		el := at.in("suspended-hosts").at(i)
+		if !ValidName(string(h)) {
+			c.badName(el, label+": suspended host", string(h))
+		} else if slices.Contains(s.SuspendedHosts[:i], h) {
+			c.fault(el, "%s: suspended host %q is listed twice", label, h)
+		}
+	}
+}
+
+func (c *checker) route(at place, section string, r Route) {
+	label := fmt.Sprintf("%s: route %q", section, r.Name)
+	c.name(at, section+": route", string(r.Name))
+	if problem := pathProblem(r.PathPrefix); problem != "" {
+		c.fault(at.in("path-prefix"), "%s: path-prefix %s", label, problem)
+	}
+	for i, m := range r.Methods {
+		el := at.in("methods").at(i)
+		if len(m) > MaxName || !methodForm.MatchString(m) {
+			c.fault(el, "%s: method %q is not an upper-case HTTP method", label, m)
+		} else if slices.Contains(r.Methods[:i], m) {
+			c.fault(el, "%s: method %q is listed twice", label, m)
+		}
+	}
+	if r.Service == "" {
+		c.fault(at.in("service"), "%s: service is missing", label)
+	}
+	if r.Timeout < MinTimeout || r.Timeout > MaxDuration {
+		c.fault(at.in("timeout"), "%s: timeout must be %s to %s", label, MinTimeout, MaxDuration)
+	}
+	if r.Retries > MaxRetries {
+		c.fault(at.in("retries"), "%s: retries must be 0 to %d", label, MaxRetries)
+	}
+}
+
+// pathProblem returns what is wrong with a path prefix, or nothing. Empty and
+// dot segments are refused because clients remove them from the paths that
+// they request, so that such a prefix could never match.
+func pathProblem(p string) string {
+	switch {
+	case p == "":
+		return "is missing"
+	case len(p) > MaxPath:
+		return fmt.Sprintf("is longer than %d bytes", MaxPath)
+	case p[0] != '/':
+		return fmt.Sprintf("%q must start with a slash", p)
+	case !pathForm.MatchString(p):
+		return fmt.Sprintf("%q has characters that are not allowed in a path prefix", p)
+	case strings.Contains(p, "//"):
+		return fmt.Sprintf("%q has an empty segment", p)
+	}
+	for segment := range strings.SplitSeq(p, "/") {
+		if segment == "." || segment == ".." {
+			return fmt.Sprintf("%q has a dot segment", p)
+		}
+	}
+	return ""
+}
+
+// references reports the routes whose service does not exist.
+func (c *checker) references(d Document, services map[backend.ServiceName]SectionName) {
+	for i, s := range d.Sections {
+		for j, r := range s.Routes {
+			if _, ok := services[r.Service]; !ok && r.Service != "" {
+				at := place{section: i + 1, kind: routeItem, item: j + 1, field: "service"}
+				c.fault(at, "section %q: route %q: service %q is not defined in any section", s.Name, r.Name, r.Service)
+			}
+		}
+	}
+}
+
+// overlaps reports routes that have the path prefix and a method of an earlier
+// route.
+func (c *checker) overlaps(d Document) {
+	type claim struct{ prefix, method string }
+	const every = "" // the method of a route that lists none
+	first := map[claim]RouteName{}
+	anyMethod := map[string]RouteName{} // a route per prefix, whatever its methods
+	for i, s := range d.Sections {
+		for j, r := range s.Routes {
+			if r.PathPrefix == "" {
+				continue
+			}
+			at := place{section: i + 1, kind: routeItem, item: j + 1, field: "path-prefix"}
+			methods := slices.Compact(slices.Sorted(slices.Values(r.Methods)))
+			if len(methods) == 0 {
+				methods = []string{every}
+			}
+			for _, m := range methods {
+				other, ok := first[claim{r.PathPrefix, m}]
+				if !ok {
+					other, ok = first[claim{r.PathPrefix, every}]
+				}
+				if !ok && m == every {
+					other, ok = anyMethod[r.PathPrefix]
+				}
+				if ok {
+					c.fault(at, "section %q: route %q has the path prefix %q and %s in common with route %q", s.Name, r.Name, r.PathPrefix, methodLabel(m), other)
+					break
+				}
+			}
+			for _, m := range methods {
+				first[claim{r.PathPrefix, m}] = r.Name
+			}
+			anyMethod[r.PathPrefix] = r.Name
+		}
+	}
+}
+
+func methodLabel(m string) string {
+	if m == "" {
+		return "a method"
+	}
+	return "the method " + m
+}
--- /dev/null
+++ b/internal/document/encode.go
@@ -0,0 +1,100 @@
+package document
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// maxNested is the depth of CBOR arrays and maps in an encoded section: the
+// section, its services, one service, its hosts.
+const maxNested = 4
+
+var (
+	encoding = must(cbor.CoreDetEncOptions().EncMode())
+	decoding = must(cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		MaxNestedLevels:   maxNested,
+	}.DecMode())
+)
+
+var errNotCanonical = errors.New("encoding is not canonical")
+
+// must panics on an error of constant options.
+func must[T any](mode T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Canonical returns the document in canonical order: sections, services and
+// routes by name, methods and suspended hosts sorted, empty lists nil.
+func Canonical(d Document) Document {
+	sections := make([]Section, len(d.Sections))
+	for i, s := range d.Sections {
+		sections[i] = canonicalSection(s)
+	}
+	slices.SortStableFunc(sections, func(a, b Section) int { return cmp.Compare(a.Name, b.Name) })
+	return Document{Sections: emptyToNil(sections)}
+}
+
+func canonicalSection(s Section) Section {
+	s.Services = emptyToNil(slices.Clone(s.Services))
+	for i := range s.Services {
+		s.Services[i].SuspendedHosts = sorted(s.Services[i].SuspendedHosts)
+	}
+	slices.SortStableFunc(s.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	s.Routes = emptyToNil(slices.Clone(s.Routes))
+	for i := range s.Routes {
+		s.Routes[i].Methods = sorted(s.Routes[i].Methods)
+	}
+	slices.SortStableFunc(s.Routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
+
+func sorted[T cmp.Ordered](items []T) []T {
+	return emptyToNil(slices.Sorted(slices.Values(items)))
+}
+
+func emptyToNil[T any](items []T) []T {
+	if len(items) == 0 {
+		return nil
+	}
+	return items
+}
+
+// EncodeSection returns the canonical encoding of a section. Sections that
+// differ only in the order of their items have the same encoding.
+func EncodeSection(s Section) ([]byte, error) {
+	data, err := encoding.Marshal(canonicalSection(s))
+	if err != nil {
+		return nil, fmt.Errorf("encode section %q: %w", s.Name, err)
+	}
+	return data, nil
+}
+
+// DecodeSection decodes a canonical encoding. Any other encoding of the same
+// section is an error, so that a section has exactly one digest. It does not
+// check the section.
+func DecodeSection(data []byte) (Section, error) {
+	var s Section
+	if err := decoding.Unmarshal(data, &s); err != nil {
+		return Section{}, fmt.Errorf("decode section: %w", err)
+	}
+	again, err := EncodeSection(s)
+	if err != nil {
+		return Section{}, fmt.Errorf("decode section: %w", err)
+	}
+	if !bytes.Equal(again, data) {
+		return Section{}, fmt.Errorf("decode section %q: %w", s.Name, errNotCanonical)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/submission/accept.go
@@ -0,0 +1,362 @@
+package submission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/peridotlb/peridotlb/internal/platform"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+// Config configures an Acceptor. Only Platform is required.
+type Config struct {
+	Platform platform.Service
+	// Now gives the time of acceptance.
+	Now func() time.Time
+	// Sleep waits between attempts, or returns the error of the context.
+	Sleep func(context.Context, time.Duration) error
+	// Random gives numbers in [0, 1) for the jitter. Calls do not overlap.
+	Random func() float64
+	// The wait before an attempt is a random part of a limit that doubles from
+	// MinBackoff (default 10 ms) to MaxBackoff (default 1 s).
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+	// CallTimeout bounds one request to the platform (default 2 s), so that a
+	// request that is never answered does not take the time of all attempts.
+	CallTimeout time.Duration
+}
+
+// Acceptor accepts submissions. It may be used concurrently, and with other
+// acceptors on the same platform.
+type Acceptor struct {
+	config Config
+
+	randomLock sync.Mutex
+
+	lock sync.Mutex
+	last version.Snapshot // newest version seen, so that few sections are read
+}
+
+// New returns an acceptor.
+func New(c Config) *Acceptor {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Sleep == nil {
+		c.Sleep = sleep
+	}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	if c.MinBackoff == 0 {
+		c.MinBackoff = 10 * time.Millisecond
+	}
+	if c.MaxBackoff == 0 {
+		c.MaxBackoff = time.Second
+	}
+	if c.CallTimeout == 0 {
+		c.CallTimeout = 2 * time.Second
+	}
+	return &Acceptor{config: c}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// record is the value of a submission's row.
+type record struct {
+	Number  version.Number `cbor:"1,keyasint"`
+	Content version.Digest `cbor:"2,keyasint"`
+}
+
+// errContention says that another submission was committed first.
+var errContention = errors.New("head changed during the commit")
+
+// Accept merges a submission into the head version and commits the result. It
+// tries again after failures of the platform and after commits by others, until
+// the context ends; the outcome is then Unknown.
+func (a *Acceptor) Accept(ctx context.Context, s Submission) Outcome {
+	if faults := s.check(); len(faults) > 0 {
+		return Refused{Reason: reasonInvalid, Faults: faults}
+	}
+	content, err := s.content()
+	if err != nil {
+		return Refused{Reason: err.Error()}
+	}
+	p := procedure{Acceptor: a, submission: s, content: content, stored: map[version.Digest]bool{}}
+	for attempt := 0; ; attempt++ {
+		outcome, err := p.attempt(ctx)
+		if err == nil {
+			return outcome
+		}
+		if ended := a.config.Sleep(ctx, a.backoff(attempt)); ended != nil {
+			return Unknown{Err: fmt.Errorf("submission %s: %w", s.ID, errors.Join(ended, err))}
+		}
+	}
+}
+
+// backoff returns the wait after the given number of failed attempts. The whole
+// range is random, so that acceptors that collided once are spread out.
+func (a *Acceptor) backoff(attempt int) time.Duration {
+	limit := a.config.MaxBackoff
+	if attempt < 20 { // a larger shift could overflow
+		limit = min(limit, a.config.MinBackoff<<attempt)
+	}
+	a.randomLock.Lock()
+	defer a.randomLock.Unlock()
+	return time.Duration(a.config.Random() * float64(limit))
+}
+
+// procedure is the acceptance of one submission.
+type procedure struct {
+	*Acceptor
+	submission Submission
+	content    version.Digest
+	stored     map[version.Digest]bool // sections put into the object store
+}
+
+// attempt runs the procedure once. An error means that the outcome is open and
+// that the caller may try again: after a commit whose answer was lost, the next
+// attempt reads the submission's row. A second commit on the same head revision
+// is harmless, since at most one of the two can apply.
+func (p *procedure) attempt(ctx context.Context) (Outcome, error) {
+	record := RecordKey(p.submission.ID)
+	rows, err := p.get(ctx, HeadKey, record)
+	if err != nil {
+		return nil, err
+	}
+	if row := rowOf(rows, record); row.Revision != 0 {
+		return p.recorded(ctx, row)
+	}
+	revision := rowOf(rows, HeadKey).Revision
+	var manifest version.Manifest
+	if revision != 0 {
+		if manifest, err = manifestOf(rows, HeadKey); err != nil {
+			return nil, err
+		}
+	}
+	head, err := p.load(ctx, manifest)
+	if err != nil {
+		return nil, err
+	}
+	next, err := p.next(ctx, head)
+	var refused Refused
+	if errors.As(err, &refused) {
+		return p.refuse(ctx, refused)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := p.store(ctx, head, next); err != nil {
+		return nil, err
+	}
+	return p.commit(ctx, revision, next)
+}
+
+// get reads rows within the time of one call.
+func (p *procedure) get(ctx context.Context, keys ...platform.Key) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
+	defer cancel()
+	rows, err := p.config.Platform.Get(ctx, keys...)
+	if err != nil {
+		return nil, fmt.Errorf("read %v: %w", keys, err)
+	}
+	return rows, nil
+}
+
+// load returns the version of a manifest and keeps it when it is the newest.
+func (p *procedure) load(ctx context.Context, m version.Manifest) (version.Snapshot, error) {
+	p.lock.Lock()
+	last := p.last
+	p.lock.Unlock()
+	if last.Number() == m.Number {
+		return last, nil
+	}
+	s, err := Load(ctx, timed{p.config.Platform, p.config.CallTimeout}, m, last)
+	if err == nil {
+		p.keep(s)
+	}
+	return s, err
+}
+
+func (a *Acceptor) keep(s version.Snapshot) {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	if s.Number() > a.last.Number() {
+		a.last = s
+	}
+}
+
+// next merges the submission into the head. The error is Refused when it cannot
+// be accepted.
+func (p *procedure) next(ctx context.Context, head version.Snapshot) (version.Snapshot, error) {
+	s := p.submission
+	base := head
+	if s.Base > head.Number() {
+		return version.Snapshot{}, Refused{Reason: fmt.Sprintf("version %d, which was edited, does not exist; the newest is %d", s.Base, head.Number())}
+	}
+	if s.Base < head.Number() {
+		var err error
+		if base, err = p.base(ctx); err != nil {
+			return version.Snapshot{}, err
+		}
+	}
+	merged, err := Merge(base, head, s)
+	if err != nil {
+		return version.Snapshot{}, err
+	}
+	next, err := version.New(head.Number()+1, s.ID, p.config.Now().UnixMilli(), merged)
+	if err != nil {
+		return version.Snapshot{}, Refused{Reason: err.Error()}
+	}
+	return next, nil
+}
+
+// base loads the version that the operator edited.
+func (p *procedure) base(ctx context.Context) (version.Snapshot, error) {
+	n := p.submission.Base
+	if n == 0 {
+		return version.Snapshot{}, nil
+	}
+	rows, err := p.get(ctx, VersionKey(n))
+	if err != nil {
+		return version.Snapshot{}, err
+	}
+	m, err := manifestOf(rows, VersionKey(n))
+	if errors.Is(err, ErrNoVersion) {
+		return version.Snapshot{}, Refused{Reason: fmt.Sprintf("version %d, which was edited, is not in the table any more", n)}
+	}
+	if err != nil {
+		return version.Snapshot{}, err
+	}
+	return p.load(ctx, m)
+}
+
+// refuse returns a refusal, unless the submission was accepted meanwhile. The
+// head may hold the submission itself, committed by an earlier attempt whose
+// answer was lost; it would then conflict with itself. Its row is read after
+// the head, so that it is found in this case.
+func (p *procedure) refuse(ctx context.Context, r Refused) (Outcome, error) {
+	key := RecordKey(p.submission.ID)
+	rows, err := p.get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if row := rowOf(rows, key); row.Revision != 0 {
+		return p.recorded(ctx, row)
+	}
+	return r, nil
+}
+
+// recorded returns the outcome of a submission that was accepted earlier.
+func (p *procedure) recorded(ctx context.Context, row platform.Row) (Outcome, error) {
+	var r record
+	if err := cbor.Unmarshal(row.Value, &r); err != nil {
+		return nil, fmt.Errorf("read %s: %w", row.Key, err)
+	}
+	if r.Content != p.content {
+		return Refused{
+			Reason: fmt.Sprintf("submission id %s was used for another submission, accepted as version %d; choose a new id", p.submission.ID, r.Number),
+		}, nil
+	}
+	rows, err := p.get(ctx, VersionKey(r.Number))
+	if err != nil {
+		return nil, err
+	}
+	m, err := manifestOf(rows, VersionKey(r.Number))
+	if err != nil {
+		return nil, err
+	}
+	s, err := p.load(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	return Accepted{Snapshot: s}, nil
+}
+
+// store puts the sections that the head does not have into the object store.
+func (p *procedure) store(ctx context.Context, head, next version.Snapshot) error {
+	var missing []version.Digest
+	for _, ref := range next.Manifest().Sections {
+		if head.Blob(ref.Digest) == nil && !p.stored[ref.Digest] {
+			missing = append(missing, ref.Digest)
+		}
+	}
+	objects := timed{p.config.Platform, p.config.CallTimeout}
+	err := each(ctx, missing, func(ctx context.Context, d version.Digest) error {
+		if err := objects.PutObject(ctx, ObjectName(d), next.Blob(d)); err != nil {
+			return fmt.Errorf("store section %s: %w", d, err)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	for _, d := range missing {
+		p.stored[d] = true
+	}
+	return nil
+}
+
+// commit writes the new version if the head still has the given revision.
+func (p *procedure) commit(ctx context.Context, revision platform.Revision, next version.Snapshot) (Outcome, error) {
+	manifest, err := version.EncodeManifest(next.Manifest())
+	if err != nil {
+		return nil, err
+	}
+	recorded, err := cbor.Marshal(record{Number: next.Number(), Content: p.content})
+	if err != nil {
+		return nil, fmt.Errorf("encode record of submission %s: %w", p.submission.ID, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
+	defer cancel()
+	result, err := p.config.Platform.Commit(
+		ctx,
+		platform.Write{Key: HeadKey, If: revision, Value: manifest},
+		platform.Write{Key: VersionKey(next.Number()), Value: manifest},
+		platform.Write{Key: RecordKey(p.submission.ID), Value: recorded},
+	)
+	switch {
+	case result.Outcome == platform.Applied:
+		p.keep(next)
+		return Accepted{Snapshot: next}, nil
+	case err != nil:
+		return nil, fmt.Errorf("commit version %d: %w", next.Number(), err)
+	case result.Outcome == platform.NotApplied:
+		return nil, fmt.Errorf("commit version %d: %w", next.Number(), errContention)
+	default:
+		return nil, fmt.Errorf("commit version %d: answer was lost", next.Number())
+	}
+}
+
+// timed bounds each request to the object store.
+type timed struct {
+	platform.Objects
+	timeout time.Duration
+}
+
+func (t timed) PutObject(ctx context.Context, name string, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, t.timeout)
+	defer cancel()
+	return t.Objects.PutObject(ctx, name, data)
+}
+
+func (t timed) GetObject(ctx context.Context, name string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.timeout)
+	defer cancel()
+	return t.Objects.GetObject(ctx, name)
+}
--- /dev/null
+++ b/internal/version/assemble.go
@@ -0,0 +1,100 @@
+package version
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+
+	"github.com/peridotlb/peridotlb/internal/document"
+)
+
+// Errors of Assemble. Each means that the version must not be applied.
+var (
+	ErrNoNumber      = errors.New("version number is zero")
+	ErrUnsorted      = errors.New("sections are not in the order of distinct names")
+	ErrMissingBlob   = errors.New("content of a section is missing")
+	ErrWrongDigest   = errors.New("content of a section does not match its digest")
+	ErrWrongSize     = errors.New("content of a section does not match its size")
+	ErrWrongIdentity = errors.New("content of a section has another name or team than the manifest")
+)
+
+// DigestOf returns the digest of a section's canonical encoding.
+func DigestOf(data []byte) Digest { return sha256.Sum256(data) }
+
+// New makes a version from a document. The error contains document.Faults when
+// the document is not valid.
+func New(n Number, id SubmissionID, acceptedMS int64, d document.Document) (Snapshot, error) {
+	d = document.Canonical(d)
+	m := Manifest{Number: n, Submission: id, AcceptedMS: acceptedMS}
+	blobs := make(map[Digest][]byte, len(d.Sections))
+	for _, s := range d.Sections {
+		data, err := document.EncodeSection(s)
+		if err != nil {
+			return Snapshot{}, fmt.Errorf("new version %d: %w", n, err)
+		}
+		digest := DigestOf(data)
+		blobs[digest] = data
+		m.Sections = append(m.Sections, SectionRef{Name: s.Name, Team: s.Team, Digest: digest, Size: uint32(len(data))})
+	}
+	// The document is checked before the order of the manifest, so that a name
+	// used twice is reported as a fault of the document.
+	if err := document.Check(d); err != nil {
+		return Snapshot{}, fmt.Errorf("new version %d: %w", n, err)
+	}
+	return assemble(m, blobs, d)
+}
+
+// Assemble makes a version from its manifest and the content of its sections.
+// It verifies every section and checks the whole document. Content that the
+// manifest does not name is ignored. The blobs must not be changed afterwards.
+func Assemble(m Manifest, blobs map[Digest][]byte) (Snapshot, error) {
+	var d document.Document
+	for i, ref := range m.Sections {
+		if i > 0 && m.Sections[i-1].Name >= ref.Name {
+			return Snapshot{}, fmt.Errorf("assemble version %d: section %q: %w", m.Number, ref.Name, ErrUnsorted)
+		}
+		s, err := verify(ref, blobs[ref.Digest])
+		if err != nil {
+			return Snapshot{}, fmt.Errorf("assemble version %d: section %q: %w", m.Number, ref.Name, err)
+		}
+		d.Sections = append(d.Sections, s)
+	}
+	if err := document.Check(d); err != nil {
+		return Snapshot{}, fmt.Errorf("assemble version %d: %w", m.Number, err)
+	}
+	return assemble(m, blobs, d)
+}
+
+// verify decodes the content of a section and compares it with the manifest.
+func verify(ref SectionRef, data []byte) (document.Section, error) {
+	if data == nil {
+		return document.Section{}, ErrMissingBlob
+	}
+	if uint64(len(data)) != uint64(ref.Size) {
+		return document.Section{}, ErrWrongSize
+	}
+	if DigestOf(data) != ref.Digest {
+		return document.Section{}, ErrWrongDigest
+	}
+	s, err := document.DecodeSection(data)
+	if err != nil {
+		return document.Section{}, err
+	}
+	if s.Name != ref.Name || s.Team != ref.Team {
+		return document.Section{}, ErrWrongIdentity
+	}
+	return s, nil
+}
+
+// assemble makes a snapshot of verified parts and keeps only the blobs that the
+// manifest names.
+func assemble(m Manifest, blobs map[Digest][]byte, d document.Document) (Snapshot, error) {
+	if m.Number == 0 {
+		return Snapshot{}, fmt.Errorf("assemble version: %w", ErrNoNumber)
+	}
+	kept := make(map[Digest][]byte, len(m.Sections))
+	for _, ref := range m.Sections {
+		kept[ref.Digest] = blobs[ref.Digest]
+	}
+	return Snapshot{manifest: m, document: d, blobs: kept}, nil
+}
