Operator API over a backend interface

The daemon has to serve submissions and reads to operators, and tests need to run without a daemon.

A submission carries sections, or the whole edited document as YAML: the document parser checks documents whole, so that a text with only the changed sections could not be checked for references.

Generated names of kebab-case properties are set with x-ogen-properties; the generator's own are like WarmMinusUp.

--- a/internal/operator/api/oas_cfg_gen.go
+++ b/internal/operator/api/oas_cfg_gen.go
@@ -13,7 +13,7 @@
 )
 
 var regexMap = map[string]ogenregex.Regexp{
-	"^[a-z0-9-]+$": ogenregex.MustCompile("^[a-z0-9-]+$"),
+	"^[A-Za-z0-9][A-Za-z0-9-]{0,63}$": ogenregex.MustCompile("^[A-Za-z0-9][A-Za-z0-9-]{0,63}$"),
 }
 
 type (
--- a/internal/operator/api/oas_json_gen.go
+++ b/internal/operator/api/oas_json_gen.go
@@ -265,7 +265,7 @@
 	}
 	{
 		e.FieldStart("host-state")
-		s.HostMinusState.Encode(e)
+		s.HostState.Encode(e)
 	}
 }
 
@@ -387,7 +387,7 @@
 		case "host-state":
 			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
-				if err := s.HostMinusState.Decode(d); err != nil {
+				if err := s.HostState.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -451,98 +451,6 @@
 	return s.Decode(d)
 }
 
-// Encode encodes BackendServerHostMinusState as json.
-func (s BackendServerHostMinusState) Encode(e *jx.Encoder) {
-	e.Str(string(s))
-}
-
-// Decode decodes BackendServerHostMinusState from json.
-func (s *BackendServerHostMinusState) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode BackendServerHostMinusState to nil")
-	}
-	v, err := d.StrBytes()
-	if err != nil {
-		return err
-	}
-	// Try to use constant string.
-	switch BackendServerHostMinusState(v) {
-	case BackendServerHostMinusStateAlive:
-		*s = BackendServerHostMinusStateAlive
-	case BackendServerHostMinusStateSuspect:
-		*s = BackendServerHostMinusStateSuspect
-	case BackendServerHostMinusStateDead:
-		*s = BackendServerHostMinusStateDead
-	case BackendServerHostMinusStateLeft:
-		*s = BackendServerHostMinusStateLeft
-	case BackendServerHostMinusStateUnknown:
-		*s = BackendServerHostMinusStateUnknown
-	default:
-		*s = BackendServerHostMinusState(v)
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s BackendServerHostMinusState) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *BackendServerHostMinusState) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
-// Encode encodes BackendServerState as json.
-func (s BackendServerState) Encode(e *jx.Encoder) {
-	e.Str(string(s))
-}
-
-// Decode decodes BackendServerState from json.
-func (s *BackendServerState) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode BackendServerState to nil")
-	}
-	v, err := d.StrBytes()
-	if err != nil {
-		return err
-	}
-	// Try to use constant string.
-	switch BackendServerState(v) {
-	case BackendServerStateStarting:
-		*s = BackendServerStateStarting
-	case BackendServerStateReady:
-		*s = BackendServerStateReady
-	case BackendServerStateDraining:
-		*s = BackendServerStateDraining
-	case BackendServerStateGone:
-		*s = BackendServerStateGone
-	case BackendServerStateUnknown:
-		*s = BackendServerStateUnknown
-	default:
-		*s = BackendServerState(v)
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s BackendServerState) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *BackendServerState) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
 // Encode implements json.Marshaler.
 func (s *Conflict) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -693,9 +601,9 @@
 		}
 	}
 	{
-		if s.AcceptedMinusAt.Set {
+		if s.AcceptedAt.Set {
 			e.FieldStart("accepted-at")
-			s.AcceptedMinusAt.Encode(e, json.EncodeDateTime)
+			s.AcceptedAt.Encode(e, json.EncodeDateTime)
 		}
 	}
 	{
@@ -753,8 +661,8 @@
 			}
 		case "accepted-at":
 			if err := func() error {
-				s.AcceptedMinusAt.Reset()
-				if err := s.AcceptedMinusAt.Decode(d, json.DecodeDateTime); err != nil {
+				s.AcceptedAt.Reset()
+				if err := s.AcceptedAt.Decode(d, json.DecodeDateTime); err != nil {
 					return err
 				}
 				return nil
@@ -1008,9 +916,9 @@
 		}
 	}
 	{
-		if s.CallMinusID.Set {
+		if s.CallID.Set {
 			e.FieldStart("call-id")
-			s.CallMinusID.Encode(e)
+			s.CallID.Encode(e)
 		}
 	}
 	{
@@ -1135,8 +1043,8 @@
 			}
 		case "call-id":
 			if err := func() error {
-				s.CallMinusID.Reset()
-				if err := s.CallMinusID.Decode(d); err != nil {
+				s.CallID.Reset()
+				if err := s.CallID.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -1485,6 +1393,52 @@
 	return s.Decode(d)
 }
 
+// Encode encodes HostState as json.
+func (s HostState) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes HostState from json.
+func (s *HostState) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode HostState to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch HostState(v) {
+	case HostStateAlive:
+		*s = HostStateAlive
+	case HostStateSuspect:
+		*s = HostStateSuspect
+	case HostStateDead:
+		*s = HostStateDead
+	case HostStateLeft:
+		*s = HostStateLeft
+	case HostStateUnknown:
+		*s = HostStateUnknown
+	default:
+		*s = HostState(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s HostState) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *HostState) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *ListRoutesOK) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2726,7 +2680,7 @@
 	}
 	{
 		e.FieldStart("path-prefix")
-		e.Str(s.PathMinusPrefix)
+		e.Str(s.PathPrefix)
 	}
 	{
 		if s.Methods != nil {
@@ -2791,7 +2745,7 @@
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.Str()
-				s.PathMinusPrefix = string(v)
+				s.PathPrefix = string(v)
 				if err != nil {
 					return err
 				}
@@ -2945,13 +2899,13 @@
 	}
 	{
 		e.FieldStart("warm-up")
-		e.Str(s.WarmMinusUp)
+		e.Str(s.WarmUp)
 	}
 	{
-		if s.SuspendedMinusHosts != nil {
+		if s.SuspendedHosts != nil {
 			e.FieldStart("suspended-hosts")
 			e.ArrStart()
-			for _, elem := range s.SuspendedMinusHosts {
+			for _, elem := range s.SuspendedHosts {
 				e.Str(elem)
 			}
 			e.ArrEnd()
@@ -3016,7 +2970,7 @@
 			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Str()
-				s.WarmMinusUp = string(v)
+				s.WarmUp = string(v)
 				if err != nil {
 					return err
 				}
@@ -3026,7 +2980,7 @@
 			}
 		case "suspended-hosts":
 			if err := func() error {
-				s.SuspendedMinusHosts = make([]string, 0)
+				s.SuspendedHosts = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
 					var elem string
 					v, err := d.Str()
@@ -3034,7 +2988,7 @@
 					if err != nil {
 						return err
 					}
-					s.SuspendedMinusHosts = append(s.SuspendedMinusHosts, elem)
+					s.SuspendedHosts = append(s.SuspendedHosts, elem)
 					return nil
 				}); err != nil {
 					return err
@@ -3280,6 +3234,52 @@
 	return s.Decode(d)
 }
 
+// Encode encodes ServerState as json.
+func (s ServerState) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes ServerState from json.
+func (s *ServerState) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode ServerState to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch ServerState(v) {
+	case ServerStateStarting:
+		*s = ServerStateStarting
+	case ServerStateReady:
+		*s = ServerStateReady
+	case ServerStateDraining:
+		*s = ServerStateDraining
+	case ServerStateGone:
+		*s = ServerStateGone
+	case ServerStateUnknown:
+		*s = ServerStateUnknown
+	default:
+		*s = ServerState(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s ServerState) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *ServerState) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Status) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -3446,9 +3446,9 @@
 		}
 	}
 	{
-		if s.ChangedMinusYaml.Set {
-			e.FieldStart("changed-yaml")
-			s.ChangedMinusYaml.Encode(e)
+		if s.Document.Set {
+			e.FieldStart("document")
+			s.Document.Encode(e)
 		}
 	}
 	{
@@ -3467,7 +3467,7 @@
 	0: "id",
 	1: "base",
 	2: "changed",
-	3: "changed-yaml",
+	3: "document",
 	4: "removed",
 }
 
@@ -3521,15 +3521,15 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"changed\"")
 			}
-		case "changed-yaml":
+		case "document":
 			if err := func() error {
-				s.ChangedMinusYaml.Reset()
-				if err := s.ChangedMinusYaml.Decode(d); err != nil {
+				s.Document.Reset()
+				if err := s.Document.Decode(d); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"changed-yaml\"")
+				return errors.Wrap(err, "decode field \"document\"")
 			}
 		case "removed":
 			if err := func() error {
@@ -3752,19 +3752,19 @@
 func (s *Traffic) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("sent-bytes")
-		e.UInt64(s.SentMinusBytes)
+		e.UInt64(s.SentBytes)
 	}
 	{
 		e.FieldStart("sent-packets")
-		e.UInt64(s.SentMinusPackets)
+		e.UInt64(s.SentPackets)
 	}
 	{
 		e.FieldStart("received-bytes")
-		e.UInt64(s.ReceivedMinusBytes)
+		e.UInt64(s.ReceivedBytes)
 	}
 	{
 		e.FieldStart("received-packets")
-		e.UInt64(s.ReceivedMinusPackets)
+		e.UInt64(s.ReceivedPackets)
 	}
 }
 
@@ -3788,7 +3788,7 @@
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
 				v, err := d.UInt64()
-				s.SentMinusBytes = uint64(v)
+				s.SentBytes = uint64(v)
 				if err != nil {
 					return err
 				}
@@ -3800,7 +3800,7 @@
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.UInt64()
-				s.SentMinusPackets = uint64(v)
+				s.SentPackets = uint64(v)
 				if err != nil {
 					return err
 				}
@@ -3812,7 +3812,7 @@
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				v, err := d.UInt64()
-				s.ReceivedMinusBytes = uint64(v)
+				s.ReceivedBytes = uint64(v)
 				if err != nil {
 					return err
 				}
@@ -3824,7 +3824,7 @@
 			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.UInt64()
-				s.ReceivedMinusPackets = uint64(v)
+				s.ReceivedPackets = uint64(v)
 				if err != nil {
 					return err
 				}
@@ -4020,7 +4020,7 @@
 	}
 	{
 		e.FieldStart("accepted-at")
-		json.EncodeDateTime(e, s.AcceptedMinusAt)
+		json.EncodeDateTime(e, s.AcceptedAt)
 	}
 	{
 		e.FieldStart("changed")
@@ -4085,7 +4085,7 @@
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				v, err := json.DecodeDateTime(d)
-				s.AcceptedMinusAt = v
+				s.AcceptedAt = v
 				if err != nil {
 					return err
 				}
--- a/internal/operator/api/oas_schemas_gen.go
+++ b/internal/operator/api/oas_schemas_gen.go
@@ -58,15 +58,15 @@
 
 // Ref: #/components/schemas/BackendServer
 type BackendServer struct {
-	ID             string                      `json:"id"`
-	Service        string                      `json:"service"`
-	Host           string                      `json:"host"`
-	Zone           string                      `json:"zone"`
-	Region         string                      `json:"region"`
-	Address        string                      `json:"address"`
-	Slots          int                         `json:"slots"`
-	State          BackendServerState          `json:"state"`
-	HostMinusState BackendServerHostMinusState `json:"host-state"`
+	ID        string      `json:"id"`
+	Service   string      `json:"service"`
+	Host      string      `json:"host"`
+	Zone      string      `json:"zone"`
+	Region    string      `json:"region"`
+	Address   string      `json:"address"`
+	Slots     int         `json:"slots"`
+	State     ServerState `json:"state"`
+	HostState HostState   `json:"host-state"`
 }
 
 // GetID returns the value of ID.
@@ -105,13 +105,13 @@
 }
 
 // GetState returns the value of State.
-func (s *BackendServer) GetState() BackendServerState {
+func (s *BackendServer) GetState() ServerState {
 	return s.State
 }
 
-// GetHostMinusState returns the value of HostMinusState.
-func (s *BackendServer) GetHostMinusState() BackendServerHostMinusState {
-	return s.HostMinusState
+// GetHostState returns the value of HostState.
+func (s *BackendServer) GetHostState() HostState {
+	return s.HostState
 }
 
 // SetID sets the value of ID.
@@ -150,137 +150,13 @@
 }
 
 // SetState sets the value of State.
-func (s *BackendServer) SetState(val BackendServerState) {
+func (s *BackendServer) SetState(val ServerState) {
 	s.State = val
 }
 
-// SetHostMinusState sets the value of HostMinusState.
-func (s *BackendServer) SetHostMinusState(val BackendServerHostMinusState) {
-	s.HostMinusState = val
-}
-
-type BackendServerHostMinusState string
-
-const (
-	BackendServerHostMinusStateAlive   BackendServerHostMinusState = "alive"
-	BackendServerHostMinusStateSuspect BackendServerHostMinusState = "suspect"
-	BackendServerHostMinusStateDead    BackendServerHostMinusState = "dead"
-	BackendServerHostMinusStateLeft    BackendServerHostMinusState = "left"
-	BackendServerHostMinusStateUnknown BackendServerHostMinusState = "unknown"
-)
-
-// AllValues returns all BackendServerHostMinusState values.
-func (BackendServerHostMinusState) AllValues() []BackendServerHostMinusState {
-	return []BackendServerHostMinusState{
-		BackendServerHostMinusStateAlive,
-		BackendServerHostMinusStateSuspect,
-		BackendServerHostMinusStateDead,
-		BackendServerHostMinusStateLeft,
-		BackendServerHostMinusStateUnknown,
-	}
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (s BackendServerHostMinusState) MarshalText() ([]byte, error) {
-	switch s {
-	case BackendServerHostMinusStateAlive:
-		return []byte(s), nil
-	case BackendServerHostMinusStateSuspect:
-		return []byte(s), nil
-	case BackendServerHostMinusStateDead:
-		return []byte(s), nil
-	case BackendServerHostMinusStateLeft:
-		return []byte(s), nil
-	case BackendServerHostMinusStateUnknown:
-		return []byte(s), nil
-	default:
-		return nil, errors.Errorf("invalid value: %q", s)
-	}
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *BackendServerHostMinusState) UnmarshalText(data []byte) error {
-	switch BackendServerHostMinusState(data) {
-	case BackendServerHostMinusStateAlive:
-		*s = BackendServerHostMinusStateAlive
-		return nil
-	case BackendServerHostMinusStateSuspect:
-		*s = BackendServerHostMinusStateSuspect
-		return nil
-	case BackendServerHostMinusStateDead:
-		*s = BackendServerHostMinusStateDead
-		return nil
-	case BackendServerHostMinusStateLeft:
-		*s = BackendServerHostMinusStateLeft
-		return nil
-	case BackendServerHostMinusStateUnknown:
-		*s = BackendServerHostMinusStateUnknown
-		return nil
-	default:
-		return errors.Errorf("invalid value: %q", data)
-	}
-}
-
-type BackendServerState string
-
-const (
-	BackendServerStateStarting BackendServerState = "starting"
-	BackendServerStateReady    BackendServerState = "ready"
-	BackendServerStateDraining BackendServerState = "draining"
-	BackendServerStateGone     BackendServerState = "gone"
-	BackendServerStateUnknown  BackendServerState = "unknown"
-)
-
-// AllValues returns all BackendServerState values.
-func (BackendServerState) AllValues() []BackendServerState {
-	return []BackendServerState{
-		BackendServerStateStarting,
-		BackendServerStateReady,
-		BackendServerStateDraining,
-		BackendServerStateGone,
-		BackendServerStateUnknown,
-	}
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (s BackendServerState) MarshalText() ([]byte, error) {
-	switch s {
-	case BackendServerStateStarting:
-		return []byte(s), nil
-	case BackendServerStateReady:
-		return []byte(s), nil
-	case BackendServerStateDraining:
-		return []byte(s), nil
-	case BackendServerStateGone:
-		return []byte(s), nil
-	case BackendServerStateUnknown:
-		return []byte(s), nil
-	default:
-		return nil, errors.Errorf("invalid value: %q", s)
-	}
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *BackendServerState) UnmarshalText(data []byte) error {
-	switch BackendServerState(data) {
-	case BackendServerStateStarting:
-		*s = BackendServerStateStarting
-		return nil
-	case BackendServerStateReady:
-		*s = BackendServerStateReady
-		return nil
-	case BackendServerStateDraining:
-		*s = BackendServerStateDraining
-		return nil
-	case BackendServerStateGone:
-		*s = BackendServerStateGone
-		return nil
-	case BackendServerStateUnknown:
-		*s = BackendServerStateUnknown
-		return nil
-	default:
-		return errors.Errorf("invalid value: %q", data)
-	}
+// SetHostState sets the value of HostState.
+func (s *BackendServer) SetHostState(val HostState) {
+	s.HostState = val
 }
 
 type Bearer struct {
@@ -348,11 +224,11 @@
 
 // Ref: #/components/schemas/Document
 type Document struct {
-	Version         uint64      `json:"version"`
-	Submission      OptString   `json:"submission"`
-	AcceptedMinusAt OptDateTime `json:"accepted-at"`
-	Yaml            string      `json:"yaml"`
-	Sections        []Section   `json:"sections"`
+	Version    uint64      `json:"version"`
+	Submission OptString   `json:"submission"`
+	AcceptedAt OptDateTime `json:"accepted-at"`
+	Yaml       string      `json:"yaml"`
+	Sections   []Section   `json:"sections"`
 }
 
 // GetVersion returns the value of Version.
@@ -365,9 +241,9 @@
 	return s.Submission
 }
 
-// GetAcceptedMinusAt returns the value of AcceptedMinusAt.
-func (s *Document) GetAcceptedMinusAt() OptDateTime {
-	return s.AcceptedMinusAt
+// GetAcceptedAt returns the value of AcceptedAt.
+func (s *Document) GetAcceptedAt() OptDateTime {
+	return s.AcceptedAt
 }
 
 // GetYaml returns the value of Yaml.
@@ -390,9 +266,9 @@
 	s.Submission = val
 }
 
-// SetAcceptedMinusAt sets the value of AcceptedMinusAt.
-func (s *Document) SetAcceptedMinusAt(val OptDateTime) {
-	s.AcceptedMinusAt = val
+// SetAcceptedAt sets the value of AcceptedAt.
+func (s *Document) SetAcceptedAt(val OptDateTime) {
+	s.AcceptedAt = val
 }
 
 // SetYaml sets the value of Yaml.
@@ -438,15 +314,15 @@
 	// Physical part of the hybrid logical clock.
 	Time time.Time `json:"time"`
 	// Logical part of the hybrid logical clock.
-	Counter     uint32    `json:"counter"`
-	Kind        string    `json:"kind"`
-	Host        string    `json:"host"`
-	Zone        string    `json:"zone"`
-	Region      OptString `json:"region"`
-	Version     OptUint64 `json:"version"`
-	Server      OptString `json:"server"`
-	CallMinusID OptString `json:"call-id"`
-	Detail      OptString `json:"detail"`
+	Counter uint32    `json:"counter"`
+	Kind    string    `json:"kind"`
+	Host    string    `json:"host"`
+	Zone    string    `json:"zone"`
+	Region  OptString `json:"region"`
+	Version OptUint64 `json:"version"`
+	Server  OptString `json:"server"`
+	CallID  OptString `json:"call-id"`
+	Detail  OptString `json:"detail"`
 }
 
 // GetTime returns the value of Time.
@@ -489,9 +365,9 @@
 	return s.Server
 }
 
-// GetCallMinusID returns the value of CallMinusID.
-func (s *Event) GetCallMinusID() OptString {
-	return s.CallMinusID
+// GetCallID returns the value of CallID.
+func (s *Event) GetCallID() OptString {
+	return s.CallID
 }
 
 // GetDetail returns the value of Detail.
@@ -539,9 +415,9 @@
 	s.Server = val
 }
 
-// SetCallMinusID sets the value of CallMinusID.
-func (s *Event) SetCallMinusID(val OptString) {
-	s.CallMinusID = val
+// SetCallID sets the value of CallID.
+func (s *Event) SetCallID(val OptString) {
+	s.CallID = val
 }
 
 // SetDetail sets the value of Detail.
@@ -659,6 +535,69 @@
 	s.Yaml = val
 }
 
+// Ref: #/components/schemas/HostState
+type HostState string
+
+const (
+	HostStateAlive   HostState = "alive"
+	HostStateSuspect HostState = "suspect"
+	HostStateDead    HostState = "dead"
+	HostStateLeft    HostState = "left"
+	HostStateUnknown HostState = "unknown"
+)
+
+// AllValues returns all HostState values.
+func (HostState) AllValues() []HostState {
+	return []HostState{
+		HostStateAlive,
+		HostStateSuspect,
+		HostStateDead,
+		HostStateLeft,
+		HostStateUnknown,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s HostState) MarshalText() ([]byte, error) {
+	switch s {
+	case HostStateAlive:
+		return []byte(s), nil
+	case HostStateSuspect:
+		return []byte(s), nil
+	case HostStateDead:
+		return []byte(s), nil
+	case HostStateLeft:
+		return []byte(s), nil
+	case HostStateUnknown:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *HostState) UnmarshalText(data []byte) error {
+	switch HostState(data) {
+	case HostStateAlive:
+		*s = HostStateAlive
+		return nil
+	case HostStateSuspect:
+		*s = HostStateSuspect
+		return nil
+	case HostStateDead:
+		*s = HostStateDead
+		return nil
+	case HostStateLeft:
+		*s = HostStateLeft
+		return nil
+	case HostStateUnknown:
+		*s = HostStateUnknown
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 type ListRoutesOK struct {
 	Version uint64       `json:"version"`
 	Routes  []RouteEntry `json:"routes"`
@@ -1117,8 +1056,8 @@
 
 // Ref: #/components/schemas/SectionRoute
 type SectionRoute struct {
-	Name            string `json:"name"`
-	PathMinusPrefix string `json:"path-prefix"`
+	Name       string `json:"name"`
+	PathPrefix string `json:"path-prefix"`
 	// Empty means every method.
 	Methods []string `json:"methods"`
 	Service string   `json:"service"`
@@ -1133,9 +1072,9 @@
 	return s.Name
 }
 
-// GetPathMinusPrefix returns the value of PathMinusPrefix.
-func (s *SectionRoute) GetPathMinusPrefix() string {
-	return s.PathMinusPrefix
+// GetPathPrefix returns the value of PathPrefix.
+func (s *SectionRoute) GetPathPrefix() string {
+	return s.PathPrefix
 }
 
 // GetMethods returns the value of Methods.
@@ -1168,9 +1107,9 @@
 	s.Name = val
 }
 
-// SetPathMinusPrefix sets the value of PathMinusPrefix.
-func (s *SectionRoute) SetPathMinusPrefix(val string) {
-	s.PathMinusPrefix = val
+// SetPathPrefix sets the value of PathPrefix.
+func (s *SectionRoute) SetPathPrefix(val string) {
+	s.PathPrefix = val
 }
 
 // SetMethods sets the value of Methods.
@@ -1204,8 +1143,8 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	// Duration with unit.
-	WarmMinusUp         string   `json:"warm-up"`
-	SuspendedMinusHosts []string `json:"suspended-hosts"`
+	WarmUp         string   `json:"warm-up"`
+	SuspendedHosts []string `json:"suspended-hosts"`
 }
 
 // GetName returns the value of Name.
@@ -1223,14 +1162,14 @@
 	return s.Connections
 }
 
-// GetWarmMinusUp returns the value of WarmMinusUp.
-func (s *SectionService) GetWarmMinusUp() string {
-	return s.WarmMinusUp
+// GetWarmUp returns the value of WarmUp.
+func (s *SectionService) GetWarmUp() string {
+	return s.WarmUp
 }
 
-// GetSuspendedMinusHosts returns the value of SuspendedMinusHosts.
-func (s *SectionService) GetSuspendedMinusHosts() []string {
-	return s.SuspendedMinusHosts
+// GetSuspendedHosts returns the value of SuspendedHosts.
+func (s *SectionService) GetSuspendedHosts() []string {
+	return s.SuspendedHosts
 }
 
 // SetName sets the value of Name.
@@ -1248,14 +1187,14 @@
 	s.Connections = val
 }
 
-// SetWarmMinusUp sets the value of WarmMinusUp.
-func (s *SectionService) SetWarmMinusUp(val string) {
-	s.WarmMinusUp = val
+// SetWarmUp sets the value of WarmUp.
+func (s *SectionService) SetWarmUp(val string) {
+	s.WarmUp = val
 }
 
-// SetSuspendedMinusHosts sets the value of SuspendedMinusHosts.
-func (s *SectionService) SetSuspendedMinusHosts(val []string) {
-	s.SuspendedMinusHosts = val
+// SetSuspendedHosts sets the value of SuspendedHosts.
+func (s *SectionService) SetSuspendedHosts(val []string) {
+	s.SuspendedHosts = val
 }
 
 // Ref: #/components/schemas/SectionSummary
@@ -1329,6 +1268,69 @@
 	s.Routes = val
 }
 
+// Ref: #/components/schemas/ServerState
+type ServerState string
+
+const (
+	ServerStateStarting ServerState = "starting"
+	ServerStateReady    ServerState = "ready"
+	ServerStateDraining ServerState = "draining"
+	ServerStateGone     ServerState = "gone"
+	ServerStateUnknown  ServerState = "unknown"
+)
+
+// AllValues returns all ServerState values.
+func (ServerState) AllValues() []ServerState {
+	return []ServerState{
+		ServerStateStarting,
+		ServerStateReady,
+		ServerStateDraining,
+		ServerStateGone,
+		ServerStateUnknown,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s ServerState) MarshalText() ([]byte, error) {
+	switch s {
+	case ServerStateStarting:
+		return []byte(s), nil
+	case ServerStateReady:
+		return []byte(s), nil
+	case ServerStateDraining:
+		return []byte(s), nil
+	case ServerStateGone:
+		return []byte(s), nil
+	case ServerStateUnknown:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *ServerState) UnmarshalText(data []byte) error {
+	switch ServerState(data) {
+	case ServerStateStarting:
+		*s = ServerStateStarting
+		return nil
+	case ServerStateReady:
+		*s = ServerStateReady
+		return nil
+	case ServerStateDraining:
+		*s = ServerStateDraining
+		return nil
+	case ServerStateGone:
+		*s = ServerStateGone
+		return nil
+	case ServerStateUnknown:
+		*s = ServerStateUnknown
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 // Ref: #/components/schemas/Status
 type Status struct {
 	// Newest version known.
@@ -1374,9 +1376,11 @@
 	// The version that the changes were made against.
 	Base    uint64    `json:"base"`
 	Changed []Section `json:"changed"`
-	// Changed sections as a YAML document. Excludes "changed".
-	ChangedMinusYaml OptString `json:"changed-yaml"`
-	Removed          []string  `json:"removed"`
+	// The whole edited document as YAML, in place of "changed" and "removed". The daemon compares it with
+	// the base version and takes the sections of the team of the token; differences in sections of other
+	// teams are refused.
+	Document OptString `json:"document"`
+	Removed  []string  `json:"removed"`
 }
 
 // GetID returns the value of ID.
@@ -1394,9 +1398,9 @@
 	return s.Changed
 }
 
-// GetChangedMinusYaml returns the value of ChangedMinusYaml.
-func (s *Submission) GetChangedMinusYaml() OptString {
-	return s.ChangedMinusYaml
+// GetDocument returns the value of Document.
+func (s *Submission) GetDocument() OptString {
+	return s.Document
 }
 
 // GetRemoved returns the value of Removed.
@@ -1419,9 +1423,9 @@
 	s.Changed = val
 }
 
-// SetChangedMinusYaml sets the value of ChangedMinusYaml.
-func (s *Submission) SetChangedMinusYaml(val OptString) {
-	s.ChangedMinusYaml = val
+// SetDocument sets the value of Document.
+func (s *Submission) SetDocument(val OptString) {
+	s.Document = val
 }
 
 // SetRemoved sets the value of Removed.
@@ -1459,50 +1463,50 @@
 // Control traffic of the answering daemon since its start.
 // Ref: #/components/schemas/Traffic
 type Traffic struct {
-	SentMinusBytes       uint64 `json:"sent-bytes"`
-	SentMinusPackets     uint64 `json:"sent-packets"`
-	ReceivedMinusBytes   uint64 `json:"received-bytes"`
-	ReceivedMinusPackets uint64 `json:"received-packets"`
+	SentBytes       uint64 `json:"sent-bytes"`
+	SentPackets     uint64 `json:"sent-packets"`
+	ReceivedBytes   uint64 `json:"received-bytes"`
+	ReceivedPackets uint64 `json:"received-packets"`
 }
 
-// GetSentMinusBytes returns the value of SentMinusBytes.
-func (s *Traffic) GetSentMinusBytes() uint64 {
-	return s.SentMinusBytes
+// GetSentBytes returns the value of SentBytes.
+func (s *Traffic) GetSentBytes() uint64 {
+	return s.SentBytes
 }
 
-// GetSentMinusPackets returns the value of SentMinusPackets.
-func (s *Traffic) GetSentMinusPackets() uint64 {
-	return s.SentMinusPackets
+// GetSentPackets returns the value of SentPackets.
+func (s *Traffic) GetSentPackets() uint64 {
+	return s.SentPackets
 }
 
-// GetReceivedMinusBytes returns the value of ReceivedMinusBytes.
-func (s *Traffic) GetReceivedMinusBytes() uint64 {
-	return s.ReceivedMinusBytes
+// GetReceivedBytes returns the value of ReceivedBytes.
+func (s *Traffic) GetReceivedBytes() uint64 {
+	return s.ReceivedBytes
 }
 
-// GetReceivedMinusPackets returns the value of ReceivedMinusPackets.
-func (s *Traffic) GetReceivedMinusPackets() uint64 {
-	return s.ReceivedMinusPackets
+// GetReceivedPackets returns the value of ReceivedPackets.
+func (s *Traffic) GetReceivedPackets() uint64 {
+	return s.ReceivedPackets
 }
 
-// SetSentMinusBytes sets the value of SentMinusBytes.
-func (s *Traffic) SetSentMinusBytes(val uint64) {
-	s.SentMinusBytes = val
+// SetSentBytes sets the value of SentBytes.
+func (s *Traffic) SetSentBytes(val uint64) {
+	s.SentBytes = val
 }
 
-// SetSentMinusPackets sets the value of SentMinusPackets.
-func (s *Traffic) SetSentMinusPackets(val uint64) {
-	s.SentMinusPackets = val
+// SetSentPackets sets the value of SentPackets.
+func (s *Traffic) SetSentPackets(val uint64) {
+	s.SentPackets = val
 }
 
-// SetReceivedMinusBytes sets the value of ReceivedMinusBytes.
-func (s *Traffic) SetReceivedMinusBytes(val uint64) {
-	s.ReceivedMinusBytes = val
+// SetReceivedBytes sets the value of ReceivedBytes.
+func (s *Traffic) SetReceivedBytes(val uint64) {
+	s.ReceivedBytes = val
 }
 
-// SetReceivedMinusPackets sets the value of ReceivedMinusPackets.
-func (s *Traffic) SetReceivedMinusPackets(val uint64) {
-	s.ReceivedMinusPackets = val
+// SetReceivedPackets sets the value of ReceivedPackets.
+func (s *Traffic) SetReceivedPackets(val uint64) {
+	s.ReceivedPackets = val
 }
 
 // Ref: #/components/schemas/Unknown
@@ -1535,9 +1539,9 @@
 
 // Ref: #/components/schemas/Version
 type Version struct {
-	Number          uint64    `json:"number"`
-	Submission      string    `json:"submission"`
-	AcceptedMinusAt time.Time `json:"accepted-at"`
+	Number     uint64    `json:"number"`
+	Submission string    `json:"submission"`
+	AcceptedAt time.Time `json:"accepted-at"`
 	// Sections added or changed since the version before.
 	Changed []string `json:"changed"`
 	Removed []string `json:"removed"`
@@ -1553,9 +1557,9 @@
 	return s.Submission
 }
 
-// GetAcceptedMinusAt returns the value of AcceptedMinusAt.
-func (s *Version) GetAcceptedMinusAt() time.Time {
-	return s.AcceptedMinusAt
+// GetAcceptedAt returns the value of AcceptedAt.
+func (s *Version) GetAcceptedAt() time.Time {
+	return s.AcceptedAt
 }
 
 // GetChanged returns the value of Changed.
@@ -1578,9 +1582,9 @@
 	s.Submission = val
 }
 
-// SetAcceptedMinusAt sets the value of AcceptedMinusAt.
-func (s *Version) SetAcceptedMinusAt(val time.Time) {
-	s.AcceptedMinusAt = val
+// SetAcceptedAt sets the value of AcceptedAt.
+func (s *Version) SetAcceptedAt(val time.Time) {
+	s.AcceptedAt = val
 }
 
 // SetChanged sets the value of Changed.
--- a/internal/operator/api/oas_validators_gen.go
+++ b/internal/operator/api/oas_validators_gen.go
@@ -27,7 +27,7 @@
 		})
 	}
 	if err := func() error {
-		if err := s.HostMinusState.Validate(); err != nil {
+		if err := s.HostState.Validate(); err != nil {
 			return err
 		}
 		return nil
@@ -43,40 +43,6 @@
 	return nil
 }
 
-func (s BackendServerHostMinusState) Validate() error {
-	switch s {
-	case "alive":
-		return nil
-	case "suspect":
-		return nil
-	case "dead":
-		return nil
-	case "left":
-		return nil
-	case "unknown":
-		return nil
-	default:
-		return errors.Errorf("invalid value: %v", s)
-	}
-}
-
-func (s BackendServerState) Validate() error {
-	switch s {
-	case "starting":
-		return nil
-	case "ready":
-		return nil
-	case "draining":
-		return nil
-	case "gone":
-		return nil
-	case "unknown":
-		return nil
-	default:
-		return errors.Errorf("invalid value: %v", s)
-	}
-}
-
 func (s *Document) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -140,6 +106,23 @@
 	return nil
 }
 
+func (s HostState) Validate() error {
+	switch s {
+	case "alive":
+		return nil
+	case "suspect":
+		return nil
+	case "dead":
+		return nil
+	case "left":
+		return nil
+	case "unknown":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *ListRoutesOK) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -535,6 +518,23 @@
 	return nil
 }
 
+func (s ServerState) Validate() error {
+	switch s {
+	case "starting":
+		return nil
+	case "ready":
+		return nil
+	case "draining":
+		return nil
+	case "gone":
+		return nil
+	case "unknown":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *Status) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -583,13 +583,13 @@
 	var failures []validate.FieldError
 	if err := func() error {
 		if err := (validate.String{
-			MinLength:     8,
-			MinLengthSet:  true,
-			MaxLength:     64,
-			MaxLengthSet:  true,
+			MinLength:     0,
+			MinLengthSet:  false,
+			MaxLength:     0,
+			MaxLengthSet:  false,
 			Email:         false,
 			Hostname:      false,
-			Regex:         regexMap["^[a-z0-9-]+$"],
+			Regex:         regexMap["^[A-Za-z0-9][A-Za-z0-9-]{0,63}$"],
 			MinNumeric:    0,
 			MinNumericSet: false,
 			MaxNumeric:    0,
@@ -641,7 +641,7 @@
 		})
 	}
 	if err := func() error {
-		if value, ok := s.ChangedMinusYaml.Get(); ok {
+		if value, ok := s.Document.Get(); ok {
 			if err := func() error {
 				if err := (validate.String{
 					MinLength:     0,
@@ -666,7 +666,7 @@
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "changed-yaml",
+			Name:  "document",
 			Error: err,
 		})
 	}
--- /dev/null
+++ b/internal/operator/backend.go
@@ -0,0 +1,99 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/submission"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+// ErrNotFound is returned by a Backend for a version that does not exist.
+var ErrNotFound = errors.New("not found")
+
+// Backend is what the operator API serves. The daemon implements it. All
+// methods may be called concurrently. Errors other than ErrNotFound and
+// submission.ErrNoVersion are reported to operators as a temporary failure.
+type Backend interface {
+	// Submit runs the accept procedure until the context ends.
+	Submit(ctx context.Context, s submission.Submission) submission.Outcome
+	// Snapshot returns the newest version known; the zero value when none was
+	// accepted yet.
+	Snapshot(ctx context.Context) (version.Snapshot, error)
+	// Version returns one version, or ErrNotFound.
+	Version(ctx context.Context, n version.Number) (version.Snapshot, error)
+	// History returns up to limit manifests with numbers below before, newest
+	// first. Before zero starts at the newest.
+	History(ctx context.Context, before version.Number, limit int) ([]version.Manifest, error)
+	// Status asks the zone roots, one request per availability zone.
+	Status(ctx context.Context) (Status, error)
+	// Servers returns all backend servers known, in any order.
+	Servers(ctx context.Context) ([]Server, error)
+	// Timeline returns matching events of all daemons in the order of stamps.
+	Timeline(ctx context.Context, q Query) (Timeline, error)
+}
+
+// Status is the state of the fleet.
+type Status struct {
+	Head    version.Number // newest version known
+	Zones   []Zone
+	Traffic Traffic
+}
+
+// Zone is the state of one availability zone.
+type Zone struct {
+	Name        host.AvailabilityZone
+	Region      host.Region
+	Hosts       int                    // hosts that are alive
+	Applied     map[version.Number]int // hosts by the version they have applied
+	Stragglers  []host.ID              // some of the hosts that lack the head version
+	Unreachable bool                   // the zone root did not respond; counts may be old
+}
+
+// Traffic is the control traffic of the answering daemon since its start.
+type Traffic struct {
+	SentBytes, SentPackets, ReceivedBytes, ReceivedPackets uint64
+}
+
+// Server is a backend server and the state of its host.
+type Server struct {
+	backend.Server
+	Zone      host.AvailabilityZone
+	Region    host.Region
+	HostState host.State
+}
+
+// Query selects events. Zero values select all; filters are combined with "and".
+type Query struct {
+	Kind    string
+	Version version.Number
+	Server  backend.ServerID
+	CallID  string
+	Zone    host.AvailabilityZone
+	Since   time.Time
+	Limit   int // newest events that match
+}
+
+// Event is one event of the timeline. Time and Counter are its hybrid logical
+// clock stamp.
+type Event struct {
+	Time    time.Time
+	Counter uint32
+	Kind    string // kebab case, for example "version-applied"
+	Host    host.ID
+	Zone    host.AvailabilityZone
+	Region  host.Region
+	Version version.Number
+	Server  backend.ServerID
+	CallID  string
+	Detail  string
+}
+
+// Timeline is the answer to a query.
+type Timeline struct {
+	Events     []Event
+	Unanswered []host.ID // hosts that did not answer, so that events are missing
+}
