Picture of a rollout

Operators want to see at a glance where a version was delayed. The timeline command draws the accepted, secured, fetched and applied events of one version as SVG, hosts by zone against time. Of equal phases of one host the first counts, because a host fetches and applies again after a restart; a limit on events by time would have cut slow zones off.

Run: lint clean, go test ./... passes, go test -race of the two packages passes. The picture was checked as XML and not yet looked at in a viewer.

--- /dev/null
+++ b/internal/command/timeline/picture.go
@@ -0,0 +1,278 @@
+package timeline
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"html"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// phase is a kind of event of a rollout and its mark. The colours can be told
+// apart with colour vision deficiencies; the shapes differ too.
+type phase struct {
+	kind, label, colour string
+	shape               string // path around the origin, within 5 units
+}
+
+// phases are in the order in which a host passes them.
+var phases = []phase{
+	{"version-accepted", "accepted", "#D55E00", "M0-6L6 0L0 6L-6 0Z"},
+	{"version-secured", "secured", "#E69F00", "M-4.5-4.5H4.5V4.5H-4.5Z"},
+	{"version-fetched", "fetched", "#56B4E9", "M-4 0A4 4 0 1 1 4 0A4 4 0 1 1-4 0Z"},
+	{"version-applied", "applied", "#009E73", "M0-5.5L5.5 4.5H-5.5Z"},
+}
+
+func phaseOf(kind string) (phase, bool) {
+	i := slices.IndexFunc(phases, func(p phase) bool { return p.kind == kind })
+	if i < 0 {
+		return phase{}, false
+	}
+	return phases[i], true
+}
+
+// Sizes in pixels.
+const (
+	plotWidth  = 720
+	topSpace   = 72 // title and legend
+	zoneSpace  = 24 // zone name above its hosts
+	rowHeight  = 16
+	axisSpace  = 44
+	rightSpace = 30
+	charWidth  = 7 // of the labels, at most
+)
+
+type mark struct {
+	phase phase
+	at    time.Duration // since the first event
+	event api.Event
+}
+
+type row struct {
+	host  string
+	marks []mark
+}
+
+type zone struct {
+	region, name string
+	rows         []row
+	applied      time.Duration // by the last host
+	appliedOn    int           // hosts
+}
+
+// rollout is the content of a picture.
+type rollout struct {
+	version    uint64
+	start      time.Time
+	length     time.Duration
+	zones      []zone
+	unanswered []string
+}
+
+// Draw returns an SVG picture of the rollout of a version: hosts by zone on the
+// vertical axis, time since the first event on the horizontal one.
+func Draw(version uint64, line *api.Timeline) ([]byte, error) {
+	r := collect(version, line)
+	if len(r.zones) == 0 {
+		return nil, command.Error{Code: command.Refused, Text: fmt.Sprintf("there are no events of the rollout of version %d", version), Hint: "daemons keep a limited number of events; choose a newer version, see peridotlb document history"}
+	}
+	return r.draw(), nil
+}
+
+// collect groups the events of a rollout by zone and host. Of equal phases of
+// a host the first counts; a host fetches again after a restart.
+func collect(version uint64, line *api.Timeline) rollout {
+	r := rollout{version: version, unanswered: line.Unanswered}
+	type place struct{ region, zone, host string }
+	rows := map[place][]mark{}
+	for _, e := range line.Events {
+		p, ok := phaseOf(e.Kind)
+		at := place{e.Region.Or(""), e.Zone, e.Host}
+		if !ok || e.Version.Or(0) != version || slices.ContainsFunc(rows[at], func(m mark) bool { return m.phase == p }) {
+			continue
+		}
+		if r.start.IsZero() || e.Time.Before(r.start) {
+			r.start = e.Time
+		}
+		rows[at] = append(rows[at], mark{phase: p, event: e})
+	}
+	zones := map[[2]string]*zone{}
+	for at, marks := range rows {
+		key := [2]string{at.region, at.zone}
+		if zones[key] == nil {
+			zones[key] = &zone{region: at.region, name: at.zone}
+		}
+		z := zones[key]
+		for i := range marks {
+			marks[i].at = marks[i].event.Time.Sub(r.start)
+			r.length = max(r.length, marks[i].at)
+			if marks[i].phase.kind == "version-applied" {
+				z.applied = max(z.applied, marks[i].at)
+				z.appliedOn++
+			}
+		}
+		z.rows = append(z.rows, row{host: at.host, marks: marks})
+	}
+	for _, z := range zones {
+		slices.SortFunc(z.rows, func(a, b row) int { return cmp.Compare(a.host, b.host) })
+		r.zones = append(r.zones, *z)
+	}
+	slices.SortFunc(r.zones, func(a, b zone) int {
+		return cmp.Or(cmp.Compare(a.region, b.region), cmp.Compare(a.name, b.name))
+	})
+	return r
+}
+
+// canvas writes SVG elements.
+type canvas struct {
+	bytes.Buffer
+	left int           // of the plot
+	step time.Duration // between ticks
+	end  time.Duration // of the axis
+}
+
+func (c *canvas) x(at time.Duration) float64 {
+	return float64(c.left) + plotWidth*float64(at)/float64(c.end)
+}
+
+func (c *canvas) text(x float64, y int, class, s string) {
+	fmt.Fprintf(c, "<text x=\"%.1f\" y=\"%d\" class=\"%s\">%s</text>\n", x, y, class, html.EscapeString(s))
+}
+
+func (c *canvas) line(class string, x1 float64, y1 int, x2 float64, y2 int) {
+	fmt.Fprintf(c, "<line class=\"%s\" x1=\"%.1f\" y1=\"%d\" x2=\"%.1f\" y2=\"%d\"/>\n", class, x1, y1, x2, y2)
+}
+
+func (c *canvas) mark(p phase, x float64, y int, title string) {
+	fmt.Fprintf(c, "<path class=\"%s\" fill=\"%s\" stroke=\"#ffffff\" transform=\"translate(%.1f %d)\" d=\"%s\">", p.label, p.colour, x, y, p.shape)
+	if title != "" {
+		fmt.Fprintf(c, "<title>%s</title>", html.EscapeString(title))
+	}
+	c.WriteString("</path>\n")
+}
+
+func (r rollout) draw() []byte {
+	c := &canvas{left: 60}
+	hosts, applied := 0, 0
+	for _, z := range r.zones {
+		hosts += len(z.rows)
+		applied += z.appliedOn
+		for _, row := range z.rows {
+			c.left = max(c.left, len(row.host)*charWidth+24)
+		}
+	}
+	c.step, c.end = ticks(r.length)
+	bottom := topSpace + len(r.zones)*zoneSpace + hosts*rowHeight
+	height := bottom + axisSpace
+	if len(r.unanswered) > 0 {
+		height += rowHeight
+	}
+	width := c.left + plotWidth + rightSpace
+	fmt.Fprintf(c, `<svg xmlns="http://www.w3.org/2000/svg" width="%[1]d" height="%[2]d" viewBox="0 0 %[1]d %[2]d" font-family="sans-serif" font-size="11">
+<style>text{fill:#222222}.title{font-size:15px;font-weight:bold}.zone{font-weight:bold}.host,.done{text-anchor:end}.tick{text-anchor:middle}.grid{stroke:#dddddd}.row{stroke:#eeeeee}.last{stroke:#009E73;stroke-dasharray:3 2}</style>
+<rect width="%[1]d" height="%[2]d" fill="#ffffff"/>
+`, width, height)
+	r.heading(c, hosts, applied)
+	c.axis(bottom)
+	y := topSpace
+	for _, z := range r.zones {
+		y = z.draw(c, y)
+	}
+	if len(r.unanswered) > 0 {
+		c.text(12, height-8, "note", "Events are missing from hosts that did not answer: "+shorten(r.unanswered))
+	}
+	c.WriteString("</svg>\n")
+	return c.Bytes()
+}
+
+// shorten lists some names and the number of the others.
+func shorten(names []string) string {
+	const most = 8
+	if len(names) <= most {
+		return strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(names[:most], ", "), len(names)-most)
+}
+
+func (r rollout) heading(c *canvas, hosts, applied int) {
+	c.text(12, 24, "title", fmt.Sprintf("Rollout of version %d: applied on %d of %d hosts within %s", r.version, applied, hosts, label(r.length)))
+	c.text(12, 42, "note", "Time since the first event, "+r.start.UTC().Format("2006-01-02 15:04:05.000")+" UTC")
+	x := float64(c.left)
+	for _, p := range phases {
+		c.mark(p, x, 58, "")
+		c.text(x+10, 62, "legend", p.label)
+		x += 90
+	}
+}
+
+func (c *canvas) axis(bottom int) {
+	for at := time.Duration(0); at <= c.end; at += c.step {
+		c.line("grid", c.x(at), topSpace, c.x(at), bottom)
+		c.text(c.x(at), bottom+16, "tick", label(at))
+	}
+}
+
+// draw draws a zone below y and returns where it ends.
+func (z zone) draw(c *canvas, y int) int {
+	name := z.name
+	if z.region != "" {
+		name += " (region " + z.region + ")"
+	}
+	c.text(12, y+16, "zone", name)
+	summary := fmt.Sprintf("applied on %d of %d hosts", z.appliedOn, len(z.rows))
+	if z.appliedOn > 0 {
+		summary += ", the last after " + label(z.applied)
+	}
+	c.text(float64(c.left+plotWidth), y+16, "done", summary)
+	top := y + zoneSpace
+	for i, row := range z.rows {
+		middle := top + i*rowHeight + rowHeight/2
+		c.line("row", float64(c.left), middle, float64(c.left+plotWidth), middle)
+		c.text(float64(c.left-12), middle+4, "host", row.host)
+	}
+	end := top + len(z.rows)*rowHeight
+	if z.appliedOn > 0 {
+		c.line("last", c.x(z.applied), top, c.x(z.applied), end)
+	}
+	for i, row := range z.rows {
+		// Later phases first, so that the rarer early ones stay visible.
+		slices.SortFunc(row.marks, func(a, b mark) int {
+			return slices.Index(phases, b.phase) - slices.Index(phases, a.phase)
+		})
+		for _, m := range row.marks {
+			title := fmt.Sprintf("%s: %s after %s", row.host, m.phase.label, label(m.at))
+			if detail := m.event.Detail.Or(""); detail != "" {
+				title += ": " + detail
+			}
+			c.mark(m.phase, c.x(m.at), top+i*rowHeight+rowHeight/2, title)
+		}
+	}
+	return end
+}
+
+// ticks returns a step of 1, 2 or 5 times a power of ten, of which at most ten
+// cover the length, and the end of the axis.
+func ticks(length time.Duration) (step, end time.Duration) {
+	length = max(length, time.Millisecond)
+	for power := 100 * time.Microsecond; ; power *= 10 {
+		for _, factor := range []time.Duration{1, 2, 5} {
+			step = power * factor
+			if length <= 10*step {
+				return step, (length + step - 1) / step * step
+			}
+		}
+	}
+}
+
+// label prints a duration in ms, or in s from one second.
+func label(d time.Duration) string {
+	if d < time.Second {
+		return fmt.Sprintf("%.4g ms", float64(d)/float64(time.Millisecond))
+	}
+	return fmt.Sprintf("%.4g s", d.Seconds())
+}
--- a/internal/command/timeline/timeline.go
+++ b/internal/command/timeline/timeline.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"time"
 
@@ -13,11 +14,16 @@
 	"github.com/peridotlb/peridotlb/internal/operator/api"
 )
 
+// maxEvents is the limit of the operator API. A rollout on 1,200 hosts has
+// about 2,500 events.
+const maxEvents = 100000
+
 // Options are the options of the command.
 type Options struct {
 	Streams command.Streams
 	API     api.Invoker
 	Params  api.QueryTimelineParams
+	Picture string // path of the SVG file; empty: list the events
 	JSON    bool
 }
 
@@ -37,20 +43,31 @@
 	fs.StringVar(&zone, "zone", "", "only events of this availability `zone`")
 	fs.StringVar(&since, "since", "", "only events since this `time`: RFC 3339, or a duration before now, such as 10m")
 	fs.IntVar(&limit, "limit", 1000, "newest matching events, a `number` from 1 to 100000")
+	fs.StringVar(&o.Picture, "picture", "", "draw the rollout of --version into this SVG `file`")
 	fs.BoolVar(&o.JSON, "json", false, "print JSON")
 	return command.Leaf(command.Spec{
 		Path: "timeline", Short: "List events of all daemons in the order of their clocks.",
 		Long: `Columns: time, logical counter, availability zone, host, kind, version, backend
 server, call id, detail. Filters are combined with "and". Hosts that did not
-answer are named on the error stream: their events are missing.`,
+answer, or no longer keep all events, are named on the error stream.
+
+A picture has a row for each host, by availability zone, and marks where the
+version was accepted, secured, fetched and applied.`,
 		Examples: []string{
 			"peridotlb timeline --version 41",
 			"peridotlb timeline --kind server-ejected --since 10m",
 			"peridotlb timeline --call-id 7c2f --json",
+			"peridotlb timeline --version 41 --picture rollout.svg",
 		},
 	}, fs, func(ctx context.Context, _ []string) (err error) {
-		if limit < 1 || limit > 100000 {
-			return command.UsageError("--limit: %d is out of range 1 to 100000", limit)
+		if limit < 1 || limit > maxEvents {
+			return command.UsageError("--limit: %d is out of range 1 to %d", limit, maxEvents)
+		}
+		if o.Picture != "" && (version == 0 || o.JSON) {
+			return command.UsageError("--picture needs --version and excludes --json")
+		}
+		if o.Picture != "" {
+			limit = maxEvents
 		}
 		o.Params = api.QueryTimelineParams{Kind: optional(kind), Server: optional(server), CallID: optional(call), Zone: optional(zone), Limit: api.NewOptInt(limit)}
 		if version > 0 {
@@ -83,7 +100,7 @@
 	return at, nil
 }
 
-// Run lists the events.
+// Run lists or draws the events.
 func Run(ctx context.Context, o Options) error {
 	line, err := o.API.QueryTimeline(ctx, o.Params)
 	if err != nil {
@@ -92,9 +109,15 @@
 	if len(line.Unanswered) > 0 {
 		fmt.Fprintf(o.Streams.Err, "events are missing from hosts that did not answer: %s\n", strings.Join(line.Unanswered, ", "))
 	}
+	if len(line.Overflowed) > 0 {
+		fmt.Fprintf(o.Streams.Err, "older events are missing from hosts that keep no more: %s\n", strings.Join(line.Overflowed, ", "))
+	}
 	if o.JSON {
 		return command.JSON(o.Streams, line)
 	}
+	if o.Picture != "" {
+		return o.draw(line)
+	}
 	t := command.Table{Header: []string{"TIME", "COUNTER", "ZONE", "HOST", "KIND", "VERSION", "SERVER", "CALL", "DETAIL"}}
 	for _, e := range line.Events {
 		number := ""
@@ -105,3 +128,15 @@
 	}
 	return t.Write(o.Streams)
 }
+
+func (o Options) draw(line *api.Timeline) error {
+	picture, err := Draw(o.Params.Version.Value, line)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(o.Picture, picture, 0o644); err != nil {
+		return command.UsageError("--picture: %v", err)
+	}
+	fmt.Fprintf(o.Streams.Out, "wrote %s\n", o.Picture)
+	return nil
+}
--- a/internal/operator/api/oas_json_gen.go
+++ b/internal/operator/api/oas_json_gen.go
@@ -921,6 +921,12 @@
 			s.CallID.Encode(e)
 		}
 	}
+	{
+		if s.SubjectHost.Set {
+			e.FieldStart("subject-host")
+			s.SubjectHost.Encode(e)
+		}
+	}
 	{
 		if s.Detail.Set {
 			e.FieldStart("detail")
@@ -929,17 +935,18 @@
 	}
 }
 
-var jsonFieldsNameOfEvent = [10]string{
-	0: "time",
-	1: "counter",
-	2: "kind",
-	3: "host",
-	4: "zone",
-	5: "region",
-	6: "version",
-	7: "server",
-	8: "call-id",
-	9: "detail",
+var jsonFieldsNameOfEvent = [11]string{
+	0:  "time",
+	1:  "counter",
+	2:  "kind",
+	3:  "host",
+	4:  "zone",
+	5:  "region",
+	6:  "version",
+	7:  "server",
+	8:  "call-id",
+	9:  "subject-host",
+	10: "detail",
 }
 
 // Decode decodes Event from json.
@@ -1051,6 +1058,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"call-id\"")
 			}
+		case "subject-host":
+			if err := func() error {
+				s.SubjectHost.Reset()
+				if err := s.SubjectHost.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"subject-host\"")
+			}
 		case "detail":
 			if err := func() error {
 				s.Detail.Reset()
@@ -3631,11 +3648,20 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		e.FieldStart("overflowed")
+		e.ArrStart()
+		for _, elem := range s.Overflowed {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
 }
 
-var jsonFieldsNameOfTimeline = [2]string{
+var jsonFieldsNameOfTimeline = [3]string{
 	0: "events",
 	1: "unanswered",
+	2: "overflowed",
 }
 
 // Decode decodes Timeline from json.
@@ -3685,6 +3711,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"unanswered\"")
 			}
+		case "overflowed":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				s.Overflowed = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Overflowed = append(s.Overflowed, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"overflowed\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -3695,7 +3741,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00000111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/operator/api/oas_schemas_gen.go
+++ b/internal/operator/api/oas_schemas_gen.go
@@ -322,7 +322,9 @@
 	Version OptUint64 `json:"version"`
 	Server  OptString `json:"server"`
 	CallID  OptString `json:"call-id"`
-	Detail  OptString `json:"detail"`
+	// The other host concerned.
+	SubjectHost OptString `json:"subject-host"`
+	Detail      OptString `json:"detail"`
 }
 
 // GetTime returns the value of Time.
@@ -370,6 +372,11 @@
 	return s.CallID
 }
 
+// GetSubjectHost returns the value of SubjectHost.
+func (s *Event) GetSubjectHost() OptString {
+	return s.SubjectHost
+}
+
 // GetDetail returns the value of Detail.
 func (s *Event) GetDetail() OptString {
 	return s.Detail
@@ -420,6 +427,11 @@
 	s.CallID = val
 }
 
+// SetSubjectHost sets the value of SubjectHost.
+func (s *Event) SetSubjectHost(val OptString) {
+	s.SubjectHost = val
+}
+
 // SetDetail sets the value of Detail.
 func (s *Event) SetDetail(val OptString) {
 	s.Detail = val
@@ -1438,6 +1450,8 @@
 	Events []Event `json:"events"`
 	// Hosts that did not answer, so that their events are missing.
 	Unanswered []string `json:"unanswered"`
+	// Hosts that no longer keep all events of the time asked for.
+	Overflowed []string `json:"overflowed"`
 }
 
 // GetEvents returns the value of Events.
@@ -1450,6 +1464,11 @@
 	return s.Unanswered
 }
 
+// GetOverflowed returns the value of Overflowed.
+func (s *Timeline) GetOverflowed() []string {
+	return s.Overflowed
+}
+
 // SetEvents sets the value of Events.
 func (s *Timeline) SetEvents(val []Event) {
 	s.Events = val
@@ -1460,6 +1479,11 @@
 	s.Unanswered = val
 }
 
+// SetOverflowed sets the value of Overflowed.
+func (s *Timeline) SetOverflowed(val []string) {
+	s.Overflowed = val
+}
+
 // Control traffic of the answering daemon since its start.
 // Ref: #/components/schemas/Traffic
 type Traffic struct {
--- a/internal/operator/api/oas_validators_gen.go
+++ b/internal/operator/api/oas_validators_gen.go
@@ -752,6 +752,17 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if s.Overflowed == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "overflowed",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -86,6 +86,7 @@
 	Host    host.ID
 	Zone    host.AvailabilityZone
 	Region  host.Region
+	Subject host.ID // the other host concerned
 	Version version.Number
 	Server  backend.ServerID
 	CallID  string
@@ -96,4 +97,5 @@
 type Timeline struct {
 	Events     []Event
 	Unanswered []host.ID // hosts that did not answer, so that events are missing
+	Overflowed []host.ID // hosts that no longer keep all events of the time asked for
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -299,11 +299,11 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &api.Timeline{Events: []api.Event{}, Unanswered: texts(t.Unanswered)}
+	out := &api.Timeline{Events: []api.Event{}, Unanswered: texts(t.Unanswered), Overflowed: texts(t.Overflowed)}
 	for _, e := range t.Events {
 		event := api.Event{
 			Time: e.Time.UTC(), Counter: e.Counter, Kind: e.Kind, Host: string(e.Host), Zone: string(e.Zone), Region: optionalText(string(e.Region)),
-			Server: optionalText(string(e.Server)), CallID: optionalText(e.CallID), Detail: optionalText(e.Detail),
+			SubjectHost: optionalText(string(e.Subject)), Server: optionalText(string(e.Server)), CallID: optionalText(e.CallID), Detail: optionalText(e.Detail),
 		}
 		if e.Version > 0 {
 			event.Version = api.NewOptUint64(uint64(e.Version))
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -190,15 +190,15 @@
 // dropped on the way.
 func TestTimelineFilters(t *testing.T) {
 	at := time.Date(2026, 1, 2, 3, 4, 5, 123456000, time.UTC)
-	all := operator.Event{Time: at, Counter: 3, Kind: "call-retried", Host: "pwani-a-1", Zone: "pwani-a", Region: "pwani", Version: 4, Server: "bead-1", CallID: "c", Detail: "dial"}
-	b := &operatortest.Backend{Events: []operator.Event{all}, Unanswered: []host.ID{"pwani-b-1"}}
+	all := operator.Event{Time: at, Counter: 3, Kind: "call-retried", Host: "pwani-a-1", Zone: "pwani-a", Region: "pwani", Subject: "pwani-a-2", Version: 4, Server: "bead-1", CallID: "c", Detail: "dial"}
+	b := &operatortest.Backend{Events: []operator.Event{all}, Unanswered: []host.ID{"pwani-b-1"}, Overflowed: []host.ID{"pwani-a-1"}}
 	c := client(t, start(t, b), stockToken)
 	got := must(c.QueryTimeline(t.Context(), api.QueryTimelineParams{
 		Kind: api.NewOptString("call-retried"), Version: api.NewOptUint64(4), Server: api.NewOptString("bead-1"),
 		CallID: api.NewOptString("c"), Zone: api.NewOptString("pwani-a"), Since: api.NewOptDateTime(at),
 	}))
-	want := &api.Timeline{Unanswered: []string{"pwani-b-1"}, Events: []api.Event{{
-		Time: at, Counter: 3, Kind: "call-retried", Host: "pwani-a-1", Zone: "pwani-a", Region: api.NewOptString("pwani"),
+	want := &api.Timeline{Unanswered: []string{"pwani-b-1"}, Overflowed: []string{"pwani-a-1"}, Events: []api.Event{{
+		Time: at, Counter: 3, Kind: "call-retried", Host: "pwani-a-1", Zone: "pwani-a", Region: api.NewOptString("pwani"), SubjectHost: api.NewOptString("pwani-a-2"),
 		Version: api.NewOptUint64(4), Server: api.NewOptString("bead-1"), CallID: api.NewOptString("c"), Detail: api.NewOptString("dial"),
 	}}}
 	if !reflect.DeepEqual(got, want) {
--- a/internal/operator/operatortest/backend.go
+++ b/internal/operator/operatortest/backend.go
@@ -33,6 +33,7 @@
 	// Events is what Timeline filters.
 	Events     []operator.Event
 	Unanswered []host.ID
+	Overflowed []host.ID
 
 	lock      sync.Mutex
 	versions  []version.Snapshot // by number, from 1
@@ -215,7 +216,7 @@
 func (b *Backend) Timeline(_ context.Context, q operator.Query) (operator.Timeline, error) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	out := operator.Timeline{Unanswered: b.Unanswered}
+	out := operator.Timeline{Unanswered: b.Unanswered, Overflowed: b.Overflowed}
 	for _, e := range b.Events {
 		if (q.Kind == "" || e.Kind == q.Kind) && (q.Version == 0 || e.Version == q.Version) && (q.Server == "" || e.Server == q.Server) &&
 			(q.CallID == "" || e.CallID == q.CallID) && (q.Zone == "" || e.Zone == q.Zone) && !e.Time.Before(q.Since) {
