Decision core: membership, overlay, distribution, readers and reports

First version of the systems over the host, server and version tables, with a fake network for tests on a virtual clock.

--- /dev/null
+++ b/internal/fleet/network_test.go
@@ -0,0 +1,280 @@
+package fleet
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+// network carries the effects of a few cores to each other on a virtual clock,
+// with losses, duplicates, cuts, pauses and restarts from one seed. It is a
+// fake of the transport and of the table, nothing more.
+type network struct {
+	t         failer
+	random    *rand.Rand
+	now       time.Time
+	queue     deliveries
+	order     int
+	nodes     []*node
+	byAddr    map[netip.AddrPort]*node
+	head      version.Snapshot
+	tableDown bool
+	loss      float64
+	duplicate float64
+	cut       func(a, b host.Row) bool
+	config    func(*Config)
+	sent      int
+}
+
+// failer is the part of testing.T and rapid.T that the checks need.
+type failer interface {
+	Fatalf(format string, args ...any)
+	Helper()
+}
+
+// node is one host. Its fields outlive restarts of the core.
+type node struct {
+	row     host.Row
+	core    *Core
+	up      bool
+	paused  bool
+	highest version.Number // highest version that any run of the core applied
+	current version.Number
+	runs    int
+}
+
+type delivery struct {
+	at    time.Time
+	order int
+	to    *node
+	run   int // deliveries to an earlier run of the core are dropped
+	event Event
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if !d[i].at.Equal(d[j].at) {
+		return d[i].at.Before(d[j].at)
+	}
+	return d[i].order < d[j].order
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+const tickInterval = 100 * time.Millisecond
+
+// newNetwork starts perZone hosts in each of two zones of two regions.
+func newNetwork(t failer, seed uint64, perZone int, config func(*Config)) *network {
+	n := &network{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
+		byAddr: make(map[netip.AddrPort]*node), cut: func(_, _ host.Row) bool { return false }, config: config,
+	}
+	for z, zone := range []host.AvailabilityZone{"pwani-a", "pwani-b", "kaskazini-a", "kaskazini-b"} {
+		region := host.Region(zone[:len(zone)-2])
+		for i := range perZone {
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(z + 1), 0, byte(i + 1)}), 7000)
+			nd := &node{row: host.Row{
+				ID: host.ID(fmt.Sprintf("%s-%d", zone, i+1)), Zone: zone, Region: region,
+				ControlAddr: addr, GateAddr: netip.AddrPortFrom(addr.Addr(), 7001),
+			}}
+			n.nodes = append(n.nodes, nd)
+			n.byAddr[addr] = nd
+		}
+	}
+	for _, nd := range n.nodes {
+		n.start(nd)
+	}
+	return n
+}
+
+func (n *network) start(nd *node) {
+	nd.runs++
+	c := Config{Self: nd.row, Started: n.now, PlatformRegion: "pwani", Seed: n.random.Uint64()}
+	if n.config != nil {
+		n.config(&c)
+	}
+	nd.core, nd.up, nd.paused, nd.current = New(c), true, false, 0
+	n.schedule(nd, time.Duration(n.random.Int64N(int64(tickInterval))), Tick{})
+}
+
+func (n *network) stop(nd *node) { nd.up = false }
+
+func (n *network) schedule(to *node, delay time.Duration, e Event) {
+	n.order++
+	heap.Push(&n.queue, delivery{at: n.now.Add(delay), order: n.order, to: to, run: to.runs, event: e})
+}
+
+// run lets virtual time pass.
+func (n *network) run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
+		next := heap.Pop(&n.queue).(delivery)
+		n.now = next.at
+		n.deliver(next)
+	}
+	n.now = end
+}
+
+func (n *network) deliver(d delivery) {
+	if !d.to.up || d.run != d.to.runs {
+		return
+	}
+	if d.to.paused {
+		n.schedule(d.to, tickInterval, d.event)
+		return
+	}
+	if _, ok := d.event.(Tick); ok {
+		n.schedule(d.to, tickInterval, Tick{})
+	}
+	for _, e := range d.to.core.Step(n.now, d.event) {
+		n.carryOut(d.to, e)
+	}
+}
+
+var errTableDown = errors.New("table is down")
+
+func (n *network) carryOut(nd *node, effect Effect) {
+	tableDelay := 5 * time.Millisecond
+	switch e := effect.(type) {
+	case Send:
+		n.transmit(nd, e)
+	case Apply:
+		n.checkApply(nd, e.Snapshot)
+	case ReadHead:
+		answer := HeadRead{Manifest: n.head.Manifest()}
+		if n.tableDown {
+			answer = HeadRead{Err: errTableDown}
+		}
+		n.schedule(nd, tableDelay, answer)
+	case LoadVersion:
+		answer := VersionLoaded{Snapshot: n.head}
+		if n.tableDown {
+			answer = VersionLoaded{Err: errTableDown}
+		}
+		n.schedule(nd, tableDelay, answer)
+	case ReadPeers:
+		answer := PeersRead{Err: errTableDown}
+		if !n.tableDown {
+			answer = PeersRead{Peers: n.somePeers()}
+		}
+		n.schedule(nd, tableDelay, answer)
+	}
+}
+
+func (n *network) somePeers() []netip.AddrPort {
+	var peers []netip.AddrPort
+	for _, i := range n.random.Perm(len(n.nodes))[:min(8, len(n.nodes))] {
+		peers = append(peers, n.nodes[i].row.ControlAddr)
+	}
+	return peers
+}
+
+func (n *network) transmit(from *node, s Send) {
+	to := n.byAddr[s.To]
+	if to == nil || n.cut(from.row, to.row) || n.random.Float64() < n.loss {
+		return
+	}
+	n.sent++
+	copies := 1
+	if n.random.Float64() < n.duplicate {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Millisecond + time.Duration(n.random.Int64N(int64(3*time.Millisecond)))
+		if from.row.Region != to.row.Region {
+			delay += 12 * time.Millisecond
+		}
+		n.schedule(to, delay, Received{From: from.row.ControlAddr, Message: s.Message})
+	}
+}
+
+// checkApply guards the promises about versions: never backward on a host,
+// restarts included, and never anything that was not accepted.
+func (n *network) checkApply(nd *node, s version.Snapshot) {
+	n.t.Helper()
+	if s.Number() <= nd.current || s.Number() < nd.highest {
+		n.t.Fatalf("%s went back: got version %d, want one above %d", nd.row.ID, s.Number(), nd.highest)
+	}
+	if s.Number() > n.head.Number() {
+		n.t.Fatalf("%s applied a version that was never accepted: got %d, want at most %d", nd.row.ID, s.Number(), n.head.Number())
+	}
+	nd.current, nd.highest = s.Number(), s.Number()
+}
+
+// accept commits the next version and tells the accepting daemon, which may
+// crash right after the commit.
+func (n *network) accept(nd *node, crash bool) version.Number {
+	n.t.Helper()
+	number := n.head.Number() + 1
+	doc := document.Document{Sections: []document.Section{
+		{Name: "stock", Team: "stock-team", Services: []document.Service{{
+			Name: "bead-stock", Slots: uint16(number%100 + 1), Connections: 130, WarmUp: 10 * time.Second,
+		}}},
+	}}
+	s, err := version.New(number, version.SubmissionID(fmt.Sprint("s", number)), n.now.UnixMilli(), doc)
+	if err != nil {
+		n.t.Fatalf("make version %d: %v", number, err)
+	}
+	n.head = s
+	if crash {
+		n.stop(nd)
+	} else {
+		n.schedule(nd, 0, VersionAccepted{Snapshot: s})
+	}
+	return number
+}
+
+// wantApplied fails unless every running host applied the head.
+func (n *network) wantApplied() {
+	n.t.Helper()
+	for _, nd := range n.nodes {
+		if nd.up && nd.current != n.head.Number() {
+			n.t.Fatalf("%s: got version %d, want %d", nd.row.ID, nd.current, n.head.Number())
+		}
+	}
+}
+
+// runUntilApplied returns the virtual time until every running host applied
+// the head, or fails after the limit.
+func (n *network) runUntilApplied(limit time.Duration) time.Duration {
+	n.t.Helper()
+	start := n.now
+	for n.now.Sub(start) < limit {
+		n.run(10 * time.Millisecond)
+		if !slices.ContainsFunc(n.nodes, func(nd *node) bool { return nd.up && nd.current != n.head.Number() }) {
+			return n.now.Sub(start)
+		}
+	}
+	n.wantApplied()
+	return limit
+}
+
+func TestVersionReachesEveryHost(t *testing.T) {
+	for _, d := range []Distribution{Economical, Fast} {
+		n := newNetwork(t, 7, 5, func(c *Config) { c.Distribution = d })
+		n.run(20 * time.Second)
+		for range 5 {
+			n.accept(n.nodes[n.random.IntN(len(n.nodes))], false)
+			if got, want := n.runUntilApplied(7*time.Second), 500*time.Millisecond; got > want {
+				t.Errorf("distribution %d: got convergence after %v, want at most %v", d, got, want)
+			}
+			n.run(3 * time.Second)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/news.go
@@ -0,0 +1,251 @@
+package fleet
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/message"
+)
+
+const (
+	// newsInterval gathers the rows of a burst into one message per neighbour.
+	newsInterval = 100 * time.Millisecond
+	// mismatchesForSync lets news in flight arrive before rows are exchanged.
+	mismatchesForSync = 2
+	// syncBackoff is the number of probes without an exchange after one.
+	syncBackoff = 2
+)
+
+// newsState holds the rows to pass on, with the neighbour each came from.
+type newsState struct {
+	hosts    map[host.ID]netip.AddrPort
+	servers  map[backend.ServerID]netip.AddrPort
+	flushAt  time.Time
+	sequence host.Sequence // last sequence number of this host's rows
+	rowsHash uint64
+	purgeAt  time.Time
+}
+
+func (n *newsState) init() {
+	n.hosts = make(map[host.ID]netip.AddrPort)
+	n.servers = make(map[backend.ServerID]netip.AddrPort)
+}
+
+func (n *newsState) addHost(id host.ID, from netip.AddrPort) { n.hosts[id] = from }
+
+func (n *newsState) addServer(id backend.ServerID, from netip.AddrPort) { n.servers[id] = from }
+
+// nextStamp returns the stamp for the next change of a row of this host.
+func (c *Core) nextStamp() host.Stamp {
+	c.news.sequence++
+	return host.Stamp{Incarnation: c.self().Stamp.Incarnation, Sequence: c.news.sequence}
+}
+
+// announceServer publishes the row of a backend server on this host.
+func (c *Core) announceServer(s backend.Server) {
+	s.Host = c.config.Self.ID
+	s.Stamp = c.nextStamp()
+	c.servers.put(s)
+	c.news.addServer(s.ID, netip.AddrPort{})
+	c.emit(ServersChanged{})
+	c.record(Record{Kind: "server-" + s.State.String(), Server: s.ID, Host: s.Host})
+}
+
+// leave publishes that this host stops in a planned way.
+func (c *Core) leave() {
+	for _, id := range slices.Sorted(maps.Keys(c.servers.rows)) {
+		s := c.servers.rows[id]
+		if s.Host == c.config.Self.ID && s.State < backend.Draining {
+			s.State = backend.Draining
+			c.announceServer(s)
+		}
+	}
+	row := c.self()
+	row.State = host.Left
+	row.Stamp = c.nextStamp()
+	c.hosts.put(row, c.now)
+	c.news.addHost(row.ID, netip.AddrPort{})
+	c.news.flushAt = c.now
+	// The edges are needed once more, so the overlay keeps this host in it.
+	c.flushNews()
+	c.record(Record{Kind: "host-left", Host: row.ID})
+}
+
+// mergeNews takes over the rows that are newer than the present ones.
+func (c *Core) mergeNews(news message.News, from netip.AddrPort) {
+	changed := false
+	for _, row := range news.Hosts {
+		changed = c.mergeHost(row, from) || changed
+	}
+	for _, s := range news.Servers {
+		changed = c.mergeServer(s, from) || changed
+	}
+	if changed {
+		c.emit(ServersChanged{})
+	}
+}
+
+func (c *Core) mergeHost(row host.Row, from netip.AddrPort) bool {
+	if row.ID == "" || row.Zone == "" || !row.ControlAddr.IsValid() {
+		return false
+	}
+	if row.ID == c.config.Self.ID {
+		c.refute(row)
+		return false
+	}
+	e := c.hosts.get(row.ID)
+	if e != nil && !row.Supersedes(e.row) {
+		return false
+	}
+	if e != nil && row.Stamp.Incarnation > e.row.Stamp.Incarnation {
+		c.removeServersBefore(row.ID, row.Stamp.Incarnation)
+	}
+	c.hosts.put(row, c.now)
+	c.servers.hashed = false
+	c.news.addHost(row.ID, from)
+	return true
+}
+
+// removeServersBefore removes the server rows that an earlier run of a host's
+// daemon published.
+func (c *Core) removeServersBefore(id host.ID, inc host.Incarnation) {
+	for sid, s := range c.servers.rows {
+		if s.Host == id && s.Stamp.Incarnation < inc {
+			delete(c.servers.rows, sid)
+		}
+	}
+}
+
+func (c *Core) mergeServer(s backend.Server, from netip.AddrPort) bool {
+	if s.ID == "" || s.Host == "" || s.Host == c.config.Self.ID {
+		return false
+	}
+	if e := c.hosts.get(s.Host); e != nil && s.Stamp.Incarnation < e.row.Stamp.Incarnation {
+		return false
+	}
+	if old, ok := c.servers.rows[s.ID]; ok && !s.Supersedes(old) {
+		return false
+	}
+	c.servers.put(s)
+	c.news.addServer(s.ID, from)
+	return true
+}
+
+// refute answers a row about this host that this process did not publish: one
+// of an earlier run, or one that calls it suspect or dead.
+func (c *Core) refute(row host.Row) {
+	own := c.self()
+	if own.State == host.Left || !row.Supersedes(own) {
+		return
+	}
+	own.State = host.Alive
+	own.Stamp = host.Stamp{Incarnation: row.Stamp.Incarnation + 1}
+	c.news.sequence = 0
+	c.hosts.put(own, c.now)
+	c.news.addHost(own.ID, netip.AddrPort{})
+	c.record(Record{Kind: "host-refuted", Host: own.ID, Detail: row.State.String()})
+	for _, id := range slices.Sorted(maps.Keys(c.servers.rows)) {
+		s := c.servers.rows[id]
+		if s.Host == own.ID {
+			s.Stamp = c.nextStamp()
+			c.servers.put(s)
+			c.news.addServer(id, netip.AddrPort{})
+		}
+	}
+	c.emit(ServersChanged{})
+}
+
+// flushNews sends gathered rows to all neighbours but the one they came from.
+func (c *Core) flushNews() {
+	n := &c.news
+	if len(n.hosts)+len(n.servers) == 0 || c.now.Before(n.flushAt) {
+		return
+	}
+	n.flushAt = c.now.Add(newsInterval)
+	for _, e := range c.edges() {
+		if news := c.newsFor(e.addr); len(news.Hosts)+len(news.Servers) > 0 {
+			c.send(e.addr, news)
+		}
+	}
+	clear(n.hosts)
+	clear(n.servers)
+}
+
+func (c *Core) newsFor(addr netip.AddrPort) message.News {
+	var news message.News
+	for _, id := range slices.Sorted(maps.Keys(c.news.hosts)) {
+		if e := c.hosts.get(id); e != nil && c.news.hosts[id] != addr {
+			news.Hosts = append(news.Hosts, e.row)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.news.servers)) {
+		if s, ok := c.servers.rows[id]; ok && c.news.servers[id] != addr {
+			news.Servers = append(news.Servers, s)
+		}
+	}
+	return news
+}
+
+// compareRows starts an exchange of rows when the tables differ for longer
+// than news takes to arrive.
+func (c *Core) compareRows(from netip.AddrPort, rows uint64) {
+	if rows == c.rowsHash() {
+		delete(c.probes.mismatches, from)
+		return
+	}
+	c.probes.mismatches[from]++
+	if c.probes.mismatches[from] >= mismatchesForSync {
+		c.requestSync(from)
+	}
+}
+
+func (c *Core) requestSync(to netip.AddrPort) {
+	if c.probes.mismatches[to] < 0 {
+		return
+	}
+	c.probes.mismatches[to] = -syncBackoff
+	c.send(to, message.SyncRequest{Hashes: c.zoneHashes(), Reply: true})
+}
+
+func (c *Core) receiveSyncRequest(from netip.AddrPort, m message.SyncRequest) {
+	own := c.zoneHashes()
+	zones := make(map[host.AvailabilityZone]bool)
+	for zone, h := range own {
+		if m.Hashes[zone] != h {
+			zones[zone] = true
+		}
+	}
+	for zone, h := range m.Hashes {
+		if own[zone] != h {
+			zones[zone] = true
+		}
+	}
+	if len(zones) == 0 {
+		return
+	}
+	c.send(from, message.Sync{News: c.rowsOf(func(z host.AvailabilityZone) bool { return zones[z] }), Head: c.head()})
+	if m.Reply {
+		c.send(from, message.SyncRequest{Hashes: own})
+	}
+}
+
+// rowsOf returns the rows of the zones that match.
+func (c *Core) rowsOf(match func(host.AvailabilityZone) bool) message.News {
+	var news message.News
+	for _, id := range slices.Sorted(maps.Keys(c.hosts.entries)) {
+		if e := c.hosts.entries[id]; match(e.row.Zone) {
+			news.Hosts = append(news.Hosts, e.row)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.servers.rows)) {
+		s := c.servers.rows[id]
+		if e := c.hosts.get(s.Host); e != nil && match(e.row.Zone) {
+			news.Servers = append(news.Servers, s)
+		}
+	}
+	return news
+}
--- /dev/null
+++ b/internal/fleet/overlay.go
@@ -0,0 +1,171 @@
+package fleet
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// Shape of the overlay within a zone.
+const (
+	treeFanOut     = 4
+	ringSuccessors = 2
+)
+
+// overlay is this daemon's part of the graph that all daemons compute from the
+// member table.
+type overlay struct {
+	zones    map[host.AvailabilityZone][]*hostEntry
+	regionOf map[host.AvailabilityZone]host.Region
+	rank     int // in the own zone
+	parent   *hostEntry
+	children []*hostEntry
+	next     []*hostEntry // ring successors, which this daemon probes
+	previous *hostEntry   // ring predecessor
+}
+
+// refreshOverlay recomputes the overlay after a change of liveness.
+func (c *Core) refreshOverlay() {
+	if !c.hosts.dirty {
+		return
+	}
+	c.hosts.dirty = false
+	o := overlay{zones: c.hosts.liveByZone(), regionOf: make(map[host.AvailabilityZone]host.Region)}
+	for zone, order := range o.zones {
+		o.regionOf[zone] = order[0].row.Region
+	}
+	o.placeSelf(c.config.Self)
+	c.overlay = o
+	c.refreshProbeTargets()
+}
+
+// placeSelf finds this host's tree and ring edges in its zone.
+func (o *overlay) placeSelf(self host.Row) {
+	order := o.zones[self.Zone]
+	o.rank = slices.IndexFunc(order, func(e *hostEntry) bool { return e.row.ID == self.ID })
+	if o.rank < 0 {
+		return // this host has left
+	}
+	if o.rank > 0 {
+		o.parent = order[(o.rank-1)/treeFanOut]
+	}
+	for i := treeFanOut*o.rank + 1; i <= treeFanOut*o.rank+treeFanOut && i < len(order); i++ {
+		o.children = append(o.children, order[i])
+	}
+	for i := 1; i <= ringSuccessors && i < len(order); i++ {
+		o.next = append(o.next, order[(o.rank+i)%len(order)])
+	}
+	if len(order) > 1 {
+		o.previous = order[(o.rank+len(order)-1)%len(order)]
+	}
+}
+
+// isRoot reports whether this host is the root of its zone.
+func (o *overlay) isRoot() bool { return o.rank == 0 }
+
+// zoneOrder returns the zones of a region in rendezvous order.
+func (o *overlay) zoneOrder(region host.Region) []host.AvailabilityZone {
+	var zones []host.AvailabilityZone
+	for zone, r := range o.regionOf {
+		if r == region {
+			zones = append(zones, zone)
+		}
+	}
+	slices.SortFunc(zones, func(a, b host.AvailabilityZone) int {
+		return cmp.Or(
+			cmp.Compare(hashOf(string(region), string(a)), hashOf(string(region), string(b))),
+			cmp.Compare(a, b))
+	})
+	return zones
+}
+
+// otherRegions returns the regions other than own, sorted.
+func (o *overlay) otherRegions(own host.Region) []host.Region {
+	var regions []host.Region
+	for _, r := range o.regionOf {
+		if r != own && !slices.Contains(regions, r) {
+			regions = append(regions, r)
+		}
+	}
+	slices.Sort(regions)
+	return regions
+}
+
+// linkCandidates returns the hosts of a region that can be the far end of the
+// region link: the roots of its zones in order, then the next ranks.
+func (o *overlay) linkCandidates(region host.Region) []*hostEntry {
+	const ranks = 3
+	zones := o.zoneOrder(region)
+	var candidates []*hostEntry
+	for rank := range ranks {
+		for _, zone := range zones {
+			if order := o.zones[zone]; rank < len(order) {
+				candidates = append(candidates, order[rank])
+			}
+		}
+	}
+	return candidates
+}
+
+// isRegionRoot reports whether this host is the root of its region: the zone
+// root of the first zone that is not unreachable.
+func (c *Core) isRegionRoot() bool {
+	if !c.overlay.isRoot() {
+		return false
+	}
+	for _, zone := range c.overlay.zoneOrder(c.config.Self.Region) {
+		if zone == c.config.Self.Zone {
+			return true
+		}
+		if !c.probes.unreachable(zone) {
+			return false
+		}
+	}
+	return false
+}
+
+// edge is a neighbour in the overlay.
+type edge struct {
+	addr netip.AddrPort
+	push bool // a version may be pushed, since no other edge brings it
+	link bool // crosses the region link
+}
+
+// edges returns the neighbours that announcements and news flow to.
+func (c *Core) edges() []edge {
+	var list []edge
+	add := func(e *hostEntry, push, link bool) {
+		if e == nil || e.row.ID == c.config.Self.ID {
+			return
+		}
+		for i := range list {
+			if list[i].addr == e.row.ControlAddr {
+				list[i].push = list[i].push || push
+				return
+			}
+		}
+		list = append(list, edge{addr: e.row.ControlAddr, push: push, link: link})
+	}
+	o := &c.overlay
+	add(o.parent, true, false)
+	for _, e := range o.children {
+		add(e, true, false)
+	}
+	for _, t := range c.probes.targets {
+		if t.group != ringGroup {
+			add(c.hosts.get(t.id), true, t.group.region != c.config.Self.Region)
+		}
+	}
+	for addr := range c.probes.visitors {
+		if e := c.hosts.byAddr[addr]; e != nil {
+			add(e, true, e.row.Region != c.config.Self.Region)
+		}
+	}
+	if len(o.next) > 0 {
+		add(o.next[0], false, false)
+	}
+	add(o.previous, false, false)
+	return list
+}
--- /dev/null
+++ b/internal/fleet/reader.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+const (
+	readers             = 2
+	readInterval        = time.Second
+	remoteReadInterval  = 5 * time.Second
+	remoteReadAfter     = 10 * time.Second // without contact over the region link
+	maxReadBackoff      = 10 * time.Second
+	acceptedGrace       = 900 * time.Millisecond // time for the accepting daemon to secure its version
+	readAnswerTimeout   = 5 * time.Second
+	readJitterDivisor   = 5
+	loadAnswerTimeout   = 10 * time.Second
+	readersPerRegionKey = "reader"
+)
+
+// readerState is the watch on the head row.
+type readerState struct {
+	nextAt    time.Time
+	askedAt   time.Time
+	waiting   bool
+	backoff   time.Duration
+	seen      version.Number // unsecured version in the head row
+	seenAt    time.Time
+	loading   version.Number
+	loadingAt time.Time
+}
+
+// runReader polls the head row when this daemon is a reader of its region.
+func (c *Core) runReader() {
+	r := &c.reader
+	if r.waiting && c.now.Sub(r.askedAt) > readAnswerTimeout {
+		r.waiting = false
+	}
+	if r.waiting || c.now.Before(r.nextAt) || !c.join.headAsked {
+		return
+	}
+	interval, reads := c.readInterval()
+	if !reads {
+		r.nextAt = c.now.Add(readInterval)
+		return
+	}
+	interval = max(interval, r.backoff)
+	r.nextAt = c.now.Add(interval - interval/(2*readJitterDivisor) + c.jitter(interval/readJitterDivisor))
+	r.waiting = true
+	r.askedAt = c.now
+	c.emit(ReadHead{})
+}
+
+// readInterval returns how often this daemon reads the head row, if it does.
+func (c *Core) readInterval() (time.Duration, bool) {
+	home := c.config.PlatformRegion
+	if home == "" || home == c.config.Self.Region {
+		return readInterval, c.isReader()
+	}
+	if !c.isRegionRoot() {
+		return 0, false
+	}
+	lost := false
+	for _, region := range c.overlay.otherRegions(c.config.Self.Region) {
+		lost = lost || c.probes.group(probeGroup{region: region}).unreachable
+	}
+	known := slices.Contains(c.overlay.otherRegions(c.config.Self.Region), home)
+	return remoteReadInterval, lost || !known
+}
+
+// isReader reports whether this host is among the first of its region in the
+// rendezvous order of readers.
+func (c *Core) isReader() bool {
+	own := hashOf(readersPerRegionKey, string(c.config.Self.ID))
+	before := 0
+	for zone, order := range c.overlay.zones {
+		if c.overlay.regionOf[zone] != c.config.Self.Region || c.probes.unreachable(zone) {
+			continue
+		}
+		for _, e := range order {
+			if e.row.State == host.Alive && hashOf(readersPerRegionKey, string(e.row.ID)) < own {
+				if before++; before >= readers {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+func (c *Core) headRead(e HeadRead) {
+	r := &c.reader
+	r.waiting = false
+	if e.Err != nil {
+		r.backoff = min(max(2*r.backoff, readInterval), maxReadBackoff)
+		if !c.join.settled {
+			c.join.headAsked = false
+			c.join.readHeadAt = c.now.Add(r.backoff + c.jitter(readInterval))
+		}
+		return
+	}
+	r.backoff = 0
+	n := e.Manifest.Number
+	if !c.join.settled {
+		c.join.headRead = true
+		c.versions.floor = max(c.versions.floor, n)
+	}
+	if n <= c.versions.secured || c.securingAtLeast(n) {
+		return
+	}
+	if r.seen != n {
+		r.seen, r.seenAt = n, c.now
+	}
+	if c.now.Sub(r.seenAt) < acceptedGrace && !c.alone() {
+		return
+	}
+	c.loadVersion(e)
+}
+
+func (c *Core) securingAtLeast(n version.Number) bool {
+	s := c.versions.securing
+	return s != nil && s.snapshot.Number() >= n
+}
+
+// loadVersion takes over a version whose accepting daemon did not secure it.
+func (c *Core) loadVersion(e HeadRead) {
+	r := &c.reader
+	n := e.Manifest.Number
+	if s, ok := c.versions.held[n]; ok {
+		c.holdForSecuring(s)
+		return
+	}
+	if r.loading == n && c.now.Sub(r.loadingAt) < loadAnswerTimeout {
+		return
+	}
+	r.loading, r.loadingAt = n, c.now
+	c.emit(LoadVersion{Manifest: e.Manifest, Have: c.versions.held[c.versions.secured]})
+}
+
+func (c *Core) versionLoaded(e VersionLoaded) {
+	c.reader.loading = 0
+	if e.Err != nil {
+		c.record(Record{Kind: "load-failed", Detail: e.Err.Error()})
+		return
+	}
+	c.record(Record{Kind: "version-loaded", Version: e.Snapshot.Number()})
+	c.holdForSecuring(e.Snapshot)
+}
--- /dev/null
+++ b/internal/fleet/reports.go
@@ -0,0 +1,113 @@
+package fleet
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+const (
+	reportDebounce = 100 * time.Millisecond
+	reportInterval = 10 * time.Second
+	reportMaxAge   = 25 * time.Second
+	maxStragglers  = 5
+)
+
+type childReport struct {
+	report message.Report
+	at     time.Time
+}
+
+type reportState struct {
+	children map[netip.AddrPort]childReport
+	sent     message.Report
+	sentTo   netip.AddrPort
+	sentAt   time.Time
+	changed  bool
+}
+
+func (r *reportState) init() { r.children = make(map[netip.AddrPort]childReport) }
+
+func (c *Core) receiveReport(from netip.AddrPort, m message.Report) {
+	if m.Zone != c.config.Self.Zone {
+		return
+	}
+	c.reports.children[from] = childReport{report: m, at: c.now}
+}
+
+// runReports sends the counts of this subtree to the parent when they changed,
+// and now and then in any case.
+func (c *Core) runReports() {
+	r := &c.reports
+	if c.overlay.parent == nil || c.now.Sub(r.sentAt) < reportDebounce {
+		return
+	}
+	to := c.overlay.parent.row.ControlAddr
+	report := c.subtree()
+	due := c.now.Sub(r.sentAt) >= reportInterval || to != r.sentTo
+	if !due && slices.Equal(report.Counts, r.sent.Counts) && slices.Equal(report.Stragglers, r.sent.Stragglers) {
+		return
+	}
+	r.sent, r.sentTo, r.sentAt = report, to, c.now
+	c.send(to, report)
+}
+
+// subtree adds up the reports of the children and this host's own version.
+func (c *Core) subtree() message.Report {
+	counts := map[version.Number]uint32{c.versions.applied.Number(): 1}
+	var stragglers []host.ID
+	if c.versions.applied.Number() < c.versions.known {
+		stragglers = append(stragglers, c.config.Self.ID)
+	}
+	for _, e := range c.overlay.children {
+		child, ok := c.reports.children[e.row.ControlAddr]
+		if !ok || c.now.Sub(child.at) > reportMaxAge {
+			stragglers = append(stragglers, e.row.ID)
+			continue
+		}
+		for _, n := range child.report.Counts {
+			counts[n.Number] += n.Hosts
+		}
+		stragglers = append(stragglers, child.report.Stragglers...)
+	}
+	report := message.Report{Zone: c.config.Self.Zone, Stragglers: stragglers[:min(len(stragglers), maxStragglers)]}
+	for _, n := range slices.Sorted(maps.Keys(counts)) {
+		report.Counts = append(report.Counts, message.Count{Number: n, Hosts: counts[n]})
+	}
+	return report
+}
+
+// ZoneStatus is what this daemon knows of one availability zone.
+type ZoneStatus struct {
+	Zone        host.AvailabilityZone
+	Region      host.Region
+	Live        int              // live hosts in the member table
+	Roots       []netip.AddrPort // hosts to ask for the zone's counts, best first
+	Unreachable bool             // as seen from a zone root
+}
+
+// Zones returns the zones of the fleet, sorted by name.
+func (c *Core) Zones() []ZoneStatus {
+	c.refreshOverlay()
+	const roots = 3
+	var zones []ZoneStatus
+	for _, zone := range slices.Sorted(maps.Keys(c.overlay.zones)) {
+		order := c.overlay.zones[zone]
+		s := ZoneStatus{Zone: zone, Region: c.overlay.regionOf[zone], Live: len(order)}
+		for _, e := range order[:min(len(order), roots)] {
+			s.Roots = append(s.Roots, e.row.ControlAddr)
+		}
+		s.Unreachable = c.probes.unreachable(zone) || c.probes.group(probeGroup{region: s.Region}).unreachable
+		zones = append(zones, s)
+	}
+	return zones
+}
+
+// Subtree returns the applied counts of the part of the zone below this host.
+// At a zone root it covers the zone.
+func (c *Core) Subtree() message.Report { return c.subtree() }
--- /dev/null
+++ b/internal/fleet/versions_test.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// TestVersionsUnderFailure guards against a host that goes back to an older
+// version, applies a version that was not accepted, or stays behind once all
+// failures are over. The failures cross, double, lose and delay messages, kill,
+// restart and pause daemons, cut regions and take the table down.
+func TestVersionsUnderFailure(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		distribution := rapid.SampledFrom([]Distribution{Economical, Fast}).Draw(t, "distribution")
+		n := newNetwork(t, rapid.Uint64().Draw(t, "seed"), 2, func(c *Config) { c.Distribution = distribution })
+		n.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+		n.duplicate = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "duplicate")
+		n.run(15 * time.Second)
+		node := rapid.IntRange(0, len(n.nodes)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": func(t *rapid.T) {
+				if nd := n.nodes[node.Draw(t, "node")]; nd.up && !n.tableDown {
+					n.accept(nd, rapid.Bool().Draw(t, "crash"))
+				}
+			},
+			"stop":  func(t *rapid.T) { n.stop(n.nodes[node.Draw(t, "node")]) },
+			"pause": func(t *rapid.T) { n.nodes[node.Draw(t, "node")].paused = true },
+			"resume": func(*rapid.T) {
+				for _, nd := range n.nodes {
+					nd.paused = false
+				}
+			},
+			"start": func(t *rapid.T) {
+				if nd := n.nodes[node.Draw(t, "node")]; !nd.up {
+					n.start(nd)
+				}
+			},
+			"table": func(t *rapid.T) { n.tableDown = rapid.Bool().Draw(t, "down") },
+			"link": func(t *rapid.T) {
+				parted := rapid.Bool().Draw(t, "parted")
+				n.cut = func(a, b host.Row) bool { return parted && a.Region != b.Region }
+			},
+			"run": func(t *rapid.T) {
+				n.run(time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+		n.heal()
+		n.run(60 * time.Second)
+		n.wantApplied()
+	})
+}
+
+// heal ends all failures.
+func (n *network) heal() {
+	n.tableDown, n.loss, n.duplicate = false, 0, 0
+	n.cut = func(_, _ host.Row) bool { return false }
+	for _, nd := range n.nodes {
+		nd.paused = false
+		if !nd.up {
+			n.start(nd)
+		}
+	}
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -14,9 +14,9 @@
 // Head is what a daemon knows about versions. It rides on probes so that a
 // lost announcement is found by the next probe.
 type Head struct {
-	Secured version.Number `cbor:"1,keyasint"` // highest version known to be secured
-	Applied version.Number `cbor:"2,keyasint"` // version that the sender applied
-	Rows    uint64         `cbor:"3,keyasint"` // hash of the host and server tables
+	Known version.Number `cbor:"1,keyasint"` // highest version heard of as secured
+	Held  version.Number `cbor:"2,keyasint"` // highest secured version that the sender holds
+	Rows  uint64         `cbor:"3,keyasint"` // hash of the host and server tables
 }
 
 // Probe asks a host for a ProbeAnswer with the same Nonce.
@@ -26,13 +26,11 @@
 	Head  Head       `cbor:"3,keyasint"`
 }
 
-// ProbeAnswer answers a Probe. Floor is the highest version that the answering
-// daemon has heard of as applied by the prober's host.
+// ProbeAnswer answers a Probe.
 type ProbeAnswer struct {
-	Nonce uint64         `cbor:"1,keyasint"`
-	Stamp host.Stamp     `cbor:"2,keyasint"`
-	Head  Head           `cbor:"3,keyasint"`
-	Floor version.Number `cbor:"4,keyasint"`
+	Nonce uint64     `cbor:"1,keyasint"`
+	Stamp host.Stamp `cbor:"2,keyasint"`
+	Head  Head       `cbor:"3,keyasint"`
 }
 
 // IndirectProbe asks the receiver to probe Target on behalf of the sender; the
@@ -55,7 +53,7 @@
 }
 
 // Fetch asks for version Number or a newer secured one. Base is the version
-// that the sender holds, zero for none. Unsecured permits an unsecured version.
+// that the sender holds, zero for none.
 type Fetch struct {
 	Number version.Number `cbor:"1,keyasint"`
 	Base   version.Number `cbor:"2,keyasint"`
@@ -65,7 +63,8 @@
 type Blob []byte
 
 // Delta brings a version: its manifest and the sections that version Base does
-// not have. Base zero means that all sections are present.
+// not have, in the order of Changed. Base zero means that all sections are
+// present.
 type Delta struct {
 	Manifest version.Manifest `cbor:"1,keyasint"`
 	Base     version.Number   `cbor:"2,keyasint"`
@@ -103,12 +102,11 @@
 	Row host.Row `cbor:"1,keyasint"`
 }
 
-// JoinAnswer brings the rows of the fleet. Floor is the highest version that
-// the sender has heard of, applied by the joiner or by any other host.
+// JoinAnswer brings the rows of the fleet. A joiner applies nothing older than
+// Head.Known.
 type JoinAnswer struct {
-	News  News           `cbor:"1,keyasint"`
-	Head  Head           `cbor:"2,keyasint"`
-	Floor version.Number `cbor:"3,keyasint"`
+	News News `cbor:"1,keyasint"`
+	Head Head `cbor:"2,keyasint"`
 }
 
 // Leave says that the sender's host leaves in a planned way.
