--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -42,6 +42,7 @@
 	self.Stamp = host.Stamp{Incarnation: host.Incarnation(config.Started.UnixMilli())}
 	c.config.Self = self
 	c.hosts.init()
+	c.join.init()
 	c.servers.init()
 	c.probes.init()
 	c.news.init()
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -45,6 +45,8 @@
 	servedFrom  time.Time
 }
 
+func (j *joinState) init() { j.answered = make(map[netip.AddrPort]bool) }
+
 // runJoin finds peers, asks them for rows and settles the floor.
 func (c *Core) runJoin() {
 	j := &c.join
@@ -70,7 +72,6 @@
 func (c *Core) startJoin() {
 	j := &c.join
 	j.started = true
-	j.answered = make(map[netip.AddrPort]bool)
 	j.readHeadAt = c.now.Add(c.jitter(joinJitter))
 	j.readPeersAt = c.now.Add(c.jitter(joinJitter / 4))
 	for _, p := range c.config.Peers {
@@ -94,16 +95,9 @@
 }
 
 // alone reports whether no other live host is known.
-func (c *Core) alone() bool { return c.liveOthers() == 0 }
-
-func (c *Core) liveOthers() int {
-	n := 0
-	for _, e := range c.hosts.entries {
-		if e.live() && e.row.ID != c.config.Self.ID {
-			n++
-		}
-	}
-	return n
+func (c *Core) alone() bool {
+	c.refreshOverlay()
+	return c.overlay.liveOthers == 0
 }
 
 func (c *Core) peersRead(e PeersRead) {
--- a/internal/fleet/overlay.go
+++ b/internal/fleet/overlay.go
@@ -17,13 +17,14 @@
 // overlay is this daemon's part of the graph that all daemons compute from the
 // member table.
 type overlay struct {
-	zones    map[host.AvailabilityZone][]*hostEntry
-	regionOf map[host.AvailabilityZone]host.Region
-	rank     int // in the own zone
-	parent   *hostEntry
-	children []*hostEntry
-	next     []*hostEntry // ring successors, which this daemon probes
-	previous *hostEntry   // ring predecessor
+	zones      map[host.AvailabilityZone][]*hostEntry
+	regionOf   map[host.AvailabilityZone]host.Region
+	rank       int // in the own zone
+	liveOthers int // live hosts other than this one
+	parent     *hostEntry
+	children   []*hostEntry
+	next       []*hostEntry // ring successors, which this daemon probes
+	previous   *hostEntry   // ring predecessor
 }
 
 // refreshOverlay recomputes the overlay after a change of liveness.
@@ -35,8 +36,12 @@
 	o := overlay{zones: c.hosts.liveByZone(), regionOf: make(map[host.AvailabilityZone]host.Region)}
 	for zone, order := range o.zones {
 		o.regionOf[zone] = order[0].row.Region
+		o.liveOthers += len(order)
 	}
 	o.placeSelf(c.config.Self)
+	if o.rank >= 0 {
+		o.liveOthers--
+	}
 	c.overlay = o
 	c.refreshProbeTargets()
 }
@@ -158,7 +163,7 @@
 			add(c.hosts.get(t.id), true, t.group.region != c.config.Self.Region)
 		}
 	}
-	for addr := range c.probes.visitors {
+	for _, addr := range c.probes.sortedVisitors() {
 		if e := c.hosts.byAddr[addr]; e != nil {
 			add(e, true, e.row.Region != c.config.Self.Region)
 		}
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -375,6 +375,12 @@
 	return false
 }
 
+// sortedVisitors returns the visitors in an order that does not depend on map
+// iteration, so that a run repeats from its seed.
+func (p *probeState) sortedVisitors() []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(p.visitors), netip.AddrPort.Compare)
+}
+
 func (c *Core) expireVisitors() {
 	for addr, at := range c.probes.visitors {
 		limit := visitorAge
