Floor from the table instead of copies before applying

Cause: with the table down, a restarted host took the highest version that two peers named. Those peers need not know what the host's earlier run applied. Copies on two other hosts before applying did not prevent it when the holders were stopped or paused too, so they are removed, with the round trip they cost. Ruled out: more copies or asking a majority, which amounts to a replicated store of our own; asking fixed neighbours, which lose their memory in the same restart. Change: a daemon applies nothing before it has read the head row once, and nothing below it. Price: a host that restarts during a table outage applies nothing until the table answers; it passes calls on to another daemon's entry.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -42,7 +42,6 @@
 	self.Stamp = host.Stamp{Incarnation: host.Incarnation(config.Started.UnixMilli())}
 	c.config.Self = self
 	c.hosts.init()
-	c.join.init()
 	c.servers.init()
 	c.probes.init()
 	c.news.init()
@@ -72,7 +71,7 @@
 	case ServerAnnounced:
 		c.announceServer(e.Server)
 	case VersionAccepted:
-		c.holdForSecuring(e.Snapshot)
+		c.take(e.Snapshot, netip.AddrPort{})
 	case HeadRead:
 		c.headRead(e)
 	case VersionLoaded:
@@ -101,8 +100,6 @@
 		c.receiveFetch(from, m)
 	case message.Delta:
 		c.receiveDelta(from, m)
-	case message.Held:
-		c.receiveHeld(from, m)
 	case message.News:
 		c.mergeNews(m, from)
 	case message.SyncRequest:
@@ -128,7 +125,6 @@
 	c.runSuspicion()
 	c.runReconnect()
 	c.runFetch()
-	c.runSecuring()
 	c.runReader()
 	c.runReports()
 	c.refreshOverlay()
@@ -154,7 +150,7 @@
 
 // head returns what this daemon knows about versions and rows.
 func (c *Core) head() message.Head {
-	return message.Head{Known: c.versions.known, Held: c.versions.secured, Rows: c.rowsHash()}
+	return message.Head{Known: c.versions.known, Held: c.versions.newest, Rows: c.rowsHash()}
 }
 
 // Hosts returns the rows of all hosts, dead and left ones included.
@@ -181,5 +177,5 @@
 // Applied returns the snapshot in force on this host.
 func (c *Core) Applied() version.Snapshot { return c.versions.applied }
 
-// Known returns the highest version that this daemon has heard of as secured.
+// Known returns the highest version that this daemon has heard of.
 func (c *Core) Known() version.Number { return c.versions.known }
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -18,11 +18,6 @@
 	joinInterval = time.Second
 	// aloneInterval is the time between searches for peers while there are none.
 	aloneInterval = 5 * time.Second
-	// settleTime is the wait for a higher version when the table is down. News
-	// of a version reaches a connected peer within about two seconds.
-	settleTime = 3 * time.Second
-	// answersToSettle is the number of peers that must have answered.
-	answersToSettle = 2
 	// joinAnswersPerSecond limits the snapshots of rows that one daemon sends
 	// in a mass restart; joiners ask another peer.
 	joinAnswersPerSecond = 8
@@ -37,17 +32,12 @@
 	headAsked   bool
 	joinAt      time.Time
 	joined      bool // rows have arrived from a peer
-	answered    map[netip.AddrPort]bool
-	firstAnswer time.Time
-	headRead    bool
-	settled     bool // the floor is final
+	settled     bool // the head row was read, so that the floor is final
 	served      int  // join answers in the current second
 	servedFrom  time.Time
 }
 
-func (j *joinState) init() { j.answered = make(map[netip.AddrPort]bool) }
-
-// runJoin finds peers, asks them for rows and settles the floor.
+// runJoin reads the head row once, finds peers and asks them for rows.
 func (c *Core) runJoin() {
 	j := &c.join
 	if !j.started {
@@ -66,7 +56,6 @@
 	if (!j.joined || c.alone()) && len(j.known) > 0 && !c.now.Before(j.joinAt) {
 		c.askPeers()
 	}
-	c.settleFloor()
 }
 
 func (c *Core) startJoin() {
@@ -132,51 +121,22 @@
 func (c *Core) receiveJoinAnswer(from netip.AddrPort, m message.JoinAnswer) {
 	c.join.joined = true
 	c.mergeNews(m.News, from)
-	c.countAnswer(from)
 	c.noteHead(from, m.Head)
 }
 
-// countAnswer counts a distinct peer that told its head.
-func (c *Core) countAnswer(from netip.AddrPort) {
-	j := &c.join
-	if j.settled {
-		return
-	}
-	if len(j.answered) == 0 {
-		j.firstAnswer = c.now
-	}
-	j.answered[from] = true
-}
-
-// settleFloor decides when the floor is final: the lowest version that this
-// daemon may apply first. The head row bounds every version that was ever
-// applied. Without it, several peers must have answered and none may have
-// named a higher version for a while.
-func (c *Core) settleFloor() {
-	j := &c.join
-	if j.settled {
-		return
-	}
-	enough := len(j.answered) >= min(answersToSettle, max(1, c.othersNotLeft()))
-	waited := enough && c.now.Sub(j.firstAnswer) >= settleTime
-	if !j.headRead && !waited {
+// settle takes the head row as the floor: the lowest version that this daemon
+// may apply first. Every version that an earlier run of this host applied had
+// been accepted, so that it is not above the head row. Peers cannot give the
+// floor: those that knew the newest version may be down as well.
+func (c *Core) settle(head version.Number) {
+	if c.join.settled {
 		return
 	}
-	j.settled = true
-	c.versions.floor = max(c.versions.floor, c.versions.known)
+	c.join.settled = true
+	c.versions.floor = head
 	c.applyNewest()
 }
 
-func (c *Core) othersNotLeft() int {
-	n := 0
-	for _, e := range c.hosts.entries {
-		if e.row.State != host.Left && e.row.ID != c.config.Self.ID {
-			n++
-		}
-	}
-	return n
-}
-
 // mayApply reports whether a version is not older than what an earlier run of
 // this host can have applied.
 func (c *Core) mayApply(n version.Number) bool {
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -321,7 +321,6 @@
 			t.waiting = false
 		}
 	}
-	c.countAnswer(from)
 	c.checkSender(from, m.Stamp)
 	c.noteHead(from, m.Head)
 	c.compareRows(from, m.Head.Rows)
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -14,7 +15,7 @@
 	remoteReadInterval  = 5 * time.Second
 	remoteReadAfter     = 10 * time.Second // without contact over the region link
 	maxReadBackoff      = 10 * time.Second
-	acceptedGrace       = 900 * time.Millisecond // time for the accepting daemon to secure its version
+	acceptedGrace       = 900 * time.Millisecond // time for the accepting daemon to announce its version
 	readAnswerTimeout   = 5 * time.Second
 	readJitterDivisor   = 5
 	loadAnswerTimeout   = 10 * time.Second
@@ -27,7 +28,7 @@
 	askedAt   time.Time
 	waiting   bool
 	backoff   time.Duration
-	seen      version.Number // unsecured version in the head row
+	seen      version.Number // newer version in the head row
 	seenAt    time.Time
 	loading   version.Number
 	loadingAt time.Time
@@ -104,11 +105,8 @@
 	}
 	r.backoff = 0
 	n := e.Manifest.Number
-	if !c.join.settled {
-		c.join.headRead = true
-		c.versions.floor = max(c.versions.floor, n)
-	}
-	if n <= c.versions.secured || c.securingAtLeast(n) {
+	c.settle(n)
+	if n <= c.versions.newest {
 		return
 	}
 	if r.seen != n {
@@ -120,24 +118,15 @@
 	c.loadVersion(e)
 }
 
-func (c *Core) securingAtLeast(n version.Number) bool {
-	s := c.versions.securing
-	return s != nil && s.snapshot.Number() >= n
-}
-
-// loadVersion takes over a version whose accepting daemon did not secure it.
+// loadVersion takes over a version whose accepting daemon did not announce it.
 func (c *Core) loadVersion(e HeadRead) {
 	r := &c.reader
 	n := e.Manifest.Number
-	if s, ok := c.versions.held[n]; ok {
-		c.holdForSecuring(s)
-		return
-	}
 	if r.loading == n && c.now.Sub(r.loadingAt) < loadAnswerTimeout {
 		return
 	}
 	r.loading, r.loadingAt = n, c.now
-	c.emit(LoadVersion{Manifest: e.Manifest, Have: c.versions.held[c.versions.secured]})
+	c.emit(LoadVersion{Manifest: e.Manifest, Have: c.versions.held[c.versions.newest]})
 }
 
 func (c *Core) versionLoaded(e VersionLoaded) {
@@ -147,5 +136,5 @@
 		return
 	}
 	c.record(Record{Kind: "version-loaded", Version: e.Snapshot.Number()})
-	c.holdForSecuring(e.Snapshot)
+	c.take(e.Snapshot, netip.AddrPort{})
 }
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -6,22 +6,13 @@
 	"slices"
 	"time"
 
-	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
 const (
 	// heldVersions is the number of versions kept as bases for deltas.
-	heldVersions = 16
-	// copiesBeforeSecured is the number of other hosts that must hold a
-	// version before any daemon applies it.
-	copiesBeforeSecured = 2
-	copyRetry           = 300 * time.Millisecond
-	copyTimeout         = time.Second
-	// otherZoneWait is how long a copy in another zone is insisted on.
-	otherZoneWait = 2 * time.Second
-
+	heldVersions     = 16
 	fetchTimeout     = 500 * time.Millisecond
 	linkFetchTimeout = 3 * time.Second
 	// fullDeltasPerSecond limits the whole versions that one daemon sends in a
@@ -32,15 +23,6 @@
 	pushCheck = 300 * time.Millisecond
 )
 
-// securing is a version that waits for copies on other hosts.
-type securing struct {
-	snapshot version.Snapshot
-	since    time.Time
-	retryAt  time.Time
-	asked    map[host.ID]time.Time
-	acks     map[host.ID]bool
-}
-
 // fetching is a fetch that waits for its delta.
 type fetching struct {
 	to     netip.AddrPort
@@ -50,11 +32,10 @@
 
 type versionState struct {
 	applied  version.Snapshot
-	secured  version.Number // highest secured version held
-	known    version.Number // highest version heard of as secured
+	newest   version.Number // highest version held
+	known    version.Number // highest version heard of
 	floor    version.Number // lowest version that may be applied first
 	held     map[version.Number]version.Snapshot
-	securing *securing
 	fetch    *fetching
 	tried    map[netip.AddrPort]bool
 	heads    map[netip.AddrPort]version.Number // what peers hold
@@ -77,140 +58,28 @@
 	}
 }
 
-// holdForSecuring holds an accepted version and starts to copy it.
-func (c *Core) holdForSecuring(s version.Snapshot) {
+// take holds a version that the table accepted, applies it and announces it to
+// all neighbours but the one it came from.
+func (c *Core) take(s version.Snapshot, from netip.AddrPort) {
 	v := &c.versions
-	if s.Number() <= v.secured || (v.securing != nil && v.securing.snapshot.Number() >= s.Number()) {
+	if s.Number() <= v.newest {
 		return
 	}
 	v.hold(s)
-	v.securing = &securing{
-		snapshot: s, since: c.now, retryAt: c.now,
-		asked: make(map[host.ID]time.Time), acks: make(map[host.ID]bool),
-	}
-	c.record(Record{Kind: "version-held", Version: s.Number()})
-}
-
-// runSecuring sends copies until enough other hosts hold the version.
-func (c *Core) runSecuring() {
-	s := c.versions.securing
-	if s == nil {
-		return
-	}
-	if s.snapshot.Number() <= c.versions.secured {
-		c.versions.securing = nil
-		return
-	}
-	if c.copiesSuffice(s) {
-		c.versions.securing = nil
-		c.secure(s.snapshot.Number(), netip.AddrPort{})
-		return
-	}
-	if c.now.Before(s.retryAt) {
-		return
-	}
-	s.retryAt = c.now.Add(copyRetry)
-	for _, e := range c.copyTargets(s) {
-		s.asked[e.row.ID] = c.now
-		d := c.delta(s.snapshot, c.previousHeld(s.snapshot.Number()))
-		c.send(e.row.ControlAddr, d)
-	}
-}
-
-func (c *Core) copiesSuffice(s *securing) bool {
-	if len(s.acks) < min(copiesBeforeSecured, c.othersNotLeft()) {
-		return false
-	}
-	if c.now.Sub(s.since) >= otherZoneWait || !c.hasOtherZone() {
-		return true
-	}
-	for id := range s.acks {
-		if e := c.hosts.get(id); e != nil && e.row.Zone != c.config.Self.Zone {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *Core) hasOtherZone() bool {
-	for zone := range c.overlay.zones {
-		if zone != c.config.Self.Zone {
-			return true
-		}
-	}
-	return false
-}
-
-// copyTargets chooses hosts that do not hold the version yet: the root of
-// another zone of this region, the ring successor, then others at random.
-func (c *Core) copyTargets(s *securing) []*hostEntry {
-	var preferred []*hostEntry
-	for _, zone := range c.overlay.zoneOrder(c.config.Self.Region) {
-		if zone != c.config.Self.Zone {
-			preferred = append(preferred, c.overlay.zones[zone][0])
-			break
-		}
-	}
-	preferred = append(preferred, c.overlay.next...)
-	var rest []*hostEntry
-	for _, zone := range slices.Sorted(maps.Keys(c.overlay.zones)) {
-		rest = append(rest, c.overlay.zones[zone]...)
-	}
-	c.random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	// Hosts of this region first: a copy must not cost bytes on the link.
-	slices.SortStableFunc(rest, func(a, b *hostEntry) int { return c.regionRank(a) - c.regionRank(b) })
-
-	pending := len(s.acks)
-	for id, at := range s.asked {
-		if !s.acks[id] && c.now.Sub(at) < copyTimeout {
-			pending++
-		}
-	}
-	var targets []*hostEntry
-	for _, e := range append(preferred, rest...) {
-		if pending+len(targets) >= copiesBeforeSecured {
-			break
-		}
-		_, asked := s.asked[e.row.ID]
-		if e.row.ID == c.config.Self.ID || asked || s.acks[e.row.ID] || slices.Contains(targets, e) {
-			continue
-		}
-		targets = append(targets, e)
-	}
-	if len(targets) == 0 && pending == len(s.acks) {
-		clear(s.asked) // everybody was asked; start over
-	}
-	return targets
-}
-
-func (c *Core) regionRank(e *hostEntry) int {
-	if e.row.Region == c.config.Self.Region {
-		return 0
-	}
-	return 1
-}
-
-// secure notes that enough hosts hold a version, applies it and announces it.
-func (c *Core) secure(n version.Number, from netip.AddrPort) {
-	v := &c.versions
-	if n <= v.secured {
-		return
-	}
-	v.secured = n
-	v.known = max(v.known, n)
+	v.newest = s.Number()
+	v.known = max(v.known, v.newest)
 	v.fetch = nil
 	clear(v.tried)
 	c.pruneSources()
-	c.record(Record{Kind: "version-secured", Version: n})
 	c.applyNewest()
 	c.announce(from)
 }
 
-// applyNewest applies the newest secured version, never an older one.
+// applyNewest applies the newest version, never an older one.
 func (c *Core) applyNewest() {
 	v := &c.versions
-	s, ok := v.held[v.secured]
-	if !ok || v.secured <= v.applied.Number() || !c.mayApply(v.secured) {
+	s, ok := v.held[v.newest]
+	if !ok || v.newest <= v.applied.Number() || !c.mayApply(v.newest) {
 		return
 	}
 	v.applied = s
@@ -218,27 +87,26 @@
 	c.record(Record{Kind: "version-applied", Version: s.Number()})
 }
 
-// announce passes the newest secured version on to all neighbours but the one
+// announce passes the newest version on to all neighbours but the one
 // it came from.
 func (c *Core) announce(from netip.AddrPort) {
 	v := &c.versions
-	s := v.held[v.secured]
+	s := v.held[v.newest]
 	for _, e := range c.edges() {
-		if e.addr == from || v.heads[e.addr] >= v.secured {
+		if e.addr == from || v.heads[e.addr] >= v.newest {
 			continue
 		}
 		// Over the region link a push saves the bytes and the delay of
 		// announcing; the far root is reached by this edge only.
 		if e.link || (e.push && c.config.Distribution == Fast) {
 			d := c.delta(s, c.baseFor(e.addr))
-			d.Secured = true
 			c.send(e.addr, d)
 			if e.link {
 				c.checkPush(e.addr)
 			}
 			continue
 		}
-		c.send(e.addr, message.Announce{Number: v.secured})
+		c.send(e.addr, message.Announce{Number: v.newest})
 	}
 }
 
@@ -257,13 +125,13 @@
 	if n, ok := c.versions.heads[addr]; ok {
 		return n
 	}
-	return c.previousHeld(c.versions.secured)
+	return c.previousHeld(c.versions.newest)
 }
 
 func (c *Core) previousHeld(n version.Number) version.Number {
 	var previous version.Number
 	for k := range c.versions.held {
-		if k < n && k <= c.versions.secured {
+		if k < n {
 			previous = max(previous, k)
 		}
 	}
@@ -304,11 +172,7 @@
 	v := &c.versions
 	v.known = max(v.known, h.Known, h.Held)
 	v.heads[from] = h.Held
-	if h.Held <= v.secured {
-		return
-	}
-	if _, ok := v.held[h.Held]; ok {
-		c.secure(h.Held, from)
+	if h.Held <= v.newest {
 		return
 	}
 	if !slices.Contains(v.sources, from) {
@@ -318,7 +182,7 @@
 
 func (c *Core) pruneSources() {
 	v := &c.versions
-	v.sources = slices.DeleteFunc(v.sources, func(a netip.AddrPort) bool { return v.heads[a] <= v.secured })
+	v.sources = slices.DeleteFunc(v.sources, func(a netip.AddrPort) bool { return v.heads[a] <= v.newest })
 }
 
 // runFetch asks a peer for a newer version, and another one after a timeout.
@@ -343,21 +207,16 @@
 	if e := c.hosts.byAddr[to]; e != nil && e.row.Region != c.config.Self.Region {
 		v.fetch.limit = linkFetchTimeout
 	}
-	c.send(to, message.Fetch{Number: v.heads[to], Base: v.secured})
+	c.send(to, message.Fetch{Number: v.heads[to], Base: v.newest})
 }
 
 func (c *Core) receiveFetch(from netip.AddrPort, m message.Fetch) {
 	v := &c.versions
 	v.heads[from] = m.Base
-	if s := v.securing; s != nil && s.snapshot.Number() == m.Number {
-		c.send(from, c.delta(s.snapshot, m.Base))
-		return
-	}
-	if v.secured < m.Number || v.secured == 0 {
+	if v.newest < m.Number || v.newest == 0 {
 		return
 	}
-	d := c.delta(v.held[v.secured], m.Base)
-	d.Secured = true
+	d := c.delta(v.held[v.newest], m.Base)
 	if d.Base == 0 && !c.takeFull() {
 		return
 	}
@@ -377,17 +236,14 @@
 func (c *Core) receiveDelta(from netip.AddrPort, d message.Delta) {
 	v := &c.versions
 	n := d.Manifest.Number
-	if d.Secured {
-		v.known = max(v.known, n)
-		v.heads[from] = max(v.heads[from], n)
-	}
-	if _, ok := v.held[n]; ok || n <= v.secured {
-		c.acknowledge(from, d)
+	v.known = max(v.known, n)
+	v.heads[from] = max(v.heads[from], n)
+	if n <= v.newest {
 		return
 	}
 	base, ok := v.held[d.Base]
 	if d.Base != 0 && !ok {
-		c.send(from, message.Fetch{Number: n, Base: v.secured})
+		c.send(from, message.Fetch{Number: n, Base: v.newest})
 		return
 	}
 	s, err := c.assemble(d, base)
@@ -395,27 +251,6 @@
 		c.record(Record{Kind: "delta-refused", Version: n, Detail: err.Error()})
 		return
 	}
-	v.hold(s)
 	c.record(Record{Kind: "version-fetched", Version: n})
-	c.acknowledge(from, d)
-}
-
-// acknowledge confirms a copy, or secures a version that the sender calls
-// secured.
-func (c *Core) acknowledge(from netip.AddrPort, d message.Delta) {
-	if d.Secured {
-		c.secure(d.Manifest.Number, from)
-		return
-	}
-	c.send(from, message.Held{Number: d.Manifest.Number})
-}
-
-func (c *Core) receiveHeld(from netip.AddrPort, m message.Held) {
-	s := c.versions.securing
-	e := c.hosts.byAddr[from]
-	if s == nil || e == nil || s.snapshot.Number() != m.Number {
-		return
-	}
-	s.acks[e.row.ID] = true
-	c.runSecuring()
+	c.take(s, from)
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -14,8 +14,8 @@
 // Head is what a daemon knows about versions. It rides on probes so that a
 // lost announcement is found by the next probe.
 type Head struct {
-	Known version.Number `cbor:"1,keyasint"` // highest version heard of as secured
-	Held  version.Number `cbor:"2,keyasint"` // highest secured version that the sender holds
+	Known version.Number `cbor:"1,keyasint"` // highest version heard of
+	Held  version.Number `cbor:"2,keyasint"` // highest version that the sender holds
 	Rows  uint64         `cbor:"3,keyasint"` // hash of the host and server tables
 }
 
@@ -47,12 +47,12 @@
 	Stamp  host.Stamp `cbor:"3,keyasint"`
 }
 
-// Announce says that the sender holds a secured version.
+// Announce says that the sender holds an accepted version.
 type Announce struct {
 	Number version.Number `cbor:"1,keyasint"`
 }
 
-// Fetch asks for version Number or a newer secured one. Base is the version
+// Fetch asks for version Number or a newer one. Base is the version
 // that the sender holds, zero for none.
 type Fetch struct {
 	Number version.Number `cbor:"1,keyasint"`
@@ -69,12 +69,6 @@
 	Manifest version.Manifest `cbor:"1,keyasint"`
 	Base     version.Number   `cbor:"2,keyasint"`
 	Blobs    []Blob           `cbor:"3,keyasint"`
-	Secured  bool             `cbor:"4,keyasint"`
-}
-
-// Held says that the sender holds version Number.
-type Held struct {
-	Number version.Number `cbor:"1,keyasint"`
 }
 
 // News brings changed rows.
@@ -134,7 +128,6 @@
 func (Announce) isMessage()       {}
 func (Fetch) isMessage()          {}
 func (Delta) isMessage()          {}
-func (Held) isMessage()           {}
 func (News) isMessage()           {}
 func (SyncRequest) isMessage()    {}
 func (Sync) isMessage()           {}
