In-memory platform service

Cause: the daemon, the acceptor and the claims need a table and an object store to run against before an adapter to a real platform exists.

Considered: one lock with a sorted key slice, against a tree. At a few thousand rows the slice is enough, and one lock makes linearizability evident. Transactions that DynamoDB would refuse (none or more than 100 writes, two writes to a row) are refused here too, so that code tried against Memory does not fail later against the real service.

--- /dev/null
+++ b/internal/platform/memory.go
@@ -0,0 +1,153 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// MaxWrites is the largest number of writes in one transaction, a limit of
+// DynamoDB's TransactWriteItems.
+const MaxWrites = 100
+
+// ErrInvalid is wrapped by the error of a transaction that the service would
+// never accept: too many writes, an empty key or two writes to one row.
+var ErrInvalid = errors.New("invalid transaction")
+
+// Memory is a Service in the memory of this process. It is safe for concurrent
+// use and linearizable: one lock orders all operations.
+type Memory struct {
+	mu      sync.RWMutex
+	rows    map[Key]Row
+	order   []Key // the keys of rows, sorted
+	objects map[string][]byte
+}
+
+var _ Service = (*Memory)(nil)
+
+// NewMemory returns an empty Memory.
+func NewMemory() *Memory {
+	return &Memory{rows: map[Key]Row{}, objects: map[string][]byte{}}
+}
+
+// Get implements Table.
+func (m *Memory) Get(ctx context.Context, keys ...Key) ([]Row, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("get rows: %w", err)
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	rows := make([]Row, len(keys))
+	for i, key := range keys {
+		rows[i] = m.row(key)
+	}
+	return rows, nil
+}
+
+// Scan implements Table.
+func (m *Memory) Scan(ctx context.Context, prefix, after Key, limit int) ([]Row, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("scan rows: %w", err)
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	start, found := slices.BinarySearch(m.order, max(prefix, after))
+	if found && after >= prefix {
+		start++
+	}
+	var rows []Row
+	for _, key := range m.order[start:] {
+		if len(rows) >= limit || !strings.HasPrefix(string(key), string(prefix)) {
+			break
+		}
+		rows = append(rows, m.row(key))
+	}
+	return rows, nil
+}
+
+// Commit implements Table. Its outcome is never Unknown.
+func (m *Memory) Commit(ctx context.Context, writes ...Write) (Result, error) {
+	if err := errors.Join(ctx.Err(), checkWrites(writes)); err != nil {
+		return Result{Outcome: NotApplied}, fmt.Errorf("commit: %w", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var failed []int
+	for i, w := range writes {
+		if m.rows[w.Key].Revision != w.If {
+			failed = append(failed, i)
+		}
+	}
+	if failed != nil {
+		return Result{Outcome: NotApplied, Failed: failed}, nil
+	}
+	for _, w := range writes {
+		m.apply(w)
+	}
+	return Result{Outcome: Applied}, nil
+}
+
+// PutObject implements Objects.
+func (m *Memory) PutObject(ctx context.Context, name string, data []byte) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("put object %s: %w", name, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects[name] = slices.Clone(data)
+	return nil
+}
+
+// GetObject implements Objects.
+func (m *Memory) GetObject(ctx context.Context, name string) ([]byte, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("get object %s: %w", name, err)
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	data, ok := m.objects[name]
+	if !ok {
+		return nil, fmt.Errorf("get object %s: %w", name, ErrNotFound)
+	}
+	return slices.Clone(data), nil
+}
+
+// row returns a copy of the row, so that callers cannot change stored values.
+func (m *Memory) row(key Key) Row {
+	row := m.rows[key]
+	return Row{Key: key, Value: slices.Clone(row.Value), Revision: row.Revision}
+}
+
+func (m *Memory) apply(w Write) {
+	i, found := slices.BinarySearch(m.order, w.Key)
+	if w.Delete {
+		if found {
+			m.order = slices.Delete(m.order, i, i+1)
+			delete(m.rows, w.Key)
+		}
+		return
+	}
+	if !found {
+		m.order = slices.Insert(m.order, i, w.Key)
+	}
+	m.rows[w.Key] = Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: w.If + 1}
+}
+
+// checkWrites refuses what DynamoDB refuses, so that every Service behaves
+// alike.
+func checkWrites(writes []Write) error {
+	if len(writes) == 0 || len(writes) > MaxWrites {
+		return fmt.Errorf("%w: %d writes, want 1 to %d", ErrInvalid, len(writes), MaxWrites)
+	}
+	seen := make(map[Key]bool, len(writes))
+	for _, w := range writes {
+		if w.Key == "" || seen[w.Key] {
+			return fmt.Errorf("%w: key %q is empty or written twice", ErrInvalid, w.Key)
+		}
+		seen[w.Key] = true
+	}
+	return nil
+}
