Call path: routing table, choice of servers, admission, entry and gate

The daemon needs a call path that other parts can be wired to. This is the first complete path: routing table, pool, gate and the two handlers.

Proof that a call was not run comes from a wrapper around each connection, which notes whether any byte of the call was written and then refuses further writes. Considered: relying on the errors of net/http, whose nothing-written error is not exported.

--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,158 @@
+// Package gate admits calls to the backend servers of this host: it counts
+// slots, queues briefly, starts cold servers slowly and drains.
+package gate
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// QueueWait bounds the time that a call waits for a slot.
+const QueueWait = 50 * time.Millisecond
+
+// Errors of Enter. Each of them proves that the call was not run.
+var (
+	ErrUnknownServer = errors.New("no such backend server on this host")
+	ErrNotReady      = errors.New("backend server is not ready")
+	ErrDraining      = errors.New("backend server is draining")
+	ErrSuspended     = errors.New("host is suspended for this service")
+	ErrFull          = errors.New("all slots and the queue are full")
+	ErrQueueWait     = errors.New("no slot became free in time")
+	ErrDeadline      = errors.New("deadline has passed")
+	ErrCancelled     = errors.New("call was cancelled while it waited")
+)
+
+// Config holds the settings of a gate.
+type Config struct {
+	Self host.ID
+	Now  func() time.Time // nil takes time.Now
+}
+
+// Gate is the admission control of one host.
+type Gate struct {
+	config  Config
+	update  sync.Mutex // serialises Update and DrainAll
+	closed  bool
+	servers atomic.Pointer[map[backend.ServerID]*server]
+}
+
+// New returns a gate without backend servers.
+func New(c Config) *Gate {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	g := &Gate{config: c}
+	g.servers.Store(&map[backend.ServerID]*server{})
+	return g
+}
+
+// Update takes the services of the version in effect and the rows of the
+// backend servers of this host. Rows of other hosts are ignored. Servers that
+// stay keep their calls in flight and their warm-up.
+func (g *Gate) Update(services []document.Service, rows []backend.Server) {
+	g.update.Lock()
+	defer g.update.Unlock()
+	byName := make(map[backend.ServiceName]document.Service, len(services))
+	for _, s := range services {
+		byName[s.Name] = s
+	}
+	old := *g.servers.Load()
+	next := make(map[backend.ServerID]*server)
+	for _, row := range rows {
+		service, ok := byName[row.Service]
+		if row.Host != g.config.Self || !ok {
+			continue
+		}
+		s := old[row.ID]
+		if s == nil {
+			s = &server{now: g.config.Now, idle: make(chan struct{})}
+		}
+		next[row.ID] = s
+		if g.closed {
+			row.State = backend.Draining
+		}
+		s.set(row, service, slices.Contains(service.SuspendedHosts, row.Host))
+	}
+	g.servers.Store(&next)
+	for id, s := range old {
+		if next[id] == nil {
+			s.drain()
+		}
+	}
+}
+
+// Enter admits a call to a backend server. It waits up to QueueWait for a
+// slot. An error proves that the call was not run.
+func (g *Gate) Enter(ctx context.Context, id backend.ServerID) (*Pass, error) {
+	s := (*g.servers.Load())[id]
+	if s == nil {
+		return nil, ErrUnknownServer
+	}
+	return s.enter(ctx)
+}
+
+// Load is the use of a backend server.
+type Load struct {
+	InFlight int
+	Queued   int
+	Slots    int // slots usable now; lower than configured during slow start
+}
+
+// Load returns the use of a backend server; zero when it is unknown.
+func (g *Gate) Load(id backend.ServerID) Load {
+	s := (*g.servers.Load())[id]
+	if s == nil {
+		return Load{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load()
+}
+
+// Loads returns the use of every backend server of this host.
+func (g *Gate) Loads() map[backend.ServerID]Load {
+	servers := *g.servers.Load()
+	loads := make(map[backend.ServerID]Load, len(servers))
+	for id := range servers {
+		loads[id] = g.Load(id)
+	}
+	return loads
+}
+
+// Drain stops admission to a backend server and waits until no call is in
+// flight. Admission resumes when a newer row says that the server is ready.
+func (g *Gate) Drain(ctx context.Context, id backend.ServerID) error {
+	s := (*g.servers.Load())[id]
+	if s == nil {
+		return ErrUnknownServer
+	}
+	s.drain()
+	return s.wait(ctx)
+}
+
+// DrainAll stops admission for good, for a planned stop of the daemon, and
+// waits until no call is in flight.
+func (g *Gate) DrainAll(ctx context.Context) error {
+	g.update.Lock()
+	g.closed = true
+	servers := slices.Collect(maps.Values(*g.servers.Load()))
+	for _, s := range servers {
+		s.drain()
+	}
+	g.update.Unlock()
+	for _, s := range servers {
+		if err := s.wait(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/pool/choose.go
@@ -0,0 +1,96 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+)
+
+// unhealthyPenalty is added to the relative load of a server whose probe fails,
+// so that a full healthy server is preferred to an idle unhealthy one.
+const unhealthyPenalty = 1.0
+
+// tiers that are tried in this order.
+const (
+	tierZone   = iota // subset, this zone
+	tierSubset        // subset, other zones of the region
+	tierRegion        // the rest of the region
+	tierRemote        // other regions
+	tierCount
+)
+
+// rule tells which members of a tier may be chosen.
+type rule struct{ full, ejected bool }
+
+// choose returns a member by two random choices in the first tier that has a
+// member to choose. Full servers come after the free ones of all tiers,
+// ejected ones after the full ones, and suspect hosts last.
+func (p *Pool) choose(s *service, tried []backend.ServerID) *member {
+	now := p.config.Now()
+	for i := range s.tiers {
+		if m := p.twoChoices(s.tiers[i], tried, rule{}, now); m != nil {
+			return m
+		}
+	}
+	for _, r := range []rule{{full: true}, {full: true, ejected: true}} {
+		for i := range s.tiers {
+			if m := p.twoChoices(s.tiers[i], tried, r, now); m != nil {
+				return m
+			}
+		}
+	}
+	return p.twoChoices(s.suspect, tried, rule{full: true, ejected: true}, now)
+}
+
+// twoChoices draws two different members that the rule permits and returns the
+// one with the lower load.
+func (p *Pool) twoChoices(tier []*member, tried []backend.ServerID, r rule, now time.Time) *member {
+	var small [SubsetSize * 2]candidate
+	candidates := small[:0]
+	for _, m := range tier {
+		if slices.Contains(tried, m.row.ID) || !r.ejected && m.state.ejected(now) {
+			continue
+		}
+		load := m.load(now)
+		if !r.full && load >= 1 {
+			continue
+		}
+		if m.state.unhealthy.Load() {
+			load += unhealthyPenalty
+		}
+		candidates = append(candidates, candidate{m, load})
+	}
+	n := len(candidates)
+	if n == 0 {
+		return nil
+	}
+	if n == 1 {
+		return candidates[0].member
+	}
+	p.random.Lock()
+	i, j := p.random.IntN(n), p.random.IntN(n-1)
+	p.random.Unlock()
+	if j >= i {
+		j++
+	}
+	if candidates[j].load < candidates[i].load {
+		i = j
+	}
+	return candidates[i].member
+}
+
+type candidate struct {
+	member *member
+	load   float64
+}
+
+// load is the use of the server relative to its slots: own calls in flight and
+// the calls of others as last reported.
+func (m *member) load(now time.Time) float64 {
+	others, slots := m.state.reported(now)
+	if slots == 0 {
+		slots = int64(m.slots)
+	}
+	return float64(m.state.inFlight.Load()+others) / float64(max(slots, 1))
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,166 @@
+// Package pool chooses the backend server of a call at the entry.
+package pool
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// SubsetSize is the number of servers of a service that an entry normally
+// uses. It bounds the connections between 1,200 daemons.
+const SubsetSize = 8
+
+// reportLifetime is the time after which a reported load is ignored. Without a
+// bound, a server that was full once would not be chosen again.
+const reportLifetime = time.Second
+
+// ErrUnknownService is returned for a service that the view does not have.
+var ErrUnknownService = errors.New("no such service")
+
+// ErrNoServer is returned when no server is left to choose.
+var ErrNoServer = errors.New("no backend server can be chosen")
+
+// Config holds the settings of a pool.
+type Config struct {
+	Self   host.ID
+	Zone   host.AvailabilityZone
+	Region host.Region
+	Now    func() time.Time // nil takes time.Now
+	Random rand.Source      // nil takes a random seed; the pool guards it
+	// Ejected is called when a server is ejected; nil for none.
+	Ejected func(server backend.ServerID, d time.Duration)
+}
+
+// View is what the pool knows of services, hosts and servers.
+type View struct {
+	Services []document.Service
+	Hosts    []host.Row
+	Servers  []backend.Server
+}
+
+// Pool chooses backend servers. Its view is immutable and replaced as a whole;
+// load, ejection and retry budget of what stays are kept.
+type Pool struct {
+	config Config
+	update sync.Mutex // serialises Update
+	view   atomic.Pointer[view]
+	random struct {
+		sync.Mutex
+		*rand.Rand
+	}
+	unhealthy sync.Map // backend.ServerID of servers whose probe fails
+}
+
+// New returns a pool without services.
+func New(c Config) *Pool {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Random == nil {
+		c.Random = rand.NewPCG(rand.Uint64(), rand.Uint64())
+	}
+	p := &Pool{config: c}
+	p.random.Rand = rand.New(c.Random)
+	p.view.Store(&view{})
+	return p
+}
+
+// Choice is a chosen backend server. Done must be called once.
+type Choice struct {
+	Server backend.Server
+	Gate   netip.AddrPort // call address of the daemon on the server's host
+	Local  bool           // the server is on this host
+
+	pool   *Pool
+	member *member
+	done   atomic.Bool
+}
+
+// Outcome tells how a call to a server went.
+type Outcome uint8
+
+// Outcomes of a call.
+const (
+	Succeeded Outcome = iota
+	Failed            // failure or refused connection; counts towards ejection
+	Refused           // the gate refused it: the server is full or draining
+	Abandoned         // the caller went away; says nothing about the server
+)
+
+// Result reports the end of a call.
+type Result struct {
+	Outcome Outcome
+	// InFlight and Slots are the load that the gate reported; Slots zero means
+	// that it did not.
+	InFlight, Slots int
+}
+
+// Pick chooses a server of a service that is not in tried. With nil tried, it
+// counts a new call for the retry budget.
+func (p *Pool) Pick(name backend.ServiceName, tried []backend.ServerID) (*Choice, error) {
+	s := p.view.Load().services[name]
+	if s == nil {
+		return nil, ErrUnknownService
+	}
+	if tried == nil {
+		s.budget.call()
+	}
+	m := p.choose(s, tried)
+	if m == nil {
+		return nil, ErrNoServer
+	}
+	m.state.inFlight.Add(1)
+	return &Choice{Server: m.row, Gate: m.gate, Local: m.row.Host == p.config.Self, pool: p, member: m}, nil
+}
+
+// Retry takes one retry from the budget of a service. It returns false when
+// the budget is used up.
+func (p *Pool) Retry(name backend.ServiceName) bool {
+	s := p.view.Load().services[name]
+	return s != nil && s.budget.take(p.config.Now())
+}
+
+// SetHealth takes the result of a health probe. It only lowers the preference
+// for a server, because a probe can be stale or misleading.
+func (p *Pool) SetHealth(id backend.ServerID, healthy bool) {
+	if healthy {
+		p.unhealthy.Delete(id)
+	} else {
+		p.unhealthy.Store(id, struct{}{})
+	}
+	if m := p.view.Load().member(id); m != nil {
+		m.state.unhealthy.Store(!healthy)
+	}
+}
+
+// Done reports the result of the call. Further calls have no effect.
+func (c *Choice) Done(r Result) {
+	if c.done.Swap(true) {
+		return
+	}
+	now := c.pool.config.Now()
+	st := c.member.state
+	own := st.inFlight.Add(-1)
+	switch {
+	case r.Outcome == Refused:
+		// A refusing server counts as full until the report expires.
+		st.report(now, max(r.Slots, int(c.member.slots)), max(r.Slots, 1))
+	case r.Slots > 0:
+		st.report(now, max(0, r.InFlight-1-int(own)), r.Slots)
+	}
+	switch r.Outcome {
+	case Succeeded:
+		st.succeed(now)
+	case Failed:
+		c.pool.fail(c.member, now)
+	case Refused, Abandoned:
+	}
+}
--- /dev/null
+++ b/internal/pool/view.go
@@ -0,0 +1,191 @@
+package pool
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// view is an immutable set of services and their servers.
+type view struct {
+	services map[backend.ServiceName]*service
+	members  map[backend.ServerID]*member
+}
+
+func (v *view) member(id backend.ServerID) *member { return v.members[id] }
+
+// service holds the servers of a service that may get work.
+type service struct {
+	tiers    [tierCount][]*member
+	subset   []*member // tierZone and tierSubset
+	suspect  []*member // servers on suspect hosts
+	budget   *budget
+	ejecting *sync.Mutex // serialises ejections of the service
+}
+
+// member is a server in a view.
+type member struct {
+	row    backend.Server
+	gate   netip.AddrPort
+	zone   host.AvailabilityZone
+	region host.Region
+	slots  uint16
+	rank   uint64 // rendezvous hash of this host and the server
+	state  *state
+}
+
+// peers returns the group of a server within which at most half are ejected.
+func (s *service) peers(id backend.ServerID) []*member {
+	has := func(m *member) bool { return m.row.ID == id }
+	for _, group := range [][]*member{s.subset, s.tiers[tierRegion], s.tiers[tierRemote], s.suspect} {
+		if slices.ContainsFunc(group, has) {
+			return group
+		}
+	}
+	return nil
+}
+
+// Update replaces the view.
+func (p *Pool) Update(v View) {
+	p.update.Lock()
+	defer p.update.Unlock()
+	now := p.config.Now()
+	old := p.view.Load()
+	next := &view{
+		services: make(map[backend.ServiceName]*service, len(v.Services)),
+		members:  make(map[backend.ServerID]*member, len(v.Servers)),
+	}
+	hosts := make(map[host.ID]host.Row, len(v.Hosts))
+	for _, h := range v.Hosts {
+		hosts[h.ID] = h
+	}
+	rows := make(map[backend.ServiceName][]backend.Server)
+	for _, row := range v.Servers {
+		rows[row.Service] = append(rows[row.Service], row)
+	}
+	for _, s := range v.Services {
+		next.services[s.Name] = p.service(s, rows[s.Name], hosts, old, next, now)
+	}
+	p.view.Store(next)
+}
+
+// service builds a service and adds its members to next.
+func (p *Pool) service(d document.Service, rows []backend.Server, hosts map[host.ID]host.Row, old, next *view, now time.Time) *service {
+	s := &service{budget: newBudget(now), ejecting: new(sync.Mutex)}
+	if o := old.services[d.Name]; o != nil {
+		s.budget, s.ejecting = o.budget, o.ejecting
+	}
+	var alive []*member
+	for _, row := range rows {
+		h, ok := hosts[row.Host]
+		if !ok || h.State > host.Suspect {
+			continue
+		}
+		m := p.member(row, d, h, old)
+		next.members[row.ID] = m
+		if row.State != backend.Ready || slices.Contains(d.SuspendedHosts, row.Host) {
+			continue
+		}
+		if h.State == host.Suspect {
+			s.suspect = append(s.suspect, m)
+		} else {
+			alive = append(alive, m)
+		}
+	}
+	p.arrange(s, alive)
+	s.ejecting.Lock()
+	defer s.ejecting.Unlock()
+	for _, group := range [][]*member{s.subset, s.tiers[tierRegion], s.tiers[tierRemote]} {
+		liftExcess(group, now)
+	}
+	return s
+}
+
+func (p *Pool) member(row backend.Server, d document.Service, h host.Row, old *view) *member {
+	m := &member{row: row, gate: h.GateAddr, zone: h.Zone, region: h.Region, slots: d.Slots}
+	if row.Slots > 0 {
+		m.slots = row.Slots
+	}
+	m.rank = rendezvous(p.config.Self, row.ID)
+	if o := old.members[row.ID]; o != nil {
+		m.state = o.state
+		return m
+	}
+	m.state = new(state)
+	_, unhealthy := p.unhealthy.Load(row.ID)
+	m.state.unhealthy.Store(unhealthy)
+	return m
+}
+
+// arrange sorts the members by distance and rank and divides them into tiers.
+func (p *Pool) arrange(s *service, alive []*member) {
+	slices.SortFunc(alive, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(p.distance(a), p.distance(b)), cmp.Compare(a.rank, b.rank), cmp.Compare(a.row.ID, b.row.ID))
+	})
+	for _, m := range alive {
+		tier := tierRemote
+		switch d := p.distance(m); {
+		case d < 2 && len(s.subset) >= SubsetSize:
+			tier = tierRegion
+		case d == 0:
+			tier = tierZone
+		case d == 1:
+			tier = tierSubset
+		}
+		if tier <= tierSubset {
+			s.subset = append(s.subset, m)
+		}
+		s.tiers[tier] = append(s.tiers[tier], m)
+	}
+}
+
+// distance is 0 in this zone, 1 in this region and 2 elsewhere.
+func (p *Pool) distance(m *member) int {
+	switch {
+	case m.region != p.config.Region:
+		return 2
+	case m.zone != p.config.Zone:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// liftExcess ends ejections, the soonest to expire first, until at most half of
+// a group is ejected. A group that got smaller may hold more than that.
+func liftExcess(group []*member, now time.Time) {
+	var ejected []*member
+	for _, m := range group {
+		if m.state.ejected(now) {
+			ejected = append(ejected, m)
+		}
+	}
+	slices.SortStableFunc(ejected, func(a, b *member) int {
+		return cmp.Compare(a.state.until.Load(), b.state.until.Load())
+	})
+	for _, m := range ejected[:max(0, len(ejected)-len(group)/2)] {
+		m.state.until.Store(0)
+	}
+}
+
+// rendezvous hashes a host and a server (FNV-1a with a final mix, because FNV
+// alone spreads the last bytes badly over the high bits).
+func rendezvous(self host.ID, id backend.ServerID) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(self) {
+		h = (h ^ uint64(self[i])) * 1099511628211
+	}
+	h *= 1099511628211 // separates the two names
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * 1099511628211
+	}
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- /dev/null
+++ b/internal/proxy/failure.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+)
+
+// failure says why a call got no response of a backend server.
+type failure struct {
+	reason  string // kebab case; label of metrics and "error" of the response
+	status  int    // 0 derives it from notRun and reason
+	notRun  bool   // it is proved that nothing was run
+	refused bool   // the gate refused the call; says nothing bad of the server
+	noRetry bool   // retries were exhausted here or deeper in the call chain
+	hint    string
+	err     error
+}
+
+// Reasons that more than one place uses.
+const (
+	reasonDeadline   = "deadline-passed"
+	reasonCallerGone = "caller-gone"
+	reasonCallID     = "call-id-mismatch"
+	reasonCut        = "response-cut"
+	reasonNoServer   = "no-server-available"
+	reasonDial       = "server-unreachable"
+)
+
+func (f *failure) code() int {
+	switch {
+	case f.status != 0:
+		return f.status
+	case f.notRun:
+		return http.StatusServiceUnavailable
+	case f.reason == reasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+func (f *failure) text() string {
+	switch {
+	case f.hint != "":
+		return f.hint
+	case f.notRun:
+		return "the call was not run; send it again"
+	default:
+		return "the call may have been run; repeat it only if that is safe, or with the same Idempotency-Key"
+	}
+}
+
+// write sends the failure as a small JSON body.
+func (f *failure) write(w http.ResponseWriter, callID string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h[HeaderCallID] = []string{callID}
+	if f.notRun {
+		h.Set(HeaderNotRun, "true")
+	} else if f.status == 0 || f.status == http.StatusConflict {
+		h.Set(HeaderOutcome, "unknown")
+	}
+	if f.noRetry {
+		h.Set(HeaderNoRetry, "true")
+	}
+	// A struct of strings always encodes.
+	body, _ := json.Marshal(struct {
+		Error  string `json:"error"`
+		CallID string `json:"call-id"`
+		Hint   string `json:"hint"`
+	}{f.reason, callID, f.text()})
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(f.code())
+	// A failed write means that the caller is gone.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/proxy/gateway.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/gate"
+)
+
+// gateway runs calls on the backend servers of this host.
+type gateway struct {
+	config Config
+	meters *meters
+}
+
+// answer is the outcome of one attempt: a reply or a failure.
+type answer struct {
+	reply   *reply
+	failure *failure
+	load    gate.Load
+	server  time.Duration // time that the backend server took
+}
+
+// ServeHTTP answers an entry of another daemon.
+func (g *gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.meters.gateInFlight.Inc()
+	defer g.meters.gateInFlight.Dec()
+	id := r.Header.Get(HeaderCallID)
+	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeoutMS), 10, 32)
+	server := backend.ServerID(r.Header.Get(HeaderServer))
+	if err != nil || ms <= 0 || id == "" || server == "" {
+		g.refuse(w, id, &failure{
+			reason: "bad-gate-request", status: http.StatusBadRequest, notRun: true,
+			hint: "the gate needs " + HeaderCallID + ", " + HeaderServer + " and " + HeaderTimeoutMS,
+		})
+		return
+	}
+	c := newCall(r, id, g.config.Now().Add(time.Duration(ms)*time.Millisecond))
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if c.body, err = readBody(r); err != nil {
+		g.refuse(w, id, &failure{reason: "request-cut", notRun: true, err: err})
+		return
+	}
+	a := g.call(ctx, c, server)
+	w.Header()[HeaderLoad] = []string{strconv.Itoa(a.load.InFlight) + "/" + strconv.Itoa(a.load.Slots)}
+	if a.failure != nil {
+		g.refuse(w, id, a.failure)
+		return
+	}
+	a.reply.header[HeaderCallID] = []string{id}
+	a.reply.header[HeaderServerUS] = []string{strconv.FormatInt(a.server.Microseconds(), 10)}
+	a.reply.relay(w)
+}
+
+func (g *gateway) refuse(w http.ResponseWriter, id string, f *failure) {
+	w.Header()[HeaderReason] = []string{f.reason}
+	if f.refused {
+		g.meters.refused.inc(f.reason)
+	}
+	f.write(w, id)
+}
+
+// call admits a call, sends it to the backend server and buffers the response.
+// The slot is held until the response was read.
+func (g *gateway) call(ctx context.Context, c *call, id backend.ServerID) answer {
+	pass, err := g.config.Gate.Enter(ctx, id)
+	if err != nil {
+		return answer{failure: refusal(err), load: g.config.Gate.Load(id)}
+	}
+	a := g.run(ctx, c, pass)
+	a.load = pass.Load()
+	if a.reply != nil && a.reply.rest != nil {
+		a.reply.rest = &leavingBody{a.reply.rest, pass}
+	} else {
+		pass.Leave()
+	}
+	return a
+}
+
+// leavingBody gives the slot back when the body is closed.
+type leavingBody struct {
+	io.ReadCloser
+	pass *gate.Pass
+}
+
+func (b *leavingBody) Close() error {
+	b.pass.Leave()
+	return b.ReadCloser.Close()
+}
+
+func refusal(err error) *failure {
+	f := &failure{notRun: true, refused: true, err: err}
+	switch {
+	case errors.Is(err, gate.ErrDeadline), errors.Is(err, gate.ErrCancelled):
+		f.reason = reasonDeadline
+	case errors.Is(err, gate.ErrFull):
+		f.reason = "server-full"
+	case errors.Is(err, gate.ErrQueueWait):
+		f.reason = "queue-timeout"
+	case errors.Is(err, gate.ErrDraining):
+		f.reason = "server-draining"
+	case errors.Is(err, gate.ErrSuspended):
+		f.reason = "host-suspended"
+	default:
+		f.reason = "server-not-ready"
+	}
+	return f
+}
+
+// run sends a call to the backend server. The deadline is checked once more,
+// because the process may have been paused.
+func (g *gateway) run(ctx context.Context, c *call, pass *gate.Pass) answer {
+	start := g.config.Now()
+	remaining := c.deadline.Sub(start)
+	if remaining <= 0 || ctx.Err() != nil {
+		return answer{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
+	}
+	addr := pass.Server().Addr.String()
+	s := send(ctx, g.config.Transports.backend(pass.Connections()), func(ctx context.Context) *http.Request {
+		return c.request(ctx, "http", addr, remaining)
+	})
+	if s.err != nil {
+		return answer{failure: sendFailure(ctx, s, reasonDial, "server-broke")}
+	}
+	if other := s.response.Header.Get(HeaderCallID); other != "" && other != c.id {
+		s.conn.Close()
+		s.response.Body.Close()
+		return answer{failure: &failure{reason: reasonCallID, err: fmt.Errorf("server answered call %s", other)}}
+	}
+	reply, err := readReply(s.response, c.method)
+	if err != nil {
+		return answer{failure: cut(ctx, err)}
+	}
+	// Only this daemon may claim proof that a call was not run: the response of
+	// a backend server shows that it was.
+	for _, name := range []string{HeaderNotRun, HeaderLoad, HeaderReason, HeaderServerUS, HeaderReplayed, HeaderCallID} {
+		delete(reply.header, name)
+	}
+	return answer{reply: reply, server: g.config.Now().Sub(start)}
+}
+
+// sendFailure classifies an error of send. unsent names the reason when nothing
+// was sent and broke when something was.
+func sendFailure(ctx context.Context, s sent, unsent, broke string) *failure {
+	f := &failure{reason: broke, notRun: s.notRun, err: s.err}
+	if s.notRun {
+		f.reason = unsent
+	}
+	if r := ended(ctx); r != "" {
+		f.reason = r
+	}
+	return f
+}
+
+// cut is the failure of a response that broke off.
+func cut(ctx context.Context, err error) *failure {
+	f := &failure{reason: reasonCut, err: err}
+	if r := ended(ctx); r != "" {
+		f.reason = r
+	} else if errors.Is(err, errNoLength) || errors.Is(err, errUpgrade) {
+		f.reason, f.hint = "bad-response", err.Error()
+	}
+	return f
+}
+
+// ended returns the reason for the end of a context, or "".
+func ended(ctx context.Context) string {
+	switch err := ctx.Err(); {
+	case errors.Is(err, context.DeadlineExceeded):
+		return reasonDeadline
+	case err != nil:
+		return reasonCallerGone
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/proxy/meters.go
@@ -0,0 +1,49 @@
+package proxy
+
+import (
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meters are the metrics of the call path. Labelled counters are looked up in
+// maps, because building the name of a metric allocates.
+type meters struct {
+	set           *metrics.Set
+	calls         labelled // by service
+	failures      labelled // by reason
+	refused       labelled // by reason
+	retries       *metrics.Counter
+	retriesDenied *metrics.Counter
+	latencyAdded  *metrics.Histogram // seconds
+	entryInFlight *metrics.Gauge
+	gateInFlight  *metrics.Gauge
+}
+
+func newMeters(set *metrics.Set) *meters {
+	return &meters{
+		set:           set,
+		calls:         labelled{set: set, name: "peridotlb_calls_total", label: "service"},
+		failures:      labelled{set: set, name: "peridotlb_failures_total", label: "reason"},
+		refused:       labelled{set: set, name: "peridotlb_refused_total", label: "reason"},
+		retries:       set.GetOrCreateCounter("peridotlb_retries_total"),
+		retriesDenied: set.GetOrCreateCounter("peridotlb_retries_denied_total"),
+		latencyAdded:  set.GetOrCreateHistogram("peridotlb_latency_added_seconds"),
+		entryInFlight: set.GetOrCreateGauge(`peridotlb_in_flight{side="entry"}`, nil),
+		gateInFlight:  set.GetOrCreateGauge(`peridotlb_in_flight{side="gate"}`, nil),
+	}
+}
+
+type labelled struct {
+	set         *metrics.Set
+	name, label string
+	counters    sync.Map // label value to *metrics.Counter
+}
+
+func (l *labelled) inc(value string) {
+	c, ok := l.counters.Load(value)
+	if !ok {
+		c, _ = l.counters.LoadOrStore(value, l.set.GetOrCreateCounter(l.name+`{`+l.label+`="`+value+`"}`))
+	}
+	c.(*metrics.Counter).Inc()
+}
--- /dev/null
+++ b/internal/proxy/paid.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"maps"
+	"net/http"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+)
+
+const (
+	// settleTimeout bounds the wait for the table after the action.
+	settleTimeout = 500 * time.Millisecond
+	// keyLimit is the longest Idempotency-Key in bytes; it is part of a row key.
+	keyLimit = 255
+)
+
+// servePaid runs a paid call at most once. The caller going away does not stop
+// a claimed call, so that its response can be recorded.
+func (x *exchange) servePaid(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	keys := r.Header.Values(headerIdempotencyKey)
+	if len(keys) != 1 || keys[0] == "" || len(keys[0]) > keyLimit {
+		x.entry.fail(w, x.call.id, &failure{
+			reason: "idempotency-key-missing", status: http.StatusBadRequest, notRun: true,
+			hint: "this call is paid: send one " + headerIdempotencyKey + " header of 1 to 255 bytes, and the same one when the call is repeated",
+		})
+		return
+	}
+	if x.call.body.rest != nil {
+		x.entry.fail(w, x.call.id, &failure{
+			reason: "request-too-large", status: http.StatusRequestEntityTooLarge, notRun: true,
+			hint: "the body of a paid call may have 64 KiB",
+		})
+		return
+	}
+	// The caller may have put the key on its list of hop-by-hop headers.
+	x.call.header["idempotency-key"] = keys
+	claim, f, recorded := x.claim(ctx, keys[0])
+	switch {
+	case f != nil:
+		x.entry.fail(w, x.call.id, f)
+	case recorded != nil:
+		x.replay(w, *recorded)
+	default:
+		x.runPaid(ctx, w, r, claim)
+	}
+}
+
+// claim takes the claim of the call. It returns one of its results.
+func (x *exchange) claim(ctx context.Context, key string) (Claim, *failure, *Answer) {
+	unconfirmed := func(err error) *failure {
+		return &failure{reason: "claim-unconfirmed", notRun: true, hint: "the call was not run, because its claim could not be confirmed; send it again with the same " + headerIdempotencyKey, err: err}
+	}
+	if x.entry.config.Claims == nil {
+		return nil, unconfirmed(errors.New("no claims")), nil
+	}
+	d, err := x.entry.config.Claims.Take(ctx, ClaimKey{x.match.Route.Name, key}, x.fingerprint())
+	if err != nil {
+		return nil, unconfirmed(err), nil
+	}
+	switch d := d.(type) {
+	case Granted:
+		return d.Claim, nil, nil
+	case Recorded:
+		return nil, nil, &d.Answer
+	case Pending:
+		return nil, &failure{reason: "claim-pending", status: http.StatusConflict, hint: "a call with this key was sent before and its outcome is not known; this one was not run"}, nil
+	case Mismatch:
+		return nil, &failure{reason: "key-reused", status: http.StatusUnprocessableEntity, notRun: true, hint: "this key was used for another request; use a new key for a new action"}, nil
+	case Unconfirmed:
+		return nil, unconfirmed(d.Err), nil
+	default:
+		return nil, unconfirmed(errors.New("unknown decision")), nil
+	}
+}
+
+func (x *exchange) fingerprint() Fingerprint {
+	h := sha256.New()
+	body := sha256.Sum256(x.call.body.buffered)
+	h.Write([]byte(x.call.method + "\n" + x.call.url.RequestURI() + "\n"))
+	h.Write(body[:])
+	return Fingerprint(h.Sum(nil))
+}
+
+// runPaid runs a claimed call, and records or releases the claim before the
+// caller gets the response: a repeated call then finds it.
+func (x *exchange) runPaid(ctx context.Context, w http.ResponseWriter, r *http.Request, claim Claim) {
+	ctx = context.WithoutCancel(ctx)
+	runCtx, cancel := context.WithDeadline(ctx, x.call.deadline)
+	defer cancel()
+	res := x.run(runCtx)
+	settle, cancelSettle := context.WithTimeout(ctx, settleTimeout)
+	defer cancelSettle()
+	var err error
+	switch {
+	case res.failure == nil:
+		err = claim.Record(settle, recordOf(res.reply))
+	case res.failure.notRun:
+		err = claim.Release(settle)
+	}
+	if err != nil {
+		var server backend.ServerID
+		if res.choice != nil {
+			server = res.choice.Server.ID
+		}
+		x.event("claim-lost", server, err.Error())
+	}
+	x.answer(w, r, res)
+}
+
+// recordOf selects what is kept of a reply.
+func recordOf(r *reply) Answer {
+	a := Answer{Status: r.status, Header: make(http.Header)}
+	for _, name := range []string{"Content-Type", "Content-Encoding", "Content-Language", "Location", "Etag", "Last-Modified", "Retry-After"} {
+		if values, ok := r.header[name]; ok {
+			a.Header[name] = values
+		}
+	}
+	if r.rest != nil || len(r.head) > AnswerLimit {
+		a.Partial = true
+		return a
+	}
+	a.Body = r.head
+	return a
+}
+
+// replay answers with a recorded response.
+func (x *exchange) replay(w http.ResponseWriter, a Answer) {
+	if a.Partial {
+		w.Header().Set(HeaderReplayed, "true")
+		x.entry.fail(w, x.call.id, &failure{
+			reason: "already-run", status: http.StatusGone,
+			hint: "the call was run before and its response was too large to be kept; it was not run again",
+		})
+		return
+	}
+	var none http.Header
+	h := http.Header{}
+	maps.Copy(h, a.Header)
+	h[HeaderReplayed] = []string{"true"}
+	h[HeaderCallID] = []string{x.call.id}
+	hasBody := x.call.method != http.MethodHead && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified
+	(&reply{status: a.Status, header: h, head: a.Body, length: int64(len(a.Body)), trailer: &none, hasBody: hasBody}).relay(w)
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,94 @@
+// Package proxy holds the HTTP handlers of the call path: the entry, which
+// callers reach, and the gate, which entries reach.
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/gate"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/pool"
+	"github.com/peridotlb/peridotlb/internal/route"
+)
+
+// Headers of the call path, in canonical form.
+const (
+	HeaderCallID    = "Peridotlb-Call-Id"
+	HeaderTimeoutMS = "Peridotlb-Timeout-Ms"
+	HeaderNotRun    = "Peridotlb-Not-Run"
+	HeaderOutcome   = "Peridotlb-Outcome"
+	HeaderLoad      = "Peridotlb-Load"
+	HeaderServer    = "Peridotlb-Server"
+	HeaderNoRetry   = "Peridotlb-No-Retry"
+	HeaderReplayed  = "Peridotlb-Replayed"
+	// HeaderReason marks a response that the gate itself made, and says why.
+	HeaderReason = "Peridotlb-Reason"
+	// HeaderServerUS is the time that the backend server took, in microseconds.
+	HeaderServerUS = "Peridotlb-Server-Us"
+
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
+// bufferLimit is the size in bytes up to which request and response bodies are
+// buffered as a whole.
+const bufferLimit = 64 << 10
+
+// Event is an entry of the time line.
+type Event struct {
+	Kind   string // kebab case: retry-denied, ejected, claim-lost or call-id-mismatch
+	CallID string
+	Server backend.ServerID
+	Detail string
+}
+
+// EjectedEvent is the event for pool.Config.Ejected.
+func EjectedEvent(server backend.ServerID, d time.Duration) Event {
+	return Event{Kind: "ejected", Server: server, Detail: "for " + d.String()}
+}
+
+// Config holds what the handlers work with. The entry and the gate of a daemon
+// share one Config.
+type Config struct {
+	Self       host.ID
+	Routes     func() *route.Table // nil table: no version is applied yet
+	Pool       *pool.Pool
+	Gate       *gate.Gate
+	Claims     Claims // nil refuses paid calls
+	Transports *Transports
+	Now        func() time.Time // nil takes time.Now
+	Events     func(Event)      // nil for none
+	Metrics    *metrics.Set     // nil takes a new set
+}
+
+func (c Config) complete() Config {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Events == nil {
+		c.Events = func(Event) {}
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.Transports == nil {
+		c.Transports = NewTransports(TransportConfig{})
+	}
+	return c
+}
+
+// NewEntry returns the handler for callers.
+func NewEntry(c Config) http.Handler {
+	c = c.complete()
+	m := newMeters(c.Metrics)
+	return &entry{config: c, meters: m, gate: &gateway{config: c, meters: m}, ids: newCallIDs()}
+}
+
+// NewGate returns the handler for the entries of other daemons.
+func NewGate(c Config) http.Handler {
+	c = c.complete()
+	return &gateway{config: c, meters: newMeters(c.Metrics)}
+}
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,218 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/gate"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/pool"
+	"github.com/peridotlb/peridotlb/internal/route"
+)
+
+// mesh is an entry on host "entry" and one gate host per backend server.
+type mesh struct {
+	t       testing.TB
+	service document.Service
+	routes  []document.Route
+	claims  Claims
+	local   bool // the servers are on the host of the entry
+	now     func() time.Time
+
+	set    *metrics.Set
+	events []Event
+	mu     sync.Mutex
+	pool   *pool.Pool
+	gate   *gate.Gate // of the entry, or of the first server's host
+	entry  *httptest.Server
+}
+
+func newMesh(t testing.TB) *mesh {
+	return &mesh{
+		t:       t,
+		service: document.Service{Name: "stock", Slots: 9, Connections: 130},
+		routes: []document.Route{
+			{Name: "read", PathPrefix: "/stock", Service: "stock", Timeout: 5 * time.Second, Retries: 2},
+			{Name: "refill", PathPrefix: "/refill", Service: "stock", Timeout: 5 * time.Second, Paid: true},
+		},
+		claims: &fakeClaims{}, set: metrics.NewSet(),
+	}
+}
+
+func (m *mesh) event(e Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.events = append(m.events, e)
+}
+
+// start builds the mesh with gates in front of the backend servers.
+func (m *mesh) start(servers ...http.Handler) *mesh {
+	var rows []backend.Server
+	for i, h := range servers {
+		s := httptest.NewServer(h)
+		m.t.Cleanup(s.Close)
+		rows = append(rows, m.row(i, s))
+	}
+	return m.startRows(rows, nil)
+}
+
+func (m *mesh) row(i int, s *httptest.Server) backend.Server {
+	return backend.Server{
+		ID: backend.ServerID(fmt.Sprintf("stock-%d", i)), Service: "stock", Host: host.ID(fmt.Sprintf("host-%d", i)),
+		Addr: address(s), State: backend.Ready, Stamp: host.Stamp{Incarnation: 1, Sequence: 1},
+	}
+}
+
+func address(s *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+// startRows builds the mesh; gates replaces the gate of a server.
+func (m *mesh) startRows(rows []backend.Server, gates map[backend.ServerID]netip.AddrPort) *mesh {
+	services := []document.Service{m.service}
+	table := route.FromDocument(1, document.Document{Sections: []document.Section{{Name: "s", Services: services, Routes: m.routes}}})
+	m.pool = pool.New(pool.Config{Self: "entry", Zone: "a", Region: "r", Now: m.now})
+	base := Config{Routes: func() *route.Table { return table }, Claims: m.claims, Events: m.event, Now: m.now}
+	hosts := []host.Row{{ID: "entry", Zone: "a", Region: "r"}}
+	for i, row := range rows {
+		if m.local {
+			rows[i].Host = "entry"
+			continue
+		}
+		addr, ok := gates[row.ID]
+		if !ok {
+			c := base
+			c.Self, c.Gate = row.Host, gate.New(gate.Config{Self: row.Host, Now: m.now})
+			c.Gate.Update(services, rows)
+			if m.gate == nil {
+				m.gate = c.Gate
+			}
+			s := httptest.NewServer(NewGate(c))
+			m.t.Cleanup(s.Close)
+			addr = address(s)
+		}
+		hosts = append(hosts, host.Row{ID: row.Host, Zone: "a", Region: "r", GateAddr: addr})
+	}
+	m.pool.Update(pool.View{Services: services, Hosts: hosts, Servers: rows})
+	c := base
+	c.Self, c.Pool, c.Gate, c.Metrics = "entry", m.pool, gate.New(gate.Config{Self: "entry", Now: m.now}), m.set
+	c.Gate.Update(services, rows)
+	if m.local {
+		m.gate = c.Gate
+	}
+	m.entry = httptest.NewServer(NewEntry(c))
+	m.t.Cleanup(m.entry.Close)
+	return m
+}
+
+// response is a response with its body read.
+type response struct {
+	*http.Response
+	body string
+	err  error // of reading the body
+}
+
+func (m *mesh) do(method, path, body string, header ...string) response {
+	m.t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), method, m.entry.URL+path, strings.NewReader(body))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return response{resp, string(data), err}
+}
+
+// fakeClaims keeps claims in memory.
+type fakeClaims struct {
+	mu       sync.Mutex
+	taken    map[ClaimKey]Decision
+	prints   map[ClaimKey]Fingerprint
+	decision Decision // overrides the answer to Take
+	fail     error    // of Record and Release
+	released int
+}
+
+type fakeClaim struct {
+	claims *fakeClaims
+	key    ClaimKey
+}
+
+func (c *fakeClaims) Take(_ context.Context, key ClaimKey, f Fingerprint) (Decision, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.decision != nil {
+		return c.decision, nil
+	}
+	if c.taken == nil {
+		c.taken, c.prints = map[ClaimKey]Decision{}, map[ClaimKey]Fingerprint{}
+	}
+	if d := c.taken[key]; d != nil {
+		if c.prints[key] != f {
+			return Mismatch{}, nil
+		}
+		return d, nil
+	}
+	c.taken[key], c.prints[key] = Pending{}, f
+	return Granted{fakeClaim{c, key}}, nil
+}
+
+func (c fakeClaim) Record(_ context.Context, a Answer) error {
+	c.claims.mu.Lock()
+	defer c.claims.mu.Unlock()
+	c.claims.taken[c.key] = Recorded{a}
+	return c.claims.fail
+}
+
+func (c fakeClaim) Release(context.Context) error {
+	c.claims.mu.Lock()
+	defer c.claims.mu.Unlock()
+	c.claims.released++
+	delete(c.claims.taken, c.key)
+	return c.claims.fail
+}
+
+// Guards against calls that lose their method, path, headers or body on the
+// way, locally and through a gate.
+func TestCallReachesServer(t *testing.T) {
+	for _, local := range []bool{false, true} {
+		m := newMesh(t)
+		m.local = local
+		m.start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			w.Header().Set("X-Answer", r.Header.Get("X-Question"))
+			if r.Header.Get("X-Hop") != "" {
+				t.Error("hop-by-hop header was passed on")
+			}
+			fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), body)
+		}))
+		for _, method := range []string{"GET", "POST", "DELETE"} {
+			got := m.do(method, "/stock/a%2Fb?x=1", "beads", "X-Question", "42", "X-Hop", "1", "Connection", "X-Hop")
+			if want := method + " /stock/a%2Fb?x=1 beads"; got.StatusCode != 200 || got.body != want {
+				t.Errorf("got %d %q, want 200 %q", got.StatusCode, got.body, want)
+			}
+			if got.Header.Get("X-Answer") != "42" || got.Header.Get(HeaderCallID) == "" {
+				t.Errorf("got headers %v, want X-Answer and a call id", got.Header)
+			}
+		}
+	}
+}
