Remove the held message from the codec

Nothing sends it since versions are no longer copied before they are applied. The tests that used its shape use announce, which has the same.

--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -49,7 +49,6 @@
 	KindAnnounce
 	KindFetch
 	KindDelta
-	KindHeld
 	KindNews
 	KindSyncRequest
 	KindSync
@@ -71,7 +70,6 @@
 	KindAnnounce:       {"announce", Announce{}},
 	KindFetch:          {"fetch", Fetch{}},
 	KindDelta:          {"delta", Delta{}},
-	KindHeld:           {"held", Held{}},
 	KindNews:           {"news", News{}},
 	KindSyncRequest:    {"sync-request", SyncRequest{}},
 	KindSync:           {"sync", Sync{}},
--- a/internal/message/codec_test.go
+++ b/internal/message/codec_test.go
@@ -123,14 +123,14 @@
 		"unknown flags":   {with(KindProbe|flagBased, valid[2:]...), "flags"},
 		"trailing byte":   {append(bytes.Clone(valid), 0), "extraneous data"},
 		"truncated":       {valid[:len(valid)-1], "EOF"},
-		"unknown field":   {with(KindHeld, body(t, map[int]int{1: 1, 9: 1})...), "unknown field"},
-		"missing field":   {with(KindHeld, 0xa0), "canonical"},
-		"null":            {with(KindHeld, 0xa1, 0x01, 0xf6), "canonical"},
-		"long number":     {with(KindHeld, 0xa1, 0x01, 0x18, 0x01), "canonical"},
-		"duplicate key":   {with(KindHeld, 0xa2, 0x01, 0x01, 0x01, 0x02), "duplicate"},
-		"indefinite":      {with(KindHeld, 0xbf, 0x01, 0x01, 0xff), "indefinite"},
-		"tag":             {with(KindHeld, 0xa1, 0x01, 0xc1, 0x01), "tag"},
-		"wrong type":      {with(KindHeld, 0xa1, 0x01, 0x61, 'x'), "cannot unmarshal"},
+		"unknown field":   {with(KindAnnounce, body(t, map[int]int{1: 1, 9: 1})...), "unknown field"},
+		"missing field":   {with(KindAnnounce, 0xa0), "canonical"},
+		"null":            {with(KindAnnounce, 0xa1, 0x01, 0xf6), "canonical"},
+		"long number":     {with(KindAnnounce, 0xa1, 0x01, 0x18, 0x01), "canonical"},
+		"duplicate key":   {with(KindAnnounce, 0xa2, 0x01, 0x01, 0x01, 0x02), "duplicate"},
+		"indefinite":      {with(KindAnnounce, 0xbf, 0x01, 0x01, 0xff), "indefinite"},
+		"tag":             {with(KindAnnounce, 0xa1, 0x01, 0xc1, 0x01), "tag"},
+		"wrong type":      {with(KindAnnounce, 0xa1, 0x01, 0x61, 'x'), "cannot unmarshal"},
 		"deep":            {with(KindNews, append([]byte{0xa1, 0x01}, bytes.Repeat([]byte{0x81}, 20)...)...), "nested"},
 		"many elements":   {many, "exceeded max number of elements"},
 		"too long":        {make([]byte, MaxSize+1), "exceeds the limit"},
@@ -149,7 +149,7 @@
 func FuzzDecode(f *testing.F) {
 	row := host.Row{ID: "pwani-a-1", Zone: "pwani-a", Region: "pwani", ControlAddr: netip.MustParseAddrPort("127.1.0.1:7000")}
 	for _, m := range []Message{
-		Probe{Nonce: 1, Head: Head{Secured: 3, Applied: 3, Rows: 1 << 60}},
+		Probe{Nonce: 1, Head: Head{Known: 3, Held: 3, Rows: 1 << 60}},
 		Delta{Manifest: version.Manifest{Number: 2, Sections: []version.SectionRef{{Name: "stock"}}}, Blobs: []Blob{bytes.Repeat([]byte("stock "), 100)}},
 		News{Hosts: []host.Row{row}, Servers: []backend.Server{{ID: "bead-stock-1", Addr: row.ControlAddr}}},
 		SyncRequest{Hashes: map[host.AvailabilityZone]uint64{"pwani-a": 1}},
@@ -216,7 +216,7 @@
 	base := holding(8, blobs...)
 	blobs[5] = bytes.Replace(blobs[5], []byte("timeout 1"), []byte("timeout 73"), 1)
 	next := holding(9, blobs...)
-	d := Delta{Manifest: next.manifest, Base: 8, Secured: true, Blobs: []Blob{blobs[5]}}
+	d := Delta{Manifest: next.manifest, Base: 8, Blobs: []Blob{blobs[5]}}
 	c := Codec{Held: func(n version.Number) (Snapshot, bool) { return base, n == 8 }}
 	based, err := c.Encode(d)
 	if err != nil {
@@ -286,7 +286,7 @@
 }
 
 func BenchmarkDecodeProbe(b *testing.B) {
-	data, _ := Encode(Probe{Nonce: 7, Stamp: host.Stamp{Incarnation: 1 << 40, Sequence: 5}, Head: Head{Secured: 900, Applied: 900, Rows: 1 << 63}})
+	data, _ := Encode(Probe{Nonce: 7, Stamp: host.Stamp{Incarnation: 1 << 40, Sequence: 5}, Head: Head{Known: 900, Held: 900, Rows: 1 << 63}})
 	b.ReportMetric(float64(len(data)), "bytes")
 	for b.Loop() {
 		if _, err := Decode(data); err != nil {
