Tell the daemon which versions are held

The codec compresses deltas against held versions, so that the transport needs them. A push to a peer whose version is not known brings the whole version: a guessed base that the peer lacks would make the message undecodable.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,8 +19,7 @@
 // runs the systems too.
 type Tick struct{}
 
-// Received is a message from another daemon. From is its control address; ID
-// is its host when the sender is known.
+// Received is a message from another daemon. From is its control address.
 type Received struct {
 	From    netip.AddrPort
 	Message message.Message
@@ -64,6 +63,9 @@
 	Message message.Message
 }
 
+// Hold keeps a snapshot as a base for deltas. The last HeldVersions are kept.
+type Hold struct{ Snapshot version.Snapshot }
+
 // Apply puts a snapshot into force on this host.
 type Apply struct{ Snapshot version.Snapshot }
 
@@ -106,6 +108,7 @@
 func (Leaving) isEvent()         {}
 
 func (Send) isEffect()           {}
+func (Hold) isEffect()           {}
 func (Apply) isEffect()          {}
 func (ServersChanged) isEffect() {}
 func (ReadHead) isEffect()       {}
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// heldVersions is the number of versions kept as bases for deltas.
-	heldVersions     = 16
+	// HeldVersions is the number of versions kept as bases for deltas.
+	HeldVersions     = 16
 	fetchTimeout     = 500 * time.Millisecond
 	linkFetchTimeout = 3 * time.Second
 	// fullDeltasPerSecond limits the whole versions that one daemon sends in a
@@ -53,7 +53,7 @@
 // hold keeps a snapshot as a base for deltas and removes the oldest ones.
 func (v *versionState) hold(s version.Snapshot) {
 	v.held[s.Number()] = s
-	for len(v.held) > heldVersions {
+	for len(v.held) > HeldVersions {
 		delete(v.held, slices.Min(slices.Collect(maps.Keys(v.held))))
 	}
 }
@@ -66,6 +66,7 @@
 		return
 	}
 	v.hold(s)
+	c.emit(Hold{Snapshot: s})
 	v.newest = s.Number()
 	v.known = max(v.known, v.newest)
 	v.fetch = nil
@@ -119,24 +120,8 @@
 	}
 }
 
-// baseFor returns the version that a peer is known to hold, or else the one
-// before the newest.
-func (c *Core) baseFor(addr netip.AddrPort) version.Number {
-	if n, ok := c.versions.heads[addr]; ok {
-		return n
-	}
-	return c.previousHeld(c.versions.newest)
-}
-
-func (c *Core) previousHeld(n version.Number) version.Number {
-	var previous version.Number
-	for k := range c.versions.held {
-		if k < n {
-			previous = max(previous, k)
-		}
-	}
-	return previous
-}
+// baseFor returns the version that a peer is known to hold, or zero.
+func (c *Core) baseFor(addr netip.AddrPort) version.Number { return c.versions.heads[addr] }
 
 // delta builds the message that brings a snapshot to a holder of base.
 func (c *Core) delta(s version.Snapshot, base version.Number) message.Delta {
