Platform adapter for DynamoDB and S3, and a stand-in

Cause: daemons need the platform's table and object store through their published protocols, and tests need the same protocols with faults.

Considered: a partition per kind of row against one partition for all. One partition keeps every prefix scan ordered, and its limits are above the part of the platform that peridotlb may use. The SDK's retries are off for commits only. A transaction cancelled or refused without a failed condition or a conflict, for example by throttling, is reported as unknown: callers resolve that by reading, which is safe. Size limits are checked before sending, since the service's refusal would otherwise be unknown on every attempt.

--- a/internal/platform/memory.go
+++ b/internal/platform/memory.go
@@ -7,14 +7,22 @@
 	"slices"
 	"strings"
 	"sync"
+	"unicode/utf8"
 )
 
-// MaxWrites is the largest number of writes in one transaction, a limit of
-// DynamoDB's TransactWriteItems.
-const MaxWrites = 100
+// Limits of a transaction, from DynamoDB's TransactWriteItems: 100 items of at
+// most 400 KB, 4 MB together, and a sort key of at most 1,024 bytes. MaxValue
+// leaves 10 KiB of an item for the key and the attribute names.
+const (
+	MaxWrites      = 100
+	MaxKey         = 1024       // bytes
+	MaxValue       = 390 << 10  // bytes
+	MaxTransaction = 4000 << 10 // bytes of keys and values
+)
 
 // ErrInvalid is wrapped by the error of a transaction that the service would
-// never accept: too many writes, an empty key or two writes to one row.
+// never accept: a limit is exceeded, a key is empty or not UTF-8, or a row is
+// written twice.
 var ErrInvalid = errors.New("invalid transaction")
 
 // Memory is a Service in the memory of this process. It is safe for concurrent
@@ -142,12 +150,21 @@
 	if len(writes) == 0 || len(writes) > MaxWrites {
 		return fmt.Errorf("%w: %d writes, want 1 to %d", ErrInvalid, len(writes), MaxWrites)
 	}
-	seen := make(map[Key]bool, len(writes))
+	seen, size := make(map[Key]bool, len(writes)), 0
 	for _, w := range writes {
-		if w.Key == "" || seen[w.Key] {
-			return fmt.Errorf("%w: key %q is empty or written twice", ErrInvalid, w.Key)
+		size += len(w.Key) + len(w.Value)
+		switch {
+		case w.Key == "" || len(w.Key) > MaxKey || !utf8.ValidString(string(w.Key)):
+			return fmt.Errorf("%w: key %.64q is empty, not UTF-8 or above %d bytes", ErrInvalid, w.Key, MaxKey)
+		case seen[w.Key]:
+			return fmt.Errorf("%w: row %q is written twice", ErrInvalid, w.Key)
+		case len(w.Value) > MaxValue:
+			return fmt.Errorf("%w: row %q has %d bytes, want at most %d", ErrInvalid, w.Key, len(w.Value), MaxValue)
 		}
 		seen[w.Key] = true
 	}
+	if size > MaxTransaction {
+		return fmt.Errorf("%w: %d bytes, want at most %d", ErrInvalid, size, MaxTransaction)
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/platform/remote_test.go
@@ -0,0 +1,252 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/peridotlb/peridotlb/internal/platform"
+	"github.com/peridotlb/peridotlb/test/platform/stand"
+)
+
+func connect(t *testing.T, handler http.Handler, timeout time.Duration) *platform.Remote {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return remote(t, server.URL, timeout)
+}
+
+func remote(t *testing.T, endpoint string, timeout time.Duration) *platform.Remote {
+	t.Helper()
+	r, err := platform.New(platform.Config{
+		TableEndpoint: endpoint, ObjectEndpoint: endpoint, Region: "pwani", AccessKey: "access", SecretKey: "secret",
+		Table: "peridotlb", Bucket: "peridotlb", TableTimeout: timeout,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+// Guards against a difference between the adapter and Memory: the same
+// transactions, reads and scans must give the same results on both.
+func TestRemoteBehavesLikeMemory(t *testing.T) {
+	server := httptest.NewServer(nil)
+	defer server.Close()
+	far := remote(t, server.URL, 0)
+	key := rapid.SampledFrom([]platform.Key{"head", "host/a", "host/b", "host/b/1", "host0", "hosu", "claim/é"})
+	prefix := rapid.SampledFrom([]platform.Key{"", "host/", "host", "claim/", "none"})
+	rapid.Check(t, func(t *rapid.T) {
+		server.Config.Handler = stand.New(stand.Config{})
+		ctx, near := context.Background(), platform.NewMemory()
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			var writes []platform.Write
+			for _, k := range rapid.SliceOfNDistinct(key, 1, 4, rapid.ID).Draw(t, "keys") {
+				writes = append(writes, platform.Write{
+					Key: k, If: platform.Revision(rapid.IntRange(0, 2).Draw(t, "if")),
+					Value: rapid.SliceOf(rapid.Byte()).Draw(t, "value"), Delete: rapid.Bool().Draw(t, "delete"),
+				})
+			}
+			want, _ := near.Commit(ctx, writes...)
+			got, err := far.Commit(ctx, writes...)
+			if err != nil || got.Outcome != want.Outcome || !slices.Equal(got.Failed, want.Failed) {
+				t.Fatalf("commit: got %v, %v, want %v", got, err, want)
+			}
+			keys := rapid.SliceOfN(key, 1, 4).Draw(t, "read")
+			wantRows, _ := near.Get(ctx, keys...)
+			gotRows, err := far.Get(ctx, keys...)
+			same(t, gotRows, wantRows, err)
+			p, after, limit := prefix.Draw(t, "prefix"), prefix.Draw(t, "after"), rapid.IntRange(0, 3).Draw(t, "limit")
+			wantRows, _ = near.Scan(ctx, p, after, limit)
+			gotRows, err = far.Scan(ctx, p, after, limit)
+			same(t, gotRows, wantRows, err)
+		}
+	})
+}
+
+func same(t *rapid.T, got, want []platform.Row, err error) {
+	equal := func(a, b platform.Row) bool {
+		return a.Key == b.Key && a.Revision == b.Revision && bytes.Equal(a.Value, b.Value)
+	}
+	if err != nil || !slices.EqualFunc(got, want, equal) {
+		t.Fatalf("got rows %v, %v, want %v", got, err, want)
+	}
+}
+
+// Guards against an outcome that claims more than is known: each fault must
+// map to the outcome of the interface, and the write must be where it says.
+func TestCommitOutcomes(t *testing.T) {
+	broken := func(status int, body string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/x-amz-json-1.0")
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		})
+	}
+	cancelledBy := func(code string) http.Handler {
+		return broken(400, `{"__type":"x#TransactionCanceledException","message":"m","CancellationReasons":[{"Code":"`+code+`"}]}`)
+	}
+	faulty := func(f stand.Faults) http.Handler {
+		p := stand.New(stand.Config{})
+		p.SetFaults(f)
+		return p
+	}
+	for _, c := range []struct {
+		name    string
+		handler http.Handler
+		want    platform.Outcome
+		applied bool
+		fails   bool
+	}{
+		{"no fault", faulty(stand.Faults{}), platform.Applied, true, false},
+		{"lost answer", faulty(stand.Faults{LoseAnswers: 1}), platform.Unknown, true, true},
+		{"down", faulty(stand.Faults{Down: true}), platform.Unknown, false, true},
+		{"timeout", faulty(stand.Faults{SlowMS: 300}), platform.Unknown, true, true},
+		{"conflict", cancelledBy("TransactionConflict"), platform.NotApplied, false, false},
+		{"condition", cancelledBy("ConditionalCheckFailed"), platform.NotApplied, false, false},
+		{"throttled", cancelledBy("ThrottlingError"), platform.Unknown, false, true},
+		{"server error", broken(500, `{}`), platform.Unknown, false, true},
+		{"unreadable answer", broken(200, `{"a`), platform.Unknown, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			requests := 0
+			counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				requests++
+				c.handler.ServeHTTP(w, r)
+			})
+			server := httptest.NewServer(counted)
+			far := remote(t, server.URL, 200*time.Millisecond)
+			got, err := far.Commit(context.Background(), platform.Write{Key: "a", Value: []byte("1")})
+			server.Close() // waits for the requests in flight
+			if got.Outcome != c.want || (err != nil) != c.fails || requests != 1 {
+				t.Fatalf("got %v, %v after %d requests, want %v after 1", got.Outcome, err, requests, c.want)
+			}
+			if p, ok := c.handler.(*stand.Platform); ok {
+				rows, _ := p.Memory().Get(context.Background(), "a")
+				if got := rows[0].Revision == 1; got != c.applied {
+					t.Errorf("got applied %v, want %v", got, c.applied)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a lost answer on a reused connection being repaired by the
+// transport: it would send the transaction a second time.
+func TestLostAnswerOnReusedConnectionIsUnknown(t *testing.T) {
+	p := stand.New(stand.Config{})
+	far := connect(t, p, 0)
+	ctx := context.Background()
+	for i := range 3 {
+		p.SetFaults(stand.Faults{})
+		if got, err := far.Commit(ctx, platform.Write{Key: platform.Key(fmt.Sprint("a", i))}); got.Outcome != platform.Applied {
+			t.Fatalf("got %v, %v, want applied", got.Outcome, err)
+		}
+		p.SetFaults(stand.Faults{LoseAnswers: 1})
+		if got, err := far.Commit(ctx, platform.Write{Key: platform.Key(fmt.Sprint("b", i))}); got.Outcome != platform.Unknown || err == nil {
+			t.Fatalf("got %v, %v, want unknown and an error", got.Outcome, err)
+		}
+	}
+	if got, want := p.Counters().WriteRequests, uint64(6); got != want {
+		t.Errorf("got %d write requests, want %d", got, want)
+	}
+}
+
+// Guards against "unknown" for a transaction that never left the process.
+func TestCommitNotSentIsNotApplied(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	far := remote(t, "http://"+listener.Addr().String(), 0)
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for name, ctx := range map[string]context.Context{"refused dial": context.Background(), "cancelled": cancelled} {
+		got, err := far.Commit(ctx, platform.Write{Key: "a"})
+		if got.Outcome != platform.NotApplied || err == nil {
+			t.Errorf("%s: got %v, %v, want not-applied and an error", name, got.Outcome, err)
+		}
+	}
+}
+
+// Guards against rows lost between pages of a Query or between the parts of a
+// batch, and against reads that give up at the first throttling error.
+func TestReadsFollowPagesAndRetries(t *testing.T) {
+	p := stand.New(stand.Config{})
+	far := connect(t, p, 0)
+	ctx := context.Background()
+	var want []platform.Key
+	for i := range 120 {
+		want = append(want, platform.Key(fmt.Sprintf("host/%03d", i)))
+		write := platform.Write{Key: want[i], Value: bytes.Repeat([]byte{1}, 20_000)}
+		if got, err := p.Memory().Commit(ctx, write); got.Outcome != platform.Applied {
+			t.Fatal(err)
+		}
+	}
+	p.SetFaults(stand.Faults{ReadsPerSecond: 1000})
+	for range 9 { // uses up the allowance
+		if _, err := far.Get(ctx, want...); err != nil {
+			t.Fatal(err)
+		}
+	}
+	scanned, err := far.Scan(ctx, "host/", "", 1000)
+	if got := keysOf(scanned); err != nil || !slices.Equal(got, want) {
+		t.Errorf("scan: got %d rows, %v, want %d", len(got), err, len(want))
+	}
+	read, err := far.Get(ctx, want...)
+	if got := keysOf(read); err != nil || !slices.Equal(got, want) || read[119].Revision != 1 {
+		t.Errorf("get: got %d rows, %v, want %d", len(got), err, len(want))
+	}
+}
+
+func keysOf(rows []platform.Row) (keys []platform.Key) {
+	for _, row := range rows {
+		keys = append(keys, row.Key)
+	}
+	return keys
+}
+
+// Guards against objects that change on the way, and against an absent object
+// that looks like an outage.
+func TestObjects(t *testing.T) {
+	p := stand.New(stand.Config{})
+	far := connect(t, p, 0)
+	ctx, want := context.Background(), bytes.Repeat([]byte("bead "), 100_000)
+	if _, err := far.GetObject(ctx, "section/1"); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("got %v, want ErrNotFound", err)
+	}
+	for range 2 {
+		if err := far.PutObject(ctx, "section/1", want); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, err := far.GetObject(ctx, "section/1"); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("got %d bytes, %v, want %d", len(got), err, len(want))
+	}
+	p.SetFaults(stand.Faults{Down: true})
+	if _, err := far.GetObject(ctx, "section/1"); err == nil || errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("got %v, want an error other than ErrNotFound", err)
+	}
+}
+
+// Guards against a configuration that fails only at the first request.
+func TestConfigNamesEveryMissingField(t *testing.T) {
+	_, err := platform.New(platform.Config{Region: "pwani"})
+	for _, want := range []string{"table endpoint", "object endpoint", "access key", "secret key", "bucket"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want it to name %q", err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/table.go
@@ -0,0 +1,284 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptrace"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+)
+
+// Schema of the table. All rows are in one partition, because only a Query
+// within a partition returns rows in the order of keys. A DynamoDB partition
+// takes 1,000 write units and 3,000 read units a second, above the 75 writes
+// and 500 reads a second that peridotlb may use.
+const (
+	// Partition is the value of the partition key of every row.
+	Partition = "peridotlb"
+	// AttributePartition is the partition key, a string.
+	AttributePartition = "partition"
+	// AttributeKey is the sort key, a string: the key of the row.
+	AttributeKey = "key"
+	// AttributeValue is the value of the row, binary.
+	AttributeValue = "value"
+	// AttributeRevision is the revision of the row, a number.
+	AttributeRevision = "revision"
+)
+
+// Conditions of a write. Placeholders stand for all names, because "key",
+// "value" and "partition" are reserved words of the protocol.
+const (
+	// ConditionAbsent requires the row to be absent.
+	ConditionAbsent = "attribute_not_exists(#key)"
+	// ConditionRevision requires the row to have the revision :revision.
+	ConditionRevision = "#revision = :revision"
+	// QueryAll selects all rows.
+	QueryAll = "#partition = :partition"
+	// QueryPrefix selects the rows whose key starts with :prefix.
+	QueryPrefix = QueryAll + " AND begins_with(#key, :prefix)"
+)
+
+// maxBatchGet is the largest number of keys in one BatchGetItem request.
+const maxBatchGet = 100
+
+// Get implements Table.
+func (r *Remote) Get(ctx context.Context, keys ...Key) ([]Row, error) {
+	found := make(map[Key]Row, len(keys))
+	distinct := slices.Compact(slices.Sorted(slices.Values(keys)))
+	for chunk := range slices.Chunk(distinct, maxBatchGet) {
+		read := r.getBatch
+		if len(chunk) == 1 {
+			read = r.getOne
+		}
+		if err := read(ctx, chunk, found); err != nil {
+			return nil, fmt.Errorf("get rows: %w", err)
+		}
+	}
+	rows := make([]Row, len(keys))
+	for i, key := range keys {
+		rows[i] = found[key]
+		rows[i].Key = key
+	}
+	return rows, nil
+}
+
+func (r *Remote) getOne(ctx context.Context, keys []Key, found map[Key]Row) error {
+	out, err := r.table.GetItem(ctx, &dynamodb.GetItemInput{
+		TableName:      &r.tableName,
+		Key:            keyItem(keys[0]),
+		ConsistentRead: aws.Bool(true),
+	})
+	if err != nil {
+		return err
+	}
+	if out.Item == nil {
+		return nil
+	}
+	return collect(found, out.Item)
+}
+
+// getBatch reads keys; the service may leave some of them for another request.
+func (r *Remote) getBatch(ctx context.Context, keys []Key, found map[Key]Row) error {
+	wanted := types.KeysAndAttributes{ConsistentRead: aws.Bool(true)}
+	for _, key := range keys {
+		wanted.Keys = append(wanted.Keys, keyItem(key))
+	}
+	for delay := 10 * time.Millisecond; len(wanted.Keys) > 0; delay = min(2*delay, maxRetryDelay) {
+		out, err := r.table.BatchGetItem(ctx, &dynamodb.BatchGetItemInput{
+			RequestItems: map[string]types.KeysAndAttributes{r.tableName: wanted},
+		})
+		if err != nil {
+			return err
+		}
+		if err := collect(found, out.Responses[r.tableName]...); err != nil {
+			return err
+		}
+		wanted.Keys = out.UnprocessedKeys[r.tableName].Keys
+		if len(wanted.Keys) > 0 {
+			if err := sleep(ctx, delay); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Scan implements Table.
+func (r *Remote) Scan(ctx context.Context, prefix, after Key, limit int) ([]Row, error) {
+	in := &dynamodb.QueryInput{
+		TableName:                 &r.tableName,
+		ConsistentRead:            aws.Bool(true),
+		KeyConditionExpression:    aws.String(QueryAll),
+		ExpressionAttributeNames:  map[string]string{"#partition": AttributePartition},
+		ExpressionAttributeValues: map[string]types.AttributeValue{":partition": text(Partition)},
+	}
+	if prefix != "" {
+		in.KeyConditionExpression = aws.String(QueryPrefix)
+		in.ExpressionAttributeNames["#key"] = AttributeKey
+		in.ExpressionAttributeValues[":prefix"] = text(string(prefix))
+	}
+	switch {
+	case after == "" || after < prefix:
+	case strings.HasPrefix(string(after), string(prefix)):
+		in.ExclusiveStartKey = keyItem(after)
+	default: // after is above every key with the prefix
+		return nil, nil
+	}
+	rows, err := r.query(ctx, in, limit)
+	if err != nil {
+		return nil, fmt.Errorf("scan rows: %w", err)
+	}
+	return rows, nil
+}
+
+// query follows the pages of a Query; the service ends a page at 1 MB.
+func (r *Remote) query(ctx context.Context, in *dynamodb.QueryInput, limit int) ([]Row, error) {
+	var rows []Row
+	for len(rows) < limit {
+		in.Limit = aws.Int32(int32(min(limit-len(rows), 1<<20)))
+		out, err := r.table.Query(ctx, in)
+		if err != nil {
+			return nil, err
+		}
+		for _, item := range out.Items {
+			row, err := rowOf(item)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, row)
+		}
+		if len(out.LastEvaluatedKey) == 0 {
+			break
+		}
+		in.ExclusiveStartKey = out.LastEvaluatedKey
+	}
+	return rows, nil
+}
+
+// Commit implements Table. The SDK does not retry it: a repeated transaction
+// whose first answer was lost would fail on its own condition and be reported
+// as not applied.
+func (r *Remote) Commit(ctx context.Context, writes ...Write) (Result, error) {
+	if err := checkWrites(writes); err != nil {
+		return Result{Outcome: NotApplied}, fmt.Errorf("commit: %w", err)
+	}
+	in := &dynamodb.TransactWriteItemsInput{}
+	for _, w := range writes {
+		in.TransactItems = append(in.TransactItems, r.transactItem(w))
+	}
+	// Bytes can only be sent after the transport obtained a connection.
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	_, err := r.table.TransactWriteItems(ctx, in, func(o *dynamodb.Options) { o.Retryer = aws.NopRetryer{} })
+	if err == nil {
+		return Result{Outcome: Applied}, nil
+	}
+	if result, ok := cancelled(err); ok {
+		return result, nil
+	}
+	if !connected.Load() {
+		return Result{Outcome: NotApplied}, fmt.Errorf("commit not sent: %w", err)
+	}
+	return Result{Outcome: Unknown}, fmt.Errorf("commit: %w", err)
+}
+
+// cancelled reads the reasons of a cancelled transaction. It reports false when
+// no condition failed and no other transaction was in conflict, for example
+// when the service throttled the request.
+func cancelled(err error) (Result, bool) {
+	var cancel *types.TransactionCanceledException
+	if !errors.As(err, &cancel) {
+		return Result{}, false
+	}
+	result, ok := Result{Outcome: NotApplied}, false
+	for i, reason := range cancel.CancellationReasons {
+		switch aws.ToString(reason.Code) {
+		case "ConditionalCheckFailed":
+			result.Failed, ok = append(result.Failed, i), true
+		case "TransactionConflict":
+			ok = true
+		}
+	}
+	return result, ok
+}
+
+func (r *Remote) transactItem(w Write) types.TransactWriteItem {
+	condition, names, values := aws.String(ConditionAbsent), map[string]string{"#key": AttributeKey}, map[string]types.AttributeValue(nil)
+	if w.If != 0 {
+		condition, names = aws.String(ConditionRevision), map[string]string{"#revision": AttributeRevision}
+		values = map[string]types.AttributeValue{":revision": number(w.If)}
+	}
+	item := keyItem(w.Key)
+	if w.Delete {
+		return types.TransactWriteItem{Delete: &types.Delete{
+			TableName: &r.tableName, Key: item, ConditionExpression: condition,
+			ExpressionAttributeNames: names, ExpressionAttributeValues: values,
+		}}
+	}
+	// The SDK leaves out a nil value, which the protocol refuses.
+	item[AttributeValue] = &types.AttributeValueMemberB{Value: append([]byte{}, w.Value...)}
+	item[AttributeRevision] = number(w.If + 1)
+	return types.TransactWriteItem{Put: &types.Put{
+		TableName: &r.tableName, Item: item, ConditionExpression: condition,
+		ExpressionAttributeNames: names, ExpressionAttributeValues: values,
+	}}
+}
+
+func keyItem(key Key) map[string]types.AttributeValue {
+	return map[string]types.AttributeValue{
+		AttributePartition: text(Partition),
+		AttributeKey:       text(string(key)),
+	}
+}
+
+func text(s string) types.AttributeValue { return &types.AttributeValueMemberS{Value: s} }
+
+func number(r Revision) types.AttributeValue {
+	return &types.AttributeValueMemberN{Value: strconv.FormatUint(uint64(r), 10)}
+}
+
+func collect(found map[Key]Row, items ...map[string]types.AttributeValue) error {
+	for _, item := range items {
+		row, err := rowOf(item)
+		if err != nil {
+			return err
+		}
+		found[row.Key] = row
+	}
+	return nil
+}
+
+func rowOf(item map[string]types.AttributeValue) (Row, error) {
+	key, keyOK := item[AttributeKey].(*types.AttributeValueMemberS)
+	value, valueOK := item[AttributeValue].(*types.AttributeValueMemberB)
+	revision, revisionOK := item[AttributeRevision].(*types.AttributeValueMemberN)
+	if !keyOK || !valueOK || !revisionOK {
+		return Row{}, errors.New("item lacks key, value or revision")
+	}
+	n, err := strconv.ParseUint(revision.Value, 10, 64)
+	if err != nil {
+		return Row{}, fmt.Errorf("revision of %s: %w", key.Value, err)
+	}
+	return Row{Key: Key(key.Value), Value: value.Value, Revision: Revision(n)}, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/test/platform/stand/faults.go
@@ -0,0 +1,194 @@
+package stand
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Faults are the faults in effect. The zero value means none.
+type Faults struct {
+	Down            bool    `json:"down"`             // drop every connection, run nothing
+	SlowMS          int     `json:"slow-ms"`          // delay of every request, in milliseconds
+	LoseAnswers     int     `json:"lose-answers"`     // apply this many commits without an answer
+	LoseProbability float64 `json:"lose-probability"` // share of commits applied without an answer
+	WritesPerSecond float64 `json:"writes-per-second"`
+	ReadsPerSecond  float64 `json:"reads-per-second"` // limits throttle the table; 0 means none
+}
+
+// Counters counts rows and objects as a platform bills them: a row that is
+// absent, or whose condition fails, counts too. Throttled rows do not.
+type Counters struct {
+	Reads         uint64 `json:"reads"`  // rows
+	Writes        uint64 `json:"writes"` // rows
+	ReadRequests  uint64 `json:"read-requests"`
+	WriteRequests uint64 `json:"write-requests"`
+	ObjectReads   uint64 `json:"object-reads"`
+	ObjectWrites  uint64 `json:"object-writes"`
+	Throttled     uint64 `json:"throttled"`    // requests
+	LostAnswers   uint64 `json:"lost-answers"` // commits
+}
+
+type counters struct {
+	reads, writes, readRequests, writeRequests atomic.Uint64
+	objectReads, objectWrites                  atomic.Uint64
+	throttled, lostAnswers                     atomic.Uint64
+}
+
+// faults holds the faults in effect and what they need to be decided.
+type faults struct {
+	mu     sync.Mutex
+	now    Faults
+	random *rand.Rand
+	writes allowance
+	reads  allowance
+}
+
+func newFaults(seed uint64) *faults {
+	return &faults{random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// SetFaults replaces the faults in effect.
+func (p *Platform) SetFaults(f Faults) {
+	p.faults.mu.Lock()
+	defer p.faults.mu.Unlock()
+	p.faults.set(f)
+}
+
+// Faults returns the faults in effect.
+func (p *Platform) Faults() Faults {
+	p.faults.mu.Lock()
+	defer p.faults.mu.Unlock()
+	return p.faults.now
+}
+
+// Counters returns the counters since the start.
+func (p *Platform) Counters() Counters {
+	return Counters{
+		Reads:         p.counts.reads.Load(),
+		Writes:        p.counts.writes.Load(),
+		ReadRequests:  p.counts.readRequests.Load(),
+		WriteRequests: p.counts.writeRequests.Load(),
+		ObjectReads:   p.counts.objectReads.Load(),
+		ObjectWrites:  p.counts.objectWrites.Load(),
+		Throttled:     p.counts.throttled.Load(),
+		LostAnswers:   p.counts.lostAnswers.Load(),
+	}
+}
+
+func (f *faults) set(next Faults) {
+	f.now = next
+	f.writes.setRate(next.WritesPerSecond)
+	f.reads.setRate(next.ReadsPerSecond)
+}
+
+// loses decides whether the answer to an applied commit is lost.
+func (f *faults) loses() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.now.LoseAnswers > 0 {
+		f.now.LoseAnswers--
+		return true
+	}
+	return f.random.Float64() < f.now.LoseProbability
+}
+
+// allow takes n rows from the allowance of writes or reads.
+func (f *faults) allow(write bool, n int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if write {
+		return f.writes.take(time.Now(), n)
+	}
+	return f.reads.take(time.Now(), n)
+}
+
+// interfere delays the request and drops its connection when the platform is
+// down. The delay does not end when the client leaves, so that a write can
+// take effect after its client gave up.
+func (p *Platform) interfere() {
+	if delay := p.Faults().SlowMS; delay > 0 {
+		time.Sleep(time.Duration(delay) * time.Millisecond)
+	}
+	if p.Faults().Down {
+		dropConnection()
+	}
+}
+
+// dropConnection ends the request without an answer.
+func dropConnection() { panic(http.ErrAbortHandler) }
+
+func (p *Platform) getCounters(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Counters()) }
+
+func (p *Platform) getFaults(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Faults()) }
+
+func (p *Platform) deleteFaults(w http.ResponseWriter, _ *http.Request) {
+	p.SetFaults(Faults{})
+	writeJSON(w, p.Faults())
+}
+
+func (p *Platform) postFaults(w http.ResponseWriter, r *http.Request) {
+	p.faults.mu.Lock()
+	next := p.faults.now
+	err := decodeFaults(r, &next)
+	if err == nil {
+		p.faults.set(next)
+	}
+	p.faults.mu.Unlock()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, next)
+}
+
+// decodeFaults overwrites the fields that the body names.
+func decodeFaults(r *http.Request, into *Faults) error {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return fmt.Errorf("decode faults: %w", err)
+	}
+	if into.SlowMS < 0 || into.LoseAnswers < 0 || into.WritesPerSecond < 0 || into.ReadsPerSecond < 0 ||
+		into.LoseProbability < 0 || into.LoseProbability > 1 {
+		return errors.New("decode faults: value out of range")
+	}
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// allowance is a token bucket that holds at most one second of tokens. A
+// request larger than the bucket passes when the bucket is full, as large
+// requests would otherwise never pass.
+type allowance struct {
+	rate, tokens float64
+	filled       time.Time
+}
+
+func (a *allowance) setRate(rate float64) {
+	if rate != a.rate {
+		*a = allowance{rate: rate, tokens: rate, filled: time.Now()}
+	}
+}
+
+func (a *allowance) take(now time.Time, n int) bool {
+	if a.rate == 0 {
+		return true
+	}
+	a.tokens = min(a.rate, a.tokens+a.rate*now.Sub(a.filled).Seconds())
+	a.filled = now
+	if a.tokens < min(float64(n), a.rate) {
+		return false
+	}
+	a.tokens -= float64(n)
+	return true
+}
--- /dev/null
+++ b/test/platform/stand/table.go
@@ -0,0 +1,428 @@
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/peridotlb/peridotlb/internal/platform"
+)
+
+// Limits of the protocol that a client can run into, in bytes.
+const (
+	maxRequest = 16 << 20
+	maxItem    = 400 << 10
+	maxPage    = 1 << 20 // a Query ends its page here
+)
+
+// attribute is a typed attribute value of the protocol.
+type attribute struct {
+	S *string `json:"S,omitempty"`
+	N *string `json:"N,omitempty"`
+	B *[]byte `json:"B,omitempty"`
+}
+
+type item map[string]attribute
+
+type expression struct {
+	ExpressionAttributeNames  map[string]string
+	ExpressionAttributeValues item
+}
+
+type getItemInput struct {
+	TableName      string
+	Key            item
+	ConsistentRead bool
+}
+
+type getItemOutput struct {
+	Item item `json:",omitempty"`
+}
+
+type keys struct {
+	Keys           []item
+	ConsistentRead bool
+}
+
+type batchGetItemInput struct {
+	RequestItems map[string]keys
+}
+
+type batchGetItemOutput struct {
+	Responses       map[string][]item
+	UnprocessedKeys map[string]keys
+}
+
+type queryInput struct {
+	expression
+	TableName              string
+	ConsistentRead         bool
+	KeyConditionExpression string
+	ExclusiveStartKey      item
+	Limit                  int
+}
+
+type queryOutput struct {
+	Items            []item
+	Count            int
+	ScannedCount     int
+	LastEvaluatedKey item `json:",omitempty"`
+}
+
+type conditionalWrite struct {
+	expression
+	TableName           string
+	ConditionExpression string
+	Item                item // of a Put
+	Key                 item // of a Delete
+}
+
+type transactWriteItemsInput struct {
+	ClientRequestToken string
+	TransactItems      []struct {
+		Put    *conditionalWrite
+		Delete *conditionalWrite
+	}
+}
+
+type reason struct {
+	Code    string
+	Message string `json:",omitempty"`
+}
+
+// tableError is an error response of the protocol.
+type tableError struct {
+	Type    string   `json:"__type"`
+	Message string   `json:"message"`
+	Reasons []reason `json:"CancellationReasons,omitempty"`
+}
+
+func (e *tableError) Error() string { return e.Type + ": " + e.Message }
+
+func fault(code, format string, args ...any) *tableError {
+	return &tableError{Type: "com.amazonaws.dynamodb.v20120810#" + code, Message: fmt.Sprintf(format, args...)}
+}
+
+func invalid(format string, args ...any) *tableError {
+	return fault("ValidationException", format, args...)
+}
+
+func (p *Platform) serveTable(w http.ResponseWriter, r *http.Request) {
+	body := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest))
+	operation := strings.TrimPrefix(r.Header.Get("X-Amz-Target"), "DynamoDB_20120810.")
+	// A client that gave up does not stop a request that the service received.
+	answer, err := p.runTable(context.WithoutCancel(r.Context()), signed(r), operation, body)
+	w.Header().Set("Content-Type", "application/x-amz-json-1.0")
+	if err != nil {
+		refusal := fault("InternalServerError", "%v", err)
+		status := http.StatusInternalServerError
+		if errors.As(err, &refusal) {
+			status = http.StatusBadRequest
+		}
+		w.WriteHeader(status)
+		answer = refusal
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (p *Platform) runTable(ctx context.Context, signed bool, operation string, body *json.Decoder) (any, error) {
+	var run func(context.Context) (any, error)
+	var err error
+	switch operation {
+	case "GetItem":
+		run, err = decoded(body, p.getItem)
+	case "BatchGetItem":
+		run, err = decoded(body, p.batchGetItem)
+	case "Query":
+		run, err = decoded(body, p.query)
+	case "TransactWriteItems":
+		run, err = decoded(body, p.transactWriteItems)
+	default:
+		err = fault("UnknownOperationException", "operation %q is not implemented", operation)
+	}
+	p.interfere()
+	if !signed {
+		return nil, fault("MissingAuthenticationTokenException", "Request is missing Authentication Token")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return run(ctx)
+}
+
+// decoded reads the request body, so that faults act on complete requests.
+func decoded[T any](body *json.Decoder, run func(context.Context, T) (any, error)) (func(context.Context) (any, error), error) {
+	var in T
+	body.DisallowUnknownFields()
+	if err := body.Decode(&in); err != nil {
+		return nil, fault("SerializationException", "%v", err)
+	}
+	return func(ctx context.Context) (any, error) { return run(ctx, in) }, nil
+}
+
+func (p *Platform) getItem(ctx context.Context, in getItemInput) (any, error) {
+	rows, err := p.read(ctx, in.TableName, in.ConsistentRead, in.Key)
+	if err != nil {
+		return nil, err
+	}
+	out := getItemOutput{}
+	if rows[0].Revision != 0 {
+		out.Item = itemOf(rows[0])
+	}
+	return out, nil
+}
+
+func (p *Platform) batchGetItem(ctx context.Context, in batchGetItemInput) (any, error) {
+	out := batchGetItemOutput{Responses: map[string][]item{}, UnprocessedKeys: map[string]keys{}}
+	for table, wanted := range in.RequestItems {
+		// Half of a batch of more than 50 is left for another request, as the
+		// service may do, so that clients are tested on it.
+		if n := len(wanted.Keys); n > 50 {
+			out.UnprocessedKeys[table] = keys{Keys: wanted.Keys[n/2:], ConsistentRead: wanted.ConsistentRead}
+			wanted.Keys = wanted.Keys[:n/2]
+		}
+		rows, err := p.read(ctx, table, wanted.ConsistentRead, wanted.Keys...)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			if row.Revision != 0 {
+				out.Responses[table] = append(out.Responses[table], itemOf(row))
+			}
+		}
+	}
+	return out, nil
+}
+
+func (p *Platform) read(ctx context.Context, table string, consistent bool, wanted ...item) ([]platform.Row, error) {
+	if err := p.checkTable(table); err != nil {
+		return nil, err
+	}
+	if !consistent {
+		return nil, invalid("only consistent reads are implemented")
+	}
+	var names []platform.Key
+	seen := map[platform.Key]bool{}
+	for _, k := range wanted {
+		name, err := keyOf(k)
+		if err != nil {
+			return nil, err
+		}
+		if seen[name] {
+			return nil, invalid("Provided list of item keys contains duplicates")
+		}
+		seen[name] = true
+		names = append(names, name)
+	}
+	if len(names) == 0 || len(names) > 100 {
+		return nil, invalid("%d keys, want 1 to 100", len(names))
+	}
+	if err := p.charge(false, len(names)); err != nil {
+		return nil, err
+	}
+	return p.memory.Get(ctx, names...)
+}
+
+func (p *Platform) query(ctx context.Context, in queryInput) (any, error) {
+	prefix, err := p.checkQuery(in)
+	if err != nil {
+		return nil, err
+	}
+	var after platform.Key
+	if in.ExclusiveStartKey != nil {
+		if after, err = keyOf(in.ExclusiveStartKey); err != nil {
+			return nil, err
+		}
+		if !strings.HasPrefix(string(after), prefix) {
+			return nil, invalid("The provided starting key is outside query boundaries based on provided conditions")
+		}
+	}
+	if in.Limit <= 0 {
+		return nil, invalid("Limit must be at least 1")
+	}
+	rows, err := p.memory.Scan(ctx, platform.Key(prefix), after, in.Limit)
+	if err != nil {
+		return nil, err
+	}
+	out := page(rows, in.Limit)
+	if err := p.charge(false, max(1, out.Count)); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// page ends at the limit or at maxPage bytes, and then tells where to continue.
+func page(rows []platform.Row, limit int) queryOutput {
+	out, size := queryOutput{Items: []item{}}, 0
+	for _, row := range rows {
+		out.Items = append(out.Items, itemOf(row))
+		size += len(row.Key) + len(row.Value)
+		if len(out.Items) == limit || size >= maxPage {
+			out.LastEvaluatedKey = keyItem(row.Key)
+			break
+		}
+	}
+	out.Count, out.ScannedCount = len(out.Items), len(out.Items)
+	return out
+}
+
+func (p *Platform) checkQuery(in queryInput) (prefix string, err error) {
+	if err := p.checkTable(in.TableName); err != nil {
+		return "", err
+	}
+	if !in.ConsistentRead || in.ExpressionAttributeNames["#partition"] != platform.AttributePartition ||
+		in.text(":partition") != platform.Partition {
+		return "", invalid("only consistent queries of the partition %q are implemented", platform.Partition)
+	}
+	switch in.KeyConditionExpression {
+	case platform.QueryAll:
+		return "", nil
+	case platform.QueryPrefix:
+		if in.ExpressionAttributeNames["#key"] == platform.AttributeKey && in.text(":prefix") != "" {
+			return in.text(":prefix"), nil
+		}
+	}
+	return "", invalid("key condition %q is not implemented", in.KeyConditionExpression)
+}
+
+func (p *Platform) transactWriteItems(ctx context.Context, in transactWriteItemsInput) (any, error) {
+	writes := make([]platform.Write, 0, len(in.TransactItems))
+	for _, t := range in.TransactItems {
+		write, err := p.writeOf(t.Put, t.Delete)
+		if err != nil {
+			return nil, err
+		}
+		writes = append(writes, write)
+	}
+	if err := p.charge(true, len(writes)); err != nil {
+		return nil, err
+	}
+	result, err := p.memory.Commit(ctx, writes...)
+	if err != nil {
+		return nil, invalid("%v", err)
+	}
+	if p.faults.loses() {
+		p.counts.lostAnswers.Add(1)
+		dropConnection()
+	}
+	if result.Outcome != platform.Applied {
+		return nil, cancellation(len(writes), result.Failed)
+	}
+	return struct{}{}, nil
+}
+
+func cancellation(writes int, failed []int) *tableError {
+	refusal := fault("TransactionCanceledException", "Transaction cancelled, please refer cancellation reasons for specific reasons")
+	refusal.Reasons = make([]reason, writes)
+	for i := range refusal.Reasons {
+		refusal.Reasons[i].Code = "None"
+	}
+	for _, i := range failed {
+		refusal.Reasons[i] = reason{Code: "ConditionalCheckFailed", Message: "The conditional request failed"}
+	}
+	return refusal
+}
+
+func (p *Platform) writeOf(put, del *conditionalWrite) (platform.Write, error) {
+	if (put == nil) == (del == nil) {
+		return platform.Write{}, invalid("only Put and Delete are implemented")
+	}
+	w := put
+	if del != nil {
+		w = &conditionalWrite{expression: del.expression, TableName: del.TableName, ConditionExpression: del.ConditionExpression, Item: del.Key}
+	}
+	if err := p.checkTable(w.TableName); err != nil {
+		return platform.Write{}, err
+	}
+	key, err := keyOf(w.Item)
+	if err != nil {
+		return platform.Write{}, err
+	}
+	revision, err := w.condition()
+	if err != nil || del != nil {
+		return platform.Write{Key: key, If: revision, Delete: true}, err
+	}
+	value, next := w.Item[platform.AttributeValue].B, w.Item[platform.AttributeRevision].N
+	if value == nil || next == nil || *next != strconv.FormatUint(uint64(revision)+1, 10) {
+		return platform.Write{}, invalid("item needs a binary value and revision %d", revision+1)
+	}
+	if size := len(key) + len(*value) + len(*next) + len(platform.Partition) + 30; size > maxItem {
+		return platform.Write{}, invalid("Item size has exceeded the maximum allowed size")
+	}
+	return platform.Write{Key: key, If: revision, Value: *value}, nil
+}
+
+// condition returns the revision that the condition requires.
+func (w *conditionalWrite) condition() (platform.Revision, error) {
+	switch w.ConditionExpression {
+	case platform.ConditionAbsent:
+		if w.ExpressionAttributeNames["#key"] == platform.AttributeKey {
+			return 0, nil
+		}
+	case platform.ConditionRevision:
+		value := w.ExpressionAttributeValues[":revision"].N
+		if w.ExpressionAttributeNames["#revision"] == platform.AttributeRevision && value != nil {
+			n, err := strconv.ParseUint(*value, 10, 64)
+			if err == nil && n > 0 {
+				return platform.Revision(n), nil
+			}
+		}
+	}
+	return 0, invalid("condition %q is not implemented", w.ConditionExpression)
+}
+
+func (p *Platform) checkTable(name string) error {
+	if name != p.table {
+		return fault("ResourceNotFoundException", "Requested resource not found")
+	}
+	return nil
+}
+
+// charge counts rows, or throttles the request when the allowance is used up.
+func (p *Platform) charge(write bool, rows int) error {
+	if !p.faults.allow(write, rows) {
+		p.counts.throttled.Add(1)
+		return fault("ProvisionedThroughputExceededException", "The level of configured provisioned throughput for the table was exceeded")
+	}
+	if write {
+		p.counts.writes.Add(uint64(rows))
+		p.counts.writeRequests.Add(1)
+	} else {
+		p.counts.reads.Add(uint64(rows))
+		p.counts.readRequests.Add(1)
+	}
+	return nil
+}
+
+func (e expression) text(name string) string {
+	if s := e.ExpressionAttributeValues[name].S; s != nil {
+		return *s
+	}
+	return ""
+}
+
+func keyOf(i item) (platform.Key, error) {
+	partition, key := i[platform.AttributePartition].S, i[platform.AttributeKey].S
+	if partition == nil || key == nil || *partition != platform.Partition || *key == "" {
+		return "", invalid("The provided key element does not match the schema")
+	}
+	return platform.Key(*key), nil
+}
+
+func keyItem(key platform.Key) item {
+	partition, name := platform.Partition, string(key)
+	return item{platform.AttributePartition: {S: &partition}, platform.AttributeKey: {S: &name}}
+}
+
+func itemOf(row platform.Row) item {
+	i, revision, value := keyItem(row.Key), strconv.FormatUint(uint64(row.Revision), 10), row.Value
+	if value == nil {
+		value = []byte{}
+	}
+	i[platform.AttributeRevision], i[platform.AttributeValue] = attribute{N: &revision}, attribute{B: &value}
+	return i
+}
