Failure tests of the call path

The call path promises that no call is run twice, cut without notice or answered with the response of another call. The tests provoke each failure: connections that break after a request was run, responses cut at byte offsets, late responses, drain under load, a paused process.

--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,239 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+func service(slots uint16, warmUp time.Duration) []document.Service {
+	return []document.Service{{Name: "stock", Slots: slots, Connections: 2 * slots, WarmUp: warmUp}}
+}
+
+func row(state backend.State, sequence host.Sequence) []backend.Server {
+	return []backend.Server{{ID: "s", Service: "stock", Host: "self", State: state, Stamp: host.Stamp{Sequence: sequence}}}
+}
+
+func newGate(slots uint16, now func() time.Time) *Gate {
+	g := New(Config{Self: "self", Now: now})
+	g.Update(service(slots, 0), row(backend.Ready, 1))
+	return g
+}
+
+func enter(t testing.TB, g *Gate) *Pass {
+	t.Helper()
+	p, err := g.Enter(context.Background(), "s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func wantRefusal(t testing.TB, g *Gate, want error) {
+	t.Helper()
+	p, err := g.Enter(context.Background(), "s")
+	if !errors.Is(err, want) || p != nil {
+		t.Errorf("got %v, want %v", err, want)
+	}
+}
+
+// Guards against calls that wait longer than the queue permits, and against a
+// queue that grows without bound.
+func TestQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(2, nil)
+		first := enter(t, g)
+		enter(t, g)
+		var queued sync.WaitGroup
+		var admitted, late int
+		var mu sync.Mutex
+		start := time.Now()
+		for range 2 {
+			queued.Go(func() {
+				_, err := g.Enter(context.Background(), "s")
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err == nil:
+					admitted++
+				case errors.Is(err, ErrQueueWait) && time.Since(start) == QueueWait:
+					late++
+				}
+			})
+		}
+		synctest.Wait()
+		wantRefusal(t, g, ErrFull)
+		first.Leave()
+		first.Leave()
+		queued.Wait()
+		if admitted != 1 || late != 1 {
+			t.Errorf("got %d admitted and %d refused after the wait, want 1 and 1", admitted, late)
+		}
+		if got, want := g.Load("s"), (Load{InFlight: 2, Slots: 2}); got != want {
+			t.Errorf("got load %+v, want %+v", got, want)
+		}
+	})
+}
+
+// Guards against a cold server that gets its full load at once.
+func TestSlowStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := New(Config{Self: "self", Now: func() time.Time { return now }})
+	g.Update(service(9, 10*time.Second), row(backend.Starting, 1))
+	wantRefusal(t, g, ErrNotReady)
+	g.Update(service(9, 10*time.Second), row(backend.Ready, 2))
+	for seconds, want := range map[int]int{0: 1, 1: 1, 5: 4, 9: 8, 10: 9, 60: 9} {
+		now = time.Unix(1000+int64(seconds), 0)
+		g.Update(service(9, 10*time.Second), row(backend.Ready, 3)) // must not start again
+		if got := g.Load("s").Slots; got != want {
+			t.Errorf("after %d s: got %d slots, want %d", seconds, got, want)
+		}
+	}
+}
+
+// Guards against a call that runs after its deadline because the process was
+// paused before or while the call waited.
+func TestDeadlineAfterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var pause time.Duration
+		g := newGate(1, func() time.Time { return time.Now().Add(pause) })
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(time.Second))
+		defer cancel()
+		p, err := g.Enter(ctx, "s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		waiting := make(chan error)
+		go func() {
+			_, err := g.Enter(ctx, "s")
+			waiting <- err
+		}()
+		synctest.Wait()
+		pause = 2 * time.Second
+		p.Leave()
+		if err := <-waiting; !errors.Is(err, ErrDeadline) {
+			t.Errorf("queued call: got %v, want %v", err, ErrDeadline)
+		}
+		if _, err := g.Enter(ctx, "s"); !errors.Is(err, ErrDeadline) {
+			t.Errorf("new call: got %v, want %v", err, ErrDeadline)
+		}
+		if got := g.Load("s"); got.InFlight != 0 {
+			t.Errorf("got %d in flight, want the slot back", got.InFlight)
+		}
+	})
+}
+
+// Guards against a drain that ends before the calls in flight, and against new
+// work for a draining server, a suspended host or a stopping daemon.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, nil)
+		p := enter(t, g)
+		queued := make(chan error)
+		go func() {
+			_, err := g.Enter(context.Background(), "s")
+			queued <- err
+		}()
+		synctest.Wait()
+		drained := make(chan error, 1)
+		go func() { drained <- g.Drain(context.Background(), "s") }()
+		if err := <-queued; !errors.Is(err, ErrDraining) {
+			t.Errorf("queued call: got %v, want %v", err, ErrDraining)
+		}
+		wantRefusal(t, g, ErrDraining)
+		g.Update(service(1, 0), row(backend.Ready, 1)) // the row from before the drain
+		wantRefusal(t, g, ErrDraining)
+		synctest.Wait()
+		if len(drained) != 0 {
+			t.Error("drain ended with a call in flight")
+		}
+		p.Leave()
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+		g.Update(service(1, 0), row(backend.Ready, 2))
+		enter(t, g).Leave()
+		suspended := service(1, 0)
+		suspended[0].SuspendedHosts = []host.ID{"self"}
+		g.Update(suspended, row(backend.Ready, 2))
+		wantRefusal(t, g, ErrSuspended)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		g.Update(service(1, 0), row(backend.Ready, 2))
+		enter(t, g)
+		if err := g.DrainAll(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v, want the end of the wait", err)
+		}
+		g.Update(service(1, 0), row(backend.Ready, 3))
+		wantRefusal(t, g, ErrDraining)
+	})
+}
+
+// Guards against more calls than slots, lost slots and refused calls that hold
+// one, under any order of entering, leaving, changing slots and draining.
+func TestSlotsProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			slots := rapid.Uint16Range(1, 4).Draw(rt, "slots")
+			g, most := newGate(slots, nil), int(slots)
+			var calls sync.WaitGroup
+			var mu sync.Mutex
+			running := 0
+			sequence := host.Sequence(1)
+			for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+				switch rapid.IntRange(0, 6).Draw(rt, "step") {
+				case 0:
+					slots = rapid.Uint16Range(1, 4).Draw(rt, "slots")
+					most = max(most, int(slots))
+					sequence++
+					g.Update(service(slots, 0), row(backend.Ready, sequence))
+				case 1:
+					sequence++
+					g.Update(service(slots, 0), row(backend.Draining, sequence))
+				case 2:
+					time.Sleep(time.Duration(rapid.IntRange(1, 60).Draw(rt, "ms")) * time.Millisecond)
+				default:
+					ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rapid.IntRange(0, 80).Draw(rt, "timeout"))*time.Millisecond)
+					length := time.Duration(rapid.IntRange(0, 40).Draw(rt, "length")) * time.Millisecond
+					calls.Go(func() {
+						defer cancel()
+						p, err := g.Enter(ctx, "s")
+						if err != nil {
+							return
+						}
+						mu.Lock()
+						running++
+						if running > most {
+							t.Errorf("got %d calls at once, want at most %d", running, most)
+						}
+						mu.Unlock()
+						time.Sleep(length)
+						mu.Lock()
+						running--
+						mu.Unlock()
+						p.Leave()
+					})
+				}
+				synctest.Wait()
+				mu.Lock()
+				if got := g.Load("s").InFlight; got != running {
+					t.Errorf("got %d in flight, want %d", got, running)
+				}
+				mu.Unlock()
+			}
+			calls.Wait()
+			if got := g.Load("s"); got.InFlight != 0 || got.Queued != 0 {
+				t.Errorf("got %+v at the end, want nothing in flight", got)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,332 @@
+package pool
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// clock is a clock that tests move.
+type clock struct{ time.Time }
+
+func (c *clock) now() time.Time { return c.Time }
+
+func newPool(seed uint64) (*Pool, *clock) {
+	c := &clock{time.Unix(1000, 0)}
+	return New(Config{Self: "self", Zone: "a", Region: "r1", Now: c.now, Random: rand.NewPCG(seed, 1)}), c
+}
+
+// viewOf has the given numbers of servers per zone of region r1 and in region r2.
+func viewOf(slots uint16, a, b, remote int) View {
+	v := View{Services: []document.Service{{Name: "stock", Slots: slots}}}
+	for _, zone := range []struct {
+		name   host.AvailabilityZone
+		region host.Region
+		count  int
+	}{{"a", "r1", a}, {"b", "r1", b}, {"c", "r2", remote}} {
+		for i := range zone.count {
+			id := fmt.Sprintf("%s-%d", zone.name, i)
+			v.Hosts = append(v.Hosts, host.Row{ID: host.ID(id), Zone: zone.name, Region: zone.region, GateAddr: netip.MustParseAddrPort("127.0.0.1:1")})
+			v.Servers = append(v.Servers, backend.Server{ID: backend.ServerID(id), Service: "stock", Host: host.ID(id), State: backend.Ready})
+		}
+	}
+	return v
+}
+
+func pick(t rapid.TB, p *Pool, tried ...backend.ServerID) *Choice {
+	t.Helper()
+	c, err := p.Pick("stock", tried)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against calls that leave the zone or the region while there is
+// capacity, and against capacity that is not used.
+func TestSpill(t *testing.T) {
+	p, _ := newPool(1)
+	p.Update(viewOf(2, 3, 12, 9))
+	for i, zone := range "aaaaaa" + "bbbbbbbbbbbbbbbbbbbbbbbb" + "cccccccccccccccccc" {
+		if got := pick(t, p).Server.ID[0]; got != byte(zone) {
+			t.Fatalf("call %d: got zone %c, want %c", i, got, zone)
+		}
+	}
+	if got := pick(t, p).Server.ID[0]; got != 'a' {
+		t.Errorf("with everything full: got zone %c, want a, whose gate has a queue", got)
+	}
+}
+
+// Guards against a subset that differs between runs or is larger than wanted.
+func TestSubset(t *testing.T) {
+	seen := map[backend.ServerID]bool{}
+	for seed := range uint64(5) {
+		p, _ := newPool(seed)
+		p.Update(viewOf(9, 40, 40, 0))
+		for range 100 {
+			c := pick(t, p)
+			seen[c.Server.ID] = true
+			c.Done(Result{})
+		}
+	}
+	if len(seen) != SubsetSize {
+		t.Errorf("got %d servers over all runs, want %d", len(seen), SubsetSize)
+	}
+}
+
+// Guards against work for servers that may not have it: leaving, not ready,
+// suspended, or on a host that is gone; and against unused suspect hosts when
+// nothing else is left.
+func TestNotChosen(t *testing.T) {
+	p, _ := newPool(1)
+	v := viewOf(9, 9, 0, 0)
+	v.Servers[1].State, v.Servers[2].State, v.Servers[3].State = backend.Starting, backend.Draining, backend.Gone
+	v.Hosts[4].State, v.Hosts[5].State, v.Hosts[6].State = host.Suspect, host.Dead, host.Left
+	v.Services[0].SuspendedHosts = []host.ID{v.Hosts[7].ID}
+	v.Hosts = v.Hosts[:8] // the host of the last server is not known
+	p.Update(v)
+	for range 50 {
+		if got := pick(t, p).Server.ID; got != "a-0" {
+			t.Fatalf("got %s, want a-0", got)
+		}
+	}
+	if got := pick(t, p, "a-0").Server.ID; got != "a-4" {
+		t.Errorf("got %s, want a-4 on the suspect host", got)
+	}
+	if _, err := p.Pick("stock", []backend.ServerID{"a-0", "a-4"}); !errors.Is(err, ErrNoServer) {
+		t.Errorf("got %v, want %v", err, ErrNoServer)
+	}
+	if _, err := p.Pick("other", nil); !errors.Is(err, ErrUnknownService) {
+		t.Errorf("got %v, want %v", err, ErrUnknownService)
+	}
+}
+
+// Guards against a busy server that is chosen before an idle one, a report that
+// is believed for ever, and a failed probe that takes a server out of use.
+func TestPreference(t *testing.T) {
+	p, c := newPool(1)
+	p.Update(viewOf(9, 2, 0, 0))
+	first := pick(t, p)
+	busy := first.Server.ID
+	first.Done(Result{InFlight: 8, Slots: 9})
+	share := func() int {
+		n := 0
+		for range 100 {
+			c := pick(t, p)
+			if c.Server.ID == busy {
+				n++
+			}
+			c.Done(Result{})
+		}
+		return n
+	}
+	if got := share(); got != 0 {
+		t.Errorf("busy server: got %d of 100 calls, want 0", got)
+	}
+	c.Time = c.Add(reportLifetime)
+	if got := share(); got == 0 {
+		t.Error("got no call after the report expired")
+	}
+	p.SetHealth(busy, false)
+	p.Update(viewOf(9, 2, 0, 0))
+	if got := share(); got != 0 {
+		t.Errorf("unhealthy server: got %d of 100 calls, want 0", got)
+	}
+	p.Update(viewOf(9, 1, 0, 0))
+	p.SetHealth("a-0", false)
+	pick(t, p)
+}
+
+// Guards against endless ejections, ejections that do not grow, and results
+// from before the ejection that end or extend it.
+func TestEjectionDoubles(t *testing.T) {
+	p, c := newPool(1)
+	var got []time.Duration
+	p.config.Ejected = func(_ backend.ServerID, d time.Duration) { got = append(got, d) }
+	p.Update(viewOf(9, 2, 0, 0))
+	fail := func() { pick(t, p, "a-1").Done(Result{Outcome: Failed}) }
+	early := pick(t, p, "a-1")
+	for range ejectAfter + 3 {
+		fail()
+	}
+	early.Done(Result{Outcome: Succeeded})
+	for range 6 {
+		if id := pick(t, p).Server.ID; id != "a-1" {
+			t.Fatalf("got the ejected server %s", id)
+		}
+		c.Time = c.Add(got[len(got)-1])
+		fail()
+	}
+	want := []time.Duration{1, 2, 4, 8, 16, 30, 30}
+	for i := range want {
+		if len(got) != len(want) || got[i] != want[i]*time.Second {
+			t.Fatalf("got ejections %v, want %v s", got, want)
+		}
+	}
+	c.Time = c.Add(ejectLongest)
+	pick(t, p, "a-1").Done(Result{})
+	for range ejectAfter - 1 {
+		fail()
+	}
+	if len(got) != len(want) {
+		t.Error("ejected again before a new run of failures")
+	}
+}
+
+// Guards, for any order of calls, results and updates, against more than half
+// of a group ejected, servers chosen twice in one call, lost in-flight counts
+// and calls refused while a server is left.
+func TestPoolProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, c := newPool(rapid.Uint64().Draw(t, "seed"))
+		size := func() int { return rapid.IntRange(0, 12).Draw(t, "size") }
+		v := viewOf(3, 1+size(), size(), size())
+		p.Update(v)
+		var open []*Choice
+		finish := func(outcome Outcome) {
+			if len(open) > 0 {
+				open[0].Done(Result{Outcome: outcome})
+				open = open[1:]
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				var tried []backend.ServerID
+				for range 3 {
+					choice, err := p.Pick("stock", tried)
+					if err != nil && len(tried) < len(v.Servers) {
+						t.Fatalf("got %v with %d of %d servers tried", err, len(tried), len(v.Servers))
+					}
+					if err != nil {
+						return
+					}
+					for _, id := range tried {
+						if choice.Server.ID == id {
+							t.Fatalf("%s was chosen twice", id)
+						}
+					}
+					tried, open = append(tried, choice.Server.ID), append(open, choice)
+				}
+			},
+			"fail":    func(*rapid.T) { finish(Failed) },
+			"fail-2":  func(*rapid.T) { finish(Failed) },
+			"refuse":  func(*rapid.T) { finish(Refused) },
+			"succeed": func(*rapid.T) { finish(Succeeded) },
+			"wait": func(t *rapid.T) {
+				c.Time = c.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"update": func(*rapid.T) {
+				v = viewOf(3, 1+size(), size(), size())
+				p.Update(v)
+			},
+			"": func(t *rapid.T) {
+				s := p.view.Load().services["stock"]
+				for _, group := range [][]*member{s.subset, s.tiers[tierRegion], s.tiers[tierRemote]} {
+					if n := countEjected(group, c.Time); 2*n > len(group) {
+						t.Fatalf("got %d of %d servers ejected", n, len(group))
+					}
+				}
+				inFlight := map[*state]int64{}
+				for _, choice := range open {
+					inFlight[choice.member.state]++
+				}
+				for st, want := range inFlight {
+					if got := st.inFlight.Load(); got != want {
+						t.Fatalf("got %d in flight, want %d", got, want)
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against retries beyond 10% of the calls and 3 a second.
+func TestRetryBudgetProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, c := newPool(1)
+		p.Update(viewOf(3, 1, 0, 0))
+		start := c.Time
+		calls, retries := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"call": func(t *rapid.T) {
+				pick(t, p).Done(Result{})
+				calls++
+			},
+			"retry": func(*rapid.T) {
+				if p.Retry("stock") {
+					retries++
+				}
+			},
+			"update": func(*rapid.T) { p.Update(viewOf(3, 2, 0, 0)) },
+			"wait": func(t *rapid.T) {
+				c.Time = c.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				if most := 3 + 0.1*float64(calls) + 3*c.Sub(start).Seconds(); float64(retries) > most+1e-9 {
+					t.Fatalf("got %d retries, want at most %v", retries, most)
+				}
+			},
+		})
+	})
+}
+
+// Guards against choices that cannot be repeated from a seed.
+func TestSameSeedSameChoices(t *testing.T) {
+	var runs [2]string
+	for i := range runs {
+		p, _ := newPool(42)
+		p.Update(viewOf(9, 8, 8, 8))
+		for range 100 {
+			runs[i] += string(pick(t, p).Server.ID) + " "
+		}
+	}
+	if runs[0] != runs[1] {
+		t.Errorf("got %q, want %q", runs[1], runs[0])
+	}
+}
+
+func largeView() View {
+	var v View
+	for i := range 57 {
+		v.Services = append(v.Services, document.Service{Name: backend.ServiceName(fmt.Sprintf("service-%d", i)), Slots: 9})
+	}
+	for i := range 1200 {
+		id := fmt.Sprintf("host-%d", i)
+		zone := i % 7
+		v.Hosts = append(v.Hosts, host.Row{ID: host.ID(id), Zone: host.AvailabilityZone(fmt.Sprint("z", zone)), Region: host.Region(fmt.Sprint("r", zone/4))})
+		v.Servers = append(v.Servers, backend.Server{ID: backend.ServerID(id), Service: v.Services[i%57].Name, Host: host.ID(id), State: backend.Ready})
+	}
+	return v
+}
+
+func BenchmarkPick(b *testing.B) {
+	p := New(Config{Self: "host-0", Zone: "z0", Region: "r0"})
+	v := largeView()
+	p.Update(v)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c, err := p.Pick(v.Services[i%57].Name, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.Done(Result{InFlight: 1, Slots: 9})
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	p := New(Config{Self: "host-0", Zone: "z0", Region: "r0"})
+	v := largeView()
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Update(v)
+	}
+}
--- /dev/null
+++ b/internal/proxy/broken_test.go
@@ -0,0 +1,242 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// rawServer serves requests with bytes; serve gets the n-th request of all
+// connections, from 1, and a false result closes the connection.
+func rawServer(t testing.TB, serve func(n int64, r *http.Request, conn net.Conn) bool) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	var count atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if !serve(count.Add(1), r, conn) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func respond(r *http.Request, conn net.Conn, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", HeaderCallID, r.Header.Get(HeaderCallID), len(body), body)
+}
+
+// rawMesh has one server whose gate, or which itself, is a raw server.
+func rawMesh(t testing.TB, atGate bool, addr netip.AddrPort) *mesh {
+	m := newMesh(t)
+	m.routes[0].Retries = 0
+	row := backend.Server{ID: "stock-0", Service: "stock", Host: "host-0", Addr: addr, State: backend.Ready, Stamp: host.Stamp{Sequence: 1}}
+	if atGate {
+		return m.startRows([]backend.Server{row}, map[backend.ServerID]netip.AddrPort{row.ID: addr})
+	}
+	return m.startRows([]backend.Server{row}, nil)
+}
+
+// closesReused runs every request, and closes a reused connection after it ran
+// the request, without a response.
+func closesReused(t testing.TB, runs *atomic.Int64) netip.AddrPort {
+	return rawServer(t, func(n int64, r *http.Request, conn net.Conn) bool {
+		runs.Add(1)
+		if n != 1 {
+			return false
+		}
+		respond(r, conn, "first")
+		return true
+	})
+}
+
+// Guards against a paid action that runs twice because net/http repeats a
+// request on its own. The naive case shows that the danger exists.
+func TestBrokenReusedConnectionRunsOnce(t *testing.T) {
+	t.Run("naive", func(t *testing.T) {
+		var runs atomic.Int64
+		url := "http://" + closesReused(t, &runs).String()
+		var transport http.Transport
+		for range 2 {
+			r, _ := http.NewRequestWithContext(context.Background(), "POST", url, strings.NewReader("refill"))
+			r.Header.Set(headerIdempotencyKey, "k")
+			if resp, err := transport.RoundTrip(r); err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		}
+		if runs.Load() != 3 {
+			t.Errorf("got %d runs of two requests, want 3: net/http no longer repeats the request", runs.Load())
+		}
+	})
+	for _, atGate := range []bool{false, true} {
+		for _, method := range []string{"POST", "GET", "HEAD"} {
+			for _, body := range []string{"", "refill"} {
+				t.Run(fmt.Sprint(atGate, method, body), func(t *testing.T) {
+					var runs atomic.Int64
+					m := rawMesh(t, atGate, closesReused(t, &runs))
+					m.do("POST", "/refill", body, headerIdempotencyKey, "k1")
+					got := m.do(method, "/refill", body, headerIdempotencyKey, "k2")
+					if runs.Load() != 2 {
+						t.Errorf("got %d runs of two calls, want 2", runs.Load())
+					}
+					if got.StatusCode != 502 || got.Header.Get(HeaderOutcome) != "unknown" || got.Header.Get(HeaderNotRun) != "" {
+						t.Errorf("got %d %v, want 502 with unknown outcome", got.StatusCode, got.Header)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a response that was cut and is taken for complete, wherever
+// the gate or the server breaks off.
+func TestCutResponseIsNeverComplete(t *testing.T) {
+	large := strings.Repeat("0123456789abcdef", 3*bufferLimit/16)
+	for _, body := range []string{"beads and more beads", large} {
+		for _, framing := range []string{"length", "chunked", "close"} {
+			for _, atGate := range []bool{false, true} {
+				t.Run(fmt.Sprint(len(body), framing, atGate), func(t *testing.T) { testCuts(t, body, framing, atGate) })
+			}
+		}
+	}
+}
+
+func testCuts(t *testing.T, body, framing string, atGate bool) {
+	var cutAt atomic.Int64
+	raw := func(id string) []byte {
+		var b bytes.Buffer
+		fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\n%s: %s\r\n", HeaderCallID, id)
+		switch framing {
+		case "length":
+			fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+		case "chunked":
+			fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", 7, body[:7], len(body)-7, body[7:])
+		default:
+			fmt.Fprintf(&b, "\r\n%s", body)
+		}
+		return b.Bytes()
+	}
+	m := rawMesh(t, atGate, rawServer(t, func(_ int64, r *http.Request, conn net.Conn) bool {
+		response := raw(r.Header.Get(HeaderCallID))
+		_, _ = conn.Write(response[:min(int(cutAt.Load()), len(response))])
+		return false
+	}))
+	size := len(raw("0123456789abcdef-1"))
+	step := max(1, size/150)
+	for at := 0; at < size; at += step {
+		cutAt.Store(int64(at))
+		got := m.do("GET", "/stock", "")
+		switch {
+		case got.err != nil && got.StatusCode == 200:
+		case got.err == nil && got.StatusCode == 502 && got.Header.Get(HeaderOutcome) == "unknown":
+		default:
+			t.Fatalf("cut at %d of %d: got %d, %d bytes, error %v", at, size, got.StatusCode, len(got.body), got.err)
+		}
+	}
+	cutAt.Store(int64(size + 100))
+	if got := m.do("GET", "/stock", ""); framing != "close" && (got.err != nil || got.body != body) {
+		t.Errorf("uncut response: got %d, %d bytes, error %v", got.StatusCode, len(got.body), got.err)
+	}
+}
+
+// Guards against a response that belongs to another call, when a gate or a
+// server sends a late response before the one that is due.
+func TestResponseOfAnotherCall(t *testing.T) {
+	for _, atGate := range []bool{false, true} {
+		m := rawMesh(t, atGate, rawServer(t, func(_ int64, r *http.Request, conn net.Conn) bool {
+			late := r.Clone(context.Background())
+			late.Header.Set(HeaderCallID, "cancelled-call")
+			respond(late, conn, "of another caller")
+			respond(r, conn, "own")
+			return true
+		}))
+		for range 20 {
+			got := m.do("GET", "/stock", "")
+			if got.StatusCode != 502 || !strings.Contains(got.body, reasonCallID) {
+				t.Errorf("got %d %q, want 502 and %s", got.StatusCode, got.body, reasonCallID)
+			}
+		}
+	}
+}
+
+// Guards against retries that repeat a paid call whose outcome is unknown, and
+// against failing calls whose other servers could answer.
+func TestRetryAfterFailure(t *testing.T) {
+	var runs atomic.Int64
+	broken := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	m := newMesh(t)
+	m.routes[0].Retries = 3
+	m.start(broken, broken, broken, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }))
+	if got := m.do("POST", "/stock", "x"); got.StatusCode != 200 || got.body != "ok" {
+		t.Errorf("got %d %q, want 200 ok", got.StatusCode, got.body)
+	}
+	for i := range 6 {
+		runs.Store(0)
+		got := m.do("POST", "/refill", "x", headerIdempotencyKey, fmt.Sprint(i))
+		if runs.Load() > 1 || (runs.Load() == 1) != (got.StatusCode == 502) {
+			t.Errorf("got %d after %d runs, want 502 after one run or 200", got.StatusCode, runs.Load())
+		}
+	}
+}
+
+// Guards against retries that multiply the load on failing servers.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	var runs atomic.Int64
+	broken := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.WriteHeader(503)
+	})
+	m := newMesh(t)
+	start := m.fixClock()
+	m.start(broken, broken, broken, broken)
+	const calls = 100
+	denied := 0
+	for range calls {
+		got := m.do("GET", "/stock", "")
+		if got.StatusCode != 503 || got.Header.Get(HeaderNotRun) != "" {
+			t.Fatalf("got %d %v, want the 503 of the server", got.StatusCode, got.Header)
+		}
+		if got.Header.Get(HeaderNoRetry) == "true" {
+			denied++
+		}
+	}
+	if want := int64(calls + calls/10 + 3); runs.Load() > want || runs.Load() < want-3 {
+		t.Errorf("got %d runs, want about %d (clock stands at %v)", runs.Load(), want, start)
+	}
+	if denied < calls/2 || len(m.events) == 0 {
+		t.Errorf("got %d responses with %s and %d events, want most", denied, HeaderNoRetry, len(m.events))
+	}
+}
--- /dev/null
+++ b/internal/proxy/load_test.go
@@ -0,0 +1,280 @@
+package proxy
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"math/big"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/gate"
+	"github.com/peridotlb/peridotlb/internal/route"
+)
+
+// abandon starts a call and drops its connection once it was started.
+func (m *mesh) abandon(method, path string, started <-chan bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-started
+		cancel()
+	}()
+	r, _ := http.NewRequestWithContext(ctx, method, m.entry.URL+path, nil)
+	r.Header.Set(headerIdempotencyKey, "k")
+	if resp, err := http.DefaultTransport.RoundTrip(r); err == nil {
+		resp.Body.Close()
+		m.t.Errorf("got %d, want a cancelled call", resp.StatusCode)
+	}
+}
+
+// Guards, under load with cancelled calls, full servers, broken connections and
+// a drain, against: a response that belongs to another call, a refusal with the
+// not-run header of a call that was run, and calls cut by the drain.
+func TestCallsUnderLoad(t *testing.T) {
+	var ran sync.Map
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.URL.RawQuery
+		ran.Store(id, true)
+		time.Sleep(time.Duration(mathrand.IntN(5)) * time.Millisecond)
+		if mathrand.IntN(20) == 0 && strings.HasPrefix(r.URL.Path, "/stock/break") {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, strings.Repeat(id+" ", 1+mathrand.IntN(2)*4000))
+	})
+	m := newMesh(t)
+	m.service.Slots = 3
+	m.start(handler, handler, handler)
+	var callers sync.WaitGroup
+	var refused, answered atomic.Int64
+	for caller := range 24 {
+		callers.Go(func() {
+			for n := range 40 {
+				id := fmt.Sprintf("%d-%d", caller, n)
+				path := "/stock/steady"
+				if caller%3 == 1 {
+					path = "/stock/break"
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				if caller%3 == 2 {
+					time.AfterFunc(time.Duration(mathrand.IntN(8))*time.Millisecond, cancel)
+				}
+				r, _ := http.NewRequestWithContext(ctx, "GET", m.entry.URL+path+"?"+id, nil)
+				resp, err := http.DefaultClient.Do(r)
+				if err != nil {
+					if caller%3 == 0 {
+						t.Errorf("steady call was cut: %v", err)
+					}
+					cancel()
+					continue
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				cancel()
+				_, didRun := ran.Load(id)
+				switch {
+				case resp.Header.Get(HeaderNotRun) == "true" && didRun:
+					t.Errorf("call %s was run and refused with %s", id, HeaderNotRun)
+				case resp.Header.Get(HeaderNotRun) == "true":
+					refused.Add(1)
+				case err == nil && resp.StatusCode == 200:
+					answered.Add(1)
+					if strings.Trim(strings.ReplaceAll(string(body), id+" ", ""), " ") != "" {
+						t.Errorf("call %s got the response %.40q", id, body)
+					}
+				case caller%3 == 0:
+					t.Errorf("steady call: got %d %s", resp.StatusCode, body)
+				}
+			}
+		})
+	}
+	// The drain starts while calls are in flight.
+	for answered.Load() < 20 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := m.gate.Drain(context.Background(), "stock-0"); err != nil {
+		t.Error(err)
+	}
+	callers.Wait()
+	if answered.Load() == 0 || refused.Load() == 0 {
+		t.Errorf("got %d answered and %d refused calls, want both", answered.Load(), refused.Load())
+	}
+}
+
+// Guards against a call that is sent after its deadline because the process was
+// paused: the clock jumps while the call waits for a slot, and before it.
+func TestPausedGate(t *testing.T) {
+	var pause atomic.Int64
+	m := newMesh(t)
+	m.now = func() time.Time { return time.Now().Add(time.Duration(pause.Load())) }
+	m.service.Slots = 1
+	var runs atomic.Int64
+	m.start(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	pass, err := m.gate.Enter(context.Background(), "stock-0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan response)
+	go func() { done <- m.do("GET", "/stock", "", HeaderTimeoutMS, "2000") }()
+	for m.gate.Load("stock-0").Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	pause.Store(int64(time.Minute))
+	pass.Leave()
+	if got := <-done; got.StatusCode != 503 || got.Header.Get(HeaderNotRun) != "true" || runs.Load() != 0 {
+		t.Errorf("got %d %q after %d runs, want a refusal with proof", got.StatusCode, got.body, runs.Load())
+	}
+}
+
+// Guards against bodies, trailers and headers that get lost, and against a
+// large request that is sent again after a part of it was read.
+func TestBodiesAndTrailers(t *testing.T) {
+	var runs atomic.Int64
+	m := newMesh(t).start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if runs.Add(1) == 1 && r.URL.RawQuery == "break" {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Trailer", "X-Sum")
+		_, _ = w.Write(body)
+		w.Header().Set("X-Sum", fmt.Sprint(len(body))+r.Trailer.Get("X-Part"))
+		w.Header().Set(http.TrailerPrefix+"X-Late", "1")
+	}))
+	for _, size := range []int{0, 10, bufferLimit, bufferLimit + 1, 5 * bufferLimit} {
+		for _, chunked := range []bool{false, true} {
+			r, _ := http.NewRequestWithContext(context.Background(), "POST", m.entry.URL+"/stock", strings.NewReader(strings.Repeat("x", size)))
+			want := fmt.Sprint(size)
+			if chunked {
+				// The body must not be http.NoBody, with which no trailer is sent.
+				r.Body = io.NopCloser(struct{ io.Reader }{strings.NewReader(strings.Repeat("x", size))})
+				r.ContentLength, r.Trailer = -1, http.Header{"X-Part": {"+"}}
+				want += "+"
+			}
+			resp, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err != nil || len(body) != size || resp.Trailer.Get("X-Sum") != want || resp.Trailer.Get("X-Late") != "1" {
+				t.Errorf("size %d: got %d, %d bytes, trailers %v, error %v, want X-Sum %s", size, resp.StatusCode, len(body), resp.Trailer, err, want)
+			}
+		}
+	}
+	for size, want := range map[int]int{100: 200, 5 * bufferLimit: 502} {
+		runs.Store(0)
+		if got := m.do("POST", "/stock?break", strings.Repeat("x", size)); got.StatusCode != want {
+			t.Errorf("size %d: got %d after %d runs, want %d", size, got.StatusCode, runs.Load(), want)
+		}
+	}
+}
+
+// Guards against refusals that lack the proof, a reason or the call id.
+func TestRefusedAtEntry(t *testing.T) {
+	m := newMesh(t).startRows([]backend.Server{{ID: "stock-0", Service: "stock", Host: "host-0", State: backend.Ready}},
+		map[backend.ServerID]netip.AddrPort{"stock-0": closedPort(t)})
+	check := func(got response, status int, reason string) {
+		t.Helper()
+		if got.StatusCode != status || got.Header.Get(HeaderNotRun) != "true" || !strings.Contains(got.body, `"error":"`+reason+`","call-id":"`+got.Header.Get(HeaderCallID)) {
+			t.Errorf("got %d %v %s, want %d %s", got.StatusCode, got.Header, got.body, status, reason)
+		}
+	}
+	check(m.do("GET", "/stock", ""), 503, "gate-unreachable")
+	check(m.do("GET", "/elsewhere", ""), 404, "no-route")
+	check(m.do("GET", "/stock/%2e%2e/refill", ""), 400, "bad-path")
+	check(m.do("GET", "/stock", "", HeaderTimeoutMS, "soon"), 400, "bad-timeout")
+	m.entry = httptest.NewServer(NewEntry(Config{Routes: func() *route.Table { return nil }}))
+	t.Cleanup(m.entry.Close)
+	check(m.do("GET", "/stock", ""), 503, "no-version-applied")
+}
+
+// closedPort returns an address that refuses connections.
+func closedPort(t testing.TB) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// mutualTLS returns configurations of a server and a client that verify each
+// other.
+func mutualTLS(t testing.TB) (server, client *tls.Config) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(cert)
+	own := []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}
+	return &tls.Config{Certificates: own, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: roots},
+		&tls.Config{Certificates: own, RootCAs: roots}
+}
+
+// secure puts a gate with mutual TLS in front of a server and returns the entry
+// of another host. The gate is reached through an address translation.
+func secure(t testing.TB, handler http.Handler) (m *mesh, direct string) {
+	server, client := mutualTLS(t)
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	m = newMesh(t)
+	row := m.row(0, s)
+	g := gate.New(gate.Config{Self: row.Host})
+	g.Update(m.services(), []backend.Server{row})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateServer := GateServer(NewGate(Config{Self: row.Host, Gate: g}), server)
+	go func() { _ = gateServer.ServeTLS(l, "", "") }()
+	t.Cleanup(func() { gateServer.Close() })
+	seen := netip.MustParseAddrPort("192.0.2.1:443")
+	client.ServerName = "127.0.0.1"
+	m.transports = NewTransports(TransportConfig{TLS: client, Translate: func(a netip.AddrPort) netip.AddrPort {
+		if a != seen {
+			t.Errorf("got address %v to translate, want %v", a, seen)
+		}
+		return netip.MustParseAddrPort(l.Addr().String())
+	}})
+	return m.startRows([]backend.Server{row}, map[backend.ServerID]netip.AddrPort{row.ID: seen}), s.URL
+}
+
+// Guards against calls between daemons without verified certificates.
+func TestMutualTLS(t *testing.T) {
+	m, _ := secure(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }))
+	if got := m.do("GET", "/stock", ""); got.StatusCode != 200 || got.body != "ok" {
+		t.Errorf("got %d %q, want 200 ok", got.StatusCode, got.body)
+	}
+	m.transports.config.TLS.Certificates = nil
+	m.transports.CloseIdle()
+	if got := m.do("GET", "/stock", ""); got.StatusCode == 200 {
+		t.Error("a call without a client certificate was answered")
+	}
+}
--- /dev/null
+++ b/internal/proxy/paid_test.go
@@ -0,0 +1,128 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+)
+
+// Guards against paid calls that run without a claim, run twice, or whose
+// repetition does not find the response.
+func TestPaidCall(t *testing.T) {
+	var runs atomic.Int64
+	m := newMesh(t).start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		w.Header().Set("Location", "/order/1")
+		w.Header().Set(HeaderNotRun, "true") // of a call deeper in the chain
+		w.WriteHeader(http.StatusCreated)
+		if r.URL.RawQuery == "large" {
+			fmt.Fprint(w, strings.Repeat("x", AnswerLimit+1))
+		} else {
+			fmt.Fprint(w, "booked")
+		}
+	}))
+	for i, c := range []struct {
+		path, key, body string
+		status          int
+		runs            int64
+		header, value   string
+	}{
+		{"/refill", "", "x", 400, 0, HeaderNotRun, "true"},
+		{"/refill", "k", strings.Repeat("x", bufferLimit+1), 413, 0, HeaderNotRun, "true"},
+		{"/refill", "k", "x", 201, 1, HeaderNotRun, ""},
+		{"/refill", "k", "x", 201, 1, HeaderReplayed, "true"},
+		{"/refill", "k", "x", 201, 1, "Location", "/order/1"},
+		{"/refill", "k", "y", 422, 1, HeaderNotRun, "true"},
+		{"/refill?large", "l", "x", 201, 2, HeaderReplayed, ""},
+		{"/refill?large", "l", "x", 410, 2, HeaderReplayed, "true"},
+	} {
+		got := m.do("POST", c.path, c.body, headerIdempotencyKey, c.key)
+		if got.StatusCode != c.status || runs.Load() != c.runs || got.Header.Get(c.header) != c.value {
+			t.Errorf("case %d: got %d, %d runs, %v; want %d, %d runs, %s=%q", i, got.StatusCode, runs.Load(), got.Header, c.status, c.runs, c.header, c.value)
+		}
+		if c.status == 400 && !strings.Contains(got.body, headerIdempotencyKey) {
+			t.Errorf("got %q, want the name of the header", got.body)
+		}
+	}
+}
+
+// Guards against paid calls that run although their claim is not confirmed or
+// was taken before.
+func TestClaimNotGranted(t *testing.T) {
+	for _, c := range []struct {
+		decision        Decision
+		status          int
+		notRun, outcome string
+	}{
+		{Unconfirmed{errors.New("table is down")}, 503, "true", ""},
+		{Pending{}, 409, "", "unknown"},
+	} {
+		m := newMesh(t)
+		m.claims = &fakeClaims{decision: c.decision}
+		m.start(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the call was run") }))
+		got := m.do("POST", "/refill", "", headerIdempotencyKey, "k")
+		if got.StatusCode != c.status || got.Header.Get(HeaderNotRun) != c.notRun || got.Header.Get(HeaderOutcome) != c.outcome {
+			t.Errorf("%T: got %d %v, want %d", c.decision, got.StatusCode, got.Header, c.status)
+		}
+	}
+}
+
+// Guards against claims that block a key after proof that nothing was run, and
+// against ones that are released although the action may have run.
+func TestClaimRelease(t *testing.T) {
+	claims := &fakeClaims{}
+	m := newMesh(t)
+	m.claims = claims
+	m.start(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	row := m.row(0, m.entry)
+	row.State, row.Stamp.Sequence = backend.Draining, 2
+	ready := row
+	ready.State, ready.Stamp.Sequence = backend.Ready, 3
+	ready.Addr = m.backends[0]
+	for _, c := range []struct {
+		row      backend.Server
+		released int
+		status   int
+	}{{row, 1, 503}, {ready, 1, 502}, {ready, 1, 409}} {
+		m.gate.Update(m.services(), []backend.Server{c.row})
+		got := m.do("POST", "/refill", "", headerIdempotencyKey, "k")
+		if got.StatusCode != c.status || claims.released != c.released {
+			t.Errorf("%v: got %d and %d releases, want %d and %d", c.row.State, got.StatusCode, claims.released, c.status, c.released)
+		}
+	}
+}
+
+// Guards against a paid call that is stopped, and whose response is lost, when
+// its caller goes away; and against other calls that go on without a caller.
+func TestCallerGoesAway(t *testing.T) {
+	started, cancelled, finish := make(chan bool, 1), make(chan bool, 1), make(chan bool)
+	claims := &fakeClaims{}
+	m := newMesh(t)
+	m.claims = claims
+	m.start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started <- true
+		if r.URL.Path == "/stock" {
+			<-r.Context().Done()
+			cancelled <- true
+			return
+		}
+		<-finish
+		fmt.Fprint(w, "booked")
+	}))
+	m.abandon("GET", "/stock", started)
+	<-cancelled
+	m.abandon("POST", "/refill", started)
+	close(finish)
+	for {
+		if got := m.do("POST", "/refill", "", headerIdempotencyKey, "k"); got.body == "booked" {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -31,12 +31,15 @@
 	local   bool // the servers are on the host of the entry
 	now     func() time.Time
 
-	set    *metrics.Set
-	events []Event
-	mu     sync.Mutex
-	pool   *pool.Pool
-	gate   *gate.Gate // of the entry, or of the first server's host
-	entry  *httptest.Server
+	transports *Transports
+
+	backends []netip.AddrPort
+	set      *metrics.Set
+	events   []Event
+	mu       sync.Mutex
+	pool     *pool.Pool
+	gate     *gate.Gate // of the entry, or of the first server's host
+	entry    *httptest.Server
 }
 
 func newMesh(t testing.TB) *mesh {
@@ -64,10 +67,13 @@
 		s := httptest.NewServer(h)
 		m.t.Cleanup(s.Close)
 		rows = append(rows, m.row(i, s))
+		m.backends = append(m.backends, address(s))
 	}
 	return m.startRows(rows, nil)
 }
 
+func (m *mesh) services() []document.Service { return []document.Service{m.service} }
+
 func (m *mesh) row(i int, s *httptest.Server) backend.Server {
 	return backend.Server{
 		ID: backend.ServerID(fmt.Sprintf("stock-%d", i)), Service: "stock", Host: host.ID(fmt.Sprintf("host-%d", i)),
@@ -81,10 +87,10 @@
 
 // startRows builds the mesh; gates replaces the gate of a server.
 func (m *mesh) startRows(rows []backend.Server, gates map[backend.ServerID]netip.AddrPort) *mesh {
-	services := []document.Service{m.service}
+	services := m.services()
 	table := route.FromDocument(1, document.Document{Sections: []document.Section{{Name: "s", Services: services, Routes: m.routes}}})
 	m.pool = pool.New(pool.Config{Self: "entry", Zone: "a", Region: "r", Now: m.now})
-	base := Config{Routes: func() *route.Table { return table }, Claims: m.claims, Events: m.event, Now: m.now}
+	base := Config{Transports: m.transports, Routes: func() *route.Table { return table }, Claims: m.claims, Events: m.event, Now: m.now}
 	hosts := []host.Row{{ID: "entry", Zone: "a", Region: "r"}}
 	for i, row := range rows {
 		if m.local {
@@ -216,3 +222,10 @@
 		}
 	}
 }
+
+// fixClock makes the clock stand still.
+func (m *mesh) fixClock() time.Time {
+	now := time.Now()
+	m.now = func() time.Time { return now }
+	return now
+}
