Claims on idempotency keys of paid actions

Cause: a paid action may run at most once, also when the answer to the claim's write is lost or the write takes effect late.

Considered: after an unknown outcome the row is read back and the nonce compared. Where the row has not changed, the same claim is written again, because the first write may still arrive. A claim given up at the deadline is released in the background, since its caller was told that nothing was run; where it has not arrived, a released row takes its revision, so that the late write fails. Without that, the key would stay pending for good.

--- /dev/null
+++ b/internal/claim/record.go
@@ -0,0 +1,90 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/peridotlb/peridotlb/internal/platform"
+)
+
+type state uint8
+
+// States of a claim row.
+const (
+	claimed  state = iota + 1 // a holder may run the action
+	answered                  // the action has run and its answer is recorded
+	released                  // the action was not run; the key may be claimed again
+)
+
+type nonce [16]byte
+
+// record is the value of a claim row. The row is never deleted here: a write
+// that arrives late must fail on its revision.
+type record struct {
+	State       state       `cbor:"1,keyasint"`
+	Epoch       uint64      `cbor:"2,keyasint"` // number of the claim on this key, from 1
+	Nonce       nonce       `cbor:"3,keyasint"` // of the Take that wrote the claim
+	Fingerprint Fingerprint `cbor:"4,keyasint"`
+	ClaimedMS   int64       `cbor:"5,keyasint"` // Unix milliseconds
+	Answer      *Answer     `cbor:"6,keyasint,omitempty"`
+}
+
+var (
+	encoding = must(cbor.CoreDetEncOptions().EncMode())
+	decoding = must(cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	}.DecMode())
+)
+
+// must returns a mode whose options are constant, so that an error is a fault
+// of the program.
+func must[T any](mode T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// write returns the conditional write that replaces revision base by r.
+func (r record) write(key platform.Key, base platform.Revision) (platform.Write, error) {
+	value, err := encoding.Marshal(r)
+	if err != nil {
+		return platform.Write{}, fmt.Errorf("encode %s: %w", key, err)
+	}
+	return platform.Write{Key: key, If: base, Value: value}, nil
+}
+
+// malformedError says that a claim row cannot be decoded. Reading it again does
+// not help.
+type malformedError struct {
+	key platform.Key
+	err error
+}
+
+func (e *malformedError) Error() string { return fmt.Sprintf("decode %s: %v", e.key, e.err) }
+
+func (e *malformedError) Unwrap() error { return e.err }
+
+// read returns the claim row and its revision, zero when it is absent.
+func (c *Claims) read(ctx context.Context, key platform.Key) (record, platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.config.CommitTimeout)
+	defer cancel()
+	rows, err := c.config.Table.Get(ctx, key)
+	if err != nil {
+		return record{}, 0, fmt.Errorf("read %s: %w", key, err)
+	}
+	if rows[0].Revision == 0 {
+		return record{}, 0, nil
+	}
+	var r record
+	if err := decoding.Unmarshal(rows[0].Value, &r); err != nil {
+		return record{}, 0, &malformedError{key: key, err: err}
+	}
+	if r.State < claimed || r.State > released || r.State == answered && r.Answer == nil {
+		return record{}, 0, &malformedError{key: key, err: fmt.Errorf("state %d without its fields", r.State)}
+	}
+	return r, rows[0].Revision, nil
+}
--- /dev/null
+++ b/internal/claim/take.go
@@ -0,0 +1,243 @@
+package claim
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/platform"
+)
+
+// attempt is the state of one Take.
+type attempt struct {
+	claims *Claims
+	key    platform.Key
+	record record            // the claim to write
+	base   platform.Revision // revision that the claim replaces; zero inserts
+	sent   bool              // a write on base may still apply
+	err    error             // of the last failed step
+}
+
+// Take claims the key for the action with this fingerprint. It ends at the
+// deadline of ctx at the latest, then with Unconfirmed. An error means that the
+// key or its row is unusable; like every decision but Granted, it permits
+// nothing to run.
+func (c *Claims) Take(ctx context.Context, k Key, f Fingerprint) (Decision, error) {
+	key, err := k.row()
+	if err != nil {
+		return nil, err
+	}
+	a := &attempt{claims: c, key: key}
+	a.record = record{State: claimed, Epoch: 1, Fingerprint: f, ClaimedMS: c.config.Now().UnixMilli()}
+	if _, err := io.ReadFull(c.config.Random, a.record.Nonce[:]); err != nil {
+		return nil, fmt.Errorf("read nonce: %w", err)
+	}
+	pause := newBackoff(a.record.Nonce, 10*time.Millisecond, 200*time.Millisecond)
+	for {
+		decision, err := a.try(ctx)
+		if decision != nil || err != nil {
+			return decision, err
+		}
+		if err := pause.wait(ctx); err != nil {
+			a.abandon()
+			return Unconfirmed{Err: errors.Join(a.err, err)}, nil
+		}
+	}
+}
+
+// try writes the claim once and looks at the row unless the write applied. It
+// returns no decision when nothing is settled.
+func (a *attempt) try(ctx context.Context) (Decision, error) {
+	if ctx.Err() != nil {
+		return nil, nil
+	}
+	write, err := a.record.write(a.key, a.base)
+	if err != nil {
+		return nil, err
+	}
+	outcome, err := a.claims.batch.commit(ctx, write)
+	switch {
+	case outcome == platform.Applied:
+		return a.grant(a.base + 1), nil
+	case outcome == platform.Unknown:
+		a.sent = true
+	}
+	if err != nil {
+		a.err = err
+		if outcome == platform.NotApplied && !a.sent {
+			return nil, nil // nothing was sent, so the row has nothing to tell
+		}
+	}
+	return a.look(ctx)
+}
+
+// look decides from the row, which is read consistently. A write whose outcome
+// is unknown may apply later, for as long as the row has revision base.
+func (a *attempt) look(ctx context.Context) (Decision, error) {
+	r, revision, err := a.claims.read(ctx, a.key)
+	var malformed *malformedError
+	switch {
+	case errors.As(err, &malformed):
+		return nil, err
+	case err != nil:
+		a.err = err
+		return nil, nil
+	case revision == a.base:
+		return nil, nil
+	case r.Nonce == a.record.Nonce:
+		return a.grant(revision), nil
+	}
+	a.sent = false
+	switch {
+	case r.Fingerprint != a.record.Fingerprint:
+		return Mismatch{}, nil
+	case r.State == answered:
+		return Recorded{Answer: *r.Answer}, nil
+	case r.State == claimed:
+		return Pending{}, nil
+	}
+	a.base, a.record.Epoch = revision, r.Epoch+1
+	return nil, nil
+}
+
+func (a *attempt) grant(revision platform.Revision) Decision {
+	return Granted{Claim: &Claim{claims: a.claims, key: a.key, record: a.record, revision: revision}}
+}
+
+// abandon releases, in the background, a claim that may have been written or
+// may still be: the caller was told that nothing was run and may try again.
+func (a *attempt) abandon() {
+	c := a.claims
+	if !a.sent {
+		return
+	}
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		return
+	}
+	c.background.Go(func() {
+		defer func() { <-c.slots }()
+		ctx, cancel := context.WithTimeout(context.Background(), c.config.ReleaseTimeout)
+		defer cancel()
+		pause := newBackoff(a.record.Nonce, 100*time.Millisecond, 15*time.Second)
+		for done := false; !done; {
+			done = a.withdrawn(ctx) || pause.wait(ctx) != nil
+		}
+	})
+}
+
+// withdrawn makes one attempt to settle the row and reports whether the claim
+// is gone for good. Where the claim has not arrived, it writes a released row,
+// on whose revision the claim fails when it arrives late.
+func (a *attempt) withdrawn(ctx context.Context) bool {
+	r, revision, err := a.claims.read(ctx, a.key)
+	if err != nil {
+		return false
+	}
+	if revision != a.base && (r.Nonce != a.record.Nonce || r.State != claimed) {
+		return true
+	}
+	next := a.record
+	next.State = released
+	write, err := next.write(a.key, revision)
+	if err != nil {
+		return true
+	}
+	outcome, _ := a.claims.batch.commit(ctx, write)
+	return outcome == platform.Applied
+}
+
+// Claim permits its holder to run the action once.
+type Claim struct {
+	claims   *Claims
+	key      platform.Key
+	record   record
+	revision platform.Revision
+
+	mu   sync.Mutex
+	next state // answered or released once the holder decided
+}
+
+// Record stores the answer of the action. When ctx ends first, the error says
+// that the answer may not be stored; the key stays claimed then, and Record may
+// be repeated.
+func (c *Claim) Record(ctx context.Context, answer Answer) error {
+	kept, err := answer.recorded()
+	if err != nil {
+		return fmt.Errorf("record %s: %w", c.key, err)
+	}
+	next := c.record
+	next.State, next.Answer = answered, &kept
+	return c.settle(ctx, next)
+}
+
+// Release makes the key available again. The holder calls it only with proof
+// that the action was not run, and must not run it afterwards. Release may be
+// repeated when it failed.
+func (c *Claim) Release(ctx context.Context) error {
+	next := c.record
+	next.State = released
+	return c.settle(ctx, next)
+}
+
+// settle writes the row until it has the next state. Only the holder writes the
+// row of a claim, so that any later revision is the result of its own write.
+func (c *Claim) settle(ctx context.Context, next record) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next != 0 && c.next != next.State {
+		return fmt.Errorf("settle %s: %w", c.key, ErrSettled)
+	}
+	c.next = next.State
+	write, err := next.write(c.key, c.revision)
+	if err != nil {
+		return err
+	}
+	pause := newBackoff(c.record.Nonce, 10*time.Millisecond, 200*time.Millisecond)
+	for {
+		outcome, err := c.claims.batch.commit(ctx, write)
+		if outcome == platform.Applied {
+			return nil
+		}
+		_, revision, readErr := c.claims.read(ctx, c.key)
+		if readErr == nil && revision != c.revision {
+			return nil
+		}
+		if waitErr := pause.wait(ctx); waitErr != nil {
+			return fmt.Errorf("settle %s: %w", c.key, errors.Join(err, readErr, waitErr))
+		}
+	}
+}
+
+// backoff is a doubling pause with jitter, from half to the whole of it. The
+// jitter comes from the nonce, so that daemons spread and tests repeat.
+type backoff struct {
+	pause, limit time.Duration
+	random       *rand.Rand
+}
+
+func newBackoff(n nonce, first, limit time.Duration) *backoff {
+	seed := rand.NewPCG(binary.BigEndian.Uint64(n[:8]), binary.BigEndian.Uint64(n[8:]))
+	return &backoff{pause: first, limit: limit, random: rand.New(seed)}
+}
+
+func (b *backoff) wait(ctx context.Context) error {
+	timer := time.NewTimer(b.pause/2 + time.Duration(b.random.Int64N(int64(b.pause/2))))
+	defer timer.Stop()
+	b.pause = min(2*b.pause, b.limit)
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-timer.C:
+		return nil
+	}
+}
