link: bound the bytes that wait for streams; test a cut link

32 large messages for one slow peer could hold 256 MiB, the whole memory of a daemon. At most 16 MiB now wait, and a peer may have 8 open streams instead of 16.

A relay test cuts the regions while an announcement is sent: its stream repairs the loss after the cut ends.

Run: go test ./..., go test -race twice for the four packages, FuzzDecode for 10 s.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -26,16 +26,17 @@
 
 // Limits of the transport.
 const (
-	maxDatagram     = 1000             // bytes of an encoded message sent as a datagram
-	maxQuery        = 1 << 20          // bytes of a query
-	maxAnswer       = 8 << 20          // bytes of an answer
-	idleTimeout     = 30 * time.Second // closes connections that carry nothing
-	dialTimeout     = 3 * time.Second  // one attempt, including its retransmissions
-	streamTimeout   = 15 * time.Second // 8 MiB take 2.3 s at 30 Mbit/s
-	queryTimeout    = 10 * time.Second // when the context has no deadline
-	queueLength     = 256              // messages waiting for one peer
-	streamQueue     = 32               // encoded messages waiting for a stream to one peer
-	incomingStreams = 16               // open streams that one peer may have
+	maxDatagram      = 1000                // bytes of an encoded message sent as a datagram
+	maxQuery         = 1 << 20             // bytes of a query
+	maxAnswer        = 8 << 20             // bytes of an answer
+	idleTimeout      = 30 * time.Second    // closes connections that carry nothing
+	dialTimeout      = 3 * time.Second     // one attempt, including its retransmissions
+	streamTimeout    = 15 * time.Second    // 8 MiB take 2.3 s at 30 Mbit/s
+	queryTimeout     = 10 * time.Second    // when the context has no deadline
+	queueLength      = 256                 // messages waiting for one peer
+	streamQueue      = 32                  // encoded messages waiting for a stream to one peer
+	streamQueueBytes = 2 * message.MaxSize // bytes of these messages
+	incomingStreams  = 8                   // open streams that one peer may have
 )
 
 // Application error codes of a closed connection.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -333,6 +333,13 @@
 	if queued > queueLength || a.Dropped() < 9*queueLength-1 {
 		t.Errorf("got %d queued and %d dropped, want at most %d queued", queued, a.Dropped(), queueLength)
 	}
+	before, large := a.Dropped(), encoded{message.KindDelta, make([]byte, message.MaxSize)}
+	for range 5 {
+		p.enqueueStream(large) // one is taken out at once, two may wait
+	}
+	if got := a.Dropped() - before; got < 2 {
+		t.Errorf("got %d large messages dropped, want at least 2 of 5", got)
+	}
 }
 
 func TestBackoff(t *testing.T) { // guards against dials in step and against waits that outlast a restored link
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -133,7 +133,11 @@
 func (p *peer) enqueueStream(e encoded) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.large) >= streamQueue {
+	size := len(e.data)
+	for _, waiting := range p.large {
+		size += len(waiting.data)
+	}
+	if p.closed || len(p.large) >= streamQueue || size > streamQueueBytes {
 		p.link.dropped.Add(1)
 		return
 	}
--- a/test/relay/relay/relay_test.go
+++ b/test/relay/relay/relay_test.go
@@ -338,4 +338,16 @@
 		return len(regions) == 2 && regions[0].UDPBytes == sent && regions[1].UDPBytes == received &&
 			lc.Traffic().Remote.BytesReceived == sent && lc.Traffic().Remote.BytesSent == received
 	})
+	// An announcement that is lost on the link is repaired by its stream.
+	if err := r.Cut("pwani", "kaskazini"); err != nil {
+		t.Fatal(err)
+	}
+	la.Send(c, message.Announce{Number: 6})
+	until(func() bool { return r.Counters().Regions[0].UDPDropped > 0 })
+	if err := r.Heal("pwani", "kaskazini"); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-inc; got.m != (message.Announce{Number: 6}) {
+		t.Errorf("after the cut: got %+v, want the announcement", got.m)
+	}
 }
