--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -315,7 +315,11 @@
 		r.sequence(at, n, func(i int, n ast.Node) {
 			var element T
 			r.positions[at.at(i)] = start(n)
-			text(r, &element)(at.at(i), n)
+			if v, ok := n.(*ast.StringNode); ok {
+				element = T(v.Value)
+			} else {
+				r.wrong(at.at(i), n, "%s must be a list of strings, but element %d is %s", at.field, i+1, typeName(n))
+			}
 			*to = append(*to, element)
 		})
 	}
--- a/internal/document/scan.go
+++ b/internal/document/scan.go
@@ -23,16 +23,24 @@
 	line   int  // of the token before
 	opened bool // the token before began a list element or an explicit key
 	marks  int  // consecutive tags, anchors and aliases
+	named  bool // the token before was an anchor or alias, whose name follows
 }
 
 // scan returns the first token at which a limit is exceeded and says which, or
 // nil.
 func scan(tokens token.Tokens) (*token.Token, string) {
 	var n nesting
+	headers := 0
 	for _, t := range tokens {
 		if t.Type == token.CommentType {
 			continue
 		}
+		if t.Type == token.DocumentHeaderType {
+			headers++
+		}
+		if headers > 1 { // the parser takes time quadratic in them
+			return t, "file has more than one YAML document"
+		}
 		n.step(t)
 		if len(n.frames) > MaxDepth || n.marks > MaxDepth {
 			return t, "lists and mappings are nested too deeply"
@@ -48,12 +56,7 @@
 	inFlow := len(n.frames) > 0 && n.frames[len(n.frames)-1].flow
 	starts := !inFlow && (n.opened || t.Position.Line != n.line)
 	n.line, n.opened = t.Position.Line, false
-	switch t.Type {
-	case token.TagType, token.AnchorType, token.AliasType, token.MergeKeyType:
-		n.marks++
-	default:
-		n.marks = 0
-	}
+	n.mark(t.Type)
 	switch t.Type {
 	case token.DocumentHeaderType, token.DocumentEndType:
 		n.frames = n.frames[:0]
@@ -80,6 +83,18 @@
 	}
 }
 
+// mark counts the tags, anchors and aliases in a row.
+func (n *nesting) mark(t token.Type) {
+	named := n.named
+	n.named = t == token.AnchorType || t == token.AliasType
+	switch {
+	case n.named || t == token.TagType:
+		n.marks++
+	case !named:
+		n.marks = 0
+	}
+}
+
 // close closes the block lists and mappings that a token in the given column
 // ends. A list may stand in the column of the key that it belongs to.
 func (n *nesting) close(column int) {
