--- a/cmd/peridotlbd/main.go
+++ b/cmd/peridotlbd/main.go
@@ -1,4 +1,17 @@
 // Command peridotlbd is the daemon beside each backend server host.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peridotlb/peridotlb/internal/daemon"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(daemon.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,309 @@
+// Package daemon wires the decision core to its adapters: the link to other
+// daemons, the platform, the call path and the interfaces for operators and
+// backend servers.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/peridotlb/peridotlb/internal/announcement"
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/claim"
+	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/gate"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/link"
+	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/operator"
+	"github.com/peridotlb/peridotlb/internal/platform"
+	"github.com/peridotlb/peridotlb/internal/pool"
+	"github.com/peridotlb/peridotlb/internal/proxy"
+	"github.com/peridotlb/peridotlb/internal/release"
+	"github.com/peridotlb/peridotlb/internal/route"
+	"github.com/peridotlb/peridotlb/internal/settings"
+	"github.com/peridotlb/peridotlb/internal/submission"
+	"github.com/peridotlb/peridotlb/internal/timeline"
+)
+
+// lameDuckTime is how long a leaving daemon keeps its connections open and
+// refuses or closes them response by response. In this time the others learn
+// that it leaves; closing idle connections at once would cut a call that a peer
+// is just sending.
+const lameDuckTime = 2 * time.Second
+
+// Config is what a daemon needs from its process.
+type Config struct {
+	Settings settings.Daemon
+	Log      *zap.Logger
+	// Platform replaces the platform of the settings; nil for none.
+	Platform platform.Service
+}
+
+// parts are the adapters that the loop and the servers share.
+type parts struct {
+	settings   settings.Daemon
+	log        *zap.Logger
+	platform   platform.Service
+	platformUp atomic.Bool
+	link       *link.Link
+	nat        link.NAT
+	held       heldVersions
+	timeline   *timeline.Ring
+	pool       *pool.Pool
+	gate       *gate.Gate
+	claims     *claim.Claims
+	calls      callView
+	regions    regionTable
+	meters     *meters
+	leaving    atomic.Bool
+}
+
+// Daemon is one daemon of the fleet.
+type Daemon struct {
+	*parts
+	loop       *loop
+	acceptor   *submission.Acceptor
+	transports *proxy.Transports
+	servers    []*server
+	serverTLS  *tls.Config
+}
+
+// server is one HTTP listener of the daemon.
+type server struct {
+	name     string
+	http     *http.Server
+	listener net.Listener
+	lameDuck bool // carries calls: drained before it is closed
+}
+
+// New returns a daemon that listens on all its addresses. Run serves.
+func New(ctx context.Context, c Config) (*Daemon, error) {
+	p := &parts{settings: c.Settings, log: c.Log, platform: c.Platform}
+	if p.platform == nil {
+		service, err := openPlatform(ctx, c)
+		if err != nil {
+			return nil, fmt.Errorf("open platform: %w", err)
+		}
+		p.platform = service
+	}
+	d := &Daemon{parts: p}
+	if err := d.build(ctx); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) build(ctx context.Context) error {
+	s := d.settings
+	set := metrics.NewSet()
+	d.timeline = timeline.New(timeline.Config{Host: s.HostID, Zone: s.AvailabilityZone, Size: s.TimelineSize})
+	d.gate = gate.New(gate.Config{Self: s.HostID})
+	d.pool = pool.New(pool.Config{
+		Self: s.HostID, Zone: s.AvailabilityZone, Region: s.Region,
+		Ejected: func(id backend.ServerID, t time.Duration) { d.callEvent(proxy.EjectedEvent(id, t)) },
+	})
+	d.claims = claim.New(claim.Config{Table: d.platform})
+	d.acceptor = submission.New(submission.Config{Platform: d.platform})
+	d.meters = newMeters(set, d)
+	var err error
+	if d.nat, err = parseNAT(s.NAT); err != nil {
+		return fmt.Errorf("setting nat: %w", err)
+	}
+	serverTLS, clientTLS, err := link.LoadTLS(link.TLSConfig{
+		CA: s.CAFile, Certificate: s.CertificateFile, Key: s.KeyFile, Log: d.log.Named("link"),
+	})
+	if err != nil {
+		return fmt.Errorf("load keys: %w", err)
+	}
+	d.serverTLS = serverTLS
+	d.loop = newLoop(d.parts, d.fleetConfig())
+	if err := d.openLink(ctx, serverTLS, clientTLS); err != nil {
+		return err
+	}
+	return d.openServers(ctx, set, clientTLS)
+}
+
+func (d *Daemon) fleetConfig() fleet.Config {
+	s := d.settings
+	return fleet.Config{
+		Self: host.Row{
+			ID: s.HostID, Zone: s.AvailabilityZone, Region: s.Region,
+			ControlAddr: s.ControlAddress, GateAddr: s.GateAddress,
+		},
+		Started: time.Now(), Peers: s.Peers, PlatformRegion: s.PlatformRegion,
+		Distribution: s.Distribution, Seed: rand.Uint64(),
+	}
+}
+
+func (d *Daemon) openLink(ctx context.Context, serverTLS, clientTLS *tls.Config) error {
+	s := d.settings
+	l, err := link.Listen(ctx, link.Config{
+		Addr: s.ControlAddress, Server: serverTLS, Client: clientTLS, NAT: d.nat,
+		Codec:   message.Codec{Held: d.heldVersion},
+		Receive: d.loop.receive, Answer: d.answerQuery,
+		Remote: d.isRemote, Log: d.log.Named("link"),
+	})
+	if err != nil {
+		return fmt.Errorf("open control address %s: %w", s.ControlAddress, err)
+	}
+	d.link = l
+	return nil
+}
+
+func (d *Daemon) openServers(ctx context.Context, set *metrics.Set, clientTLS *tls.Config) error {
+	s := d.settings
+	d.transports = proxy.NewTransports(proxy.TransportConfig{TLS: clientTLS, Translate: d.nat.Outside, Source: s.GateAddress.Addr()})
+	calls := proxy.Config{
+		Self: s.HostID, Routes: func() *route.Table { return d.calls.routes.Load() },
+		Pool: d.pool, Gate: d.gate, Claims: claimsAdapter{d.claims}, Transports: d.transports,
+		Events: d.callEvent, Metrics: set,
+	}
+	api, err := operator.New(operator.Config{
+		Backend: d, Host: d.fleetConfig().Self, Release: release.Number(), Tokens: s.OperatorTokens, Log: d.log.Named("operator"),
+	})
+	if err != nil {
+		return fmt.Errorf("operator API: %w", err)
+	}
+	announcements := announcement.New(announcement.Config{
+		Lease:    s.AnnounceLease,
+		Announce: func(b backend.Server) { d.loop.post(ctx, fleet.ServerAnnounced{Server: b}) },
+		Health:   d.pool.SetHealth,
+	})
+	operatorServer := &http.Server{Handler: api, ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 30 * time.Second}
+	if s.OperatorTLS {
+		operatorServer.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: d.serverTLS.GetCertificate, Certificates: d.serverTLS.Certificates}
+	}
+	d.servers = []*server{
+		{name: "call-address", http: proxy.EntryServer(d.lameDuck(proxy.NewEntry(calls))), lameDuck: true},
+		{name: "gate-address", http: proxy.GateServer(d.lameDuck(proxy.NewGate(calls)), d.serverTLS), lameDuck: true},
+		{name: "announce-address", http: &http.Server{Handler: announcements, ReadHeaderTimeout: 5 * time.Second}},
+		{name: "operator-address", http: operatorServer},
+		{name: "metrics-address", http: &http.Server{Handler: d.metricsHandler(set), ReadHeaderTimeout: 5 * time.Second}},
+	}
+	addresses := []netip.AddrPort{s.CallAddress, s.GateAddress, s.AnnounceAddress, s.OperatorAddress, s.MetricsAddress}
+	for i, srv := range d.servers {
+		if srv.listener, err = net.Listen("tcp", addresses[i].String()); err != nil {
+			d.closeListeners()
+			return fmt.Errorf("open --%s: %w", srv.name, err)
+		}
+		srv.http.ErrorLog = zap.NewStdLog(d.log.Named("http"))
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, srv := range d.servers {
+		if srv.listener != nil {
+			_ = srv.listener.Close()
+		}
+	}
+	_ = d.link.Close()
+}
+
+// lameDuck closes the connection after each response once the daemon leaves.
+func (d *Daemon) lameDuck(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Run serves until ctx ends, and then stops without cutting a call: it leaves
+// the fleet, waits for the calls in flight and closes its connections.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { d.loop.run(work); return nil })
+	for _, srv := range d.servers {
+		group.Go(func() error { return srv.serve() })
+	}
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.drain(work)
+		case <-work.Done():
+		}
+		d.shutdown()
+		stop()
+		return d.link.Close()
+	})
+	d.log.Info("Started.", zap.String("host", string(d.settings.HostID)), zap.Stringer("control-address", d.settings.ControlAddress))
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	d.log.Info("Stopped.")
+	return nil
+}
+
+func (s *server) serve() error {
+	var err error
+	if s.http.TLSConfig != nil {
+		err = s.http.ServeTLS(s.listener, "", "")
+	} else {
+		err = s.http.Serve(s.listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", s.name, err)
+}
+
+// drain leaves the fleet and waits for the calls in flight.
+func (d *Daemon) drain(ctx context.Context) {
+	d.log.Info("Leaving the fleet.", zap.Duration("drain-timeout", d.settings.DrainTimeout))
+	d.leaving.Store(true)
+	d.loop.post(ctx, fleet.Leaving{})
+	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout)
+	defer cancel()
+	select {
+	case <-time.After(lameDuckTime):
+	case <-ctx.Done():
+	}
+	if err := d.gate.DrainAll(ctx); err != nil {
+		d.log.Warn("Calls were still in flight at the end of the drain timeout.", zap.Error(err))
+	}
+	for _, srv := range d.servers {
+		if srv.lameDuck {
+			if err := srv.http.Shutdown(ctx); err != nil {
+				d.log.Warn("Could not close a listener in time.", zap.String("listener", srv.name), zap.Error(err))
+			}
+		}
+	}
+	if err := d.claims.Drain(ctx); err != nil {
+		d.log.Warn("Releases of claims were still pending.", zap.Error(err))
+	}
+}
+
+func (d *Daemon) shutdown() {
+	for _, srv := range d.servers {
+		_ = srv.http.Close()
+	}
+	d.transports.CloseIdle()
+}
+
+// callEvent records an event of the call path.
+func (p *parts) callEvent(e proxy.Event) {
+	p.timeline.Add(timeline.Event{Kind: timeline.Kind(e.Kind), Call: timeline.CallID(e.CallID), Server: e.Server, Detail: e.Detail})
+}
+
+// isRemote reports whether an address belongs to a host of another region.
+func (p *parts) isRemote(addr netip.Addr) bool {
+	region, ok := p.regions.Load(addr)
+	return ok && region != p.settings.Region
+}
--- /dev/null
+++ b/internal/daemon/held.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"sync"
+
+	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+// heldVersions gives the codec concurrent access to the versions that the core
+// holds.
+type heldVersions struct {
+	mu        sync.RWMutex
+	snapshots map[version.Number]version.Snapshot
+	order     []version.Number
+}
+
+func (h *heldVersions) add(s version.Snapshot) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.snapshots == nil {
+		h.snapshots = make(map[version.Number]version.Snapshot)
+	}
+	h.snapshots[s.Number()] = s
+	h.order = append(h.order, s.Number())
+	if len(h.order) > fleet.HeldVersions {
+		delete(h.snapshots, h.order[0])
+		h.order = h.order[1:]
+	}
+}
+
+func (h *heldVersions) get(n version.Number) (message.Snapshot, bool) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	s, ok := h.snapshots[n]
+	return s, ok
+}
--- /dev/null
+++ b/internal/daemon/loop.go
@@ -0,0 +1,189 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/submission"
+	"github.com/peridotlb/peridotlb/internal/timeline"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// eventQueue bounds the messages that wait for the core; the core repairs
+	// the loss of what is above it.
+	eventQueue = 4096
+	// readTimeout bounds a read of the platform for the core.
+	readTimeout = 4 * time.Second
+	// seedPeers is the number of host rows read to find first contacts.
+	seedPeers = 16
+)
+
+// loop owns the core: it feeds it events and carries out its effects.
+type loop struct {
+	*parts
+	core     *fleet.Core
+	events   chan fleet.Event
+	messages chan fleet.Event // may be dropped
+	inspect  chan func(*fleet.Core)
+	log      *zap.Logger
+}
+
+func newLoop(p *parts, c fleet.Config) *loop {
+	return &loop{
+		parts: p, core: fleet.New(c), log: p.log.Named("fleet"),
+		events: make(chan fleet.Event, eventQueue), messages: make(chan fleet.Event, eventQueue),
+		inspect: make(chan func(*fleet.Core)),
+	}
+}
+
+// receive queues a message from another daemon, or drops it when the core is
+// too far behind.
+func (l *loop) receive(from netip.AddrPort, m message.Message) {
+	select {
+	case l.messages <- fleet.Received{From: from, Message: m}:
+	default:
+		l.meters.dropped.Inc()
+	}
+}
+
+// post queues an event that must not be lost.
+func (l *loop) post(ctx context.Context, e fleet.Event) {
+	select {
+	case l.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// view runs f on the core, in the goroutine that owns it.
+func (l *loop) view(ctx context.Context, f func(*fleet.Core)) error {
+	done := make(chan struct{})
+	select {
+	case l.inspect <- func(c *fleet.Core) { f(c); close(done) }:
+		<-done
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// run drives the core until ctx ends.
+func (l *loop) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	l.step(ctx, fleet.Tick{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.step(ctx, fleet.Tick{})
+			l.refreshView(l.core)
+		case e := <-l.events:
+			l.step(ctx, e)
+		case e := <-l.messages:
+			l.step(ctx, e)
+		case f := <-l.inspect:
+			f(l.core)
+		}
+	}
+}
+
+func (l *loop) step(ctx context.Context, e fleet.Event) {
+	start := time.Now()
+	effects := l.core.Step(start, e)
+	for _, effect := range effects {
+		l.carryOut(ctx, effect)
+	}
+	l.meters.step.UpdateDuration(start)
+}
+
+func (l *loop) carryOut(ctx context.Context, effect fleet.Effect) {
+	switch e := effect.(type) {
+	case fleet.Send:
+		l.link.Send(e.To, e.Message)
+	case fleet.Hold:
+		l.held.add(e.Snapshot)
+	case fleet.Apply:
+		l.apply(l.core, e.Snapshot)
+	case fleet.ServersChanged:
+		l.serversChanged(l.core)
+	case fleet.ReadHead:
+		go l.readHead(ctx)
+	case fleet.LoadVersion:
+		go l.loadVersion(ctx, e)
+	case fleet.ReadPeers:
+		go l.readPeers(ctx)
+	case fleet.WriteHost:
+		go l.writeHost(ctx, e.Row)
+	case fleet.Record:
+		l.record(e)
+	}
+}
+
+func (l *loop) readHead(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	l.meters.tableReads.Inc()
+	m, err := submission.ReadHead(ctx, l.platform)
+	l.platformUp.Store(err == nil)
+	l.post(ctx, fleet.HeadRead{Manifest: m, Err: err})
+}
+
+func (l *loop) loadVersion(ctx context.Context, e fleet.LoadVersion) {
+	ctx, cancel := context.WithTimeout(ctx, 2*readTimeout)
+	defer cancel()
+	s, err := submission.Load(ctx, l.platform, e.Manifest, e.Have)
+	l.post(ctx, fleet.VersionLoaded{Snapshot: s, Err: err})
+}
+
+func (l *loop) record(r fleet.Record) {
+	l.timeline.Add(timeline.Event{
+		Kind: timeline.Kind(r.Kind), Subject: r.Host, Version: r.Version, Server: r.Server, Detail: r.Detail,
+	})
+	fields := []zap.Field{zap.String("event", r.Kind)}
+	if r.Version != 0 {
+		fields = append(fields, zap.Uint64("version", uint64(r.Version)))
+	}
+	if r.Host != "" {
+		fields = append(fields, zap.String("host", string(r.Host)))
+	}
+	if r.Server != "" {
+		fields = append(fields, zap.String("server", string(r.Server)))
+	}
+	if r.Detail != "" {
+		fields = append(fields, zap.String("detail", r.Detail))
+	}
+	l.log.Info(sentence(r.Kind), fields...)
+}
+
+// sentences are the log lines of the events that operators ask about.
+var sentences = map[string]string{
+	"version-applied": "Applied a version.",
+	"version-fetched": "Fetched a version from a peer.",
+	"version-loaded":  "Loaded a version from the object store.",
+	"load-failed":     "Could not load a version from the object store.",
+	"delta-refused":   "Refused a delta.",
+	"host-started":    "Started.",
+	"host-left":       "Left the fleet.",
+	"host-suspected":  "Suspected a host.",
+	"host-dead":       "Declared a host dead.",
+	"host-refuted":    "Refuted a report about this host.",
+	"unreachable":     "Lost contact with a zone or region.",
+}
+
+func sentence(kind string) string {
+	if s, ok := sentences[kind]; ok {
+		return s
+	}
+	return "Recorded an event."
+}
+
+// heldVersion returns a held snapshot to the codec.
+func (p *parts) heldVersion(n version.Number) (message.Snapshot, bool) { return p.held.get(n) }
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/peridotlb/peridotlb/internal/link"
+	"github.com/peridotlb/peridotlb/internal/settings"
+)
+
+// Exit codes of the daemon.
+const (
+	exitDone  = 0
+	exitFault = 1 // the daemon could not start, or had to stop
+	exitUsage = 2
+)
+
+// Lines with the same text and level that are logged within a period.
+const (
+	logPeriod = time.Second
+	logFirst  = 10
+)
+
+// Main runs the daemon and returns its exit code.
+func Main(ctx context.Context, args []string, out, errs io.Writer) int {
+	s, err := settings.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		_, _ = io.WriteString(out, settings.Help())
+		return exitDone
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(errs, err)
+		return exitUsage
+	}
+	if err := checkKeys(s); err != nil {
+		_, _ = fmt.Fprintln(errs, err)
+		return exitUsage
+	}
+	if s.Check {
+		_, _ = fmt.Fprintln(out, "The settings are valid.")
+		return exitDone
+	}
+	log := newLog(s, errs)
+	defer func() { _ = log.Sync() }()
+	d, err := New(ctx, Config{Settings: s, Log: log})
+	if err == nil {
+		err = d.Run(ctx)
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(errs, "peridotlbd:", err)
+		return exitFault
+	}
+	return exitDone
+}
+
+// checkKeys finds faults of the key files before anything is opened.
+func checkKeys(s settings.Daemon) error {
+	_, _, err := link.LoadTLS(link.TLSConfig{CA: s.CAFile, Certificate: s.CertificateFile, Key: s.KeyFile})
+	return err
+}
+
+func newLog(s settings.Daemon, w io.Writer) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	encoder := zapcore.NewConsoleEncoder(config)
+	if s.LogFormat == settings.JSON {
+		encoder = zapcore.NewJSONEncoder(config)
+	}
+	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), s.LogLevel)
+	// Repeats of a line within a second are cut after the tenth, so that a
+	// failing peer does not fill the log.
+	sampled := zapcore.NewSamplerWithOptions(core, logPeriod, logFirst, 0)
+	return zap.New(sampled)
+}
--- /dev/null
+++ b/internal/daemon/query.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/timeline"
+)
+
+// Timeouts of operator queries between daemons.
+const (
+	statusTimeout   = time.Second
+	timelineTimeout = 3 * time.Second
+)
+
+// query is what one daemon asks another on behalf of an operator. Exactly one
+// field is set.
+type query struct {
+	Status   *struct{}      `json:"status,omitempty"`
+	Timeline *timelineQuery `json:"timeline,omitempty"`
+}
+
+// answer is the answer to a query.
+type answer struct {
+	Status   *message.Report `json:"status,omitempty"`
+	Timeline *timeline.Page  `json:"timeline,omitempty"`
+}
+
+// timelineQuery asks for the events after a stamp that match a filter.
+type timelineQuery struct {
+	Since  timeline.Stamp  `json:"since"`
+	Filter timeline.Filter `json:"filter"`
+}
+
+// answerQuery answers another daemon.
+func (d *Daemon) answerQuery(ctx context.Context, _ netip.AddrPort, data []byte) ([]byte, error) {
+	var q query
+	if err := json.Unmarshal(data, &q); err != nil {
+		return nil, fmt.Errorf("decode query: %w", err)
+	}
+	a, err := d.localAnswer(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(a)
+}
+
+func (d *Daemon) localAnswer(ctx context.Context, q query) (answer, error) {
+	switch {
+	case q.Status != nil:
+		var report message.Report
+		err := d.loop.view(ctx, func(c *fleet.Core) { report = c.Subtree() })
+		return answer{Status: &report}, err
+	case q.Timeline != nil:
+		page := d.timeline.Since(q.Timeline.Since, q.Timeline.Filter)
+		return answer{Timeline: &page}, nil
+	default:
+		return answer{}, errors.New("query asks for nothing that this release knows")
+	}
+}
+
+// ask sends a query to a daemon; one to this daemon is answered locally.
+func (d *Daemon) ask(ctx context.Context, to netip.AddrPort, q query) (answer, error) {
+	if to == d.settings.ControlAddress {
+		return d.localAnswer(ctx, q)
+	}
+	data, err := json.Marshal(q)
+	if err != nil {
+		return answer{}, fmt.Errorf("encode query: %w", err)
+	}
+	data, err = d.link.Ask(ctx, to, data)
+	if err != nil {
+		return answer{}, fmt.Errorf("ask %s: %w", to, err)
+	}
+	var a answer
+	if err := json.Unmarshal(data, &a); err != nil {
+		return answer{}, fmt.Errorf("decode answer of %s: %w", to, err)
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/daemon/seeds.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/platform"
+)
+
+const (
+	seedPrefix = "host/"
+	// seedWriteJitter spreads the writes of a mass start: 1,200 first starts
+	// make 60 writes a second, below the budget of 75.
+	seedWriteJitter = 20 * time.Second
+	seedWriteTries  = 5
+)
+
+func seedKey(row host.Row) platform.Key {
+	return platform.Key(fmt.Sprintf("%s%s/%s", seedPrefix, row.Zone, row.ID))
+}
+
+// readPeers reads host rows of the table: those of this zone first, from a
+// random place on, so that starting daemons do not all ask the same peers.
+func (l *loop) readPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	peers, err := l.seeds(ctx)
+	l.post(ctx, fleet.PeersRead{Peers: peers, Err: err})
+}
+
+func (l *loop) seeds(ctx context.Context) ([]netip.AddrPort, error) {
+	zone := platform.Key(fmt.Sprintf("%s%s/", seedPrefix, l.settings.AvailabilityZone))
+	middle := zone + platform.Key(l.settings.HostID)
+	scans := []struct{ prefix, after platform.Key }{{zone, middle}, {zone, ""}, {seedPrefix, ""}}
+	if rand.IntN(2) == 0 {
+		scans[0], scans[1] = scans[1], scans[0]
+	}
+	var peers []netip.AddrPort
+	for _, s := range scans {
+		if len(peers) >= seedPeers {
+			break
+		}
+		l.meters.tableReads.Inc()
+		rows, err := l.platform.Scan(ctx, s.prefix, s.after, seedPeers)
+		if err != nil {
+			return nil, fmt.Errorf("scan host rows: %w", err)
+		}
+		for _, r := range rows {
+			if addr, err := netip.ParseAddrPort(string(r.Value)); err == nil && addr != l.settings.ControlAddress {
+				peers = append(peers, addr)
+			}
+		}
+	}
+	return peers, nil
+}
+
+// writeHost publishes the control address of this host as a first contact for
+// others. The row is read first: after most restarts it is already right.
+func (l *loop) writeHost(ctx context.Context, row host.Row) {
+	key, value := seedKey(row), []byte(row.ControlAddr.String())
+	for try := range seedWriteTries {
+		wait := time.Duration(0)
+		if len(l.settings.Peers) > 0 || try > 0 {
+			wait = rand.N(seedWriteJitter)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		done, err := l.writeSeed(ctx, key, value)
+		if done {
+			return
+		}
+		l.log.Warn("Could not write the host row.", zap.Error(err))
+	}
+}
+
+func (l *loop) writeSeed(ctx context.Context, key platform.Key, value []byte) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rows, err := l.platform.Get(ctx, key)
+	if err != nil {
+		return false, fmt.Errorf("read host row: %w", err)
+	}
+	if len(rows) == 1 && bytes.Equal(rows[0].Value, value) {
+		return true, nil
+	}
+	w := platform.Write{Key: key, Value: value}
+	if len(rows) == 1 {
+		w.If = rows[0].Revision
+	}
+	result, err := l.platform.Commit(ctx, w)
+	if err != nil {
+		return false, fmt.Errorf("write host row %s: %w", strings.TrimPrefix(string(key), seedPrefix), err)
+	}
+	return result.Outcome == platform.Applied, nil
+}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -179,3 +179,6 @@
 
 // Known returns the highest version that this daemon has heard of.
 func (c *Core) Known() version.Number { return c.versions.known }
+
+// Newest returns the newest snapshot held, applied or not.
+func (c *Core) Newest() version.Snapshot { return c.versions.held[c.versions.newest] }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -407,10 +407,10 @@
 	var to node
 	to = f.listen(f.host(), func(c *Config) {
 		c.Receive = func(from netip.AddrPort, _ message.Message) {
-			to.Send(from, message.ProbeAnswer{Nonce: 1 << 30, Head: message.Head{Secured: 70000, Applied: 70000, Rows: 1 << 60}})
+			to.Send(from, message.ProbeAnswer{Nonce: 1 << 30, Head: message.Head{Known: 70000, Held: 70000, Rows: 1 << 60}})
 		}
 	})
-	probe := message.Probe{Nonce: 1 << 30, Head: message.Head{Secured: 70000, Applied: 70000, Rows: 1 << 60}}
+	probe := message.Probe{Nonce: 1 << 30, Head: message.Head{Known: 70000, Held: 70000, Rows: 1 << 60}}
 	exchange := func() {
 		a.Send(to.Addr(), probe)
 		<-a.received
--- a/internal/platform/remote.go
+++ b/internal/platform/remote.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
@@ -28,6 +29,10 @@
 
 	TableTimeout  time.Duration // one request to the table; default 2 s
 	ObjectTimeout time.Duration // one request to the object store; default 10 s
+
+	// Source is the local address of outgoing connections; the zero value lets
+	// the system choose.
+	Source netip.Addr
 }
 
 // Defaults of Config. A 4 MiB document takes about 1.1 s on a 30 Mbit/s link
@@ -62,7 +67,7 @@
 		return nil, fmt.Errorf("platform configuration: %w", err)
 	}
 	keys := credentials.NewStaticCredentialsProvider(c.AccessKey, c.SecretKey, c.SessionToken)
-	tables, objects := newTransport(), newTransport()
+	tables, objects := newTransport(c.Source), newTransport(c.Source)
 	return &Remote{
 		tableName: c.Table,
 		bucket:    c.Bucket,
@@ -114,9 +119,13 @@
 	return errors.Join(faults...)
 }
 
-func newTransport() *http.Transport {
+func newTransport(source netip.Addr) *http.Transport {
+	dialer := &net.Dialer{Timeout: time.Second}
+	if source.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: source.AsSlice()}
+	}
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         dialer.DialContext,
 		TLSHandshakeTimeout: time.Second,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     90 * time.Second,
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -31,6 +31,9 @@
 	TLS *tls.Config
 	// Translate maps the address of a gate before it is dialled; nil for none.
 	Translate func(netip.AddrPort) netip.AddrPort
+	// Source is the local address of connections to gates; the zero value lets
+	// the system choose.
+	Source netip.Addr
 }
 
 // Transports holds the connections to gates and to local backend servers.
@@ -74,7 +77,9 @@
 	b := t.backends[connections]
 	if b == nil {
 		b = newTransport(backendIdle, connections, max(connections, 1))
-		b.DialContext = func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) }
+		b.DialContext = func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return dial(ctx, addr, netip.Addr{})
+		}
 		t.backends[connections] = b
 	}
 	return b
@@ -101,7 +106,7 @@
 		}
 		addr = t.config.Translate(ap).String()
 	}
-	return dial(ctx, addr)
+	return dial(ctx, addr, t.config.Source)
 }
 
 func (t *Transports) dialGateTLS(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -126,8 +131,11 @@
 	return &trackedConn{Conn: conn}, nil
 }
 
-func dial(ctx context.Context, addr string) (net.Conn, error) {
+func dial(ctx context.Context, addr string, source netip.Addr) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
+	if source.IsValid() {
+		d.LocalAddr = &net.TCPAddr{IP: source.AsSlice()}
+	}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/test/mesh/client.go
@@ -0,0 +1,235 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// tokenSource gives the operator API client its token.
+type tokenSource string
+
+// Bearer implements api.SecuritySource.
+func (t tokenSource) Bearer(context.Context, api.OperationName) (api.Bearer, error) {
+	return api.Bearer{Token: string(t)}, nil
+}
+
+// httpClient does not reuse connections: hosts come and go.
+var httpClient = &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Operator returns a client of the operator API of a host.
+func (h *Host) Operator(token string) (*api.Client, error) {
+	return api.NewClient(h.OperatorURL(), tokenSource(token), api.WithClient(httpClient))
+}
+
+// ErrRefused is returned for a refused submission.
+var ErrRefused = errors.New("submission was refused")
+
+// Submit submits a whole document as an operator of the token's team.
+func (h *Host) Submit(ctx context.Context, token, id, yaml string, base uint64) (uint64, error) {
+	client, err := h.Operator(token)
+	if err != nil {
+		return 0, fmt.Errorf("operator client: %w", err)
+	}
+	result, err := client.SubmitDocument(ctx, &api.Submission{ID: id, Base: base, Document: api.NewOptString(yaml)})
+	if err != nil {
+		return 0, fmt.Errorf("submit: %w", err)
+	}
+	switch r := result.(type) {
+	case *api.Accepted:
+		return r.Version, nil
+	case *api.Refused:
+		return 0, fmt.Errorf("%w: %s: %+v", ErrRefused, r.Reason, r.Faults)
+	default:
+		return 0, fmt.Errorf("outcome of submission %s is not known: %+v", id, result)
+	}
+}
+
+// Convergence is how long a version took to be in force everywhere.
+type Convergence struct {
+	P50, P99, Max time.Duration
+	Hosts         int
+}
+
+// Converge waits until every running daemon has applied the version and
+// returns the time from its acceptance, by the time lines of the daemons. All
+// run on one machine, so that their clocks agree.
+func (m *Mesh) Converge(ctx context.Context, token string, version uint64) (Convergence, error) {
+	if err := m.WaitApplied(ctx, version); err != nil {
+		return Convergence{}, err
+	}
+	client, err := m.AnyDaemon().Operator(token)
+	if err != nil {
+		return Convergence{}, fmt.Errorf("operator client: %w", err)
+	}
+	line, err := client.QueryTimeline(ctx, api.QueryTimelineParams{Version: api.NewOptUint64(version), Limit: api.NewOptInt(100000)})
+	if err != nil {
+		return Convergence{}, fmt.Errorf("query timeline: %w", err)
+	}
+	var accepted time.Time
+	for _, e := range line.Events {
+		if e.Kind == "accepted" && (accepted.IsZero() || e.Time.Before(accepted)) {
+			accepted = e.Time
+		}
+	}
+	var took []time.Duration
+	for _, e := range line.Events {
+		if e.Kind == "version-applied" {
+			took = append(took, max(0, e.Time.Sub(accepted)))
+		}
+	}
+	if accepted.IsZero() || len(took) == 0 {
+		return Convergence{}, fmt.Errorf("timeline lacks events of version %d", version)
+	}
+	slices.Sort(took)
+	return Convergence{P50: quantile(took, 0.5), P99: quantile(took, 0.99), Max: took[len(took)-1], Hosts: len(took)}, nil
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// AnyDaemon returns a host whose daemon runs.
+func (m *Mesh) AnyDaemon() *Host {
+	for _, h := range m.Hosts {
+		if h.Daemon != nil && h.Daemon.Running() {
+			return h
+		}
+	}
+	return m.Hosts[0]
+}
+
+// WaitApplied waits until every running daemon has applied the version or a
+// later one.
+func (m *Mesh) WaitApplied(ctx context.Context, version uint64) error {
+	return m.waitAll(ctx, func(h *Host) error {
+		got, err := h.Metric(ctx, "peridotlb_version_applied")
+		if err != nil {
+			return err
+		}
+		if uint64(got) < version {
+			return fmt.Errorf("%s: got version %d, want %d", h.ID, uint64(got), version)
+		}
+		return nil
+	})
+}
+
+// waitAll repeats a check for every running daemon until it passes.
+func (m *Mesh) waitAll(ctx context.Context, check func(*Host) error) error {
+	for _, h := range m.Hosts {
+		for h.Daemon.Running() {
+			err := check(h)
+			if err == nil {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("%w: %w", ctx.Err(), err)
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// WaitServers waits until every running daemon knows n ready backend servers.
+func (m *Mesh) WaitServers(ctx context.Context, token string, n int) error {
+	return m.waitAll(ctx, func(h *Host) error {
+		client, err := h.Operator(token)
+		if err != nil {
+			return err
+		}
+		list, err := client.ListServers(ctx, api.ListServersParams{})
+		if err != nil {
+			return fmt.Errorf("%s: %w", h.ID, err)
+		}
+		ready := 0
+		for _, s := range list.Servers {
+			if s.State == api.ServerStateReady {
+				ready++
+			}
+		}
+		if ready < n {
+			return fmt.Errorf("%s: got %d ready backend servers, want %d", h.ID, ready, n)
+		}
+		return nil
+	})
+}
+
+// Metric reads one metric of a daemon. The name includes its labels.
+func (h *Host) Metric(ctx context.Context, name string) (float64, error) {
+	text, err := get(ctx, h.MetricsURL()+"/metrics")
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(text) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			return strconv.ParseFloat(strings.TrimSpace(value), 64)
+		}
+	}
+	return 0, fmt.Errorf("%s: no metric %s", h.ID, name)
+}
+
+// SumMetric adds up a metric over the running daemons.
+func (m *Mesh) SumMetric(ctx context.Context, name string) float64 {
+	var sum float64
+	for _, h := range m.Hosts {
+		if h.Daemon.Running() {
+			if v, err := h.Metric(ctx, name); err == nil {
+				sum += v
+			}
+		}
+	}
+	return sum
+}
+
+// Fault changes the faults of the platform, for example {"down": true}.
+func (m *Mesh) Fault(ctx context.Context, faults map[string]any) error {
+	return m.post(ctx, "http://"+m.platformAddr(1)+"/-/faults", faults)
+}
+
+func (m *Mesh) post(ctx context.Context, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(string(data)))
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	_, err = do(r)
+	return err
+}
+
+func get(ctx context.Context, url string) (string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", fmt.Errorf("make request: %w", err)
+	}
+	return do(r)
+}
+
+func do(r *http.Request) (string, error) {
+	response, err := httpClient.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", fmt.Errorf("read %s: %w", r.URL, err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return "", fmt.Errorf("%s: %s: %s", r.URL, response.Status, text)
+	}
+	return string(text), nil
+}
--- /dev/null
+++ b/test/mesh/mesh.go
@@ -0,0 +1,342 @@
+// Package mesh starts a small fleet of real processes for the demo, the
+// benchmark and the scenarios: the platform stand-in, the relay between zones,
+// daemons and backend servers, all on loopback.
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/link"
+	"github.com/peridotlb/peridotlb/test/relay/relay"
+)
+
+// Deployment is the shape and the delays of a site.
+type Deployment struct {
+	Name        string
+	Regions     [2]host.Region
+	ZoneDelay   time.Duration // one way between zones of a region
+	RegionDelay time.Duration // one way between regions
+	ClientDelay time.Duration // one way between callers and daemons; not applied
+	LinkMbit    float64       // region link, each way
+	Slots       int
+	Connections int
+	// ServersPerService is indexed by service; each server has a host.
+	ServersPerService []int
+}
+
+// Deployments of today.
+var (
+	Kujaza = Deployment{
+		Name: "kujaza", Regions: [2]host.Region{"pwani", "kaskazini"},
+		ZoneDelay: 500 * time.Microsecond, RegionDelay: 12 * time.Millisecond, ClientDelay: 8 * time.Millisecond,
+		LinkMbit: 30, Slots: 9, Connections: 130, ServersPerService: []int{5, 4, 5},
+	}
+	Prairie = Deployment{
+		Name: "prairie", Regions: [2]host.Region{"regina", "winnipeg"},
+		ZoneDelay: 1400 * time.Microsecond, RegionDelay: 12 * time.Millisecond, ClientDelay: time.Millisecond,
+		LinkMbit: 30, Slots: 18, Connections: 110, ServersPerService: []int{5, 4, 5},
+	}
+)
+
+// Services of the example document, in the order of ServersPerService.
+var Services = []string{"bead-stock", "refill-prices", "orders"}
+
+// zoneCount is the number of availability zones, two per region.
+const zoneCount = 4
+
+// platformHost is the last byte of the platform's address.
+const platformHost = 250
+
+// Ports of a host, added to the base port of the mesh.
+const (
+	controlPort = iota
+	gatePort
+	callPort
+	announcePort
+	operatorPort
+	metricsPort
+	backendPort
+	platformPort
+	relayControlPort
+	portCount
+)
+
+// Config holds the settings of a mesh.
+type Config struct {
+	Deployment Deployment
+	Bin        string   // directory of the built programs
+	Daemons    int      // 0 takes one per backend server of the deployment
+	Flags      []string // more flags for every daemon
+	// Servers is false for a mesh without backend servers.
+	Servers bool
+	// ServerFlags are more flags for every backend server.
+	ServerFlags []string
+	// Tokens are the operator tokens, as in the setting operator-tokens.
+	Tokens string
+	// Logs keeps the directory with the logs.
+	Logs bool
+}
+
+// Mesh is a running fleet.
+type Mesh struct {
+	Config
+	Dir      string
+	Platform *Process
+	Relay    *Process
+	Hosts    []*Host
+	base     uint16
+}
+
+// Host is a host of the mesh with its daemon and its backend server.
+type Host struct {
+	ID      host.ID
+	Zone    host.AvailabilityZone
+	Region  host.Region
+	Service string
+	Daemon  *Process
+	Server  *Process
+	zone    int // 1 to zoneCount
+	addr    netip.Addr
+	base    uint16
+}
+
+func (h *Host) port(offset int) string {
+	return netip.AddrPortFrom(h.addr, h.base+uint16(offset)).String()
+}
+
+// CallURL returns the base URL for callers.
+func (h *Host) CallURL() string { return "http://" + h.port(callPort) }
+
+// OperatorURL returns the base URL of the operator API.
+func (h *Host) OperatorURL() string { return "http://" + h.port(operatorPort) }
+
+// MetricsURL returns the base URL of metrics and health.
+func (h *Host) MetricsURL() string { return "http://" + h.port(metricsPort) }
+
+// ServerURL returns the base URL of the backend server.
+func (h *Host) ServerURL() string { return "http://" + h.port(backendPort) }
+
+// Start starts a mesh. The processes end with ctx or Close.
+func Start(ctx context.Context, c Config) (*Mesh, error) {
+	dir, err := os.MkdirTemp("", "peridotlb-mesh-")
+	if err != nil {
+		return nil, fmt.Errorf("make directory: %w", err)
+	}
+	m := &Mesh{Config: c, Dir: dir}
+	if m.base, err = freePorts(); err != nil {
+		return nil, err
+	}
+	m.layOut()
+	if err := m.writeKeys(); err != nil {
+		return nil, fmt.Errorf("write keys: %w", err)
+	}
+	if err := m.startAll(ctx); err != nil {
+		return m, errors.Join(err, m.Close())
+	}
+	return m, nil
+}
+
+// layOut spreads the hosts over the zones in turn.
+func (m *Mesh) layOut() {
+	var services []string
+	for i, n := range m.Deployment.ServersPerService {
+		for range n {
+			services = append(services, Services[i])
+		}
+	}
+	if m.Daemons == 0 {
+		m.Daemons = len(services)
+	}
+	for i := range m.Daemons {
+		zone := i%zoneCount + 1
+		region := m.Deployment.Regions[(zone-1)/2]
+		name := host.AvailabilityZone(fmt.Sprintf("%s-%c", region, 'a'+(zone-1)%2))
+		j := i/zoneCount + 1
+		h := &Host{
+			ID: host.ID(fmt.Sprintf("%s-%d", name, j)), Zone: name, Region: region,
+			zone: zone, addr: netip.AddrFrom4([4]byte{127, byte(zone), 0, byte(j)}), base: m.base,
+		}
+		if m.Servers {
+			h.Service = services[i%len(services)]
+		}
+		m.Hosts = append(m.Hosts, h)
+	}
+}
+
+func (m *Mesh) writeKeys() error {
+	now := time.Now().Add(-time.Hour)
+	ca, err := link.NewCA("mesh", now, 24*time.Hour)
+	if err != nil {
+		return fmt.Errorf("make authority: %w", err)
+	}
+	if err := os.WriteFile(m.file("ca.pem"), ca.Certificate, 0o600); err != nil {
+		return fmt.Errorf("write authority: %w", err)
+	}
+	for _, h := range m.Hosts {
+		keys, err := link.NewHostKeys(ca, string(h.ID), now, 24*time.Hour)
+		if err != nil {
+			return fmt.Errorf("make keys of %s: %w", h.ID, err)
+		}
+		err = errors.Join(
+			os.WriteFile(m.file(string(h.ID)+".pem"), keys.Certificate, 0o600),
+			os.WriteFile(m.file(string(h.ID)+".key"), keys.Key, 0o600))
+		if err != nil {
+			return fmt.Errorf("write keys of %s: %w", h.ID, err)
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) file(name string) string { return filepath.Join(m.Dir, name) }
+
+func (m *Mesh) startAll(ctx context.Context) error {
+	var err error
+	if m.Platform, err = m.start(ctx, "platform", "platform", "--listen", m.platformAddr(1)); err != nil {
+		return err
+	}
+	if err = m.startRelay(ctx); err != nil {
+		return err
+	}
+	var group errgroup.Group
+	for _, h := range m.Hosts {
+		group.Go(func() error { return m.StartDaemon(ctx, h) })
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	for _, h := range m.Hosts {
+		if h.Service == "" {
+			continue
+		}
+		if err := m.StartServer(ctx, h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// platformAddr returns the address at which a zone reaches the platform, which
+// runs in the first zone.
+func (m *Mesh) platformAddr(fromZone int) string {
+	network := byte(1)
+	if fromZone != 1 {
+		network += translatedOffset
+	}
+	addr := netip.AddrFrom4([4]byte{127, network, 0, platformHost})
+	return netip.AddrPortFrom(addr, m.base+platformPort).String()
+}
+
+// translatedOffset is added to the second byte of an address for hosts of
+// other zones.
+const translatedOffset = 100
+
+func (m *Mesh) startRelay(ctx context.Context) error {
+	data, err := json.Marshal(m.relayConfig())
+	if err != nil {
+		return fmt.Errorf("encode relay configuration: %w", err)
+	}
+	if err := os.WriteFile(m.file("relay.json"), data, 0o600); err != nil {
+		return fmt.Errorf("write relay configuration: %w", err)
+	}
+	m.Relay, err = m.start(ctx, "relay", "relay", "--config", m.file("relay.json"))
+	return err
+}
+
+// StartDaemon starts the daemon of a host, or starts it again.
+func (m *Mesh) StartDaemon(ctx context.Context, h *Host) error {
+	args := []string{
+		"--host-id", string(h.ID), "--availability-zone", string(h.Zone), "--region", string(h.Region),
+		"--control-address", h.port(controlPort), "--gate-address", h.port(gatePort),
+		"--call-address", h.port(callPort), "--announce-address", h.port(announcePort),
+		"--operator-address", h.port(operatorPort), "--metrics-address", h.port(metricsPort),
+		"--ca-file", m.file("ca.pem"), "--certificate-file", m.file(string(h.ID) + ".pem"), "--key-file", m.file(string(h.ID) + ".key"),
+		"--platform", "aws", "--platform-region", string(m.Deployment.Regions[0]),
+		"--table-endpoint", "http://" + m.platformAddr(h.zone), "--object-endpoint", "http://" + m.platformAddr(h.zone),
+		"--table-name", "peridotlb", "--bucket", "peridotlb",
+		"--platform-access-key", "test", "--platform-secret-key", "test", "--platform-signing-region", "local",
+		"--nat", m.nat(h.zone), "--log-format", "json",
+	}
+	if m.Tokens != "" {
+		args = append(args, "--operator-tokens", m.Tokens)
+	}
+	p, err := m.start(ctx, string(h.ID), "peridotlbd", append(args, m.Flags...)...)
+	if err != nil {
+		return err
+	}
+	h.Daemon = p
+	return nil
+}
+
+// nat returns the translation rules of a zone.
+func (m *Mesh) nat(zone int) string {
+	var rules []string
+	for other := 1; other <= zoneCount; other++ {
+		if other != zone {
+			rules = append(rules, fmt.Sprintf("127.%d.0.0/16=127.%d.0.0/16", other, other+translatedOffset))
+		}
+	}
+	return strings.Join(rules, ",")
+}
+
+// freePorts finds a base port whose block is free on loopback. The range lies
+// below the ports that the system gives to outgoing connections.
+func freePorts() (uint16, error) {
+	const first, last, tries = 20000, 32000, 100
+	for i := range tries {
+		base := first + (os.Getpid()*37+i*101)%((last-first)/portCount)*portCount
+		if blockFree(base) {
+			return uint16(base), nil
+		}
+	}
+	return 0, errors.New("no free block of ports on loopback")
+}
+
+func blockFree(base int) bool {
+	for p := base; p < base+portCount; p++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", p))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
+// relayConfig describes the network between the zones.
+func (m *Mesh) relayConfig() relay.Config {
+	c := relay.Config{
+		Control:     netip.MustParseAddrPort(m.relayControl()),
+		ZoneDelay:   relay.Duration(m.Deployment.ZoneDelay),
+		RegionDelay: relay.Duration(m.Deployment.RegionDelay),
+		Bandwidth:   int64(m.Deployment.LinkMbit * 1e6),
+	}
+	for i := range zoneCount {
+		region := m.Deployment.Regions[i/2]
+		c.Zones = append(c.Zones, relay.Zone{
+			Name: fmt.Sprintf("%s-%c", region, 'a'+i%2), Number: byte(i + 1), Region: string(region),
+		})
+	}
+	for _, h := range m.Hosts {
+		c.Hosts = append(c.Hosts, relay.Host{
+			Address: h.addr, UDP: []uint16{m.base + controlPort}, TCP: []uint16{m.base + gatePort},
+		})
+	}
+	c.Hosts = append(c.Hosts, relay.Host{
+		Address: netip.AddrFrom4([4]byte{127, 1, 0, platformHost}), TCP: []uint16{m.base + platformPort},
+	})
+	return c
+}
+
+func (m *Mesh) relayControl() string { return fmt.Sprintf("127.0.0.1:%d", m.base+relayControlPort) }
--- /dev/null
+++ b/test/mesh/process.go
@@ -0,0 +1,145 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// startTimeout bounds the wait for the first line of a process.
+const startTimeout = 20 * time.Second
+
+// Process is a program that the mesh started.
+type Process struct {
+	Name string
+	Log  string // file with standard output and error
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// start starts a program and waits until it has printed that it listens.
+func (m *Mesh) start(ctx context.Context, name, program string, args ...string) (*Process, error) {
+	p := &Process{Name: name, Log: m.file(name + ".log"), done: make(chan struct{})}
+	file, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("open log: %w", err)
+	}
+	defer file.Close()
+	offset, err := file.Seek(0, io.SeekEnd)
+	if err != nil {
+		return nil, fmt.Errorf("seek in log: %w", err)
+	}
+	p.cmd = exec.CommandContext(ctx, filepath.Join(m.Bin, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = file, file
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	if err := p.waitForStart(ctx, offset); err != nil {
+		_ = p.cmd.Process.Kill()
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	return p, nil
+}
+
+// waitForStart waits for a line that says that the program serves.
+func (p *Process) waitForStart(ctx context.Context, offset int64) error {
+	deadline := time.Now().Add(startTimeout)
+	for time.Now().Before(deadline) {
+		text := p.tail(offset)
+		if strings.Contains(text, "istening on") || strings.Contains(text, "Started.") || strings.HasPrefix(text, "control ") {
+			return nil
+		}
+		select {
+		case <-p.done:
+			return fmt.Errorf("ended: %w: %s", p.err, text)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("did not start within %v: %s", startTimeout, p.tail(offset))
+}
+
+func (p *Process) tail(offset int64) string {
+	file, err := os.Open(p.Log)
+	if err != nil {
+		return ""
+	}
+	defer file.Close()
+	if _, err := file.Seek(offset, io.SeekStart); err != nil {
+		return ""
+	}
+	text, _ := io.ReadAll(bufio.NewReader(file))
+	return string(text)
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() error { return p.end(syscall.SIGKILL, startTimeout) }
+
+// Stop asks the process to end and waits.
+func (p *Process) Stop(timeout time.Duration) error { return p.end(syscall.SIGTERM, timeout) }
+
+// Freeze pauses the process until Resume.
+func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a frozen process go on.
+func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+func (p *Process) end(s os.Signal, timeout time.Duration) error {
+	if !p.Running() {
+		return nil
+	}
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("signal %s: %w", p.Name, err)
+	}
+	select {
+	case <-p.done:
+		return nil
+	case <-time.After(timeout):
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		return fmt.Errorf("%s did not end within %v", p.Name, timeout)
+	}
+}
+
+// Close ends all processes and removes the directory of the mesh.
+func (m *Mesh) Close() error {
+	var all []*Process
+	for _, h := range m.Hosts {
+		all = append(all, h.Server, h.Daemon)
+	}
+	all = append(all, m.Relay, m.Platform)
+	var errs []error
+	for _, p := range all {
+		if p != nil {
+			errs = append(errs, p.Kill())
+		}
+	}
+	if !m.Logs {
+		errs = append(errs, os.RemoveAll(m.Dir))
+	}
+	return errors.Join(errs...)
+}
