Probe one successor instead of two; membership tests

Cause: each daemon probed two successors, so that an idle daemon handled 4.12 messages a second (160 hosts, virtual clock, TestIdleFleetIsQuiet). Change: only the next host that is not suspect is probed, and the suspects before it. A third of a zone that fails at once is still found within 20 s (TestFailedHostsAreFound). Ruled out: a longer interval with two successors, which finds a failure later.

--- /dev/null
+++ b/internal/fleet/membership_test.go
@@ -0,0 +1,118 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// stateAt returns the state of a host in the table of another one.
+func stateAt(nd *node, id host.ID) host.State { return nd.core.hosts.get(id).row.State }
+
+// TestFailedHostsAreFound guards against a failed host that stays alive in some
+// table, and against runs of failed hosts that are found one after the other
+// only. A third of a zone fails at once.
+func TestFailedHostsAreFound(t *testing.T) {
+	n := newNetwork(t, 11, 12, nil)
+	n.run(30 * time.Second)
+	for i := range 4 {
+		n.stop(n.nodes[3*i])
+	}
+	n.run(20 * time.Second)
+	for _, nd := range n.nodes {
+		for i := range 4 {
+			if got := stateAt(nd, n.nodes[3*i].row.ID); nd.up && got != host.Dead {
+				t.Errorf("%s in the table of %s: got %v, want dead", n.nodes[3*i].row.ID, nd.row.ID, got)
+			}
+		}
+	}
+}
+
+// TestPausedHostRefutes guards against a host that stays dead in some table
+// after it was paused, and against its backend servers staying away.
+func TestPausedHostRefutes(t *testing.T) {
+	n := newNetwork(t, 12, 4, nil)
+	n.run(20 * time.Second)
+	paused := n.nodes[5]
+	n.schedule(paused, 0, ServerAnnounced{Server: backend.Server{ID: "s", Service: "bead-stock", State: backend.Ready}})
+	n.run(5 * time.Second)
+	paused.paused = true
+	n.run(20 * time.Second)
+	if got := stateAt(n.nodes[0], paused.row.ID); got != host.Dead {
+		t.Fatalf("paused host: got %v, want dead", got)
+	}
+	paused.paused = false
+	n.run(30 * time.Second)
+	for _, nd := range n.nodes {
+		if got := stateAt(nd, paused.row.ID); got != host.Alive {
+			t.Errorf("resumed host in the table of %s: got %v, want alive", nd.row.ID, got)
+		}
+		if got := len(nd.core.Servers()); got != 1 {
+			t.Errorf("backend servers known to %s: got %d, want 1", nd.row.ID, got)
+		}
+	}
+}
+
+// TestDrainIsKnownWithinThreeSeconds guards against new work for a backend
+// server that is leaving.
+func TestDrainIsKnownWithinThreeSeconds(t *testing.T) {
+	n := newNetwork(t, 13, 6, nil)
+	n.loss = 0.1
+	n.run(30 * time.Second)
+	s := backend.Server{ID: "s", Service: "bead-stock", State: backend.Ready}
+	n.schedule(n.nodes[2], 0, ServerAnnounced{Server: s})
+	n.run(10 * time.Second)
+	s.State = backend.Draining
+	n.schedule(n.nodes[2], 0, ServerAnnounced{Server: s})
+	n.run(3 * time.Second)
+	for _, nd := range n.nodes {
+		if got := nd.core.Servers(); len(got) != 1 || got[0].State != backend.Draining {
+			t.Errorf("rows at %s: got %+v, want one that is draining", nd.row.ID, got)
+		}
+	}
+}
+
+// TestIdleFleetIsQuiet guards against control traffic that grows with the
+// fleet: an idle daemon probes one host, a root a few more.
+func TestIdleFleetIsQuiet(t *testing.T) {
+	for _, perZone := range []int{4, 16, 40} {
+		n := newNetwork(t, 14, perZone, nil)
+		n.run(60 * time.Second)
+		before := n.sent
+		n.run(60 * time.Second)
+		perSecond := float64(n.sent-before) / 60 / float64(len(n.nodes))
+		t.Logf("%d hosts per zone: %.2f messages a second and daemon", perZone, perSecond)
+		if want := 3.0; perSecond > want {
+			t.Errorf("%d hosts per zone: got %.2f messages a second and daemon, want at most %.1f", perZone, perSecond, want)
+		}
+	}
+}
+
+// TestWholeZoneReturns guards against tables that stay different after a zone
+// was down and came back at once, with the table down.
+func TestWholeZoneReturns(t *testing.T) {
+	n := newNetwork(t, 15, 8, nil)
+	n.run(30 * time.Second)
+	n.accept(n.nodes[0], false)
+	n.run(5 * time.Second)
+	n.tableDown = true
+	for _, nd := range n.nodes[8:16] {
+		n.stop(nd)
+	}
+	n.run(30 * time.Second)
+	for _, nd := range n.nodes[8:16] {
+		nd.core = nil
+		n.start(nd)
+	}
+	n.run(30 * time.Second)
+	n.tableDown = false
+	n.run(15 * time.Second)
+	n.wantApplied()
+	for _, nd := range n.nodes {
+		if got, want := nd.core.rowsHash(), n.nodes[0].core.rowsHash(); got != want {
+			t.Errorf("row hash of %s: got %x, want %x as at %s", nd.row.ID, got, want, n.nodes[0].row.ID)
+		}
+	}
+}
--- a/internal/fleet/overlay.go
+++ b/internal/fleet/overlay.go
@@ -10,8 +10,10 @@
 
 // Shape of the overlay within a zone.
 const (
-	treeFanOut     = 4
-	ringSuccessors = 2
+	treeFanOut = 4
+	// maxProbed bounds the hosts that one daemon probes when many in a row are
+	// suspect, as after the failure of a rack.
+	maxProbed = 8
 )
 
 // overlay is this daemon's part of the graph that all daemons compute from the
@@ -59,8 +61,15 @@
 	for i := treeFanOut*o.rank + 1; i <= treeFanOut*o.rank+treeFanOut && i < len(order); i++ {
 		o.children = append(o.children, order[i])
 	}
-	for i := 1; i <= ringSuccessors && i < len(order); i++ {
-		o.next = append(o.next, order[(o.rank+i)%len(order)])
+	// Probes go to the next host that is not suspect, and to the suspects in
+	// between so that they can still answer. One successor is enough: a second
+	// one doubled the probe traffic and found single failures no sooner.
+	for i := 1; i <= maxProbed && i < len(order); i++ {
+		e := order[(o.rank+i)%len(order)]
+		o.next = append(o.next, e)
+		if e.row.State == host.Alive {
+			break
+		}
 	}
 	if len(order) > 1 {
 		o.previous = order[(o.rank+len(order)-1)%len(order)]
