Demo driver for both deployments

It submits the example document, makes calls from both regions, changes a section and drains a backend server under load, and compares what callers saw with what the backend servers ran. Not run yet: the backend server stand-in and the announcement API are still missing.

--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -1,54 +1,95 @@
-// Command demo is a placeholder.
+// Command demo runs a small fleet of real processes for each deployment of
+// today: it submits the example document, makes calls from both regions,
+// changes a section and drains a backend server under load, and prints what
+// became of the promises. It exits with 0 only if none was broken.
 package main
 
 import (
 	"context"
+	"encoding/json"
+	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"text/tabwriter"
 	"time"
 
 	"github.com/peridotlb/peridotlb/test/mesh"
 )
 
-const doc = `sections:
-  - name: stock
-    team: stock-team
-    services:
-      - name: bead-stock
-        slots: %d
-        connections: 130
-        warm-up: 10s
-    routes:
-      - name: read-stock
-        path-prefix: /stock
-        methods: [GET]
-        service: bead-stock
-        timeout: 2s
-        retries: 2
-`
+// limit ends the demo in any case.
+const limit = 58 * time.Second
 
 func main() {
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Second)
+	asJSON := flag.Bool("json", false, "print one JSON object as the last line")
+	short := flag.Bool("short", false, "run the first deployment only")
+	document := flag.String("document", "examples/shop.yaml", "document to submit")
+	logs := flag.Bool("logs", false, "keep the directory with the logs and print its name")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	m, err := mesh.Start(ctx, mesh.Config{Deployment: mesh.Kujaza, Bin: "bin", Tokens: "stock-team:stock-team-token-0001", Logs: true, Flags: os.Args[1:]})
+	program, err := os.Executable()
 	if err != nil {
-		fmt.Println(err)
-		os.Exit(1)
+		fail(err)
 	}
-	defer m.Close()
-	fmt.Println(m.Dir)
-	time.Sleep(5 * time.Second)
-	base := uint64(0)
-	for i := range 5 {
-		v, err := m.Hosts[i].Submit(ctx, "stock-team-token-0001", fmt.Sprintf("demo-%d", i), fmt.Sprintf(doc, 9+i), base)
+	deployments := []mesh.Deployment{mesh.Kujaza, mesh.Prairie}
+	if *short {
+		deployments = deployments[:1]
+	}
+	var results []result
+	for _, d := range deployments {
+		fmt.Printf("Running %s: regions %s and %s ...\n", d.Name, d.Regions[0], d.Regions[1])
+		r, err := run(ctx, d, filepath.Dir(program), *document, *logs)
 		if err != nil {
-			fmt.Println(err)
-			break
+			fail(fmt.Errorf("%s: %w", d.Name, err))
+		}
+		results = append(results, r)
+	}
+	print(results, *asJSON)
+	for _, r := range results {
+		if len(r.Broken) > 0 {
+			os.Exit(1)
+		}
+	}
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "demo:", err)
+	os.Exit(1)
+}
+
+func print(results []result, asJSON bool) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	row := func(name string, value func(result) any) {
+		fmt.Fprint(w, name)
+		for _, r := range results {
+			fmt.Fprintf(w, "\t%v", value(r))
 		}
-		base = v
-		c, err := m.Converge(ctx, "stock-team-token-0001", v)
-		fmt.Println(v, c, err)
-		time.Sleep(2 * time.Second)
+		fmt.Fprintln(w)
+	}
+	row("", func(r result) any { return r.Deployment })
+	row("daemons", func(r result) any { return r.Daemons })
+	row("accepted version", func(r result) any { return r.Version })
+	row("convergence p50, ms", func(r result) any { return r.ConvergenceP50 })
+	row("convergence max, ms", func(r result) any { return r.ConvergenceMax })
+	row("control bytes", func(r result) any { return r.ControlBytes })
+	row("control bytes over the link", func(r result) any { return r.LinkBytes })
+	row("calls", func(r result) any { return r.Calls })
+	row("calls lost", func(r result) any { return r.Failed })
+	row("calls duplicated", func(r result) any { return r.Duplicated })
+	row("refused, and not run", func(r result) any { return r.Refused })
+	row("latency p99, ms", func(r result) any { return r.LatencyP99 })
+	_ = w.Flush()
+	for _, r := range results {
+		for _, b := range r.Broken {
+			fmt.Printf("BROKEN (%s): %s\n", r.Deployment, b)
+		}
+	}
+	if asJSON {
+		_ = json.NewEncoder(os.Stdout).Encode(total(results))
 	}
-	fmt.Println(m.SumMetric(ctx, `peridotlb_control_sent_bytes{path="all"}`), m.SumMetric(ctx, `peridotlb_control_sent_bytes{path="link"}`))
 }
--- a/test/mesh/client.go
+++ b/test/mesh/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -31,29 +30,6 @@
 	return api.NewClient(h.OperatorURL(), tokenSource(token), api.WithClient(httpClient))
 }
 
-// ErrRefused is returned for a refused submission.
-var ErrRefused = errors.New("submission was refused")
-
-// Submit submits a whole document as an operator of the token's team.
-func (h *Host) Submit(ctx context.Context, token, id, yaml string, base uint64) (uint64, error) {
-	client, err := h.Operator(token)
-	if err != nil {
-		return 0, fmt.Errorf("operator client: %w", err)
-	}
-	result, err := client.SubmitDocument(ctx, &api.Submission{ID: id, Base: base, Document: api.NewOptString(yaml)})
-	if err != nil {
-		return 0, fmt.Errorf("submit: %w", err)
-	}
-	switch r := result.(type) {
-	case *api.Accepted:
-		return r.Version, nil
-	case *api.Refused:
-		return 0, fmt.Errorf("%w: %s: %+v", ErrRefused, r.Reason, r.Faults)
-	default:
-		return 0, fmt.Errorf("outcome of submission %s is not known: %+v", id, result)
-	}
-}
-
 // Convergence is how long a version took to be in force everywhere.
 type Convergence struct {
 	P50, P99, Max time.Duration
@@ -63,11 +39,11 @@
 // Converge waits until every running daemon has applied the version and
 // returns the time from its acceptance, by the time lines of the daemons. All
 // run on one machine, so that their clocks agree.
-func (m *Mesh) Converge(ctx context.Context, token string, version uint64) (Convergence, error) {
+func (m *Mesh) Converge(ctx context.Context, version uint64) (Convergence, error) {
 	if err := m.WaitApplied(ctx, version); err != nil {
 		return Convergence{}, err
 	}
-	client, err := m.AnyDaemon().Operator(token)
+	client, err := m.AnyDaemon().Operator(AnyToken())
 	if err != nil {
 		return Convergence{}, fmt.Errorf("operator client: %w", err)
 	}
@@ -142,9 +118,9 @@
 }
 
 // WaitServers waits until every running daemon knows n ready backend servers.
-func (m *Mesh) WaitServers(ctx context.Context, token string, n int) error {
+func (m *Mesh) WaitServers(ctx context.Context, n int) error {
 	return m.waitAll(ctx, func(h *Host) error {
-		client, err := h.Operator(token)
+		client, err := h.Operator(AnyToken())
 		if err != nil {
 			return err
 		}
@@ -233,3 +209,64 @@
 	}
 	return string(text), nil
 }
+
+// LinkBytes returns the bytes that crossed the region link, both ways, as the
+// relay counted them: control traffic (UDP) and calls with the platform's
+// traffic (TCP).
+func (m *Mesh) LinkBytes(ctx context.Context) (udp, tcp uint64, err error) {
+	text, err := get(ctx, "http://"+m.relayControl()+"/-/counters")
+	if err != nil {
+		return 0, 0, err
+	}
+	var counters struct {
+		Regions []struct {
+			UDP uint64 `json:"udp-bytes"`
+			TCP uint64 `json:"tcp-bytes"`
+		} `json:"regions"`
+	}
+	if err := json.Unmarshal([]byte(text), &counters); err != nil {
+		return 0, 0, fmt.Errorf("decode relay counters: %w", err)
+	}
+	for _, r := range counters.Regions {
+		udp += r.UDP
+		tcp += r.TCP
+	}
+	return udp, tcp, nil
+}
+
+// Runs returns how often each paid action ran, over all backend servers. Those
+// of servers that have ended are in ended.
+func (m *Mesh) Runs(ctx context.Context, ended ...map[string]int) (map[string]int, error) {
+	sum := make(map[string]int)
+	for _, runs := range ended {
+		for k, n := range runs {
+			sum[k] += n
+		}
+	}
+	for _, h := range m.Hosts {
+		if h.Server == nil || !h.Server.Running() {
+			continue
+		}
+		runs, err := h.Runs(ctx)
+		if err != nil {
+			return nil, err
+		}
+		for k, n := range runs {
+			sum[k] += n
+		}
+	}
+	return sum, nil
+}
+
+// Runs returns how often each paid action ran on the backend server of a host.
+func (h *Host) Runs(ctx context.Context) (map[string]int, error) {
+	text, err := get(ctx, h.ServerURL()+"/-/runs")
+	if err != nil {
+		return nil, fmt.Errorf("runs of %s: %w", h.ServerID(), err)
+	}
+	runs := make(map[string]int)
+	if err := json.Unmarshal([]byte(text), &runs); err != nil {
+		return nil, fmt.Errorf("decode runs of %s: %w", h.ServerID(), err)
+	}
+	return runs, nil
+}
--- a/test/mesh/mesh.go
+++ b/test/mesh/mesh.go
@@ -51,7 +51,7 @@
 )
 
 // Services of the example document, in the order of ServersPerService.
-var Services = []string{"bead-stock", "refill-prices", "orders"}
+var Services = []string{"bead-stock", "bead-prices", "bead-orders"}
 
 // zoneCount is the number of availability zones, two per region.
 const zoneCount = 4
@@ -83,8 +83,6 @@
 	Servers bool
 	// ServerFlags are more flags for every backend server.
 	ServerFlags []string
-	// Tokens are the operator tokens, as in the setting operator-tokens.
-	Tokens string
 	// Logs keeps the directory with the logs.
 	Logs bool
 }
@@ -267,9 +265,7 @@
 		"--table-name", "peridotlb", "--bucket", "peridotlb",
 		"--platform-access-key", "test", "--platform-secret-key", "test", "--platform-signing-region", "local",
 		"--nat", m.nat(h.zone), "--log-format", "json",
-	}
-	if m.Tokens != "" {
-		args = append(args, "--operator-tokens", m.Tokens)
+		"--operator-tokens", TeamTokens(),
 	}
 	p, err := m.start(ctx, string(h.ID), "peridotlbd", append(args, m.Flags...)...)
 	if err != nil {
--- a/test/mesh/server.go
+++ b/test/mesh/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strconv"
 )
 
@@ -21,3 +22,14 @@
 
 // ServerID returns the id of the host's backend server.
 func (h *Host) ServerID() string { return fmt.Sprintf("%s-%s", h.Service, h.ID) }
+
+// DrainServer asks the backend server to drain, through its announcement.
+func (h *Host) DrainServer(ctx context.Context) error {
+	url := fmt.Sprintf("http://%s/backend-servers/%s/drain", h.port(announcePort), h.ServerID())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	_, err = do(r)
+	return err
+}
--- /dev/null
+++ b/test/mesh/teams.go
@@ -0,0 +1,69 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/operator"
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// Teams of the example document and their tokens.
+var Teams = map[document.TeamName]string{
+	"order-team": "order-team-token-0001",
+	"price-team": "price-team-token-0001",
+	"stock-team": "stock-team-token-0001",
+}
+
+// TeamTokens returns the value of the setting operator-tokens.
+func TeamTokens() string {
+	return "order-team:" + Teams["order-team"] + ",price-team:" + Teams["price-team"] + ",stock-team:" + Teams["stock-team"]
+}
+
+// ErrRefused is returned for a refused submission.
+var ErrRefused = errors.New("submission was refused")
+
+// Submit submits the sections of a team.
+func (h *Host) Submit(ctx context.Context, team document.TeamName, id string, base uint64, d document.Document) (uint64, error) {
+	client, err := h.Operator(Teams[team])
+	if err != nil {
+		return 0, fmt.Errorf("operator client: %w", err)
+	}
+	s := &api.Submission{ID: id, Base: base}
+	for _, section := range d.Sections {
+		if section.Team == team {
+			s.Changed = append(s.Changed, operator.SectionToAPI(section))
+		}
+	}
+	result, err := client.SubmitDocument(ctx, s)
+	if err != nil {
+		return 0, fmt.Errorf("submit: %w", err)
+	}
+	switch r := result.(type) {
+	case *api.Accepted:
+		return r.Version, nil
+	case *api.Refused:
+		return 0, fmt.Errorf("%w: %s: %+v", ErrRefused, r.Reason, r.Faults)
+	default:
+		return 0, fmt.Errorf("outcome of submission %s is not known: %+v", id, result)
+	}
+}
+
+// SubmitAll submits the sections of every team, one submission each, and
+// returns the last version.
+func (m *Mesh) SubmitAll(ctx context.Context, d document.Document) (uint64, error) {
+	var last uint64
+	for i, team := range []document.TeamName{"order-team", "price-team", "stock-team"} {
+		v, err := m.Hosts[i%len(m.Hosts)].Submit(ctx, team, fmt.Sprintf("first-%s", team), last, d)
+		if err != nil {
+			return 0, fmt.Errorf("submit sections of %s: %w", team, err)
+		}
+		last = max(last, v)
+	}
+	return last, nil
+}
+
+// AnyToken returns a token with which everything can be read.
+func AnyToken() string { return Teams["stock-team"] }
