Take throttling of a commit as not applied

Cause: throttled commits counted as unknown, and every unknown one is read back. The protocol refuses a throttled transaction as a whole, so the outcome is definite.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -71,7 +71,8 @@
 	Scan(ctx context.Context, prefix, after Key, limit int) ([]Row, error)
 	// Commit applies all writes or none, at most 100 in one transaction. A nil
 	// error goes with Applied and NotApplied only; with Unknown, the error says
-	// why. An error before anything was sent returns NotApplied and the error.
+	// why. An error before anything was sent, and a request that the service
+	// refused for its rate, return NotApplied and the error.
 	Commit(ctx context.Context, writes ...Write) (Result, error)
 }
 
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -14,6 +14,7 @@
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/aws/smithy-go"
 )
 
 // Schema of the table. All rows are in one partition, because only a Query
@@ -189,6 +190,9 @@
 	if !connected.Load() {
 		return Result{Outcome: NotApplied}, fmt.Errorf("commit not sent: %w", err)
 	}
+	if throttled(err) {
+		return Result{Outcome: NotApplied}, fmt.Errorf("commit throttled: %w", err)
+	}
 	return Result{Outcome: Unknown}, fmt.Errorf("commit: %w", err)
 }
 
@@ -212,6 +216,29 @@
 	return result, ok
 }
 
+// throttled reports whether the service refused a transaction because of its
+// rate. That is a definite refusal; to read the outcome back would add reads to
+// a service that is already over its limit.
+func throttled(err error) bool {
+	var cancel *types.TransactionCanceledException
+	if errors.As(err, &cancel) {
+		return slices.ContainsFunc(cancel.CancellationReasons, func(r types.CancellationReason) bool {
+			return throttlingCodes[aws.ToString(r.Code)]
+		})
+	}
+	var refusal smithy.APIError
+	return errors.As(err, &refusal) && throttlingCodes[refusal.ErrorCode()]
+}
+
+// throttlingCodes are the error codes and cancellation reasons of throttling.
+var throttlingCodes = map[string]bool{
+	"ThrottlingError":                        true,
+	"ThrottlingException":                    true,
+	"ProvisionedThroughputExceeded":          true,
+	"ProvisionedThroughputExceededException": true,
+	"RequestLimitExceeded":                   true,
+}
+
 func (r *Remote) transactItem(w Write) types.TransactWriteItem {
 	condition, names, values := aws.String(ConditionAbsent), map[string]string{"#key": AttributeKey}, map[string]types.AttributeValue(nil)
 	if w.If != 0 {
