--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -49,7 +49,7 @@
 		}
 		results = append(results, r)
 	}
-	print(results, *asJSON)
+	printTable(results, *asJSON)
 	for _, r := range results {
 		if len(r.Broken) > 0 {
 			os.Exit(1)
@@ -62,7 +62,7 @@
 	os.Exit(1)
 }
 
-func print(results []result, asJSON bool) {
+func printTable(results []result, asJSON bool) {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	row := func(name string, value func(result) any) {
 		fmt.Fprint(w, name)
