--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -32,20 +31,16 @@
 		asked = append(asked, id)
 	}
 	merged := timeline.Merge(asked, d.timelinePages(ctx, q, hosts)...)
-	return operatorTimeline(merged, hosts, q.Limit), nil
+	regions := make(map[host.AvailabilityZone]host.Region)
+	for _, h := range hosts {
+		regions[h.Zone] = h.Region
+	}
+	return q.Answer(merged, func(z host.AvailabilityZone) host.Region { return regions[z] }), nil
 }
 
 // timelinePages returns the rings of the hosts that answer.
 func (d *Daemon) timelinePages(ctx context.Context, q operator.Query, hosts map[host.ID]host.Row) []timeline.Page {
-	request := query{Timeline: &timelineQuery{Filter: timeline.Filter{
-		Version: q.Version, Server: q.Server, Call: timeline.CallID(q.CallID), Zone: q.Zone,
-	}}}
-	if q.Kind != "" {
-		request.Timeline.Filter.Kinds = []timeline.Kind{timeline.Kind(q.Kind)}
-	}
-	if !q.Since.IsZero() {
-		request.Timeline.Since.WallMS = q.Since.UnixMilli() - 1
-	}
+	request := query{Timeline: &timelineQuery{Since: q.After(), Filter: q.Filter()}}
 	var mu sync.Mutex
 	var pages []timeline.Page
 	var group errgroup.Group
@@ -65,31 +60,3 @@
 	_ = group.Wait()
 	return pages
 }
-
-// operatorTimeline keeps the newest events of a merged time line.
-func operatorTimeline(m timeline.Merged, hosts map[host.ID]host.Row, limit int) operator.Timeline {
-	events := m.Events
-	if limit > 0 && len(events) > limit {
-		events = events[len(events)-limit:]
-	}
-	t := operator.Timeline{Unanswered: m.Missing}
-	for _, e := range events {
-		detail := e.Detail
-		if e.Subject != "" {
-			detail = joinDetail(string(e.Subject), detail)
-		}
-		t.Events = append(t.Events, operator.Event{
-			Time: time.UnixMilli(e.Stamp.WallMS), Counter: e.Stamp.Counter, Kind: string(e.Kind),
-			Host: e.Host, Zone: e.Zone, Region: hosts[e.Host].Region,
-			Version: e.Version, Server: e.Server, CallID: string(e.Call), Detail: detail,
-		})
-	}
-	return t
-}
-
-func joinDetail(a, b string) string {
-	if b == "" {
-		return a
-	}
-	return a + ": " + b
-}
