--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -1,20 +1,266 @@
-// Package announcement serves the API through which the backend servers of
-// this host announce themselves.
+// Package announcement serves the host-local API through which the backend
+// servers of this host announce themselves, and probes their health.
 package announcement
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
 	"net/http"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 )
 
+const (
+	defaultLease = 5 * time.Second
+	// goneAfter is the time from the end of the lease to the withdrawal of the
+	// row, in leases.
+	goneAfter     = 3
+	probeInterval = time.Second
+	probeTimeout  = 500 * time.Millisecond
+	maxBody       = 16 << 10
+)
+
 // Config holds the settings of the API.
 type Config struct {
-	Lease    time.Duration
+	Lease    time.Duration // an announcement must be renewed within it; 0 takes 5 s
 	Announce func(backend.Server)
 	Health   func(backend.ServerID, bool)
+	Now      func() time.Time // nil takes time.Now
+}
+
+// API is the handler of the announcement API.
+type API struct {
+	config Config
+	mux    *http.ServeMux
+	client *http.Client
+
+	mu      sync.Mutex
+	servers map[backend.ServerID]*entry
+}
+
+type entry struct {
+	row        backend.Server
+	healthPath string
+	renewed    time.Time
+}
+
+// announcement is the body of a PUT request.
+type announcement struct {
+	Service    backend.ServiceName `json:"service"`
+	Address    string              `json:"address"`
+	Slots      uint16              `json:"slots,omitempty"`
+	State      string              `json:"state,omitempty"`
+	HealthPath string              `json:"health-path,omitempty"`
+}
+
+var validName = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,127}$`)
+
+// New returns the API. Run lets leases end and probes health.
+func New(c Config) *API {
+	if c.Lease == 0 {
+		c.Lease = defaultLease
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	a := &API{config: c, mux: http.NewServeMux(), client: &http.Client{Timeout: probeTimeout}, servers: make(map[backend.ServerID]*entry)}
+	a.mux.HandleFunc("PUT /backend-servers/{id}", a.put)
+	a.mux.HandleFunc("POST /backend-servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { a.setState(w, r, backend.Draining) })
+	a.mux.HandleFunc("DELETE /backend-servers/{id}", func(w http.ResponseWriter, r *http.Request) { a.setState(w, r, backend.Gone) })
+	a.mux.HandleFunc("GET /backend-servers", a.list)
+	return a
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
+
+// Run ends leases that were not renewed and probes health until ctx ends.
+func (a *API) Run(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.expire()
+			a.probe(ctx)
+		}
+	}
+}
+
+func (a *API) put(w http.ResponseWriter, r *http.Request) {
+	row, healthPath, err := parse(backend.ServerID(r.PathValue("id")), http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		fail(w, http.StatusBadRequest, err)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	e := a.servers[row.ID]
+	if e == nil {
+		e = &entry{row: backend.Server{State: backend.Gone}}
+		a.servers[row.ID] = e
+	}
+	e.renewed, e.healthPath = a.config.Now(), healthPath
+	// A server that was asked to drain stays so when it renews as ready.
+	if e.row.State == backend.Draining && row.State < backend.Draining && e.row.Addr == row.Addr {
+		row.State = backend.Draining
+	}
+	if e.row != row {
+		e.row = row
+		a.config.Announce(row)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func parse(id backend.ServerID, body io.Reader) (backend.Server, string, error) {
+	var m announcement
+	d := json.NewDecoder(body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&m); err != nil {
+		return backend.Server{}, "", fmt.Errorf("body: %w", err)
+	}
+	var errs []error
+	addr, err := netip.ParseAddrPort(m.Address)
+	if err != nil {
+		errs = append(errs, fmt.Errorf("address %q is not an IP address with a port, for example 127.0.0.1:8080", m.Address))
+	}
+	if !validName.MatchString(string(id)) {
+		errs = append(errs, fmt.Errorf("id %q is not lower-case letters, digits and hyphens", id))
+	}
+	if !validName.MatchString(string(m.Service)) {
+		errs = append(errs, fmt.Errorf("service %q is not lower-case letters, digits and hyphens", m.Service))
+	}
+	if m.HealthPath != "" && !strings.HasPrefix(m.HealthPath, "/") {
+		errs = append(errs, fmt.Errorf("health-path %q does not start with /", m.HealthPath))
+	}
+	state, err := parseState(m.State)
+	errs = append(errs, err)
+	row := backend.Server{ID: id, Service: m.Service, Addr: addr, Slots: m.Slots, State: state}
+	return row, m.HealthPath, errors.Join(errs...)
+}
+
+func parseState(s string) (backend.State, error) {
+	switch s {
+	case "", "ready":
+		return backend.Ready, nil
+	case "starting":
+		return backend.Starting, nil
+	case "draining":
+		return backend.Draining, nil
+	default:
+		return 0, fmt.Errorf("state %q is not starting, ready or draining", s)
+	}
+}
+
+func (a *API) setState(w http.ResponseWriter, r *http.Request, s backend.State) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	id := backend.ServerID(r.PathValue("id"))
+	e := a.servers[id]
+	if e == nil {
+		fail(w, http.StatusNotFound, fmt.Errorf("no backend server %q is announced on this host", id))
+		return
+	}
+	a.change(e, s)
+	if s == backend.Gone {
+		delete(a.servers, id)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// change moves a server on to a later state.
+func (a *API) change(e *entry, s backend.State) {
+	if e.row.State < s {
+		e.row.State = s
+		a.config.Announce(e.row)
+	}
+}
+
+// expire drains servers whose lease has ended, and withdraws them later.
+func (a *API) expire() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.config.Now()
+	for id, e := range a.servers {
+		switch age := now.Sub(e.renewed); {
+		case age > goneAfter*a.config.Lease:
+			a.change(e, backend.Gone)
+			delete(a.servers, id)
+		case age > a.config.Lease:
+			a.change(e, backend.Draining)
+		}
+	}
 }
 
-// New returns the handler. It refuses every request until the API is written.
-func New(Config) http.Handler { return http.NotFoundHandler() }
+// probe asks the health endpoints. An answer only changes how a server is
+// preferred, since endpoints can be stale or misleading.
+func (a *API) probe(ctx context.Context) {
+	if a.config.Health == nil {
+		return
+	}
+	for _, e := range a.probed() {
+		go func() {
+			a.config.Health(e.row.ID, a.healthy(ctx, "http://"+e.row.Addr.String()+e.healthPath))
+		}()
+	}
+}
+
+func (a *API) probed() []entry {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var list []entry
+	for _, e := range a.servers {
+		if e.healthPath != "" {
+			list = append(list, *e)
+		}
+	}
+	return list
+}
+
+func (a *API) healthy(ctx context.Context, url string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := a.client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode < http.StatusInternalServerError
+}
+
+func (a *API) list(w http.ResponseWriter, _ *http.Request) {
+	type row struct {
+		ID backend.ServerID `json:"id"`
+		announcement
+	}
+	rows := []row{}
+	a.mu.Lock()
+	for _, e := range a.servers {
+		rows = append(rows, row{e.row.ID, announcement{
+			Service: e.row.Service, Address: e.row.Addr.String(), Slots: e.row.Slots, State: e.row.State.String(), HealthPath: e.healthPath,
+		}})
+	}
+	a.mu.Unlock()
+	slices.SortFunc(rows, func(a, b row) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(rows)
+}
+
+func fail(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]string{"error": err.Error()})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,11 +74,12 @@
 // Daemon is one daemon of the fleet.
 type Daemon struct {
 	*parts
-	loop       *loop
-	acceptor   *submission.Acceptor
-	transports *proxy.Transports
-	servers    []*server
-	serverTLS  *tls.Config
+	loop          *loop
+	acceptor      *submission.Acceptor
+	transports    *proxy.Transports
+	announcements *announcement.API
+	servers       []*server
+	serverTLS     *tls.Config
 }
 
 // server is one HTTP listener of the daemon.
@@ -177,7 +178,7 @@
 	if err != nil {
 		return fmt.Errorf("operator API: %w", err)
 	}
-	announcements := announcement.New(announcement.Config{
+	d.announcements = announcement.New(announcement.Config{
 		Lease:    s.AnnounceLease,
 		Announce: func(b backend.Server) { d.loop.post(ctx, fleet.ServerAnnounced{Server: b}) },
 		Health:   d.pool.SetHealth,
@@ -189,7 +190,7 @@
 	d.servers = []*server{
 		{name: "call-address", http: proxy.EntryServer(d.lameDuck(proxy.NewEntry(calls))), lameDuck: true},
 		{name: "gate-address", http: proxy.GateServer(d.lameDuck(proxy.NewGate(calls)), d.serverTLS), lameDuck: true},
-		{name: "announce-address", http: &http.Server{Handler: announcements, ReadHeaderTimeout: 5 * time.Second}},
+		{name: "announce-address", http: &http.Server{Handler: d.announcements, ReadHeaderTimeout: 5 * time.Second}},
 		{name: "operator-address", http: operatorServer},
 		{name: "metrics-address", http: &http.Server{Handler: d.metricsHandler(set), ReadHeaderTimeout: 5 * time.Second}},
 	}
@@ -230,6 +231,7 @@
 	defer stop()
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { d.loop.run(work); return nil })
+	group.Go(func() error { d.announcements.Run(work); return nil })
 	for _, srv := range d.servers {
 		group.Go(func() error { return srv.serve() })
 	}
--- /dev/null
+++ b/test/backendserver/main.go
@@ -0,0 +1,152 @@
+// Command backendserver is a stand-in for a backend server: it announces itself
+// to the daemon on its host and answers calls with switchable faults.
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+type server struct {
+	id, service, daemon, address string
+	slots                        int
+	serviceTime, cold, coldTime  time.Duration
+	lie                          bool
+	size                         int
+	started                      time.Time
+	inFlight                     atomic.Int64
+	draining                     atomic.Bool
+	mu                           sync.Mutex
+	runs                         map[string]int
+}
+
+func main() {
+	s := &server{started: time.Now(), runs: make(map[string]int)}
+	listen := flag.String("listen", "127.0.0.1:0", "address to listen on")
+	flag.StringVar(&s.id, "id", "server-1", "id of the backend server")
+	flag.StringVar(&s.service, "service", "bead-stock", "service that it belongs to")
+	flag.StringVar(&s.daemon, "daemon", "", "base URL of the daemon's announcement API; empty announces nothing")
+	flag.IntVar(&s.slots, "slots", 9, "calls at a time; more are refused")
+	flag.DurationVar(&s.serviceTime, "service-time", 5*time.Millisecond, "time that a call takes")
+	flag.DurationVar(&s.cold, "cold", 0, "time after the start in which calls are slow")
+	flag.DurationVar(&s.coldTime, "cold-time", 50*time.Millisecond, "time that a call takes while cold")
+	flag.BoolVar(&s.lie, "lie", false, "say healthy in any case")
+	flag.IntVar(&s.size, "size", 100, "bytes of an answer")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := s.run(ctx, *listen); err != nil {
+		fmt.Fprintln(os.Stderr, "backendserver:", err)
+		os.Exit(1)
+	}
+}
+
+func (s *server) run(ctx context.Context, listen string) error {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.address = listener.Addr().String()
+	fmt.Println("listening on", s.address)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/runs", s.listRuns)
+	mux.HandleFunc("GET /-/health", s.health)
+	mux.HandleFunc("/", s.call)
+	h := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = h.Serve(listener) }()
+	s.announce(ctx)
+	s.drain()
+	return h.Close()
+}
+
+// announce renews the announcement until ctx ends.
+func (s *server) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.put("ready")
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+func (s *server) put(state string) {
+	if s.daemon == "" {
+		return
+	}
+	body, _ := json.Marshal(map[string]any{
+		"service": s.service, "address": s.address, "slots": s.slots, "state": state, "health-path": "/-/health",
+	})
+	r, err := http.NewRequest(http.MethodPut, s.daemon+"/backend-servers/"+s.id, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	client := http.Client{Timeout: time.Second}
+	if response, err := client.Do(r); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// drain announces the end and waits until no call is in flight.
+func (s *server) drain() {
+	s.draining.Store(true)
+	s.put("draining")
+	for idle := 0; idle < 20; idle++ {
+		if s.inFlight.Load() > 0 {
+			idle = 0
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (s *server) call(w http.ResponseWriter, r *http.Request) {
+	defer s.inFlight.Add(-1)
+	if s.inFlight.Add(1) > int64(s.slots) {
+		w.Header().Set("Peridotlb-Not-Run", "true")
+		http.Error(w, "all slots are taken", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if key := r.Header.Get("Idempotency-Key"); key != "" && r.Method != http.MethodGet {
+		s.mu.Lock()
+		s.runs[key]++
+		s.mu.Unlock()
+	}
+	wait := s.serviceTime
+	if time.Since(s.started) < s.cold {
+		wait = s.coldTime
+	}
+	time.Sleep(wait)
+	text := fmt.Sprintf("%s %s %s %s ", s.id, r.Method, r.URL.RequestURI(), body)
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = io.WriteString(w, text+strings.Repeat(".", max(0, s.size-len(text))))
+}
+
+func (s *server) health(w http.ResponseWriter, _ *http.Request) {
+	if !s.lie && (s.draining.Load() || s.inFlight.Load() >= int64(s.slots)) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *server) listRuns(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.runs)
+}
