Join the nearest peer only; region roots find other regions

Cause: each starting daemon asked three peers of any region for all rows, a handshake and an answer each, half of them over the region link. Change: one peer at a time, this zone first, then this region; only the region root joins hosts of another region while it knows none. Ruled out: session tickets, which make handshakes larger.

--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -119,7 +119,7 @@
 	case fleet.LoadVersion:
 		go l.loadVersion(ctx, e)
 	case fleet.ReadPeers:
-		go l.readPeers(ctx)
+		go l.readPeers(ctx, e)
 	case fleet.WriteHost:
 		go l.writeHost(ctx, e.Row)
 	case fleet.Record:
--- a/internal/daemon/seeds.go
+++ b/internal/daemon/seeds.go
@@ -25,39 +25,76 @@
 )
 
 func seedKey(row host.Row) platform.Key {
-	return platform.Key(fmt.Sprintf("%s%s/%s", seedPrefix, row.Zone, row.ID))
+	return platform.Key(fmt.Sprintf("%s%s/%s/%s", seedPrefix, row.Region, row.Zone, row.ID))
 }
 
-// readPeers reads host rows of the table: those of this zone first, from a
-// random place on, so that starting daemons do not all ask the same peers.
-func (l *loop) readPeers(ctx context.Context) {
+// readPeers reads host rows of the table.
+func (l *loop) readPeers(ctx context.Context, e fleet.ReadPeers) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	peers, err := l.seeds(ctx)
-	l.post(ctx, fleet.PeersRead{Peers: peers, Err: err})
+	read := l.nearSeeds
+	if e.OtherRegions {
+		read = l.otherSeeds
+	}
+	peers, err := read(ctx)
+	l.post(ctx, fleet.PeersRead{Peers: peers, OtherRegions: e.OtherRegions, Err: err})
 }
 
-func (l *loop) seeds(ctx context.Context) ([]netip.AddrPort, error) {
-	zone := platform.Key(fmt.Sprintf("%s%s/", seedPrefix, l.settings.AvailabilityZone))
-	middle := zone + platform.Key(l.settings.HostID)
-	scans := []struct{ prefix, after platform.Key }{{zone, middle}, {zone, ""}, {seedPrefix, ""}}
+// nearSeeds returns hosts of this zone, from a random place on so that starting
+// daemons do not all ask the same ones, then hosts of this region, and of other
+// regions only when it has none.
+func (l *loop) nearSeeds(ctx context.Context) ([]netip.AddrPort, error) {
+	region := platform.Key(seedPrefix + string(l.settings.Region) + "/")
+	zone := region + platform.Key(l.settings.AvailabilityZone) + "/"
+	own := zone + platform.Key(l.settings.HostID)
+	scans := []struct{ prefix, after platform.Key }{{zone, own}, {zone, ""}, {region, ""}, {seedPrefix, ""}}
 	if rand.IntN(2) == 0 {
 		scans[0], scans[1] = scans[1], scans[0]
 	}
 	var peers []netip.AddrPort
-	for _, s := range scans {
-		if len(peers) >= seedPeers {
+	for i, s := range scans {
+		if i >= 2 && len(peers) > 0 {
 			break
 		}
-		l.meters.tableReads.Inc()
-		rows, err := l.platform.Scan(ctx, s.prefix, s.after, seedPeers)
+		found, err := l.scanSeeds(ctx, s.prefix, s.after)
 		if err != nil {
-			return nil, fmt.Errorf("scan host rows: %w", err)
+			return nil, err
+		}
+		rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+		peers = append(peers, found...)
+	}
+	return peers, nil
+}
+
+// otherSeeds returns hosts of other regions: those before and those after the
+// rows of this region.
+func (l *loop) otherSeeds(ctx context.Context) ([]netip.AddrPort, error) {
+	region := platform.Key(seedPrefix + string(l.settings.Region) + "/")
+	before, err := l.scanSeeds(ctx, seedPrefix, "")
+	if err != nil {
+		return nil, err
+	}
+	// No key of a region is above its prefix followed by the highest byte.
+	after, err := l.scanSeeds(ctx, seedPrefix, region+"\xff")
+	return append(before, after...), err
+}
+
+// scanSeeds reads host rows, without those of this region when the prefix
+// covers all regions.
+func (l *loop) scanSeeds(ctx context.Context, prefix, after platform.Key) ([]netip.AddrPort, error) {
+	l.meters.tableReads.Inc()
+	rows, err := l.platform.Scan(ctx, prefix, after, seedPeers)
+	if err != nil {
+		return nil, fmt.Errorf("scan host rows: %w", err)
+	}
+	own := seedPrefix + string(l.settings.Region) + "/"
+	var peers []netip.AddrPort
+	for _, r := range rows {
+		if prefix == seedPrefix && strings.HasPrefix(string(r.Key), own) {
+			continue
 		}
-		for _, r := range rows {
-			if addr, err := netip.ParseAddrPort(string(r.Value)); err == nil && addr != l.settings.ControlAddress {
-				peers = append(peers, addr)
-			}
+		if addr, err := netip.ParseAddrPort(string(r.Value)); err == nil && addr != l.settings.ControlAddress {
+			peers = append(peers, addr)
 		}
 	}
 	return peers, nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,10 +45,12 @@
 	Err      error
 }
 
-// PeersRead is the answer to ReadPeers: control addresses of possible peers.
+// PeersRead is the answer to ReadPeers: control addresses of possible peers,
+// the nearest first.
 type PeersRead struct {
-	Peers []netip.AddrPort
-	Err   error
+	Peers        []netip.AddrPort
+	OtherRegions bool // as asked
+	Err          error
 }
 
 // Leaving starts a planned stop of this daemon.
@@ -83,8 +85,10 @@
 	Have     version.Snapshot
 }
 
-// ReadPeers asks for host rows of the table; PeersRead answers.
-type ReadPeers struct{}
+// ReadPeers asks for host rows of the table; PeersRead answers. OtherRegions
+// asks for hosts of other regions only; otherwise those of this region come
+// first, and others only when it has none.
+type ReadPeers struct{ OtherRegions bool }
 
 // WriteHost publishes the row of this host in the table.
 type WriteHost struct{ Row host.Row }
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/host"
@@ -13,9 +14,12 @@
 	// joinJitter spreads the table reads of daemons that start at once: 1,200
 	// starts make 480 reads a second, below the budget of 500.
 	joinJitter = 2500 * time.Millisecond
-	// joinPeers is the number of peers asked at a time.
-	joinPeers    = 3
-	joinInterval = time.Second
+	// joinInterval is the wait for an answer before the next peer is asked. One
+	// at a time, since each costs a handshake and all rows.
+	joinInterval = 500 * time.Millisecond
+	// otherRegionsInterval is the time between searches of a region root for
+	// other regions while it knows none.
+	otherRegionsInterval = 10 * time.Second
 	// aloneInterval is the time between searches for peers while there are none.
 	aloneInterval = 5 * time.Second
 	// joinAnswersPerSecond limits the snapshots of rows that one daemon sends
@@ -25,16 +29,18 @@
 
 // joinState is the progress of the start of this daemon.
 type joinState struct {
-	started     bool
-	known       []netip.AddrPort // peers to ask
-	readPeersAt time.Time
-	readHeadAt  time.Time
-	headAsked   bool
-	joinAt      time.Time
-	joined      bool // rows have arrived from a peer
-	settled     bool // the head row was read, so that the floor is final
-	served      int  // join answers in the current second
-	servedFrom  time.Time
+	started        bool
+	known          []netip.AddrPort // peers to ask, the nearest first
+	next           int              // position in known
+	readPeersAt    time.Time
+	readHeadAt     time.Time
+	headAsked      bool
+	joinAt         time.Time
+	otherRegionsAt time.Time
+	joined         bool // rows have arrived from a peer
+	settled        bool // the head row was read, so that the floor is final
+	served         int  // join answers in the current second
+	servedFrom     time.Time
 }
 
 // runJoin reads the head row once, finds peers and asks them for rows.
@@ -53,6 +59,7 @@
 			c.emit(ReadPeers{})
 		}
 	}
+	c.findOtherRegions()
 	if (!j.joined || c.alone()) && len(j.known) > 0 && !c.now.Before(j.joinAt) {
 		c.askPeers()
 	}
@@ -75,12 +82,26 @@
 func (c *Core) askPeers() {
 	j := &c.join
 	j.joinAt = c.now.Add(joinInterval)
-	for i, k := range c.random.Perm(len(j.known)) {
-		if i == joinPeers {
-			return
-		}
-		c.send(j.known[k], message.Join{Row: c.self()})
+	c.send(j.known[j.next%len(j.known)], message.Join{Row: c.self()})
+	j.next++
+}
+
+// findOtherRegions lets the region root join the hosts of other regions when
+// it knows none. Other hosts join their own region only, which saves the bytes
+// of a handshake and of all rows on the region link.
+func (c *Core) findOtherRegions() {
+	j := &c.join
+	c.refreshOverlay()
+	if c.now.Before(j.otherRegionsAt) || !c.isRegionRoot() {
+		return
 	}
+	if len(c.overlay.otherRegions(c.config.Self.Region)) > 0 {
+		return
+	}
+	if !j.otherRegionsAt.IsZero() {
+		c.emit(ReadPeers{OtherRegions: true})
+	}
+	j.otherRegionsAt = c.now.Add(otherRegionsInterval/4 + c.jitter(otherRegionsInterval))
 }
 
 // alone reports whether no other live host is known.
@@ -93,15 +114,18 @@
 	if e.Err != nil {
 		return
 	}
-	for _, p := range e.Peers {
+	if e.OtherRegions {
+		if len(e.Peers) > 0 {
+			c.send(e.Peers[c.random.IntN(len(e.Peers))], message.Join{Row: c.self()})
+		}
+		return
+	}
+	c.join.known, c.join.next = nil, 0
+	for _, p := range slices.Concat(c.config.Peers, e.Peers) {
 		if p != c.config.Self.ControlAddr {
 			c.join.known = append(c.join.known, p)
 		}
 	}
-	const maxKnown = 64
-	if extra := len(c.join.known) - maxKnown; extra > 0 {
-		c.join.known = c.join.known[extra:]
-	}
 }
 
 func (c *Core) receiveJoin(from netip.AddrPort, m message.Join) {
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -171,18 +171,20 @@
 	case ReadPeers:
 		answer := PeersRead{Err: errTableDown}
 		if !n.tableDown {
-			answer = PeersRead{Peers: n.somePeers()}
+			answer = PeersRead{Peers: n.somePeers(nd, e.OtherRegions), OtherRegions: e.OtherRegions}
 		}
 		n.schedule(nd, tableDelay, answer)
 	}
 }
 
-func (n *network) somePeers() []netip.AddrPort {
+func (n *network) somePeers(nd *node, otherRegions bool) []netip.AddrPort {
 	var peers []netip.AddrPort
-	for _, i := range n.random.Perm(len(n.nodes))[:min(8, len(n.nodes))] {
-		peers = append(peers, n.nodes[i].row.ControlAddr)
+	for _, i := range n.random.Perm(len(n.nodes)) {
+		if (n.nodes[i].row.Region != nd.row.Region) == otherRegions {
+			peers = append(peers, n.nodes[i].row.ControlAddr)
+		}
 	}
-	return peers
+	return peers[:min(8, len(peers))]
 }
 
 func (n *network) transmit(from *node, s Send) {
