Gate refusals of local calls are counted

peridotlb_refused_total was raised in the HTTP handler of the gate only, so that refusals of servers on the entry's own host were missing. It is raised where the gate decides now.

--- a/internal/proxy/broken_test.go
+++ b/internal/proxy/broken_test.go
@@ -239,4 +239,7 @@
 	if denied < calls/2 || len(m.events) == 0 {
 		t.Errorf("got %d responses with %s and %d events, want most", denied, HeaderNoRetry, len(m.events))
 	}
+	if got := m.set.GetOrCreateCounter("peridotlb_retries_total").Get(); int64(got) != runs.Load()-calls {
+		t.Errorf("got %d retries counted, want %d", got, runs.Load()-calls)
+	}
 }
--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -61,9 +61,6 @@
 
 func (g *gateway) refuse(w http.ResponseWriter, id string, f *failure) {
 	w.Header()[HeaderReason] = []string{f.reason}
-	if f.refused {
-		g.meters.refused.inc(f.reason)
-	}
 	f.write(w, id)
 }
 
@@ -72,9 +69,14 @@
 func (g *gateway) call(ctx context.Context, c *call, id backend.ServerID) answer {
 	pass, err := g.config.Gate.Enter(ctx, id)
 	if err != nil {
-		return answer{failure: refusal(err), load: g.config.Gate.Load(id)}
+		f := refusal(err)
+		g.meters.refused.inc(f.reason)
+		return answer{failure: f, load: g.config.Gate.Load(id)}
 	}
 	a := g.run(ctx, c, pass)
+	if a.failure != nil && a.failure.refused {
+		g.meters.refused.inc(a.failure.reason)
+	}
 	a.load = pass.Load()
 	if a.reply != nil && a.reply.rest != nil {
 		a.reply.rest = &leavingBody{a.reply.rest, pass}
