One row of contacts per zone instead of one row per host

Cause: every daemon wrote a row of its own and every start scanned 16 rows or more. A mass restart read far above the budget: 60 restarts made 103 rows in the first second where 50 are allowed (TestMassRestartReadsTable, scaled from 600 starts and 500 rows a second). Change: the zone root publishes up to 8 addresses in one row per zone; a start reads that row and the head, spread over 4 s. Only zone roots look for other zones.

--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -21,8 +21,6 @@
 	eventQueue = 4096
 	// readTimeout bounds a read of the platform for the core.
 	readTimeout = 4 * time.Second
-	// seedPeers is the number of host rows read to find first contacts.
-	seedPeers = 16
 )
 
 // loop owns the core: it feeds it events and carries out its effects.
@@ -120,8 +118,8 @@
 		go l.loadVersion(ctx, e)
 	case fleet.ReadPeers:
 		go l.readPeers(ctx, e)
-	case fleet.WriteHost:
-		go l.writeHost(ctx, e.Row)
+	case fleet.PublishContacts:
+		go l.publishContacts(ctx, e.Contacts)
 	case fleet.Record:
 		l.record(e)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,12 +45,19 @@
 	Err      error
 }
 
-// PeersRead is the answer to ReadPeers: control addresses of possible peers,
-// the nearest first.
+// Contacts are the control addresses of a few hosts of a zone, at which a
+// starting daemon finds the fleet.
+type Contacts struct {
+	Zone   host.AvailabilityZone
+	Region host.Region
+	Addrs  []netip.AddrPort
+}
+
+// PeersRead is the answer to ReadPeers.
 type PeersRead struct {
-	Peers        []netip.AddrPort
-	OtherRegions bool // as asked
-	Err          error
+	Zones    []Contacts
+	AllZones bool // as asked
+	Err      error
 }
 
 // Leaving starts a planned stop of this daemon.
@@ -85,13 +92,12 @@
 	Have     version.Snapshot
 }
 
-// ReadPeers asks for host rows of the table; PeersRead answers. OtherRegions
-// asks for hosts of other regions only; otherwise those of this region come
-// first, and others only when it has none.
-type ReadPeers struct{ OtherRegions bool }
+// ReadPeers asks for the published contacts of this host's zone, or of all
+// zones; PeersRead answers.
+type ReadPeers struct{ AllZones bool }
 
-// WriteHost publishes the row of this host in the table.
-type WriteHost struct{ Row host.Row }
+// PublishContacts publishes the contacts of this host's zone.
+type PublishContacts struct{ Contacts Contacts }
 
 // Record adds an event to the time line.
 type Record struct {
@@ -111,15 +117,15 @@
 func (PeersRead) isEvent()       {}
 func (Leaving) isEvent()         {}
 
-func (Send) isEffect()           {}
-func (Hold) isEffect()           {}
-func (Apply) isEffect()          {}
-func (ServersChanged) isEffect() {}
-func (ReadHead) isEffect()       {}
-func (LoadVersion) isEffect()    {}
-func (ReadPeers) isEffect()      {}
-func (WriteHost) isEffect()      {}
-func (Record) isEffect()         {}
+func (Send) isEffect()            {}
+func (Hold) isEffect()            {}
+func (Apply) isEffect()           {}
+func (ServersChanged) isEffect()  {}
+func (ReadHead) isEffect()        {}
+func (LoadVersion) isEffect()     {}
+func (ReadPeers) isEffect()       {}
+func (PublishContacts) isEffect() {}
+func (Record) isEffect()          {}
 
 // Distribution selects how a version spreads.
 type Distribution uint8
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -11,17 +11,22 @@
 )
 
 const (
-	// joinJitter spreads the table reads of daemons that start at once: 1,200
-	// starts make 480 reads a second, below the budget of 500.
-	joinJitter = 2500 * time.Millisecond
+	// joinJitter spreads the table reads of daemons that start at once, two rows
+	// each: 600 starts make 300 reads a second, below the budget of 500.
+	joinJitter = 4 * time.Second
 	// joinInterval is the wait for an answer before the next peer is asked. One
 	// at a time, since each costs a handshake and all rows.
 	joinInterval = 500 * time.Millisecond
-	// otherRegionsInterval is the time between searches of a region root for
-	// other regions while it knows none.
-	otherRegionsInterval = 10 * time.Second
-	// aloneInterval is the time between searches for peers while there are none.
-	aloneInterval = 5 * time.Second
+	// Time between reads of the zone's first contacts while there is no peer.
+	minAloneInterval = 500 * time.Millisecond
+	maxAloneInterval = 5 * time.Second
+	// Time between searches of a zone root for zones that it does not know.
+	minSearchInterval = time.Second
+	maxSearchInterval = time.Minute
+	// publishInterval is the time between checks of the zone's first contacts.
+	publishInterval = time.Minute
+	// maxContacts is the number of first contacts that a zone publishes.
+	maxContacts = 8
 	// joinAnswersPerSecond limits the snapshots of rows that one daemon sends
 	// in a mass restart; joiners ask another peer.
 	joinAnswersPerSecond = 8
@@ -29,18 +34,22 @@
 
 // joinState is the progress of the start of this daemon.
 type joinState struct {
-	started        bool
-	known          []netip.AddrPort // peers to ask, the nearest first
-	next           int              // position in known
-	readPeersAt    time.Time
-	readHeadAt     time.Time
-	headAsked      bool
-	joinAt         time.Time
-	otherRegionsAt time.Time
-	joined         bool // rows have arrived from a peer
-	settled        bool // the head row was read, so that the floor is final
-	served         int  // join answers in the current second
-	servedFrom     time.Time
+	started      bool
+	contacts     []netip.AddrPort // peers to ask
+	next         int              // position in contacts
+	readPeersAt  time.Time
+	aloneFor     time.Duration // next interval between reads while alone
+	readHeadAt   time.Time
+	headAsked    bool
+	joinAt       time.Time
+	joined       bool // rows have arrived from a peer
+	contactsRead bool // the zone's first contacts were read
+	searchAt     time.Time
+	searchEvery  time.Duration
+	publishAt    time.Time
+	settled      bool // the head row was read, so that the floor is final
+	served       int  // join answers in the current second
+	servedFrom   time.Time
 }
 
 // runJoin reads the head row once, finds peers and asks them for rows.
@@ -53,55 +62,65 @@
 		j.headAsked = true
 		c.emit(ReadHead{})
 	}
-	if len(j.known) == 0 || c.alone() {
-		if !c.now.Before(j.readPeersAt) {
-			j.readPeersAt = c.now.Add(aloneInterval + c.jitter(joinJitter))
-			c.emit(ReadPeers{})
-		}
+	if (len(j.contacts) == 0 || c.alone()) && !c.now.Before(j.readPeersAt) {
+		j.aloneFor = min(max(2*j.aloneFor, minAloneInterval), maxAloneInterval)
+		j.readPeersAt = c.now.Add(j.aloneFor + c.jitter(j.aloneFor))
+		c.emit(ReadPeers{})
 	}
-	c.findOtherRegions()
-	if (!j.joined || c.alone()) && len(j.known) > 0 && !c.now.Before(j.joinAt) {
-		c.askPeers()
+	if (!j.joined || c.alone()) && len(j.contacts) > 0 && !c.now.Before(j.joinAt) {
+		c.askPeer()
 	}
+	c.runSearch()
+	c.runPublish()
 }
 
 func (c *Core) startJoin() {
 	j := &c.join
 	j.started = true
 	j.readHeadAt = c.now.Add(c.jitter(joinJitter))
-	j.readPeersAt = c.now.Add(c.jitter(joinJitter / 4))
-	for _, p := range c.config.Peers {
-		if p != c.config.Self.ControlAddr {
-			j.known = append(j.known, p)
-		}
-	}
-	c.emit(WriteHost{Row: c.self()})
+	j.readPeersAt = j.readHeadAt
+	j.setContacts(c.config.Peers, c.config.Self.ControlAddr)
 	c.record(Record{Kind: "host-started", Host: c.config.Self.ID})
 }
 
-func (c *Core) askPeers() {
+func (j *joinState) setContacts(peers []netip.AddrPort, own netip.AddrPort) {
+	j.contacts = slices.DeleteFunc(slices.Clone(peers), func(a netip.AddrPort) bool { return a == own })
+}
+
+func (c *Core) askPeer() {
 	j := &c.join
 	j.joinAt = c.now.Add(joinInterval)
-	c.send(j.known[j.next%len(j.known)], message.Join{Row: c.self()})
+	c.send(j.contacts[j.next%len(j.contacts)], message.Join{Row: c.self()})
 	j.next++
 }
 
-// findOtherRegions lets the region root join the hosts of other regions when
-// it knows none. Other hosts join their own region only, which saves the bytes
-// of a handshake and of all rows on the region link.
-func (c *Core) findOtherRegions() {
+// runSearch lets zone roots look for zones that they do not know. Other hosts
+// join their own zone only, which saves the bytes of a handshake and of all
+// rows between zones.
+func (c *Core) runSearch() {
 	j := &c.join
 	c.refreshOverlay()
-	if c.now.Before(j.otherRegionsAt) || !c.isRegionRoot() {
+	if !c.overlay.isRoot() || !j.contactsRead || c.now.Before(j.searchAt) {
 		return
 	}
-	if len(c.overlay.otherRegions(c.config.Self.Region)) > 0 {
+	j.searchEvery = min(max(2*j.searchEvery, minSearchInterval), maxSearchInterval)
+	j.searchAt = c.now.Add(j.searchEvery/2 + c.jitter(j.searchEvery))
+	c.emit(ReadPeers{AllZones: true})
+}
+
+// runPublish lets the zone root publish first contacts of the zone.
+func (c *Core) runPublish() {
+	j := &c.join
+	if !c.overlay.isRoot() || !j.contactsRead || c.now.Before(j.publishAt) {
 		return
 	}
-	if !j.otherRegionsAt.IsZero() {
-		c.emit(ReadPeers{OtherRegions: true})
+	j.publishAt = c.now.Add(publishInterval)
+	order := c.overlay.zones[c.config.Self.Zone]
+	contacts := Contacts{Zone: c.config.Self.Zone, Region: c.config.Self.Region}
+	for _, e := range order[:min(len(order), maxContacts)] {
+		contacts.Addrs = append(contacts.Addrs, e.row.ControlAddr)
 	}
-	j.otherRegionsAt = c.now.Add(otherRegionsInterval/4 + c.jitter(otherRegionsInterval))
+	c.emit(PublishContacts{Contacts: contacts})
 }
 
 // alone reports whether no other live host is known.
@@ -114,17 +133,32 @@
 	if e.Err != nil {
 		return
 	}
-	if e.OtherRegions {
-		if len(e.Peers) > 0 {
-			c.send(e.Peers[c.random.IntN(len(e.Peers))], message.Join{Row: c.self()})
-		}
+	if e.AllZones {
+		c.joinUnknownZones(e.Zones)
 		return
 	}
-	c.join.known, c.join.next = nil, 0
-	for _, p := range slices.Concat(c.config.Peers, e.Peers) {
-		if p != c.config.Self.ControlAddr {
-			c.join.known = append(c.join.known, p)
+	j := &c.join
+	j.contactsRead = true
+	peers := slices.Clone(c.config.Peers)
+	for _, z := range e.Zones {
+		c.random.Shuffle(len(z.Addrs), func(i, k int) { z.Addrs[i], z.Addrs[k] = z.Addrs[k], z.Addrs[i] })
+		peers = append(peers, z.Addrs...)
+	}
+	j.setContacts(peers, c.config.Self.ControlAddr)
+}
+
+// joinUnknownZones asks a host of each zone of this region that has no live
+// host in the table, and of one such zone of other regions when this host is
+// the region root.
+func (c *Core) joinUnknownZones(zones []Contacts) {
+	for _, z := range zones {
+		known := len(c.overlay.zones[z.Zone]) > 0
+		crosses := z.Region != c.config.Self.Region
+		regionKnown := crosses && slices.Contains(c.overlay.otherRegions(c.config.Self.Region), z.Region)
+		if known || len(z.Addrs) == 0 || regionKnown || (crosses && !c.isRegionRoot()) {
+			continue
 		}
+		c.send(z.Addrs[c.random.IntN(len(z.Addrs))], message.Join{Row: c.self()})
 	}
 }
 
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -116,3 +116,26 @@
 		}
 	}
 }
+
+// TestMassRestartReadsTable guards against restarts that overload the table:
+// when half of 1,200 daemons start at once, they may read 500 rows a second.
+func TestMassRestartReadsTable(t *testing.T) {
+	n := newNetwork(t, 16, 30, nil)
+	n.run(60 * time.Second)
+	for _, nd := range n.nodes[:60] {
+		n.stop(nd)
+	}
+	n.run(5 * time.Second)
+	for _, nd := range n.nodes[:60] {
+		n.start(nd)
+	}
+	budget := 500 * 60 / 600
+	for second := range 20 {
+		before := n.reads
+		n.run(time.Second)
+		if got := n.reads - before; got > budget {
+			t.Errorf("second %d: got %d rows read, want at most %d", second, got, budget)
+		}
+	}
+	n.wantApplied()
+}
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -33,6 +34,8 @@
 	cut       func(a, b host.Row) bool
 	config    func(*Config)
 	sent      int
+	reads     int // rows read from the table
+	contacts  map[host.AvailabilityZone]Contacts
 }
 
 // failer is the part of testing.T and rapid.T that the checks need.
@@ -84,6 +87,7 @@
 	n := &network{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
 		byAddr: make(map[netip.AddrPort]*node), cut: func(_, _ host.Row) bool { return false }, config: config,
+		contacts: make(map[host.AvailabilityZone]Contacts),
 	}
 	for z, zone := range []host.AvailabilityZone{"pwani-a", "pwani-b", "kaskazini-a", "kaskazini-b"} {
 		region := host.Region(zone[:len(zone)-2])
@@ -157,6 +161,7 @@
 	case Apply:
 		n.checkApply(nd, e.Snapshot)
 	case ReadHead:
+		n.reads++
 		answer := HeadRead{Manifest: n.head.Manifest()}
 		if n.tableDown {
 			answer = HeadRead{Err: errTableDown}
@@ -171,20 +176,27 @@
 	case ReadPeers:
 		answer := PeersRead{Err: errTableDown}
 		if !n.tableDown {
-			answer = PeersRead{Peers: n.somePeers(nd, e.OtherRegions), OtherRegions: e.OtherRegions}
+			answer = PeersRead{Zones: n.published(nd, e.AllZones), AllZones: e.AllZones}
 		}
 		n.schedule(nd, tableDelay, answer)
+	case PublishContacts:
+		if !n.tableDown {
+			n.contacts[nd.row.Zone] = e.Contacts
+		}
 	}
 }
 
-func (n *network) somePeers(nd *node, otherRegions bool) []netip.AddrPort {
-	var peers []netip.AddrPort
-	for _, i := range n.random.Perm(len(n.nodes)) {
-		if (n.nodes[i].row.Region != nd.row.Region) == otherRegions {
-			peers = append(peers, n.nodes[i].row.ControlAddr)
+func (n *network) published(nd *node, all bool) []Contacts {
+	var zones []Contacts
+	for _, zone := range slices.Sorted(maps.Keys(n.contacts)) {
+		if all || zone == nd.row.Zone {
+			z := n.contacts[zone]
+			z.Addrs = slices.Clone(z.Addrs)
+			zones = append(zones, z)
 		}
 	}
-	return peers[:min(8, len(peers))]
+	n.reads += max(1, len(zones))
+	return zones
 }
 
 func (n *network) transmit(from *node, s Send) {
