--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 BIN     := bin
 OWN     := $(shell git ls-files -co --exclude-standard '*.go' | grep -v 'internal/operator/api/')
 JSON    ?=
+SHORT   ?=
 
 .PHONY: build test lint vet format generate demo bench fuzz
 
@@ -28,7 +29,7 @@
 	$(TOOL) ogen --target internal/operator/api --package api --clean api/operator.yaml
 
 demo: build
-	$(BIN)/demo $(if $(JSON),--json)
+	$(BIN)/demo $(if $(JSON),--json) $(if $(SHORT),--short)
 
 bench: build
 	$(BIN)/bench
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -174,13 +174,17 @@
 	"host-dead":       "Declared a host dead.",
 	"host-refuted":    "Refuted a report about this host.",
 	"unreachable":     "Lost contact with a zone or region.",
+	"server-starting": "A backend server of this host is starting.",
+	"server-ready":    "A backend server of this host is ready.",
+	"server-draining": "A backend server of this host is draining.",
+	"server-gone":     "A backend server of this host is gone.",
 }
 
 func sentence(kind string) string {
 	if s, ok := sentences[kind]; ok {
 		return s
 	}
-	return "Recorded an event."
+	return "Recorded " + kind + "."
 }
 
 // heldVersion returns a held snapshot to the codec.
