Keep the services of all versions of the last 10 s

Cause: the call path kept the services of one earlier version. Storing the routes before the services, and no grace, fail the same test. Change: each service stays for 10 s after the last version that had it. The test passes 3 times under the race detector.

--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,19 +29,23 @@
 	snapshot atomic.Pointer[version.Snapshot]
 
 	services  []document.Service // of the applied version
-	previous  []document.Service // of the version before, until the grace ends
-	graceEnds time.Time
+	previous  map[backend.ServiceName]previousService
 	stale     bool
 	updatedAt time.Time
 }
 
+// previousService is a service that an earlier version had.
+type previousService struct {
+	document.Service
+	until time.Time
+}
+
 // apply puts a version into force. The pool learns the services first, and
 // keeps the previous ones for a while, so that no route is without its service.
 func (p *parts) apply(c *fleet.Core, s version.Snapshot) {
 	v := &p.calls
-	v.previous = v.services
+	v.keepPrevious(time.Now().Add(serviceGrace))
 	v.services = servicesOf(s.Document())
-	v.graceEnds = time.Now().Add(serviceGrace)
 	p.updateView(c)
 	v.routes.Store(route.New(s))
 	v.snapshot.Store(&s)
@@ -57,8 +63,8 @@
 // refreshView carries out a postponed update.
 func (p *parts) refreshView(c *fleet.Core) {
 	v := &p.calls
-	if v.previous != nil && time.Now().After(v.graceEnds) {
-		v.previous, v.stale = nil, true
+	if v.expirePrevious(time.Now()) {
+		v.stale = true
 	}
 	if v.stale {
 		p.updateView(c)
@@ -69,7 +75,7 @@
 	v := &p.calls
 	v.stale, v.updatedAt = false, time.Now()
 	servers := c.Servers()
-	services := withPrevious(v.services, v.previous)
+	services := v.withPrevious()
 	hosts := c.Hosts()
 	p.regions.update(hosts)
 	p.pool.Update(pool.View{Services: services, Hosts: hosts, Servers: servers})
@@ -90,16 +96,35 @@
 	return services
 }
 
-// withPrevious adds the previous services that the present version lacks.
-func withPrevious(services, previous []document.Service) []document.Service {
-	have := make(map[backend.ServiceName]bool, len(services))
-	for _, s := range services {
+// keepPrevious keeps the services of the present version until a time.
+func (v *callView) keepPrevious(until time.Time) {
+	if v.previous == nil {
+		v.previous = make(map[backend.ServiceName]previousService)
+	}
+	for _, s := range v.services {
+		v.previous[s.Name] = previousService{Service: s, until: until}
+	}
+}
+
+// expirePrevious drops services whose grace has ended, and reports whether
+// there were any.
+func (v *callView) expirePrevious(now time.Time) bool {
+	before := len(v.previous)
+	maps.DeleteFunc(v.previous, func(_ backend.ServiceName, s previousService) bool { return now.After(s.until) })
+	return len(v.previous) != before
+}
+
+// withPrevious returns the services of the present version and those of
+// earlier ones that it lacks.
+func (v *callView) withPrevious() []document.Service {
+	have := make(map[backend.ServiceName]bool, len(v.services))
+	for _, s := range v.services {
 		have[s.Name] = true
 	}
-	all := services[:len(services):len(services)]
-	for _, s := range previous {
-		if !have[s.Name] {
-			all = append(all, s)
+	all := slices.Clone(v.services)
+	for name, s := range v.previous {
+		if !have[name] {
+			all = append(all, s.Service)
 		}
 	}
 	return all
