message: varint encoding for probes and their answers

Cause: probes and their answers are nearly all the traffic of an idle daemon, and CBOR spent 21 of 51 bytes on map keys and number heads. They are now five varints and the 8-byte hash of the rows. Decoding accepts exactly one form, and a compressed probe is refused.

Ruled out: CBOR arrays, which would save the keys only (about 8 bytes). A fixed 8-byte nonce would save one more byte now, but not when nonces become shorter.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
 )
 
@@ -402,15 +403,18 @@
 // BenchmarkProbe reports the bytes of both directions for one probe and its
 // answer on an idle connection.
 func BenchmarkProbe(b *testing.B) {
+	probe := message.Probe{
+		Nonce: 1<<62 + 12345, Stamp: host.Stamp{Incarnation: 1_790_000_000_000, Sequence: 40},
+		Head: message.Head{Known: 70000, Held: 70000, Rows: 1 << 60},
+	}
 	f := newFleet(b)
 	a := f.listen(f.host(), nil)
 	var to node
 	to = f.listen(f.host(), func(c *Config) {
 		c.Receive = func(from netip.AddrPort, _ message.Message) {
-			to.Send(from, message.ProbeAnswer{Nonce: 1 << 30, Head: message.Head{Known: 70000, Held: 70000, Rows: 1 << 60}})
+			to.Send(from, message.ProbeAnswer{Nonce: probe.Nonce, Stamp: probe.Stamp, Head: probe.Head})
 		}
 	})
-	probe := message.Probe{Nonce: 1 << 30, Head: message.Head{Known: 70000, Held: 70000, Rows: 1 << 60}}
 	exchange := func() {
 		a.Send(to.Addr(), probe)
 		<-a.received
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -156,6 +156,13 @@
 	if k == 0 {
 		return nil, fmt.Errorf("encode message: unknown type %T", m)
 	}
+	head := []byte{ProtocolVersion, byte(k)}
+	switch m := m.(type) {
+	case Probe:
+		return appendProbe(head, probeBody(m)), nil
+	case ProbeAnswer:
+		return appendProbe(head, probeBody(m)), nil
+	}
 	body, err := encMode.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode %s: %w", k, err)
@@ -167,7 +174,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("compress %s: %w", k, err)
 	}
-	return append([]byte{ProtocolVersion, byte(k) | flag}, body...), nil
+	head[1] |= flag
+	return append(head, body...), nil
 }
 
 // compress returns the smallest known form of a body and the flag of that form.
@@ -219,7 +227,7 @@
 	switch {
 	case flags == 0:
 		return body, nil
-	case flags == flagCompressed:
+	case flags == flagCompressed && k != KindProbe && k != KindProbeAnswer:
 		out, err := Unpack(body, nil, MaxSize-2)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
@@ -232,10 +240,24 @@
 	}
 }
 
-// decodeBody decodes a CBOR body into a new value of the type of zero. The body
-// must be byte for byte what Encode writes, so that every message has exactly
-// one encoding: this excludes null, missing fields and long forms of numbers.
+// decodeBody decodes a body into a new value of the type of zero.
 func decodeBody(zero Message, body []byte) (Message, error) {
+	switch zero.(type) {
+	case Probe:
+		p, err := readProbe(body)
+		return Probe(p), err
+	case ProbeAnswer:
+		p, err := readProbe(body)
+		return ProbeAnswer(p), err
+	default:
+		return decodeCBOR(zero, body)
+	}
+}
+
+// decodeCBOR decodes a CBOR body. It must be byte for byte what Encode writes,
+// so that every message has exactly one encoding: this excludes null, missing
+// fields and long forms of numbers.
+func decodeCBOR(zero Message, body []byte) (Message, error) {
 	v := reflect.New(reflect.TypeOf(zero))
 	if err := decMode.Unmarshal(body, v.Interface()); err != nil {
 		return nil, err
--- a/internal/message/codec_test.go
+++ b/internal/message/codec_test.go
@@ -111,6 +111,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	announce, err := Encode(Announce{Number: 300})
+	if err != nil {
+		t.Fatal(err)
+	}
 	many := append([]byte{ProtocolVersion, byte(KindNews), 0xa2, 0x01, 0x9a, 0, 0x0f, 0xff, 0xff}, bytes.Repeat([]byte{0xa0}, 0xfffff)...)
 	with := func(k Kind, b ...byte) []byte { return append([]byte{ProtocolVersion, byte(k)}, b...) }
 	for name, c := range map[string]struct {
@@ -121,8 +125,14 @@
 		"old protocol":    {append([]byte{0}, valid[1:]...), "protocol version 0"},
 		"unknown kind":    {with(63, valid[2:]...), "unknown kind 63"},
 		"unknown flags":   {with(KindProbe|flagBased, valid[2:]...), "flags"},
-		"trailing byte":   {append(bytes.Clone(valid), 0), "extraneous data"},
-		"truncated":       {valid[:len(valid)-1], "EOF"},
+		"trailing byte":   {append(bytes.Clone(announce), 0), "extraneous data"},
+		"truncated":       {announce[:len(announce)-1], "EOF"},
+		"long probe":      {append(bytes.Clone(valid), 0), "canonical"},
+		"short probe":     {valid[:len(valid)-1], "canonical"},
+		"empty probe":     {with(KindProbe), "varint"},
+		"padded varint":   {with(KindProbe, append([]byte{0x87, 0x00}, valid[3:]...)...), "varint"},
+		"wide varint":     {with(KindProbe, bytes.Repeat([]byte{0xff}, 20)...), "varint"},
+		"packed probe":    {with(KindProbe|flagCompressed, valid[2:]...), "flags"},
 		"unknown field":   {with(KindAnnounce, body(t, map[int]int{1: 1, 9: 1})...), "unknown field"},
 		"missing field":   {with(KindAnnounce, 0xa0), "canonical"},
 		"null":            {with(KindAnnounce, 0xa1, 0x01, 0xf6), "canonical"},
@@ -150,6 +160,7 @@
 	row := host.Row{ID: "pwani-a-1", Zone: "pwani-a", Region: "pwani", ControlAddr: netip.MustParseAddrPort("127.1.0.1:7000")}
 	for _, m := range []Message{
 		Probe{Nonce: 1, Head: Head{Known: 3, Held: 3, Rows: 1 << 60}},
+		ProbeAnswer{Nonce: 1 << 63, Stamp: host.Stamp{Incarnation: 1 << 40}, Head: Head{Known: 3, Held: 4}},
 		Delta{Manifest: version.Manifest{Number: 2, Sections: []version.SectionRef{{Name: "stock"}}}, Blobs: []Blob{bytes.Repeat([]byte("stock "), 100)}},
 		News{Hosts: []host.Row{row}, Servers: []backend.Server{{ID: "bead-stock-1", Addr: row.ControlAddr}}},
 		SyncRequest{Hashes: map[host.AvailabilityZone]uint64{"pwani-a": 1}},
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -19,18 +19,19 @@
 	Rows  uint64         `cbor:"3,keyasint"` // hash of the host and server tables
 }
 
-// Probe asks a host for a ProbeAnswer with the same Nonce.
+// Probe asks a host for a ProbeAnswer with the same Nonce. Its encoding is in
+// probe.go.
 type Probe struct {
-	Nonce uint64     `cbor:"1,keyasint"`
-	Stamp host.Stamp `cbor:"2,keyasint"` // the sender's stamp of its own row
-	Head  Head       `cbor:"3,keyasint"`
+	Nonce uint64
+	Stamp host.Stamp // the sender's stamp of its own row
+	Head  Head
 }
 
 // ProbeAnswer answers a Probe.
 type ProbeAnswer struct {
-	Nonce uint64     `cbor:"1,keyasint"`
-	Stamp host.Stamp `cbor:"2,keyasint"`
-	Head  Head       `cbor:"3,keyasint"`
+	Nonce uint64
+	Stamp host.Stamp
+	Head  Head
 }
 
 // IndirectProbe asks the receiver to probe Target on behalf of the sender; the
--- /dev/null
+++ b/internal/message/size_test.go
@@ -0,0 +1,62 @@
+package message
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+// fullFleet returns the rows of 1,200 hosts in 7 zones, each with one backend
+// server of 57 services.
+func fullFleet() News {
+	var n News
+	for i := range 1200 {
+		zone, region := host.AvailabilityZone(fmt.Sprintf("pwani-%c", 'a'+i%7)), host.Region("pwani")
+		if i%7 > 3 {
+			zone, region = host.AvailabilityZone(fmt.Sprintf("kaskazini-%c", 'a'+i%7)), "kaskazini"
+		}
+		id := host.ID(fmt.Sprintf("%s-%d", zone, i/7))
+		ip := netip.AddrFrom4([4]byte{10, byte(i % 7), byte(i / 7 >> 8), byte(i / 7)})
+		stamp := host.Stamp{Incarnation: host.Incarnation(1_790_000_000_000 + uint64(i)*2654435761%86_400_000), Sequence: host.Sequence(i % 40)}
+		n.Hosts = append(n.Hosts, host.Row{
+			ID: id, Zone: zone, Region: region, ControlAddr: netip.AddrPortFrom(ip, 7000),
+			GateAddr: netip.AddrPortFrom(ip, 7001), Stamp: stamp,
+		})
+		service := backend.ServiceName(fmt.Sprintf("service-%02d", i%57))
+		n.Servers = append(n.Servers, backend.Server{
+			ID: backend.ServerID(fmt.Sprintf("%s-%s", service, id)), Service: service, Host: id,
+			Addr: netip.AddrPortFrom(ip, 8000), Slots: 9, State: backend.Ready, Stamp: stamp,
+		})
+	}
+	return n
+}
+
+// BenchmarkSizes reports the encoded size of typical messages.
+func BenchmarkSizes(b *testing.B) {
+	all := fullFleet()
+	manifest := version.Manifest{Number: 900, Submission: "0f6c1d6e", AcceptedMS: 1_790_000_000_000}
+	for name, m := range map[string]Message{
+		"join-answer-1200": JoinAnswer{News: all, Head: Head{Known: 900, Held: 900, Rows: 1 << 63}},
+		"news-host":        News{Hosts: all.Hosts[:1]},
+		"news-server":      News{Servers: all.Servers[:1]},
+		"news-both":        News{Hosts: all.Hosts[:1], Servers: all.Servers[:1]},
+		"sync-zone":        Sync{News: News{Hosts: all.Hosts[:170], Servers: all.Servers[:170]}},
+		"announce":         Announce{Number: 70000},
+		"fetch":            Fetch{Number: 70000, Base: 69999},
+		"report":           Report{Zone: "pwani-a", Counts: []Count{{Number: 70000, Hosts: 170}}},
+		"delta":            Delta{Manifest: manifest, Base: 899},
+		"probe":            Probe{Nonce: 1<<62 + 12345, Stamp: all.Hosts[0].Stamp, Head: Head{Known: 70000, Held: 70000, Rows: 1 << 60}},
+	} {
+		b.Run(name, func(b *testing.B) {
+			var data []byte
+			for b.Loop() {
+				data, _ = Encode(m)
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+	}
+}
