link: small messages on one long-lived stream per connection

Cause: quic-go puts no acknowledgement into a packet that holds datagrams only, so that a probe and its answer took two further packets for acknowledgements. Messages up to 1,000 bytes now follow each other, each after its length, on one unidirectional stream per connection and direction. Probes stay datagrams: no acknowledgement is pending when they are sent, and a lost probe needs no repair. Larger messages keep a stream of their own and don't delay small ones.

Small messages other than answers gain as well: they no longer get lost, and over the link between regions, where each had a stream of its own, the updates of the stream limit and their acknowledgements are gone.

A blocked sequence is given up after 1 s and replaced by a new stream.

Ruled out: one stream per answer.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -26,17 +26,19 @@
 
 // Limits of the transport.
 const (
-	maxDatagram      = 1000                // bytes of an encoded message sent as a datagram
+	maxSmall         = 1000                // bytes of an encoded message that fits one packet
 	maxQuery         = 1 << 20             // bytes of a query
 	maxAnswer        = 8 << 20             // bytes of an answer
 	idleTimeout      = 30 * time.Second    // closes connections that carry nothing
 	dialTimeout      = 3 * time.Second     // one attempt, including its retransmissions
 	streamTimeout    = 15 * time.Second    // 8 MiB take 2.3 s at 30 Mbit/s
+	sequenceTimeout  = time.Second         // a small message that waits longer is given up
 	queryTimeout     = 10 * time.Second    // when the context has no deadline
 	queueLength      = 256                 // messages waiting for one peer
 	streamQueue      = 32                  // encoded messages waiting for a stream to one peer
 	streamQueueBytes = 2 * message.MaxSize // bytes of these messages
 	incomingStreams  = 8                   // open streams that one peer may have
+	incomingSequence = 1                   // open sequences of small messages, besides
 )
 
 // Application error codes of a closed connection.
@@ -138,7 +140,7 @@
 		InitialPacketSize:       1200,
 		EnableDatagrams:         true,
 		MaxIncomingStreams:      incomingStreams,
-		MaxIncomingUniStreams:   incomingStreams,
+		MaxIncomingUniStreams:   incomingStreams + incomingSequence,
 	}
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/netip"
 	"os"
@@ -217,7 +218,7 @@
 	other.Send(b.Addr(), message.Announce{Number: 1})
 	<-b.received
 	for name, send := range map[string]func(*conn, context.Context, []byte) error{
-		"datagram": (*conn).sendDatagram, "stream": (*conn).sendStream,
+		"datagram": (*conn).sendDatagram, "stream": (*conn).sendStream, "sequence": (*conn).sendInSequence,
 	} {
 		c, err := a.peer(b.Addr()).connection(t.Context())
 		if err != nil {
@@ -247,6 +248,27 @@
 	}
 }
 
+func TestReadSmall(t *testing.T) { // guards against lengths that take memory or have two forms
+	for name, c := range map[string]struct {
+		data []byte
+		want error
+	}{
+		"empty":          {nil, errSequenceEnd},
+		"no message":     {[]byte{0}, message.ErrMalformed},
+		"padded length":  {[]byte{0x81, 0, 7}, message.ErrMalformed},
+		"too long":       {append([]byte{0xe9, 7}, make([]byte, 1001)...), message.ErrMalformed},
+		"long length":    {[]byte{0xff, 0xff, 0xff}, message.ErrMalformed},
+		"cut off":        {[]byte{2, 7}, io.ErrUnexpectedEOF},
+		"cut off length": {[]byte{0x81}, io.EOF},
+		"one byte":       {[]byte{1, 7}, nil},
+		"longest":        {append([]byte{0xe8, 7}, make([]byte, 1000)...), nil},
+	} {
+		if got, err := readSmall(bytes.NewReader(c.data)); !errors.Is(err, c.want) || (err == nil) != (len(got) > 0) {
+			t.Errorf("%s: got %d bytes and error %v, want error %v", name, len(got), err, c.want)
+		}
+	}
+}
+
 func TestMissingBaseKeepsConnection(t *testing.T) { // guards against a late delta that cuts a healthy peer off
 	f := newFleet(t)
 	b := f.listen(f.host(), nil)
@@ -407,28 +429,44 @@
 		Nonce: 1<<62 + 12345, Stamp: host.Stamp{Incarnation: 1_790_000_000_000, Sequence: 40},
 		Head: message.Head{Known: 70000, Held: 70000, Rows: 1 << 60},
 	}
+	exchange(b, probe, func(to node, from netip.AddrPort, _ message.Message) {
+		to.Send(from, message.ProbeAnswer(probe))
+	}, nil)
+}
+
+// BenchmarkVersion reports the bytes of both directions for an announcement,
+// the fetch and a small delta on an idle connection.
+func BenchmarkVersion(b *testing.B) {
+	exchange(b, message.Announce{Number: 70000}, func(to node, from netip.AddrPort, m message.Message) {
+		if _, ok := m.(message.Announce); ok {
+			to.Send(from, message.Fetch{Number: 70000, Base: 69999})
+		}
+	}, message.Delta{Base: 69999, Blobs: []message.Blob{random(200)}})
+}
+
+// exchange sends first, lets the other end answer, and sends last.
+func exchange(b *testing.B, first message.Message, answer func(node, netip.AddrPort, message.Message), last message.Message) {
 	f := newFleet(b)
 	a := f.listen(f.host(), nil)
 	var to node
 	to = f.listen(f.host(), func(c *Config) {
-		c.Receive = func(from netip.AddrPort, _ message.Message) {
-			to.Send(from, message.ProbeAnswer{Nonce: probe.Nonce, Stamp: probe.Stamp, Head: probe.Head})
-		}
+		c.Receive = func(from netip.AddrPort, m message.Message) { answer(to, from, m) }
 	})
-	exchange := func() {
-		a.Send(to.Addr(), probe)
+	once := func() {
+		a.Send(to.Addr(), first)
 		<-a.received
+		if last != nil {
+			a.Send(to.Addr(), last)
+		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	exchange()
-	data, _ := message.Encode(probe)
+	once()
 	before := a.Traffic().Total
 	for b.Loop() {
-		exchange()
+		once()
 	}
 	after := a.Traffic().Total
 	n := float64(b.N)
-	b.ReportMetric(float64(len(data)), "probe-bytes")
 	b.ReportMetric(float64(after.BytesSent-before.BytesSent+after.BytesReceived-before.BytesReceived)/n, "bytes/op")
 	b.ReportMetric(float64(after.PacketsSent-before.PacketsSent+after.PacketsReceived-before.PacketsReceived)/n, "packets/op")
 }
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -40,7 +40,7 @@
 	mu        sync.Mutex
 	queue     []message.Message // encoded and sent by run
 	sending   bool              // run is running
-	large     []encoded         // sent by runStreams
+	large     []encoded         // sent by runStreams, each on its own stream
 	streaming bool              // runStreams is running
 	conns     []*conn
 	dialing   *attempt
@@ -65,9 +65,10 @@
 // conn is an established connection.
 type conn struct {
 	*quic.Conn
-	dialer netip.AddrPort
-	since  time.Time
-	used   atomic.Bool // something was received
+	dialer   netip.AddrPort
+	since    time.Time
+	used     atomic.Bool      // something was received
+	sequence *quic.SendStream // small messages; only peer.run uses it
 }
 
 // enqueue adds a message to the queue. The oldest one makes room, since newer
@@ -109,27 +110,20 @@
 			p.link.config.Log.Error("Message not encoded.", zap.Stringer("to", p.addr), zap.Error(err))
 			continue
 		}
-		if p.wantsStream(kind, len(data)) {
+		if len(data) > maxSmall {
 			p.enqueueStream(encoded{kind, data})
 			continue
 		}
-		if err := p.deliver((*conn).sendDatagram, data); err != nil {
+		send := (*conn).sendInSequence
+		if kind == message.KindProbe {
+			send = (*conn).sendDatagram // a lost probe needs no repair
+		}
+		if err := p.deliver(send, data); err != nil {
 			p.drop(kind, err)
 		}
 	}
 }
 
-// wantsStream reports whether a message goes on a stream: when it is too large
-// for a datagram, and over the link between regions, where a lost message is
-// repaired late. A lost probe needs no repair.
-func (p *peer) wantsStream(kind message.Kind, size int) bool {
-	if size > maxDatagram {
-		return true
-	}
-	probe := kind == message.KindProbe || kind == message.KindProbeAnswer
-	return !probe && p.link.config.Remote(p.addr.Addr())
-}
-
 func (p *peer) enqueueStream(e encoded) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/link/sequence.go
@@ -0,0 +1,97 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/peridotlb/peridotlb/internal/message"
+)
+
+// sequenceStream is the first byte of a stream that carries small messages,
+// each after its length, for as long as the connection lasts. A stream with one
+// large message starts with message.ProtocolVersion.
+const sequenceStream = 0xff
+
+// sendInSequence sends a small message on the connection's sequence. Compared
+// with a datagram this saves packets, since quic-go puts a pending
+// acknowledgement into a packet with stream data but not into one with
+// datagrams only; and a lost message is repaired. Compared with a stream per
+// message it saves the limit updates that follow the end of each stream.
+func (c *conn) sendInSequence(_ context.Context, data []byte) error {
+	var frame []byte
+	if c.sequence == nil {
+		s, err := c.OpenUniStream()
+		if err != nil {
+			return fmt.Errorf("open sequence: %w", err)
+		}
+		c.sequence, frame = s, append(frame, sequenceStream)
+	}
+	frame = append(binary.AppendUvarint(frame, uint64(len(data))), data...)
+	err := c.sequence.SetWriteDeadline(time.Now().Add(sequenceTimeout))
+	if err == nil {
+		_, err = c.sequence.Write(frame)
+	}
+	if err != nil {
+		// A part may have been written, so that nothing can follow on this stream.
+		c.sequence.CancelWrite(streamCanceled)
+		c.sequence = nil
+		return fmt.Errorf("write sequence: %w", err)
+	}
+	return nil
+}
+
+// bufferedReceiver is the receiving half of a stream with a buffer.
+type bufferedReceiver struct {
+	*bufio.Reader
+	stream *quic.ReceiveStream
+}
+
+// SetReadDeadline sets the deadline of the stream.
+func (r bufferedReceiver) SetReadDeadline(t time.Time) error { return r.stream.SetReadDeadline(t) }
+
+// receiveSequence takes small messages until the stream or connection ends.
+func (p *peer) receiveSequence(c *conn, r io.Reader) error {
+	for {
+		data, err := readSmall(r)
+		if errors.Is(err, errSequenceEnd) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		p.handle(c, data)
+	}
+}
+
+// errSequenceEnd is returned for a sequence that ends between two messages.
+var errSequenceEnd = errors.New("sequence has ended")
+
+// readSmall reads one message with its length of one or two bytes.
+func readSmall(r io.Reader) ([]byte, error) {
+	var b [2]byte
+	if _, err := io.ReadFull(r, b[:1]); err != nil {
+		return nil, errSequenceEnd
+	}
+	size := int(b[0])
+	if size >= 0x80 {
+		if _, err := io.ReadFull(r, b[1:]); err != nil {
+			return nil, fmt.Errorf("read length: %w", err)
+		}
+		size = size&0x7f | int(b[1])<<7
+	}
+	if size == 0 || size > maxSmall || b[0] >= 0x80 && b[1] == 0 {
+		return nil, fmt.Errorf("%w: length %x in a sequence", message.ErrMalformed, b)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return nil, fmt.Errorf("read message in a sequence: %w", err)
+	}
+	return data, nil
+}
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -104,17 +105,36 @@
 			return
 		}
 		p.link.start(func() {
-			data, err := read(s, message.MaxSize, time.Now().Add(streamTimeout))
-			if err != nil {
+			if err := p.receiveStream(c, s); err != nil {
 				s.CancelRead(streamCanceled)
 				p.refuse(c, err)
-				return
 			}
-			p.handle(c, data)
 		})
 	}
 }
 
+// receiveStream takes one large message or a sequence of small ones.
+func (p *peer) receiveStream(c *conn, s *quic.ReceiveStream) error {
+	deadline := time.Now().Add(streamTimeout)
+	if err := s.SetReadDeadline(deadline); err != nil {
+		return fmt.Errorf("set deadline: %w", err)
+	}
+	r := bufferedReceiver{bufio.NewReader(s), s}
+	if first, err := r.Peek(1); err == nil && first[0] == sequenceStream {
+		_, _ = r.Discard(1)
+		if err := s.SetReadDeadline(time.Time{}); err != nil {
+			return fmt.Errorf("set deadline: %w", err)
+		}
+		return p.receiveSequence(c, r)
+	}
+	data, err := read(r, message.MaxSize, deadline)
+	if err != nil {
+		return err
+	}
+	p.handle(c, data)
+	return nil
+}
+
 func (p *peer) handle(c *conn, data []byte) {
 	p.heard(c)
 	m, err := p.link.config.Codec.Decode(data)
