link: hybrid logical clock stamps on messages and queries

Cause: stamps of different hosts were not related by the messages between them, so that a merged timeline could show an effect before its cause. Every message except probes and their answers now carries the sender's stamp as two varints after the kind; queries and their answers carry it in front. The stamp is taken when the message is encoded and observed before it is received.

A stamp more than a minute ahead of the local clock is not observed, with one warning per connection; the message is received all the same. Link has a clock of its own for this and for its waits, which tests replace.

Ruled out: a stamp inside the compressed body, which would need a CBOR field in every type; a fixed 8-byte stamp, which has no room for a 32-bit counter.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,6 +154,7 @@
 		Addr: s.ControlAddress, Server: serverTLS, Client: clientTLS, NAT: d.nat,
 		Codec:   message.Codec{Held: d.heldVersion},
 		Receive: d.loop.receive, Answer: d.answerQuery,
+		Stamp: d.timeline.Stamp, Observe: d.timeline.Observe,
 		Remote: d.isRemote, Log: d.log.Named("link"),
 	})
 	if err != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/timeline"
 )
 
 // protocol is the ALPN name.
@@ -61,6 +62,15 @@
 	// Answer answers a query of another daemon. The text of an error is sent to
 	// the asker.
 	Answer func(ctx context.Context, from netip.AddrPort, query []byte) ([]byte, error)
+	// Stamp returns a new stamp of this host's hybrid logical clock for a message
+	// or query; nil sends none. Probes and their answers carry no stamps.
+	Stamp func() timeline.Stamp
+	// Observe takes the stamp of a message before Receive, Answer or the return
+	// of Ask. Stamps more than a minute ahead of Now are left out. It may be nil.
+	Observe func(timeline.Stamp)
+	// Now is the local clock; nil takes time.Now. Deadlines of the transport
+	// follow the system's clock.
+	Now func() time.Time
 	// NAT maps addresses of host rows to those that this host reaches them at.
 	NAT NAT
 	// Remote selects the host addresses that are reached over the link between
@@ -100,6 +110,15 @@
 	if config.Log == nil {
 		config.Log = zap.NewNop()
 	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Stamp == nil {
+		config.Stamp = func() timeline.Stamp { return timeline.Stamp{} }
+	}
+	if config.Observe == nil {
+		config.Observe = func(timeline.Stamp) {}
+	}
 	if config.Remote == nil {
 		config.Remote = func(netip.Addr) bool { return false }
 	}
@@ -274,7 +293,8 @@
 		select {
 		case <-l.ctx.Done():
 			return
-		case now := <-tick.C:
+		case <-tick.C:
+			now := l.config.Now()
 			l.mu.Lock()
 			for addr, p := range l.peers {
 				if p.retire(now) {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/timeline"
 )
 
 // fleet is a certificate authority with a directory for its files.
@@ -326,6 +327,55 @@
 	}
 }
 
+func TestStamps(t *testing.T) { // guards against a timeline that shows an effect before its cause
+	for name, c := range map[string]struct {
+		ahead    time.Duration
+		observed bool
+	}{"clock behind": {-time.Hour, true}, "clock ahead": {59 * time.Second, true}, "clock wrong": {61 * time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			f, start := newFleet(t), time.Now()
+			clock := func(now time.Time) (*timeline.Ring, func(*Config)) {
+				r := timeline.New(timeline.Config{Now: func() time.Time { return now }})
+				return r, func(c *Config) {
+					c.Stamp, c.Observe, c.Now = r.Stamp, r.Observe, func() time.Time { return now }
+					c.Answer = func(context.Context, netip.AddrPort, []byte) ([]byte, error) { return nil, nil }
+				}
+			}
+			sender, changeSender := clock(start.Add(c.ahead))
+			receiver, changeReceiver := clock(start)
+			a, b := f.listen(f.host(), changeSender), f.listen(f.host(), changeReceiver)
+			follows := func(what string, later, earlier timeline.Stamp) {
+				t.Helper()
+				if got, want := later.Compare(earlier) > 0, c.observed || c.ahead < 0; got != want {
+					t.Errorf("%s: %v follows %v: got %v, want %v", what, later, earlier, got, want)
+				}
+			}
+			a.Send(b.Addr(), message.Probe{})
+			<-b.received
+			if got, want := receiver.Stamp(), (timeline.Stamp{WallMS: start.UnixMilli()}); got != want {
+				t.Errorf("after a probe: got stamp %v, want %v", got, want)
+			}
+			cause := sender.Stamp()
+			a.Send(b.Addr(), message.Announce{Number: 1})
+			<-b.received
+			follows("message", receiver.Stamp(), cause)
+			cause = sender.Stamp()
+			if _, err := a.Ask(t.Context(), b.Addr(), nil); err != nil {
+				t.Fatal(err)
+			}
+			follows("query", receiver.Stamp(), cause)
+			cause = sender.Stamp()
+			if _, err := b.Ask(t.Context(), a.Addr(), nil); err != nil {
+				t.Fatal(err)
+			}
+			follows("answer", receiver.Stamp(), cause)
+			if got, want := b.logs.FilterMessageSnippet("ahead").Len(), 1; (got == want) == c.observed {
+				t.Errorf("got %d warnings for several stamps, observed %v", got, c.observed)
+			}
+		})
+	}
+}
+
 func TestRestartedPeer(t *testing.T) { // guards against sending into the connection of a former process until the idle timeout
 	f := newFleet(t)
 	files := f.files(f.host())
@@ -447,9 +497,11 @@
 // exchange sends first, lets the other end answer, and sends last.
 func exchange(b *testing.B, first message.Message, answer func(node, netip.AddrPort, message.Message), last message.Message) {
 	f := newFleet(b)
-	a := f.listen(f.host(), nil)
+	stamp := timeline.New(timeline.Config{}).Stamp
+	a := f.listen(f.host(), func(c *Config) { c.Stamp = stamp })
 	var to node
 	to = f.listen(f.host(), func(c *Config) {
+		c.Stamp = stamp
 		c.Receive = func(from netip.AddrPort, m message.Message) { answer(to, from, m) }
 	})
 	once := func() {
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -68,6 +68,7 @@
 	dialer   netip.AddrPort
 	since    time.Time
 	used     atomic.Bool      // something was received
+	ahead    atomic.Bool      // a stamp was too far ahead
 	sequence *quic.SendStream // small messages; only peer.run uses it
 }
 
@@ -76,7 +77,7 @@
 func (p *peer) enqueue(m message.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || (len(p.conns) == 0 && time.Now().Before(p.notBefore)) {
+	if p.closed || (len(p.conns) == 0 && p.link.config.Now().Before(p.notBefore)) {
 		p.link.dropped.Add(1)
 		return
 	}
@@ -104,7 +105,7 @@
 		p.mu.Unlock()
 
 		kind := message.KindOf(m)
-		data, err := p.link.config.Codec.Encode(m)
+		data, err := p.link.config.Codec.EncodeStamped(m, p.link.config.Stamp())
 		if err != nil {
 			p.link.dropped.Add(1)
 			p.link.config.Log.Error("Message not encoded.", zap.Stringer("to", p.addr), zap.Error(err))
@@ -207,7 +208,7 @@
 	}
 	a := p.dialing
 	if a == nil {
-		if time.Now().Before(p.notBefore) {
+		if p.link.config.Now().Before(p.notBefore) {
 			p.mu.Unlock()
 			return nil, errBackoff
 		}
@@ -265,7 +266,7 @@
 func (p *peer) fail(err error) {
 	p.failures++
 	wait := backoff(p.failures, rand.Float64())
-	p.notBefore = time.Now().Add(wait)
+	p.notBefore = p.link.config.Now().Add(wait)
 	log := p.link.config.Log.Debug
 	if p.failures == 1 {
 		log = p.link.config.Log.Info
@@ -285,7 +286,7 @@
 
 // add registers an established connection and starts to receive from it.
 func (p *peer) add(qc *quic.Conn, dialer netip.AddrPort) {
-	c := &conn{Conn: qc, dialer: dialer, since: time.Now()}
+	c := &conn{Conn: qc, dialer: dialer, since: p.link.config.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || !p.link.start(func() { p.receive(c) }) {
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/timeline"
 )
 
 // First byte of an answer.
@@ -137,16 +138,34 @@
 
 func (p *peer) handle(c *conn, data []byte) {
 	p.heard(c)
-	m, err := p.link.config.Codec.Decode(data)
+	m, stamp, err := p.link.config.Codec.DecodeStamped(data)
 	if err != nil {
 		p.refuse(c, err)
 		return
 	}
+	p.observe(c, stamp)
 	if p.link.config.Receive != nil {
 		p.link.config.Receive(p.addr, m)
 	}
 }
 
+// maxAhead is how far a peer's stamp may be ahead of the local clock. Beyond it
+// one wrong clock would drag the clocks of the whole fleet along.
+const maxAhead = time.Minute
+
+// observe passes a stamp on unless it is too far ahead.
+func (p *peer) observe(c *conn, s timeline.Stamp) {
+	ahead := time.UnixMilli(s.WallMS).Sub(p.link.config.Now())
+	if ahead <= maxAhead {
+		p.link.config.Observe(s)
+		return
+	}
+	if !c.ahead.Swap(true) {
+		p.link.config.Log.Warn("Clock of a peer is ahead; its stamps are not observed.",
+			zap.Stringer("from", p.addr), zap.Duration("ahead", ahead))
+	}
+}
+
 // refuse logs a message that was not taken and closes the connection when its
 // sender broke the protocol.
 func (p *peer) refuse(c *conn, err error) {
@@ -180,10 +199,15 @@
 	ctx, cancel := context.WithTimeout(c.Context(), queryTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
-	query, err := read(s, maxQuery, deadline)
+	query, err := read(s, message.MaxStamp+maxQuery, deadline)
 	if err != nil {
 		return fmt.Errorf("query: %w", err)
 	}
+	stamp, query, err := message.ReadStamp(query)
+	if err != nil {
+		return fmt.Errorf("query: %w", err)
+	}
+	p.observe(c, stamp)
 	answer, err := []byte(nil), errors.New("queries are not served here")
 	if p.link.config.Answer != nil {
 		answer, err = p.link.config.Answer(ctx, p.addr, query)
@@ -191,10 +215,12 @@
 	if err == nil && len(answer) >= maxAnswer {
 		err = fmt.Errorf("answer of %d bytes exceeds the limit of %d", len(answer), maxAnswer-1)
 	}
+	status := byte(answerOK)
 	if err != nil {
-		return write(s, append([]byte{answerError}, err.Error()...), deadline)
+		status, answer = answerError, []byte(err.Error())
 	}
-	return write(s, append([]byte{answerOK}, answer...), deadline)
+	head := message.AppendStamp([]byte{status}, p.link.config.Stamp())
+	return write(s, append(head, answer...), deadline)
 }
 
 // Ask sends a query to a daemon and returns its answer. Without a deadline in
@@ -234,11 +260,12 @@
 	}
 	defer context.AfterFunc(ctx, giveUp)()
 	// The context ends the stream, so that its error is the one returned.
-	if err := write(s, query, time.Time{}); err != nil && ctx.Err() == nil {
+	data := append(message.AppendStamp(nil, l.config.Stamp()), query...)
+	if err := write(s, data, time.Time{}); err != nil && ctx.Err() == nil {
 		giveUp()
 		return nil, err
 	}
-	answer, err := read(s, maxAnswer, time.Time{})
+	answer, err := read(s, message.MaxStamp+maxAnswer, time.Time{})
 	switch {
 	case ctx.Err() != nil:
 		return nil, ctx.Err()
@@ -247,9 +274,15 @@
 		return nil, err
 	case len(answer) == 0:
 		return nil, errors.New("answer is empty")
-	case answer[0] == answerError:
-		return nil, fmt.Errorf("%w: %s", ErrAnswer, answer[1:])
+	}
+	stamp, body, err := message.ReadStamp(answer[1:])
+	if err != nil {
+		return nil, fmt.Errorf("answer: %w", err)
 	}
 	p.heard(c)
-	return answer[1:], nil
+	p.observe(c, stamp)
+	if answer[0] == answerError {
+		return nil, fmt.Errorf("%w: %s", ErrAnswer, body)
+	}
+	return body, nil
 }
--- a/internal/message/based.go
+++ b/internal/message/based.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	body, err := Unpack(b.Frame, dictionary, MaxSize-2)
+	body, err := Unpack(b.Frame, dictionary, maxBody)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/peridotlb/peridotlb/internal/timeline"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
@@ -19,6 +20,9 @@
 // bytes. A document is limited to 4 MiB, so a full delta fits.
 const MaxSize = 8 << 20
 
+// maxBody is the largest body of a message in bytes.
+const maxBody = MaxSize - 2 - MaxStamp
+
 // compressAbove is the body size in bytes above which compression is tried. A
 // zstd frame of a smaller body rarely saves a byte.
 const compressAbove = 256
@@ -143,15 +147,20 @@
 	Held func(version.Number) (Snapshot, bool)
 }
 
-// Encode encodes a message without access to held versions.
+// Encode encodes a message without a stamp and without access to held versions.
 func Encode(m Message) ([]byte, error) { return Codec{}.Encode(m) }
 
 // Decode decodes a message without access to held versions.
 func Decode(data []byte) (Message, error) { return Codec{}.Decode(data) }
 
-// Encode returns the encoding of a message. A delta whose base version is held
-// is compressed against that version, which its receiver holds too.
-func (c Codec) Encode(m Message) ([]byte, error) {
+// Encode returns the encoding of a message without a stamp.
+func (c Codec) Encode(m Message) ([]byte, error) { return c.EncodeStamped(m, timeline.Stamp{}) }
+
+// EncodeStamped returns the encoding of a message with the sender's hybrid
+// logical clock stamp, which a probe and its answer leave out. A delta whose
+// base version is held is compressed against that version, which its receiver
+// holds too.
+func (c Codec) EncodeStamped(m Message, stamp timeline.Stamp) ([]byte, error) {
 	k := KindOf(m)
 	if k == 0 {
 		return nil, fmt.Errorf("encode message: unknown type %T", m)
@@ -167,15 +176,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode %s: %w", k, err)
 	}
-	if len(body) > MaxSize-2 {
-		return nil, fmt.Errorf("encode %s: body of %d bytes exceeds the limit of %d", k, len(body), MaxSize-2)
+	if len(body) > maxBody {
+		return nil, fmt.Errorf("encode %s: body of %d bytes exceeds the limit of %d", k, len(body), maxBody)
 	}
 	flag, body, err := c.compress(m, body)
 	if err != nil {
 		return nil, fmt.Errorf("compress %s: %w", k, err)
 	}
 	head[1] |= flag
-	return append(head, body...), nil
+	return append(AppendStamp(head, stamp), body...), nil
 }
 
 // compress returns the smallest known form of a body and the flag of that form.
@@ -195,32 +204,45 @@
 	return flagCompressed, packed, nil
 }
 
-// Decode decodes one message and rejects everything that Encode would not have
-// written, except for a different compression. Errors wrap ErrMalformed or
-// ErrNoBase.
+// Decode decodes one message like DecodeStamped and ignores its stamp.
 func (c Codec) Decode(data []byte) (Message, error) {
+	m, _, err := c.DecodeStamped(data)
+	return m, err
+}
+
+// DecodeStamped decodes one message and rejects everything that EncodeStamped
+// would not have written, except for a different compression. The stamp is zero
+// when the sender has no clock and for a probe and its answer. Errors wrap
+// ErrMalformed or ErrNoBase.
+func (c Codec) DecodeStamped(data []byte) (m Message, stamp timeline.Stamp, err error) {
 	switch {
 	case len(data) < 2:
-		return nil, fmt.Errorf("%w: %d bytes is too short", ErrMalformed, len(data))
+		return nil, stamp, fmt.Errorf("%w: %d bytes is too short", ErrMalformed, len(data))
 	case len(data) > MaxSize:
-		return nil, fmt.Errorf("%w: %d bytes exceeds the limit of %d", ErrMalformed, len(data), MaxSize)
+		return nil, stamp, fmt.Errorf("%w: %d bytes exceeds the limit of %d", ErrMalformed, len(data), MaxSize)
 	case data[0] != ProtocolVersion:
-		return nil, fmt.Errorf("%w: protocol version %d, want %d", ErrMalformed, data[0], ProtocolVersion)
+		return nil, stamp, fmt.Errorf("%w: protocol version %d, want %d", ErrMalformed, data[0], ProtocolVersion)
 	}
 	k := Kind(data[1] & kindMask)
 	desc, ok := kinds[k]
 	if !ok {
-		return nil, fmt.Errorf("%w: unknown kind %d", ErrMalformed, k)
+		return nil, stamp, fmt.Errorf("%w: unknown kind %d", ErrMalformed, k)
 	}
-	body, err := c.decompress(k, data[1]&^kindMask, data[2:])
+	body := data[2:]
+	if k.hasStamp() {
+		if stamp, body, err = ReadStamp(body); err != nil {
+			return nil, stamp, fmt.Errorf("decode %s: %w", desc.name, err)
+		}
+	}
+	body, err = c.decompress(k, data[1]&^kindMask, body)
 	if err != nil {
-		return nil, fmt.Errorf("decode %s: %w", desc.name, err)
+		return nil, stamp, fmt.Errorf("decode %s: %w", desc.name, err)
 	}
-	m, err := decodeBody(desc.zero, body)
+	m, err = decodeBody(desc.zero, body)
 	if err != nil {
-		return nil, fmt.Errorf("decode %s: %w: %w", desc.name, ErrMalformed, err)
+		return nil, stamp, fmt.Errorf("decode %s: %w: %w", desc.name, ErrMalformed, err)
 	}
-	return m, nil
+	return m, stamp, nil
 }
 
 func (c Codec) decompress(k Kind, flags byte, body []byte) ([]byte, error) {
@@ -228,7 +250,7 @@
 	case flags == 0:
 		return body, nil
 	case flags == flagCompressed && k != KindProbe && k != KindProbeAnswer:
-		out, err := Unpack(body, nil, MaxSize-2)
+		out, err := Unpack(body, nil, maxBody)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
--- a/internal/message/codec_test.go
+++ b/internal/message/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -16,6 +17,7 @@
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/timeline"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
@@ -74,17 +76,24 @@
 				v := reflect.New(reflect.TypeOf(desc.zero))
 				fill(t, v.Elem())
 				m := v.Elem().Interface().(Message)
-				data, err := Encode(m)
+				stamp := timeline.Stamp{WallMS: rapid.Int64Min(0).Draw(t, "wall"), Counter: rapid.Uint32().Draw(t, "counter")}
+				data, err := Codec{}.EncodeStamped(m, stamp)
 				if err != nil {
 					t.Fatal(err)
 				}
-				got, err := Decode(data)
+				got, gotStamp, err := Codec{}.DecodeStamped(data)
 				if err != nil {
 					t.Fatalf("decode %x: %v", data, err)
 				}
 				if !reflect.DeepEqual(got, m) {
 					t.Fatalf("got %+v, want %+v", got, m)
 				}
+				if !kind.hasStamp() {
+					stamp = timeline.Stamp{}
+				}
+				if gotStamp != stamp {
+					t.Fatalf("got stamp %v, want %v", gotStamp, stamp)
+				}
 				if KindOf(got) != kind {
 					t.Fatalf("got kind %v, want %v", KindOf(got), kind)
 				}
@@ -115,8 +124,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	many := append([]byte{ProtocolVersion, byte(KindNews), 0x82, 0x9a, 0, 0x0f, 0xff, 0xff}, bytes.Repeat([]byte{0x80}, 0xfffff)...)
-	with := func(k Kind, b ...byte) []byte { return append([]byte{ProtocolVersion, byte(k)}, b...) }
+	many := append([]byte{ProtocolVersion, byte(KindNews), 0, 0, 0x82, 0x9a, 0, 0x0f, 0xff, 0xff}, bytes.Repeat([]byte{0x80}, 0xfffff)...)
+	with := func(k Kind, b ...byte) []byte {
+		head := []byte{ProtocolVersion, byte(k)}
+		if (k & kindMask).hasStamp() {
+			head = append(head, 0, 0)
+		}
+		return append(head, b...)
+	}
 	for name, c := range map[string]struct {
 		data []byte
 		want string
@@ -131,6 +146,11 @@
 		"short probe":     {valid[:len(valid)-1], "canonical"},
 		"empty probe":     {with(KindProbe), "varint"},
 		"padded varint":   {with(KindProbe, append([]byte{0x87, 0x00}, valid[3:]...)...), "varint"},
+		"no stamp":        {[]byte{ProtocolVersion, byte(KindAnnounce)}, "varint"},
+		"cut off stamp":   {[]byte{ProtocolVersion, byte(KindAnnounce), 1}, "varint"},
+		"padded stamp":    {[]byte{ProtocolVersion, byte(KindAnnounce), 0x81, 0, 0, 0x81, 1}, "varint"},
+		"large time":      {append(binary.AppendUvarint([]byte{ProtocolVersion, byte(KindAnnounce)}, 1<<63), 0, 0x81, 1), "stamp"},
+		"large counter":   {append(binary.AppendUvarint([]byte{ProtocolVersion, byte(KindAnnounce), 0}, 1<<32), 0x81, 1), "stamp"},
 		"wide varint":     {with(KindProbe, bytes.Repeat([]byte{0xff}, 20)...), "varint"},
 		"packed probe":    {with(KindProbe|flagCompressed, valid[2:]...), "flags"},
 		"unknown field":   {with(KindAnnounce, 0x82, 0x01, 0x01), "different number of elements"},
@@ -167,7 +187,7 @@
 		SyncRequest{Hashes: map[host.AvailabilityZone]uint64{"pwani-a": 1}},
 		Report{Zone: "pwani-a", Counts: []Count{{Number: 2, Hosts: 9}}, Stragglers: []host.ID{"pwani-a-3"}},
 	} {
-		data, err := Encode(m)
+		data, err := Codec{}.EncodeStamped(m, timeline.Stamp{WallMS: 1_790_000_000_000, Counter: 2})
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -175,11 +195,11 @@
 		f.Add(data[:len(data)/2])
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m, err := Decode(data)
+		m, stamp, err := Codec{}.DecodeStamped(data)
 		if err != nil {
 			return
 		}
-		again, err := Encode(m)
+		again, err := Codec{}.EncodeStamped(m, stamp)
 		if err != nil {
 			t.Fatalf("decoded message can't be encoded: %v", err)
 		}
--- a/internal/message/size_test.go
+++ b/internal/message/size_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/timeline"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
@@ -54,7 +55,7 @@
 		b.Run(name, func(b *testing.B) {
 			var data []byte
 			for b.Loop() {
-				data, _ = Encode(m)
+				data, _ = Codec{}.EncodeStamped(m, timeline.Stamp{WallMS: 1_790_000_000_000, Counter: 3})
 			}
 			b.ReportMetric(float64(len(data)), "bytes")
 		})
