--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/timeline"
 )
 
 // protocol is the ALPN name.
@@ -26,17 +27,19 @@
 
 // Limits of the transport.
 const (
-	maxDatagram      = 1000                // bytes of an encoded message sent as a datagram
+	maxSmall         = 1000                // bytes of an encoded message that fits one packet
 	maxQuery         = 1 << 20             // bytes of a query
 	maxAnswer        = 8 << 20             // bytes of an answer
 	idleTimeout      = 30 * time.Second    // closes connections that carry nothing
 	dialTimeout      = 3 * time.Second     // one attempt, including its retransmissions
 	streamTimeout    = 15 * time.Second    // 8 MiB take 2.3 s at 30 Mbit/s
+	sequenceTimeout  = time.Second         // a small message that waits longer is given up
 	queryTimeout     = 10 * time.Second    // when the context has no deadline
 	queueLength      = 256                 // messages waiting for one peer
 	streamQueue      = 32                  // encoded messages waiting for a stream to one peer
 	streamQueueBytes = 2 * message.MaxSize // bytes of these messages
 	incomingStreams  = 8                   // open streams that one peer may have
+	incomingSequence = 1                   // open sequences of small messages, besides
 )
 
 // Application error codes of a closed connection.
@@ -59,6 +62,15 @@
 	// Answer answers a query of another daemon. The text of an error is sent to
 	// the asker.
 	Answer func(ctx context.Context, from netip.AddrPort, query []byte) ([]byte, error)
+	// Stamp returns a new stamp of this host's hybrid logical clock for a message
+	// or query; nil sends none. Probes and their answers carry no stamps.
+	Stamp func() timeline.Stamp
+	// Observe takes the stamp of a message before Receive, Answer or the return
+	// of Ask. Stamps more than a minute ahead of Now are left out. It may be nil.
+	Observe func(timeline.Stamp)
+	// Now is the local clock; nil takes time.Now. Deadlines of the transport
+	// follow the system's clock.
+	Now func() time.Time
 	// NAT maps addresses of host rows to those that this host reaches them at.
 	NAT NAT
 	// Remote selects the host addresses that are reached over the link between
@@ -98,6 +110,15 @@
 	if config.Log == nil {
 		config.Log = zap.NewNop()
 	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Stamp == nil {
+		config.Stamp = func() timeline.Stamp { return timeline.Stamp{} }
+	}
+	if config.Observe == nil {
+		config.Observe = func(timeline.Stamp) {}
+	}
 	if config.Remote == nil {
 		config.Remote = func(netip.Addr) bool { return false }
 	}
@@ -112,7 +133,7 @@
 	l := &Link{
 		config:    config,
 		socket:    s,
-		transport: &quic.Transport{Conn: s, StatelessResetKey: resetKey},
+		transport: &quic.Transport{Conn: s, StatelessResetKey: resetKey, ConnectionIDGenerator: newConnIDs()},
 		quic:      quicConfig(),
 		clientTLS: controlTLS(config.Client),
 		peers:     map[netip.AddrPort]*peer{},
@@ -138,7 +159,7 @@
 		InitialPacketSize:       1200,
 		EnableDatagrams:         true,
 		MaxIncomingStreams:      incomingStreams,
-		MaxIncomingUniStreams:   incomingStreams,
+		MaxIncomingUniStreams:   incomingStreams + incomingSequence,
 	}
 }
 
@@ -272,7 +293,8 @@
 		select {
 		case <-l.ctx.Done():
 			return
-		case now := <-tick.C:
+		case <-tick.C:
+			now := l.config.Now()
 			l.mu.Lock()
 			for addr, p := range l.peers {
 				if p.retire(now) {
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -40,7 +40,7 @@
 	mu        sync.Mutex
 	queue     []message.Message // encoded and sent by run
 	sending   bool              // run is running
-	large     []encoded         // sent by runStreams
+	large     []encoded         // sent by runStreams, each on its own stream
 	streaming bool              // runStreams is running
 	conns     []*conn
 	dialing   *attempt
@@ -65,9 +65,11 @@
 // conn is an established connection.
 type conn struct {
 	*quic.Conn
-	dialer netip.AddrPort
-	since  time.Time
-	used   atomic.Bool // something was received
+	dialer   netip.AddrPort
+	since    time.Time
+	used     atomic.Bool      // something was received
+	ahead    atomic.Bool      // a stamp was too far ahead
+	sequence *quic.SendStream // small messages; only peer.run uses it
 }
 
 // enqueue adds a message to the queue. The oldest one makes room, since newer
@@ -75,7 +77,7 @@
 func (p *peer) enqueue(m message.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || (len(p.conns) == 0 && time.Now().Before(p.notBefore)) {
+	if p.closed || (len(p.conns) == 0 && p.link.config.Now().Before(p.notBefore)) {
 		p.link.dropped.Add(1)
 		return
 	}
@@ -103,33 +105,26 @@
 		p.mu.Unlock()
 
 		kind := message.KindOf(m)
-		data, err := p.link.config.Codec.Encode(m)
+		data, err := p.link.config.Codec.EncodeStamped(m, p.link.config.Stamp())
 		if err != nil {
 			p.link.dropped.Add(1)
 			p.link.config.Log.Error("Message not encoded.", zap.Stringer("to", p.addr), zap.Error(err))
 			continue
 		}
-		if p.wantsStream(kind, len(data)) {
+		if len(data) > maxSmall {
 			p.enqueueStream(encoded{kind, data})
 			continue
 		}
-		if err := p.deliver((*conn).sendDatagram, data); err != nil {
+		send := (*conn).sendInSequence
+		if kind == message.KindProbe {
+			send = (*conn).sendDatagram // a lost probe needs no repair
+		}
+		if err := p.deliver(send, data); err != nil {
 			p.drop(kind, err)
 		}
 	}
 }
 
-// wantsStream reports whether a message goes on a stream: when it is too large
-// for a datagram, and over the link between regions, where a lost message is
-// repaired late. A lost probe needs no repair.
-func (p *peer) wantsStream(kind message.Kind, size int) bool {
-	if size > maxDatagram {
-		return true
-	}
-	probe := kind == message.KindProbe || kind == message.KindProbeAnswer
-	return !probe && p.link.config.Remote(p.addr.Addr())
-}
-
 func (p *peer) enqueueStream(e encoded) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -213,7 +208,7 @@
 	}
 	a := p.dialing
 	if a == nil {
-		if time.Now().Before(p.notBefore) {
+		if p.link.config.Now().Before(p.notBefore) {
 			p.mu.Unlock()
 			return nil, errBackoff
 		}
@@ -271,7 +266,7 @@
 func (p *peer) fail(err error) {
 	p.failures++
 	wait := backoff(p.failures, rand.Float64())
-	p.notBefore = time.Now().Add(wait)
+	p.notBefore = p.link.config.Now().Add(wait)
 	log := p.link.config.Log.Debug
 	if p.failures == 1 {
 		log = p.link.config.Log.Info
@@ -291,7 +286,7 @@
 
 // add registers an established connection and starts to receive from it.
 func (p *peer) add(qc *quic.Conn, dialer netip.AddrPort) {
-	c := &conn{Conn: qc, dialer: dialer, since: time.Now()}
+	c := &conn{Conn: qc, dialer: dialer, since: p.link.config.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || !p.link.start(func() { p.receive(c) }) {
