Pass calls to another daemon before any version

Cause: a daemon that has applied no version (restart while the table is down) refused every call of its callers, although other daemons could take them.

An entry without a version passes the call to the gate listener of another daemon with Peridotlb-Forwarded. The gate listener hands it to the daemon's own entry, which does not pass it on again. The header is stripped from calls on the callers' listener and on the way to servers.

Ruled out: asking the core for a daemon with a version. Reports hold counts per subtree and not which host applied what, so the entry learns it from the answers.

Before: 503 no-version-applied for every call.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -57,6 +57,7 @@
 		*rand.Rand
 	}
 	unhealthy sync.Map // backend.ServerID of servers whose probe fails
+	daemons   daemons
 }
 
 // New returns a pool without services.
@@ -70,6 +71,7 @@
 	p := &Pool{config: c}
 	p.random.Rand = rand.New(c.Random)
 	p.view.Store(&view{})
+	p.daemons = daemons{applied: make(map[host.ID]bool), avoided: make(map[host.ID]time.Time), budget: newBudget(c.Now())}
 	return p
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -191,6 +192,37 @@
 	}
 }
 
+// Guards against calls passed to far or suspect daemons while a near one can
+// take them, to ones that are gone, and again to one that just had no version.
+func TestPickDaemon(t *testing.T) {
+	p, c := newPool(1)
+	v := viewOf(9, 2, 1, 1)
+	v.Hosts = append(v.Hosts, host.Row{ID: "self"}, host.Row{ID: "lost", State: host.Dead}, host.Row{ID: "slow", State: host.Suspect})
+	p.Update(v)
+	var tried []host.ID
+	for d, err := p.PickDaemon(tried, false); err == nil; d, err = p.PickDaemon(tried, false) {
+		tried = append(tried, d.ID)
+	}
+	slices.Sort(tried[:2]) // of the same zone, in any order
+	if got := fmt.Sprint(tried); got != "[a-0 a-1 b-0 c-0 slow]" {
+		t.Errorf("got order %v, want this zone, the region, the other region, suspects", tried)
+	}
+	p.ReportDaemon("c-0", true)
+	p.ReportDaemon("a-0", false)
+	p.Update(v)
+	for range 20 {
+		near, _ := p.PickDaemon(nil, false)
+		known, _ := p.PickDaemon([]host.ID{"a-0"}, true)
+		if near.ID != "a-1" || known.ID != "c-0" {
+			t.Fatalf("got %s and %s, want a-1 and, after a refusal, c-0", near.ID, known.ID)
+		}
+	}
+	c.Time = c.Add(avoidTime)
+	if got, _ := p.PickDaemon([]host.ID{"a-1"}, false); got.ID != "a-0" {
+		t.Errorf("got %s, want a-0 after the time in which it is avoided", got.ID)
+	}
+}
+
 // Guards, for any order of calls, results and updates, against more than half
 // of a group ejected, servers chosen twice in one call, lost in-flight counts
 // and calls refused while a server is left.
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -73,6 +73,7 @@
 		next.services[s.Name] = p.service(s, rows[s.Name], hosts, old, next, now)
 	}
 	p.view.Store(next)
+	p.daemons.update(p.config, v.Hosts)
 }
 
 // service builds a service and adds its members to next.
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -32,7 +32,7 @@
 func newCall(r *http.Request, id string, deadline time.Time) *call {
 	c := &call{id: id, method: r.Method, url: r.URL, host: r.Host, deadline: deadline}
 	c.header = endToEnd(r.Header)
-	for _, name := range []string{HeaderNotRun, HeaderOutcome, HeaderLoad, HeaderServer, HeaderNoRetry, HeaderReplayed, HeaderReason, HeaderServerUS} {
+	for _, name := range []string{HeaderNotRun, HeaderOutcome, HeaderLoad, HeaderServer, HeaderNoRetry, HeaderReplayed, HeaderReason, HeaderServerUS, HeaderForwarded} {
 		delete(c.header, name)
 	}
 	if _, ok := c.header["User-Agent"]; !ok {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -29,9 +29,24 @@
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.meters.entryInFlight.Inc()
 	defer e.meters.entryInFlight.Dec()
+	e.serve(w, r, e.ids.id(), false)
+}
+
+// serve answers a call. One that another daemon has forwarded is not passed on
+// again; the forwarding daemon recognises the refusal by its reason.
+func (e *entry) serve(w http.ResponseWriter, r *http.Request, id string, forwarded bool) {
 	start := e.config.Now()
-	id := e.ids.id()
-	match, f := e.match(r)
+	table := e.config.Routes()
+	if table == nil || table.Number() == 0 {
+		if !forwarded {
+			e.forward(w, r, id)
+			return
+		}
+		w.Header()[HeaderReason] = []string{reasonNoVersion}
+		e.fail(w, id, noVersion())
+		return
+	}
+	match, f := matchRoute(table, r)
 	if f != nil {
 		e.fail(w, id, f)
 		return
@@ -57,11 +72,7 @@
 	x.answer(w, r, x.run(ctx))
 }
 
-func (e *entry) match(r *http.Request) (route.Match, *failure) {
-	table := e.config.Routes()
-	if table == nil || table.Number() == 0 {
-		return route.Match{}, &failure{reason: "no-version-applied", notRun: true, hint: "this daemon has no configuration yet; send the call again or to another daemon"}
-	}
+func matchRoute(table *route.Table, r *http.Request) (route.Match, *failure) {
 	if hasDotSegment(r.URL.Path) {
 		return route.Match{}, &failure{reason: "bad-path", status: http.StatusBadRequest, notRun: true, hint: "the path must not contain the segments . and .."}
 	}
@@ -332,23 +343,28 @@
 // answer writes the result to the caller.
 func (x *exchange) answer(w http.ResponseWriter, r *http.Request, res result) {
 	defer x.finish(res)
-	if res.failure == nil && res.reply.rest != nil && res.reply.length < 0 && !r.ProtoAtLeast(1, 1) {
-		res.reply.close()
-		x.entry.fail(w, x.call.id, &failure{reason: "old-protocol", hint: "a large response without a length needs HTTP/1.1"})
-		return
-	}
 	if res.failure != nil {
 		x.entry.fail(w, x.call.id, res.failure)
 		return
 	}
-	res.reply.header[HeaderCallID] = []string{x.call.id}
 	if res.noRetry {
 		res.reply.header[HeaderNoRetry] = []string{"true"}
 	}
 	if len(x.tried) == 1 && !x.match.Route.Paid {
 		x.entry.meters.latencyAdded.Update((x.entry.config.Now().Sub(x.start) - res.server).Seconds())
 	}
-	res.reply.relay(w)
+	x.entry.relay(w, r, x.call.id, res.reply)
+}
+
+// relay writes a reply to the caller.
+func (e *entry) relay(w http.ResponseWriter, r *http.Request, id string, reply *reply) {
+	if reply.rest != nil && reply.length < 0 && !r.ProtoAtLeast(1, 1) {
+		reply.close()
+		e.fail(w, id, &failure{reason: "old-protocol", hint: "a large response without a length needs HTTP/1.1"})
+		return
+	}
+	reply.header[HeaderCallID] = []string{id}
+	reply.relay(w)
 }
 
 func (x *exchange) event(kind string, server backend.ServerID, detail string) {
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -24,6 +24,7 @@
 	reasonCallID     = "call-id-mismatch"
 	reasonCut        = "response-cut"
 	reasonNoServer   = "no-server-available"
+	reasonNoVersion  = "no-version-applied"
 	reasonDial       = "server-unreachable"
 )
 
--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -17,6 +17,7 @@
 type gateway struct {
 	config Config
 	meters *meters
+	entry  *entry // for calls passed on by other daemons; nil at an entry
 }
 
 // answer is the outcome of one attempt: a reply or a failure.
@@ -32,6 +33,10 @@
 	g.meters.gateInFlight.Inc()
 	defer g.meters.gateInFlight.Dec()
 	id := r.Header.Get(HeaderCallID)
+	if r.Header.Get(HeaderForwarded) == "true" && id != "" {
+		g.entry.serve(w, r, id, true)
+		return
+	}
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeoutMS), 10, 32)
 	server := backend.ServerID(r.Header.Get(HeaderServer))
 	if err != nil || ms <= 0 || id == "" || server == "" {
--- a/internal/proxy/load_test.go
+++ b/internal/proxy/load_test.go
@@ -23,7 +23,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/gate"
-	"github.com/peridotlb/peridotlb/internal/route"
+	"github.com/peridotlb/peridotlb/internal/pool"
 )
 
 // abandon starts a call and drops its connection once it was started.
@@ -199,7 +199,7 @@
 	check(m.do("GET", "/elsewhere", ""), 404, "no-route")
 	check(m.do("GET", "/stock/%2e%2e/refill", ""), 400, "bad-path")
 	check(m.do("GET", "/stock", "", HeaderTimeoutMS, "soon"), 400, "bad-timeout")
-	m.entry = httptest.NewServer(NewEntry(Config{Routes: func() *route.Table { return nil }}))
+	m.entry = httptest.NewServer(NewEntry(Config{Pool: pool.New(pool.Config{})}))
 	t.Cleanup(m.entry.Close)
 	check(m.do("GET", "/stock", ""), 503, "no-version-applied")
 }
--- a/internal/proxy/meters.go
+++ b/internal/proxy/meters.go
@@ -13,6 +13,7 @@
 	calls         labelled // by service
 	failures      labelled // by reason
 	refused       labelled // by reason
+	forwarded     *metrics.Counter
 	retries       *metrics.Counter
 	retriesDenied *metrics.Counter
 	latencyAdded  *metrics.Histogram // seconds
@@ -26,6 +27,7 @@
 		calls:         labelled{set: set, name: "peridotlb_calls_total", label: "service"},
 		failures:      labelled{set: set, name: "peridotlb_failures_total", label: "reason"},
 		refused:       labelled{set: set, name: "peridotlb_refused_total", label: "reason"},
+		forwarded:     set.GetOrCreateCounter("peridotlb_calls_forwarded_total"),
 		retries:       set.GetOrCreateCounter("peridotlb_retries_total"),
 		retriesDenied: set.GetOrCreateCounter("peridotlb_retries_denied_total"),
 		latencyAdded:  set.GetOrCreateHistogram("peridotlb_latency_added_seconds"),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -25,6 +25,9 @@
 	HeaderServer    = "Peridotlb-Server"
 	HeaderNoRetry   = "Peridotlb-No-Retry"
 	HeaderReplayed  = "Peridotlb-Replayed"
+	// HeaderForwarded marks a call that an entry without a version passes to the
+	// entry of another daemon. Only the gate listener accepts it.
+	HeaderForwarded = "Peridotlb-Forwarded"
 	// HeaderReason marks a response that the gate itself made, and says why.
 	HeaderReason = "Peridotlb-Reason"
 	// HeaderServerUS is the time that the backend server took, in microseconds.
@@ -71,6 +74,9 @@
 	if c.Events == nil {
 		c.Events = func(Event) {}
 	}
+	if c.Routes == nil {
+		c.Routes = func() *route.Table { return nil }
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
@@ -84,11 +90,18 @@
 func NewEntry(c Config) http.Handler {
 	c = c.complete()
 	m := newMeters(c.Metrics)
-	return &entry{config: c, meters: m, gate: &gateway{config: c, meters: m}, ids: newCallIDs()}
+	return newEntry(c, &gateway{config: c, meters: m})
+}
+
+func newEntry(c Config, g *gateway) *entry {
+	return &entry{config: c, meters: g.meters, gate: g, ids: newCallIDs()}
 }
 
-// NewGate returns the handler for the entries of other daemons.
+// NewGate returns the handler for the entries of other daemons. It also takes
+// the calls that daemons without a version pass on.
 func NewGate(c Config) http.Handler {
 	c = c.complete()
-	return &gateway{config: c, meters: newMeters(c.Metrics)}
+	g := &gateway{config: c, meters: newMeters(c.Metrics)}
+	g.entry = newEntry(c, g)
+	return g
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -40,6 +40,7 @@
 	pool     *pool.Pool
 	gate     *gate.Gate // of the entry, or of the first server's host
 	entry    *httptest.Server
+	config   Config // of the entry
 }
 
 func newMesh(t testing.TB) *mesh {
@@ -118,6 +119,7 @@
 	if m.local {
 		m.gate = c.Gate
 	}
+	m.config = c
 	m.entry = httptest.NewServer(NewEntry(c))
 	m.t.Cleanup(m.entry.Close)
 	return m
