Gate limits before any version

The gate takes slots and connections from the newest version held, or from the announcement of the server when none is held. Limits do not route, so the floor for applying is not touched.

Ruled out: refusing until a version is applied. A restart of all hosts of a zone during a table outage would take that zone's servers out.

Before: ErrUnknownServer for every call.

--- a/internal/daemon/held.go
+++ b/internal/daemon/held.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/peridotlb/peridotlb/internal/fleet"
@@ -30,6 +31,17 @@
 	}
 }
 
+// newest returns the held version with the highest number, or nil.
+func (h *heldVersions) newest() *version.Snapshot {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if len(h.order) == 0 {
+		return nil
+	}
+	s := h.snapshots[slices.Max(h.order)]
+	return &s
+}
+
 func (h *heldVersions) get(n version.Number) (message.Snapshot, bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -110,6 +110,7 @@
 		l.link.Send(e.To, e.Message)
 	case fleet.Hold:
 		l.held.add(e.Snapshot)
+		l.calls.stale = true // before any version, the gate uses its limits
 	case fleet.Apply:
 		l.apply(l.core, e.Snapshot)
 	case fleet.ServersChanged:
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -79,9 +79,30 @@
 			own = append(own, s)
 		}
 	}
+	if v.routes.Load() == nil && len(services) == 0 {
+		services = gateServices(p.held.newest(), own)
+	}
 	p.gate.Update(services, own)
 }
 
+// gateServices are the services of a gate whose daemon has applied no version:
+// those of the newest version held, which only sets limits here and routes
+// nothing. A server of a service that it lacks gets the slots that the server
+// announced.
+func gateServices(held *version.Snapshot, own []backend.Server) []document.Service {
+	var services []document.Service
+	if held != nil {
+		services = servicesOf(held.Document())
+	}
+	var announced []document.Service
+	for _, s := range own {
+		if s.Slots > 0 {
+			announced = append(announced, document.Service{Name: s.Service, Slots: s.Slots, Connections: s.Slots})
+		}
+	}
+	return withPrevious(services, announced)
+}
+
 func servicesOf(d document.Document) []document.Service {
 	var services []document.Service
 	for _, s := range d.Sections {
