Pass on a backend server's own refusal

Cause: servers shed load with 503 or 429 and Peridotlb-Not-Run, but the gate stripped the header. The call was then taken for run: a paid call ended with an unknown outcome and blocked its key although another server was free.

The gate passes such a response on as its own refusal (reason server-refused). With any other status the header stays stripped, since it can come from a call deeper in the chain.

Before: paid call with a shedding and a free server: 503 recorded under the key, one request. After (go test ./internal/proxy -run Sheds): answered by the second server; when both shed, 503 with proof and the claim is released, also for a local server.

--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -141,18 +141,30 @@
 		s.response.Body.Close()
 		return answer{failure: &failure{reason: reasonCallID, err: fmt.Errorf("server answered call %s", other)}}
 	}
+	shed := sheds(s.response)
 	reply, err := readReply(s.response, c.method)
+	if shed {
+		reply.close()
+		return answer{failure: &failure{reason: "server-refused", notRun: true, refused: true}}
+	}
 	if err != nil {
 		return answer{failure: cut(ctx, err)}
 	}
-	// Only this daemon may claim proof that a call was not run: the response of
-	// a backend server shows that it was.
+	// Any other response shows that the server ran the call, so that the mark
+	// can only come from a call deeper in the chain.
 	for _, name := range []string{HeaderNotRun, HeaderLoad, HeaderReason, HeaderServerUS, HeaderReplayed, HeaderCallID} {
 		delete(reply.header, name)
 	}
 	return answer{reply: reply, server: g.config.Now().Sub(start)}
 }
 
+// sheds reports whether a backend server refused the call itself, to shed load.
+// The header proves it only with these status codes.
+func sheds(r *http.Response) bool {
+	overloaded := r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusTooManyRequests
+	return overloaded && r.Header.Get(HeaderNotRun) == "true"
+}
+
 // sendFailure classifies an error of send. unsent names the reason when nothing
 // was sent and broke when something was.
 func sendFailure(ctx context.Context, s sent, unsent, broke string) *failure {
--- a/internal/proxy/paid_test.go
+++ b/internal/proxy/paid_test.go
@@ -98,6 +98,41 @@
 	}
 }
 
+// Guards against a server that sheds load and is taken for one that ran the
+// call: its calls would not be tried elsewhere and would block their keys. The
+// header proves nothing with another status.
+func TestServerSheds(t *testing.T) {
+	for _, c := range []struct{ first, second, want, released int }{
+		{503, 429, 503, 1}, {429, 200, 200, 0}, {500, 500, 500, 0}, {200, 200, 200, 0},
+	} {
+		for _, local := range []bool{false, true} {
+			var runs atomic.Int64
+			claims := &fakeClaims{}
+			m := newMesh(t)
+			m.claims, m.local = claims, local
+			h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				status := c.first
+				if runs.Add(1) > 1 {
+					status = c.second
+				}
+				w.Header().Set(HeaderNotRun, "true")
+				w.WriteHeader(status)
+				fmt.Fprint(w, strings.Repeat("x", 2*bufferLimit))
+			})
+			m.start(h, h)
+			got := m.do("POST", "/refill", "", headerIdempotencyKey, "k")
+			proof := got.Header.Get(HeaderNotRun) == "true"
+			wantRuns := int64(1)
+			if c.first == 503 || c.first == 429 {
+				wantRuns = 2
+			}
+			if got.StatusCode != c.want || proof != (c.released == 1) || claims.released != c.released || runs.Load() != wantRuns {
+				t.Errorf("%v: got %d %v, %d releases, %d requests", c, got.StatusCode, got.Header, claims.released, runs.Load())
+			}
+		}
+	}
+}
+
 // Guards against a paid call that is stopped, and whose response is lost, when
 // its caller goes away; and against other calls that go on without a caller.
 func TestCallerGoesAway(t *testing.T) {
