--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -17,6 +17,7 @@
 type gateway struct {
 	config Config
 	meters *meters
+	entry  *entry // for calls passed on by other daemons; nil at an entry
 }
 
 // answer is the outcome of one attempt: a reply or a failure.
@@ -32,6 +33,10 @@
 	g.meters.gateInFlight.Inc()
 	defer g.meters.gateInFlight.Dec()
 	id := r.Header.Get(HeaderCallID)
+	if r.Header.Get(HeaderForwarded) == "true" && id != "" {
+		g.entry.serve(w, r, id, true)
+		return
+	}
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeoutMS), 10, 32)
 	server := backend.ServerID(r.Header.Get(HeaderServer))
 	if err != nil || ms <= 0 || id == "" || server == "" {
@@ -136,18 +141,30 @@
 		s.response.Body.Close()
 		return answer{failure: &failure{reason: reasonCallID, err: fmt.Errorf("server answered call %s", other)}}
 	}
+	shed := sheds(s.response)
 	reply, err := readReply(s.response, c.method)
+	if shed {
+		reply.close()
+		return answer{failure: &failure{reason: "server-refused", notRun: true, refused: true}}
+	}
 	if err != nil {
 		return answer{failure: cut(ctx, err)}
 	}
-	// Only this daemon may claim proof that a call was not run: the response of
-	// a backend server shows that it was.
+	// Any other response shows that the server ran the call, so that the mark
+	// can only come from a call deeper in the chain.
 	for _, name := range []string{HeaderNotRun, HeaderLoad, HeaderReason, HeaderServerUS, HeaderReplayed, HeaderCallID} {
 		delete(reply.header, name)
 	}
 	return answer{reply: reply, server: g.config.Now().Sub(start)}
 }
 
+// sheds reports whether a backend server refused the call itself, to shed load.
+// The header proves it only with these status codes.
+func sheds(r *http.Response) bool {
+	overloaded := r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusTooManyRequests
+	return overloaded && r.Header.Get(HeaderNotRun) == "true"
+}
+
 // sendFailure classifies an error of send. unsent names the reason when nothing
 // was sent and broke when something was.
 func sendFailure(ctx context.Context, s sent, unsent, broke string) *failure {
