--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -106,7 +106,7 @@
 			announced = append(announced, document.Service{Name: s.Service, Slots: s.Slots, Connections: s.Slots})
 		}
 	}
-	return withPrevious(services, announced)
+	return withMissing(services, announced)
 }
 
 func servicesOf(d document.Document) []document.Service {
@@ -138,14 +138,24 @@
 // withPrevious returns the services of the present version and those of
 // earlier ones that it lacks.
 func (v *callView) withPrevious() []document.Service {
-	have := make(map[backend.ServiceName]bool, len(v.services))
-	for _, s := range v.services {
+	previous := make([]document.Service, 0, len(v.previous))
+	for _, s := range v.previous {
+		previous = append(previous, s.Service)
+	}
+	return withMissing(v.services, previous)
+}
+
+// withMissing adds the services of more that have no namesake.
+func withMissing(services, more []document.Service) []document.Service {
+	have := make(map[backend.ServiceName]bool, len(services))
+	for _, s := range services {
 		have[s.Name] = true
 	}
-	all := slices.Clone(v.services)
-	for name, s := range v.previous {
-		if !have[name] {
-			all = append(all, s.Service)
+	all := slices.Clone(services)
+	for _, s := range more {
+		if !have[s.Name] {
+			have[s.Name] = true
+			all = append(all, s)
 		}
 	}
 	return all
