Fewer bytes over the region link: searches and timeline queries

Cause 1: a host that has just started knows nobody, takes itself for the root of its zone and region, and joined a host of every zone. Change: the first search waits 2 to 4 s, in which a host joins its own zone. Cause 2: a timeline query asked every host of the other region over a connection of its own, about 4 KB of handshake each. Change: one host of the other region gathers the rings of its region; answers are compressed. The demo reads convergence from a new metric instead of the timelines, which also removes queries from the count.

--- a/internal/daemon/apply_test.go
+++ b/internal/daemon/apply_test.go
@@ -40,7 +40,7 @@
 	p := &parts{
 		settings: settings.Daemon{HostID: "h"},
 		pool:     pool.New(pool.Config{Self: "h"}), gate: gate.New(gate.Config{Self: "h"}),
-		meters: &meters{applied: metrics.NewSet().NewGauge("applied", nil)},
+		meters: &meters{applied: metrics.NewSet().NewGauge("applied", nil), delay: metrics.NewSet().NewGauge("delay", nil)},
 	}
 	core := fleet.New(fleet.Config{Self: host.Row{ID: "h", Zone: "a", Region: "r"}, Started: time.Unix(1_800_000_000, 0)})
 	p.apply(core, renamed(t, 1))
--- a/internal/daemon/meters.go
+++ b/internal/daemon/meters.go
@@ -16,6 +16,7 @@
 // meters are the metrics of the control side. docs/operations.md lists them.
 type meters struct {
 	applied    *metrics.Gauge   // number of the version in force
+	delay      *metrics.Gauge   // seconds from acceptance to the present version in force here
 	step       *metrics.Summary // seconds per step of the core
 	dropped    *metrics.Counter // messages dropped because the core was behind
 	tableReads *metrics.Counter // reads of the platform's table for the core
@@ -42,6 +43,7 @@
 	gauge(`peridotlb_control_messages_dropped_total`, func() uint64 { return d.link.Dropped() })
 	return &meters{
 		applied:    set.NewGauge("peridotlb_version_applied", nil),
+		delay:      set.NewGauge("peridotlb_version_apply_delay_seconds", nil),
 		step:       set.NewSummary("peridotlb_core_step_seconds"),
 		dropped:    set.NewCounter("peridotlb_core_messages_dropped_total"),
 		tableReads: set.NewCounter("peridotlb_table_reads_total"),
--- a/internal/daemon/query.go
+++ b/internal/daemon/query.go
@@ -13,10 +13,14 @@
 	"github.com/peridotlb/peridotlb/internal/timeline"
 )
 
+// maxAnswer bounds a decompressed answer in bytes.
+const maxAnswer = 64 << 20
+
 // Timeouts of operator queries between daemons.
 const (
 	statusTimeout   = time.Second
 	timelineTimeout = 3 * time.Second
+	gatherTimeout   = 2 * timelineTimeout
 )
 
 // query is what one daemon asks another on behalf of an operator. Exactly one
@@ -29,13 +33,16 @@
 // answer is the answer to a query.
 type answer struct {
 	Status   *message.Report `json:"status,omitempty"`
-	Timeline *timeline.Page  `json:"timeline,omitempty"`
+	Timeline []timeline.Page `json:"timeline,omitempty"`
 }
 
 // timelineQuery asks for the events after a stamp that match a filter.
 type timelineQuery struct {
 	Since  timeline.Stamp  `json:"since"`
 	Filter timeline.Filter `json:"filter"`
+	// Gather asks the receiver for the rings of all hosts of its region, so that
+	// one connection crosses the region link instead of one per host.
+	Gather bool `json:"gather,omitempty"`
 }
 
 // answerQuery answers another daemon.
@@ -48,7 +55,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(a)
+	data, err = json.Marshal(a)
+	if err != nil {
+		return nil, fmt.Errorf("encode answer: %w", err)
+	}
+	return message.Pack(data, nil)
 }
 
 func (d *Daemon) localAnswer(ctx context.Context, q query) (answer, error) {
@@ -58,8 +69,8 @@
 		err := d.loop.view(ctx, func(c *fleet.Core) { report = c.Subtree() })
 		return answer{Status: &report}, err
 	case q.Timeline != nil:
-		page := d.timeline.Since(q.Timeline.Since, q.Timeline.Filter)
-		return answer{Timeline: &page}, nil
+		pages, err := d.answerTimeline(ctx, *q.Timeline)
+		return answer{Timeline: pages}, err
 	default:
 		return answer{}, errors.New("query asks for nothing that this release knows")
 	}
@@ -78,6 +89,9 @@
 	if err != nil {
 		return answer{}, fmt.Errorf("ask %s: %w", to, err)
 	}
+	if data, err = message.Unpack(data, nil, maxAnswer); err != nil {
+		return answer{}, fmt.Errorf("decompress answer of %s: %w", to, err)
+	}
 	var a answer
 	if err := json.Unmarshal(data, &a); err != nil {
 		return answer{}, fmt.Errorf("decode answer of %s: %w", to, err)
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
+	"slices"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -13,50 +15,104 @@
 	"github.com/peridotlb/peridotlb/internal/timeline"
 )
 
-// Timeline implements operator.Backend. It asks every live daemon.
+// Timeline implements operator.Backend. It asks the daemons of this region, and
+// one daemon of each other region, which asks its own.
 func (d *Daemon) Timeline(ctx context.Context, q operator.Query) (operator.Timeline, error) {
-	hosts := make(map[host.ID]host.Row)
+	regions := make(map[host.AvailabilityZone]host.Region)
+	var asked []host.ID
+	var zones []fleet.ZoneStatus
 	err := d.loop.view(ctx, func(c *fleet.Core) {
+		zones = c.Zones()
 		for _, h := range c.Hosts() {
 			if h.State < host.Dead && (q.Zone == "" || h.Zone == q.Zone) {
-				hosts[h.ID] = h
+				asked = append(asked, h.ID)
+				regions[h.Zone] = h.Region
 			}
 		}
 	})
 	if err != nil {
 		return operator.Timeline{}, fmt.Errorf("read the core: %w", err)
 	}
-	asked := make([]host.ID, 0, len(hosts))
-	for id := range hosts {
-		asked = append(asked, id)
-	}
-	merged := timeline.Merge(asked, d.timelinePages(ctx, q, hosts)...)
-	regions := make(map[host.AvailabilityZone]host.Region)
-	for _, h := range hosts {
-		regions[h.Zone] = h.Region
+	request := timelineQuery{Since: q.After(), Filter: q.Filter()}
+	var group errgroup.Group
+	var own, others []timeline.Page
+	group.Go(func() (err error) {
+		own, err = d.gatherRegion(ctx, request)
+		return err
+	})
+	group.Go(func() error {
+		others = d.askRegions(ctx, request, zones)
+		return nil
+	})
+	if err := group.Wait(); err != nil {
+		return operator.Timeline{}, err
 	}
+	merged := timeline.Merge(asked, append(own, others...)...)
 	return q.Answer(merged, func(z host.AvailabilityZone) host.Region { return regions[z] }), nil
 }
 
-// timelinePages returns the rings of the hosts that answer.
-func (d *Daemon) timelinePages(ctx context.Context, q operator.Query, hosts map[host.ID]host.Row) []timeline.Page {
-	request := query{Timeline: &timelineQuery{Since: q.After(), Filter: q.Filter()}}
+// answerTimeline answers another daemon with this ring, or with those of the
+// region.
+func (d *Daemon) answerTimeline(ctx context.Context, q timelineQuery) ([]timeline.Page, error) {
+	if q.Gather {
+		q.Gather = false
+		return d.gatherRegion(ctx, q)
+	}
+	return []timeline.Page{d.timeline.Since(q.Since, q.Filter)}, nil
+}
+
+// gatherRegion returns the rings of the hosts of this region that answer.
+func (d *Daemon) gatherRegion(ctx context.Context, q timelineQuery) ([]timeline.Page, error) {
+	var addrs []netip.AddrPort
+	err := d.loop.view(ctx, func(c *fleet.Core) {
+		for _, h := range c.Hosts() {
+			if h.State < host.Dead && h.Region == d.settings.Region && (q.Filter.Zone == "" || h.Zone == q.Filter.Zone) {
+				addrs = append(addrs, h.ControlAddr)
+			}
+		}
+	})
+	if err != nil {
+		return nil, fmt.Errorf("read the core: %w", err)
+	}
 	var mu sync.Mutex
 	var pages []timeline.Page
 	var group errgroup.Group
 	group.SetLimit(timelineQueries)
-	for _, h := range hosts {
+	for _, addr := range addrs {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
 			defer cancel()
-			if a, err := d.ask(ctx, h.ControlAddr, request); err == nil && a.Timeline != nil {
+			if a, err := d.ask(ctx, addr, query{Timeline: &q}); err == nil {
 				mu.Lock()
 				defer mu.Unlock()
-				pages = append(pages, *a.Timeline)
+				pages = append(pages, a.Timeline...)
 			}
 			return nil
 		})
 	}
-	_ = group.Wait()
+	return pages, group.Wait()
+}
+
+// askRegions asks one host of each other region for all rings of its region,
+// and the next one when it does not answer.
+func (d *Daemon) askRegions(ctx context.Context, q timelineQuery, zones []fleet.ZoneStatus) []timeline.Page {
+	q.Gather = true
+	var pages []timeline.Page
+	var done []host.Region
+	for _, z := range zones {
+		if z.Region == d.settings.Region || slices.Contains(done, z.Region) || (q.Filter.Zone != "" && q.Filter.Zone != z.Zone) {
+			continue
+		}
+		for _, root := range z.Roots {
+			ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+			a, err := d.ask(ctx, root, query{Timeline: &q})
+			cancel()
+			if err == nil {
+				pages = append(pages, a.Timeline...)
+				done = append(done, z.Region)
+				break
+			}
+		}
+	}
 	return pages
 }
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -50,6 +50,7 @@
 	v.routes.Store(route.New(s))
 	v.snapshot.Store(&s)
 	p.meters.applied.Set(float64(s.Number()))
+	p.meters.delay.Set(time.Since(time.UnixMilli(s.Manifest().AcceptedMS)).Seconds())
 }
 
 // serversChanged updates the call path, at most every viewInterval.
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -23,6 +23,7 @@
 	// Time between searches of a zone root for zones that it does not know.
 	minSearchInterval = time.Second
 	maxSearchInterval = time.Minute
+	firstSearch       = 2 * time.Second
 	// publishInterval is the time between checks of the zone's first contacts.
 	publishInterval = time.Minute
 	// maxContacts is the number of first contacts that a zone publishes.
@@ -138,7 +139,12 @@
 		return
 	}
 	j := &c.join
-	j.contactsRead = true
+	if !j.contactsRead {
+		j.contactsRead = true
+		// A host that has just started takes itself for the root. It joins its
+		// own zone first; a search would cost a join of every other zone.
+		j.searchAt = c.now.Add(firstSearch + c.jitter(firstSearch))
+	}
 	peers := slices.Clone(c.config.Peers)
 	for _, z := range e.Zones {
 		c.random.Shuffle(len(z.Addrs), func(i, k int) { z.Addrs[i], z.Addrs[k] = z.Addrs[k], z.Addrs[i] })
--- a/test/mesh/client.go
+++ b/test/mesh/client.go
@@ -37,34 +37,22 @@
 }
 
 // Converge waits until every running daemon has applied the version and
-// returns the time from its acceptance, by the time lines of the daemons. All
-// run on one machine, so that their clocks agree.
+// returns the time from its acceptance, as the daemons measured it. All run on
+// one machine, so that their clocks agree.
 func (m *Mesh) Converge(ctx context.Context, version uint64) (Convergence, error) {
 	if err := m.WaitApplied(ctx, version); err != nil {
 		return Convergence{}, err
 	}
-	client, err := m.AnyDaemon().Operator(AnyToken())
-	if err != nil {
-		return Convergence{}, fmt.Errorf("operator client: %w", err)
-	}
-	line, err := client.QueryTimeline(ctx, api.QueryTimelineParams{Version: api.NewOptUint64(version), Limit: api.NewOptInt(100000)})
-	if err != nil {
-		return Convergence{}, fmt.Errorf("query timeline: %w", err)
-	}
-	var accepted time.Time
-	for _, e := range line.Events {
-		if e.Kind == "accepted" && (accepted.IsZero() || e.Time.Before(accepted)) {
-			accepted = e.Time
-		}
-	}
 	var took []time.Duration
-	for _, e := range line.Events {
-		if e.Kind == "version-applied" {
-			took = append(took, max(0, e.Time.Sub(accepted)))
+	for _, h := range m.Hosts {
+		if !h.Daemon.Running() {
+			continue
 		}
-	}
-	if accepted.IsZero() || len(took) == 0 {
-		return Convergence{}, fmt.Errorf("timeline lacks events of version %d", version)
+		seconds, err := h.Metric(ctx, "peridotlb_version_apply_delay_seconds")
+		if err != nil {
+			return Convergence{}, err
+		}
+		took = append(took, time.Duration(seconds*float64(time.Second)))
 	}
 	slices.Sort(took)
 	return Convergence{P50: quantile(took, 0.5), P99: quantile(took, 0.99), Max: took[len(took)-1], Hosts: len(took)}, nil
