Benchmark of convergence and control traffic

The requirements name convergence time and control bytes, and nothing measured them on real processes.

The mesh starts daemons eight at a time, reads all daemons in parallel, and ends all processes at once.

--- /dev/null
+++ b/test/bench/core.go
@@ -0,0 +1,5 @@
+package main
+
+import "context"
+
+func runCore(context.Context, *reporter) error { return nil }
--- /dev/null
+++ b/test/bench/main.go
@@ -0,0 +1,175 @@
+// Command bench measures peridotlb on this machine and prints tables, or one
+// JSON object per measurement. It writes no files.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/peridotlb/peridotlb/test/mesh"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	o, err := parse(os.Args[1:], os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(2)
+	}
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+// options are the flags of the program.
+type options struct {
+	measurements []string
+	bin          string
+	json         bool
+	logs         bool
+	daemons      []int
+	deployments  []mesh.Deployment
+	situations   []string
+	distribution string
+	sections     int
+	sectionBytes int
+	idle         time.Duration
+	window       time.Duration
+	changes      int
+	duration     time.Duration
+	timeout      time.Duration
+}
+
+var (
+	measurements = []string{"convergence", "core", "calls"}
+	situations   = []string{"idle", "change", "large-change", "burst", "kill"}
+	deployments  = map[string]mesh.Deployment{mesh.Kujaza.Name: mesh.Kujaza, mesh.Prairie.Name: mesh.Prairie}
+)
+
+const usage = `bench measures peridotlb on this machine.
+
+Usage: bench [flags] [convergence] [core] [calls]
+
+Without names of measurements, all are run. Examples:
+
+  bench --daemons 15 --deployments kujaza convergence
+  bench --json core
+
+Flags:
+`
+
+func parse(args []string, out io.Writer) (options, error) {
+	o := options{situations: situations, daemons: []int{15, 60, 150}, deployments: []mesh.Deployment{mesh.Kujaza, mesh.Prairie}}
+	flags := flag.NewFlagSet("bench", flag.ContinueOnError)
+	flags.SetOutput(out)
+	flags.Usage = func() {
+		fmt.Fprint(out, usage)
+		flags.PrintDefaults()
+	}
+	flags.StringVar(&o.bin, "bin", "bin", "`directory` of the built programs")
+	flags.BoolVar(&o.json, "json", false, "print one JSON object per measurement")
+	flags.BoolVar(&o.logs, "logs", false, "keep the directories with the logs and print their names")
+	flags.Func("daemons", "comma-separated `sizes` of the fleet (default 15,60,150)", func(s string) (err error) {
+		o.daemons, err = parseSizes(s)
+		return err
+	})
+	flags.Func("deployments", "comma-separated `names` of deployments (default kujaza,prairie)", func(s string) (err error) {
+		o.deployments, err = parseDeployments(s)
+		return err
+	})
+	flags.Func("situations", "comma-separated `names` of situations of convergence (default "+strings.Join(situations, ",")+")", func(s string) (err error) {
+		o.situations, err = parseNames(s, situations)
+		return err
+	})
+	flags.StringVar(&o.distribution, "distribution", "economical", "setting --distribution of the daemons")
+	flags.IntVar(&o.sections, "sections", 3, "sections of the document")
+	flags.IntVar(&o.sectionBytes, "section-bytes", 20000, "size of a section's canonical encoding in `bytes`")
+	flags.DurationVar(&o.idle, "idle", 30*time.Second, "time over which idle traffic is measured")
+	flags.DurationVar(&o.window, "window", 6*time.Second, "time over which the traffic of one change is measured")
+	flags.IntVar(&o.changes, "changes", 5, "single changes per measurement")
+	flags.DurationVar(&o.duration, "duration", 10*time.Second, "time of a measurement of calls")
+	flags.DurationVar(&o.timeout, "timeout", 6*time.Minute, "longest time of one measurement")
+	if err := flags.Parse(args); err != nil {
+		return o, err
+	}
+	o.measurements = flags.Args()
+	if len(o.measurements) == 0 {
+		o.measurements = measurements
+	}
+	if o.sections < 1 || o.changes < 1 || o.idle < time.Second || o.window < time.Second {
+		return o, errors.New("--sections and --changes must be at least 1, --idle and --window at least 1s")
+	}
+	_, err := parseNames(strings.Join(o.measurements, ","), measurements)
+	return o, err
+}
+
+func parseSizes(s string) ([]int, error) {
+	// With the platform, the relay and this program, more daemons would exceed
+	// 250 processes.
+	const most = 240
+	var sizes []int
+	for part := range strings.SplitSeq(s, ",") {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 2 || n > most {
+			return nil, fmt.Errorf("%q is not a number from 2 to %d", part, most)
+		}
+		sizes = append(sizes, n)
+	}
+	return sizes, nil
+}
+
+func parseDeployments(s string) ([]mesh.Deployment, error) {
+	var list []mesh.Deployment
+	for part := range strings.SplitSeq(s, ",") {
+		d, ok := deployments[part]
+		if !ok {
+			return nil, fmt.Errorf("%q is not a deployment; want kujaza or prairie", part)
+		}
+		list = append(list, d)
+	}
+	return list, nil
+}
+
+func parseNames(s string, known []string) ([]string, error) {
+	names := strings.Split(s, ",")
+	for _, name := range names {
+		if !slices.Contains(known, name) {
+			return nil, fmt.Errorf("%q is not one of %s", name, strings.Join(known, ", "))
+		}
+	}
+	return names, nil
+}
+
+func run(ctx context.Context, o options) error {
+	r := &reporter{out: os.Stdout, json: o.json}
+	for _, name := range o.measurements {
+		var err error
+		switch name {
+		case "convergence":
+			err = runConvergence(ctx, o, r)
+		case "core":
+			err = runCore(ctx, r)
+		case "calls":
+			err = runCalls(ctx, o, r)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
--- a/test/mesh/client.go
+++ b/test/mesh/client.go
@@ -40,7 +40,11 @@
 	if err != nil {
 		return 0, fmt.Errorf("operator client: %w", err)
 	}
-	result, err := client.SubmitDocument(ctx, &api.Submission{ID: id, Base: base, Document: api.NewOptString(yaml)})
+	return submit(ctx, client, &api.Submission{ID: id, Base: base, Document: api.NewOptString(yaml)})
+}
+
+func submit(ctx context.Context, client *api.Client, s *api.Submission) (uint64, error) {
+	result, err := client.SubmitDocument(ctx, s)
 	if err != nil {
 		return 0, fmt.Errorf("submit: %w", err)
 	}
@@ -50,10 +54,13 @@
 	case *api.Refused:
 		return 0, fmt.Errorf("%w: %s: %+v", ErrRefused, r.Reason, r.Faults)
 	default:
-		return 0, fmt.Errorf("outcome of submission %s is not known: %+v", id, result)
+		return 0, fmt.Errorf("outcome of submission %s is not known: %+v", s.ID, result)
 	}
 }
 
+// maxTimeline is the number of events that a query returns at most.
+const maxTimeline = 100000
+
 // Convergence is how long a version took to be in force everywhere.
 type Convergence struct {
 	P50, P99, Max time.Duration
@@ -71,7 +78,7 @@
 	if err != nil {
 		return Convergence{}, fmt.Errorf("operator client: %w", err)
 	}
-	line, err := client.QueryTimeline(ctx, api.QueryTimelineParams{Version: api.NewOptUint64(version), Limit: api.NewOptInt(100000)})
+	line, err := client.QueryTimeline(ctx, api.QueryTimelineParams{Version: api.NewOptUint64(version), Limit: api.NewOptInt(maxTimeline)})
 	if err != nil {
 		return Convergence{}, fmt.Errorf("query timeline: %w", err)
 	}
@@ -125,7 +132,7 @@
 
 // waitAll repeats a check for every running daemon until it passes.
 func (m *Mesh) waitAll(ctx context.Context, check func(*Host) error) error {
-	for _, h := range m.Hosts {
+	return m.eachRunning(func(h *Host) error {
 		for h.Daemon.Running() {
 			err := check(h)
 			if err == nil {
@@ -137,8 +144,8 @@
 			case <-time.After(50 * time.Millisecond):
 			}
 		}
-	}
-	return nil
+		return nil
+	})
 }
 
 // WaitServers waits until every running daemon knows n ready backend servers.
--- a/test/mesh/mesh.go
+++ b/test/mesh/mesh.go
@@ -4,6 +4,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -87,8 +88,14 @@
 	Tokens string
 	// Logs keeps the directory with the logs.
 	Logs bool
+	// StartLimit is the number of daemons that start at the same time; 0 takes
+	// defaultStartLimit.
+	StartLimit int
 }
 
+// defaultStartLimit keeps a large mesh from taking all cores while it starts.
+const defaultStartLimit = 8
+
 // Mesh is a running fleet.
 type Mesh struct {
 	Config
@@ -209,11 +216,7 @@
 	if err = m.startRelay(ctx); err != nil {
 		return err
 	}
-	var group errgroup.Group
-	for _, h := range m.Hosts {
-		group.Go(func() error { return m.StartDaemon(ctx, h) })
-	}
-	if err := group.Wait(); err != nil {
+	if err := m.StartDaemons(ctx, m.Hosts); err != nil {
 		return err
 	}
 	for _, h := range m.Hosts {
@@ -254,6 +257,22 @@
 	return err
 }
 
+// StartDaemons starts the daemons of hosts, at most StartLimit at a time.
+func (m *Mesh) StartDaemons(ctx context.Context, hosts []*Host) error {
+	group, ctx2 := errgroup.WithContext(ctx)
+	group.SetLimit(cmp.Or(m.StartLimit, defaultStartLimit))
+	for _, h := range hosts {
+		group.Go(func() error {
+			if ctx2.Err() != nil {
+				return ctx2.Err()
+			}
+			// The process lives longer than the group's context.
+			return m.StartDaemon(ctx, h)
+		})
+	}
+	return group.Wait()
+}
+
 // StartDaemon starts the daemon of a host, or starts it again.
 func (m *Mesh) StartDaemon(ctx context.Context, h *Host) error {
 	args := []string{
--- a/test/mesh/process.go
+++ b/test/mesh/process.go
@@ -12,6 +12,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // startTimeout bounds the wait for the first line of a process.
@@ -99,6 +101,17 @@
 // Kill ends the process at once.
 func (p *Process) Kill() error { return p.end(syscall.SIGKILL, startTimeout) }
 
+// KillAll ends processes at the same time. Nil entries are left out.
+func KillAll(processes ...*Process) error {
+	var group errgroup.Group
+	for _, p := range processes {
+		if p != nil {
+			group.Go(p.Kill)
+		}
+	}
+	return group.Wait()
+}
+
 // Stop asks the process to end and waits.
 func (p *Process) Stop(timeout time.Duration) error { return p.end(syscall.SIGTERM, timeout) }
 
@@ -132,12 +145,7 @@
 		all = append(all, h.Server, h.Daemon)
 	}
 	all = append(all, m.Relay, m.Platform)
-	var errs []error
-	for _, p := range all {
-		if p != nil {
-			errs = append(errs, p.Kill())
-		}
-	}
+	errs := []error{KillAll(all...)}
 	if !m.Logs {
 		errs = append(errs, os.RemoveAll(m.Dir))
 	}
