Benchmark of the decision core

Nothing showed what share of a core the control side takes with 1,200 hosts in the tables.

The fake hosts answer probes between the timed steps, so that none is declared dead during a run.

--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+// Shape of the fleet of the target.
+const (
+	benchZones        = 14
+	benchSections     = 57
+	benchSectionBytes = 20000
+)
+
+// bench is a core whose tables hold a fleet. The other hosts answer its probes
+// between the timed steps, so that none is suspected.
+type bench struct {
+	*Core
+	now   time.Time
+	hosts []host.Row
+}
+
+// newBench returns the core of an ordinary host of the first zone, or of the
+// root of its region. That root carries the most probes and edges.
+func newBench(hosts int, root bool) *bench {
+	b := &bench{now: time.Unix(1_800_000_000, 0)}
+	news := message.News{}
+	for i := range hosts {
+		zone := i % benchZones
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(zone + 1), byte(i >> 8), byte(i)}), 7401)
+		row := host.Row{
+			ID: host.ID(fmt.Sprintf("host-%d", i)), Zone: host.AvailabilityZone(fmt.Sprintf("zone-%d", zone)),
+			Region:      host.Region(fmt.Sprintf("region-%d", zone/(benchZones/2))),
+			ControlAddr: addr, GateAddr: netip.AddrPortFrom(addr.Addr(), 7402),
+			Stamp: host.Stamp{Incarnation: host.Incarnation(b.now.UnixMilli() - 1000)},
+		}
+		b.hosts = append(b.hosts, row)
+		news.Hosts = append(news.Hosts, row)
+		news.Servers = append(news.Servers, backend.Server{
+			ID: backend.ServerID("server-" + row.ID), Service: "bead-stock", Host: row.ID, Addr: row.GateAddr,
+			State: backend.Ready, Stamp: row.Stamp,
+		})
+	}
+	for _, self := range b.hosts {
+		b.Core = New(Config{Self: self, Started: b.now, Peers: []netip.AddrPort{b.hosts[1].ControlAddr}, PlatformRegion: "region-0", Seed: 1})
+		b.step(Tick{})
+		b.step(HeadRead{})
+		b.step(Received{From: b.hosts[1].ControlAddr, Message: message.JoinAnswer{News: news}})
+		if b.isRegionRoot() == root && b.overlay.isRoot() == root {
+			break
+		}
+	}
+	for range 300 {
+		b.answer(b.tick())
+	}
+	return b
+}
+
+func (b *bench) step(e Event) []Effect { return b.Step(b.now, e) }
+
+func (b *bench) tick() []Effect {
+	b.now = b.now.Add(tickInterval)
+	return b.step(Tick{})
+}
+
+// answer answers probes and reads of the head row.
+func (b *bench) answer(effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case ReadHead:
+			b.step(HeadRead{})
+		case Send:
+			if p, ok := e.Message.(message.Probe); ok {
+				b.step(Received{From: e.To, Message: message.ProbeAnswer{Nonce: p.Nonce, Head: b.head()}})
+			}
+		}
+	}
+}
+
+// between answers without counting it towards the benchmark.
+func (b *bench) between(t *testing.B, effects []Effect) {
+	if len(effects) > 0 {
+		t.StopTimer()
+		b.answer(effects)
+		t.StartTimer()
+	}
+}
+
+// BenchmarkCore measures the decision core alone: encoding, encryption and
+// sockets are not part of it.
+func BenchmarkCore(b *testing.B) {
+	for _, hosts := range []int{150, 600, 1200} {
+		for _, root := range []bool{false, true} {
+			role := map[bool]string{false: "member", true: "region-root"}[root]
+			b.Run(fmt.Sprintf("tick/role=%s/hosts=%d", role, hosts), func(b *testing.B) { benchTick(b, newBench(hosts, root)) })
+			b.Run(fmt.Sprintf("probe/role=%s/hosts=%d", role, hosts), func(b *testing.B) { benchProbe(b, newBench(hosts, root)) })
+			b.Run(fmt.Sprintf("row/role=%s/hosts=%d", role, hosts), func(b *testing.B) { benchRow(b, newBench(hosts, root)) })
+		}
+		b.Run(fmt.Sprintf("version/role=member/hosts=%d", hosts), func(b *testing.B) { benchVersion(b, newBench(hosts, false)) })
+		b.Run(fmt.Sprintf("tables/role=member/hosts=%d", hosts), func(b *testing.B) { benchTables(b, hosts) })
+	}
+}
+
+func benchTick(b *testing.B, c *bench) {
+	b.ReportAllocs()
+	for b.Loop() {
+		c.between(b, c.tick())
+	}
+}
+
+func benchProbe(b *testing.B, c *bench) {
+	from := c.overlay.previous.row
+	b.ReportAllocs()
+	for b.Loop() {
+		c.step(Received{From: from.ControlAddr, Message: message.Probe{Nonce: 1, Stamp: from.Stamp, Head: c.head()}})
+	}
+}
+
+// benchRow merges one changed row of another host, each in an interval of its
+// own, so that passing it on to the neighbours counts too.
+func benchRow(b *testing.B, c *bench) {
+	row := c.overlay.previous.row
+	from := row.ControlAddr
+	b.ReportAllocs()
+	for b.Loop() {
+		row.Stamp.Sequence++
+		c.now = c.now.Add(newsInterval)
+		c.between(b, c.step(Received{From: from, Message: message.News{Hosts: []host.Row{row}}}))
+	}
+}
+
+// benchVersion takes over a version with one changed section.
+func benchVersion(b *testing.B, c *bench) {
+	doc := benchDocument()
+	from := c.overlay.previous.row.ControlAddr
+	next := func(n version.Number) message.Delta {
+		section := &doc.Sections[int(n)%len(doc.Sections)]
+		section.Services = []document.Service{section.Services[0]}
+		section.Services[0].Slots = uint16(n%1000 + 1)
+		s, err := version.New(n, version.SubmissionID(fmt.Sprint("s", n)), c.now.UnixMilli(), doc)
+		if err != nil {
+			b.Fatalf("make version %d: %v", n, err)
+		}
+		return c.delta(s, n-1)
+	}
+	n := version.Number(1)
+	c.step(Received{From: from, Message: next(n)})
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		n++
+		d := next(n)
+		b.StartTimer()
+		c.step(Received{From: from, Message: d})
+		if got := c.Applied().Number(); got != n {
+			b.Fatalf("got version %d, want %d", got, n)
+		}
+	}
+}
+
+// benchDocument returns a document of the size of the target.
+func benchDocument() document.Document {
+	var doc document.Document
+	for i := range benchSections {
+		s := document.Section{
+			Name: document.SectionName(fmt.Sprintf("section-%02d", i)), Team: "stock-team",
+			Services: []document.Service{{Name: backend.ServiceName(fmt.Sprintf("service-%02d", i)), Slots: 9, Connections: 130}},
+		}
+		for j, size := 0, 0; size < benchSectionBytes; j++ {
+			r := document.Route{
+				Name:       document.RouteName(fmt.Sprintf("route-%02d-%d", i, j)),
+				PathPrefix: fmt.Sprintf("/s%02d/%d/%s", i, j, strings.Repeat("x", 40)), Methods: []string{"GET"},
+				Service: s.Services[0].Name, Timeout: 2 * time.Second, Retries: 2,
+			}
+			s.Routes = append(s.Routes, r)
+			size += len(r.Name) + len(r.PathPrefix) + len(r.Service) + 30 // 30 bytes of CBOR heads, numbers and the method
+		}
+		doc.Sections = append(doc.Sections, s)
+	}
+	return doc
+}
+
+// benchTables reports the memory of the tables in bytes.
+func benchTables(b *testing.B, hosts int) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		c := newBench(hosts, false)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(c)
+	}
+	b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "table-bytes")
+}
