--- a/internal/command/timeline/picture_test.go
+++ b/internal/command/timeline/picture_test.go
@@ -25,7 +25,7 @@
 			Region: api.NewOptString(strings.TrimSuffix(zone, "-a")), Version: api.NewOptUint64(4),
 		})
 	}
-	add("version-accepted", "pwani-a", "pwani-a-1", 0)
+	add("accepted", "pwani-a", "pwani-a-1", 0)
 	add("version-secured", "pwani-a", "pwani-a-1", 2.5)
 	add("version-applied", "pwani-a", "pwani-a-1", 2.6)
 	for i := 2; i <= 5; i++ {
@@ -78,8 +78,8 @@
 			texts = append(texts, string(v))
 		}
 	}
-	// One more of each is in the legend.
-	if got, want := fmt.Sprint(marks), "map[accepted:2 applied:9 fetched:9 secured:2]"; got != want {
+	// One more of each kind that occurred is in the legend.
+	if got, want := fmt.Sprint(marks), "map[accepted:2 version-applied:9 version-fetched:9 version-secured:2]"; got != want {
 		t.Errorf("marks: got %s, want %s", got, want)
 	}
 	all := strings.Join(texts, "\n")
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -21,8 +21,6 @@
 	eventQueue = 4096
 	// readTimeout bounds a read of the platform for the core.
 	readTimeout = 4 * time.Second
-	// seedPeers is the number of host rows read to find first contacts.
-	seedPeers = 16
 )
 
 // loop owns the core: it feeds it events and carries out its effects.
@@ -119,9 +117,9 @@
 	case fleet.LoadVersion:
 		go l.loadVersion(ctx, e)
 	case fleet.ReadPeers:
-		go l.readPeers(ctx)
-	case fleet.WriteHost:
-		go l.writeHost(ctx, e.Row)
+		go l.readPeers(ctx, e)
+	case fleet.PublishContacts:
+		go l.publishContacts(ctx, e.Contacts)
 	case fleet.Record:
 		l.record(e)
 	}
@@ -176,13 +174,17 @@
 	"host-dead":       "Declared a host dead.",
 	"host-refuted":    "Refuted a report about this host.",
 	"unreachable":     "Lost contact with a zone or region.",
+	"server-starting": "A backend server of this host is starting.",
+	"server-ready":    "A backend server of this host is ready.",
+	"server-draining": "A backend server of this host is draining.",
+	"server-gone":     "A backend server of this host is gone.",
 }
 
 func sentence(kind string) string {
 	if s, ok := sentences[kind]; ok {
 		return s
 	}
-	return "Recorded an event."
+	return "Recorded " + kind + "."
 }
 
 // heldVersion returns a held snapshot to the codec.
