--- a/test/bench/convergence.go
+++ b/test/bench/convergence.go
@@ -29,6 +29,14 @@
 	return nil
 }
 
+// Memory of the fleet in bytes. Half of a machine of 32 GiB is the limit, since
+// other work runs on it.
+const (
+	fleetMemory      = 15 << 30
+	softLimit        = 11 << 30
+	unlimitedDaemons = 60
+)
+
 // trial is a running fleet under measurement.
 type trial struct {
 	*mesh.Mesh
@@ -49,10 +57,17 @@
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
 	defer cancel()
 	start := time.Now()
-	m, err := mesh.Start(ctx, mesh.Config{
+	c := mesh.Config{
 		Deployment: d, Bin: o.bin, Daemons: n, Tokens: tokens(o.sections), Logs: o.logs,
 		Flags: []string{"--distribution", o.distribution},
-	})
+	}
+	// A large fleet gets a soft limit, so that it stays within fleetMemory; its
+	// figures of memory are then no measure of what a daemon would take.
+	if n > unlimitedDaemons {
+		c.Env = []string{fmt.Sprintf("GOMEMLIMIT=%d", softLimit/n)}
+		r.note("%d daemons run with a soft memory limit of %d MB each", n, softLimit/n/1e6)
+	}
+	m, err := mesh.Start(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -52,6 +52,7 @@
 	window       time.Duration
 	changes      int
 	duration     time.Duration
+	callers      int
 	timeout      time.Duration
 }
 
@@ -103,6 +104,7 @@
 	flags.DurationVar(&o.window, "window", 6*time.Second, "time over which the traffic of one change is measured")
 	flags.IntVar(&o.changes, "changes", 5, "single changes per measurement")
 	flags.DurationVar(&o.duration, "duration", 10*time.Second, "time of a measurement of calls")
+	flags.IntVar(&o.callers, "callers", 32, "callers of the measurement of calls under load")
 	flags.DurationVar(&o.timeout, "timeout", 6*time.Minute, "longest time of one measurement")
 	if err := flags.Parse(args); err != nil {
 		return o, err
@@ -111,8 +113,8 @@
 	if len(o.measurements) == 0 {
 		o.measurements = measurements
 	}
-	if o.sections < 1 || o.changes < 1 || o.idle < time.Second || o.window < time.Second {
-		return o, errors.New("--sections and --changes must be at least 1, --idle and --window at least 1s")
+	if o.sections < 1 || o.changes < 1 || o.callers < 1 || o.duration < time.Second || o.idle < time.Second || o.window < time.Second {
+		return o, errors.New("--sections, --changes and --callers must be at least 1, --idle, --window and --duration at least 1s")
 	}
 	_, err := parseNames(strings.Join(o.measurements, ","), measurements)
 	return o, err
--- a/test/bench/traffic.go
+++ b/test/bench/traffic.go
@@ -41,8 +41,17 @@
 		s.linkTCP += c.TCPBytes
 		s.dropped += c.UDPDropped
 	}
-	s.hosts, err = m.Metrics(ctx)
-	return s, err
+	if s.hosts, err = m.Metrics(ctx); err != nil {
+		return s, err
+	}
+	total := 0.0
+	for _, metrics := range s.hosts {
+		total += metrics[metricMemory]
+	}
+	if total > fleetMemory {
+		return s, fmt.Errorf("the daemons take %.0f MB of memory, want at most %d MB", total/1e6, fleetMemory/1000000)
+	}
+	return s, nil
 }
 
 // traffic is the difference of two samples.
--- a/test/mesh/mesh.go
+++ b/test/mesh/mesh.go
@@ -80,6 +80,7 @@
 	Bin        string   // directory of the built programs
 	Daemons    int      // 0 takes one per backend server of the deployment
 	Flags      []string // more flags for every daemon
+	Env        []string // more environment variables for every daemon, "NAME=value"
 	// Servers is false for a mesh without backend servers.
 	Servers bool
 	// ServerFlags are more flags for every backend server.
@@ -289,7 +290,7 @@
 		"--nat", m.nat(h.zone), "--log-format", "json",
 		"--operator-tokens", cmp.Or(m.Tokens, TeamTokens()),
 	}
-	p, err := m.start(ctx, string(h.ID), "peridotlbd", append(args, m.Flags...)...)
+	p, err := m.startWith(ctx, m.Env, string(h.ID), "peridotlbd", append(args, m.Flags...)...)
 	if err != nil {
 		return err
 	}
--- a/test/mesh/process.go
+++ b/test/mesh/process.go
@@ -30,6 +30,11 @@
 
 // start starts a program and waits until it has printed that it listens.
 func (m *Mesh) start(ctx context.Context, name, program string, args ...string) (*Process, error) {
+	return m.startWith(ctx, nil, name, program, args...)
+}
+
+// startWith is start with more environment variables.
+func (m *Mesh) startWith(ctx context.Context, env []string, name, program string, args ...string) (*Process, error) {
 	p := &Process{Name: name, Log: m.file(name + ".log"), done: make(chan struct{})}
 	file, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600)
 	if err != nil {
@@ -42,6 +47,7 @@
 	}
 	p.cmd = exec.CommandContext(ctx, filepath.Join(m.Bin, program), args...)
 	p.cmd.Stdout, p.cmd.Stderr = file, file
+	p.cmd.Env = append(os.Environ(), env...)
 	if err := p.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", name, err)
 	}
