--- a/test/mesh/client.go
+++ b/test/mesh/client.go
@@ -30,6 +30,9 @@
 	return api.NewClient(h.OperatorURL(), tokenSource(token), api.WithClient(httpClient))
 }
 
+// maxTimeline is the number of events that a query returns at most.
+const maxTimeline = 100000
+
 // Convergence is how long a version took to be in force everywhere.
 type Convergence struct {
 	P50, P99, Max time.Duration
@@ -89,7 +92,7 @@
 
 // waitAll repeats a check for every running daemon until it passes.
 func (m *Mesh) waitAll(ctx context.Context, check func(*Host) error) error {
-	for _, h := range m.Hosts {
+	return m.eachRunning(func(h *Host) error {
 		for h.Daemon.Running() {
 			err := check(h)
 			if err == nil {
@@ -101,8 +104,8 @@
 			case <-time.After(50 * time.Millisecond):
 			}
 		}
-	}
-	return nil
+		return nil
+	})
 }
 
 // WaitServers waits until every running daemon knows n ready backend servers.
--- a/test/mesh/process.go
+++ b/test/mesh/process.go
@@ -12,6 +12,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // startTimeout bounds the wait for the first line of a process.
@@ -28,6 +30,11 @@
 
 // start starts a program and waits until it has printed that it listens.
 func (m *Mesh) start(ctx context.Context, name, program string, args ...string) (*Process, error) {
+	return m.startWith(ctx, nil, name, program, args...)
+}
+
+// startWith is start with more environment variables.
+func (m *Mesh) startWith(ctx context.Context, env []string, name, program string, args ...string) (*Process, error) {
 	p := &Process{Name: name, Log: m.file(name + ".log"), done: make(chan struct{})}
 	file, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600)
 	if err != nil {
@@ -40,6 +47,7 @@
 	}
 	p.cmd = exec.CommandContext(ctx, filepath.Join(m.Bin, program), args...)
 	p.cmd.Stdout, p.cmd.Stderr = file, file
+	p.cmd.Env = append(os.Environ(), env...)
 	if err := p.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", name, err)
 	}
@@ -99,6 +107,17 @@
 // Kill ends the process at once.
 func (p *Process) Kill() error { return p.end(syscall.SIGKILL, startTimeout) }
 
+// KillAll ends processes at the same time. Nil entries are left out.
+func KillAll(processes ...*Process) error {
+	var group errgroup.Group
+	for _, p := range processes {
+		if p != nil {
+			group.Go(p.Kill)
+		}
+	}
+	return group.Wait()
+}
+
 // Stop asks the process to end and waits.
 func (p *Process) Stop(timeout time.Duration) error { return p.end(syscall.SIGTERM, timeout) }
 
@@ -132,12 +151,7 @@
 		all = append(all, h.Server, h.Daemon)
 	}
 	all = append(all, m.Relay, m.Platform)
-	var errs []error
-	for _, p := range all {
-		if p != nil {
-			errs = append(errs, p.Kill())
-		}
-	}
+	errs := []error{KillAll(all...)}
 	if !m.Logs {
 		errs = append(errs, os.RemoveAll(m.Dir))
 	}
--- a/test/mesh/teams.go
+++ b/test/mesh/teams.go
@@ -37,6 +37,10 @@
 			s.Changed = append(s.Changed, operator.SectionToAPI(section))
 		}
 	}
+	return submit(ctx, client, s)
+}
+
+func submit(ctx context.Context, client *api.Client, s *api.Submission) (uint64, error) {
 	result, err := client.SubmitDocument(ctx, s)
 	if err != nil {
 		return 0, fmt.Errorf("submit: %w", err)
@@ -47,7 +51,7 @@
 	case *api.Refused:
 		return 0, fmt.Errorf("%w: %s: %+v", ErrRefused, r.Reason, r.Faults)
 	default:
-		return 0, fmt.Errorf("outcome of submission %s is not known: %+v", id, result)
+		return 0, fmt.Errorf("outcome of submission %s is not known: %+v", s.ID, result)
 	}
 }
 
