Acceptance tests: rows read at different moments, bounded repeats

The platform interface promises no common moment, so the fake now reads the rows one by one in any order, and late commits apply in between.

Repeats of an unknown submission are bounded in the test: a trial with version rows under a wrong key made it run without end instead of failing.

--- a/internal/submission/fake_test.go
+++ b/internal/submission/fake_test.go
@@ -1,6 +1,7 @@
 package submission_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -39,21 +40,33 @@
 
 func (f *fakePlatform) broken() bool { return f.random.Float64() < f.faults }
 
+// Get reads the rows one after the other in any order, and commits may apply in
+// between: the interface promises no common moment.
 func (f *fakePlatform) Get(_ context.Context, keys ...platform.Key) ([]platform.Row, error) {
+	f.lock.Lock()
+	order := f.random.Perm(len(keys))
+	f.lock.Unlock()
+	rows := make([]platform.Row, len(keys))
+	for _, i := range order {
+		if err := f.read(keys[i], &rows[i]); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	return rows, nil
+}
+
+func (f *fakePlatform) read(key platform.Key, to *platform.Row) error {
 	f.gate()
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.applyLate()
 	if f.broken() {
-		return nil, errDown
-	}
-	var rows []platform.Row
-	for _, k := range slices.Sorted(slices.Values(keys)) {
-		row := f.rows[k]
-		row.Key = k
-		rows = append(rows, row)
+		return errDown
 	}
-	return rows, nil
+	*to = f.rows[key]
+	to.Key = key
+	return nil
 }
 
 func (f *fakePlatform) Scan(_ context.Context, prefix, after platform.Key, limit int) ([]platform.Row, error) {
--- a/internal/submission/submission_test.go
+++ b/internal/submission/submission_test.go
@@ -208,9 +208,10 @@
 	}
 }
 
-// submit repeats a submission until its outcome is known.
+// submit repeats a submission until its outcome is known. The number of tries
+// is bounded so that an outcome that never becomes known fails the test.
 func (r *run) submit(ctx context.Context, s submission.Submission) {
-	for {
+	for range 500 {
 		switch o := r.acceptors[r.random.IntN(len(r.acceptors))].Accept(ctx, s).(type) {
 		case submission.Accepted:
 			n := o.Snapshot.Number()
@@ -229,6 +230,7 @@
 			return
 		}
 	}
+	r.problems = append(r.problems, fmt.Sprintf("the outcome of %s stays unknown", s.ID))
 }
 
 // verify follows all versions and compares each with the submission that it
