link: count every refusal of our certificate; tests with a clock of their own

Cause: a refused host wasn't always delayed. A connection that the peer closed with a certificate error could be removed before its context had ended, and the error was looked up in that context, so that no failure was counted and the next message started another handshake. The error of the receiving side is used now.

New tests run in a synctest bubble with packets in memory, so that no assertion depends on the machine: growth of the backoff against a peer that refuses our certificate, the 15 s deadline of streams and the close after 30 s without traffic.

Ruled out: shorter dials and waits.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -77,6 +77,8 @@
 	// regions. It is called for every packet.
 	Remote func(netip.Addr) bool
 	Log    *zap.Logger
+
+	open func(netip.AddrPort) (udpConn, error) // replaces the UDP socket in tests
 }
 
 // Link sends messages to peers and receives theirs.
@@ -126,7 +128,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for daemons: %w", err)
 	}
-	s, err := openSocket(config.Addr, config.NAT, config.Remote)
+	s, err := openSocket(config)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -175,7 +175,7 @@
 		if retry || c.Context().Err() == nil {
 			return err
 		}
-		p.remove(c)
+		p.remove(c, err)
 	}
 }
 
@@ -313,7 +313,8 @@
 	})
 }
 
-func (p *peer) remove(c *conn) {
+// remove takes out a connection that ended with err.
+func (p *peer) remove(c *conn, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i := slices.Index(p.conns, c)
@@ -322,10 +323,11 @@
 	}
 	p.conns = slices.Delete(p.conns, i, i+1)
 	// A peer that refuses this host's certificate closes the connection after
-	// the dial has returned.
+	// the dial has returned. The context may end after the operation that
+	// returned err, or be what ended it.
 	var refused *quic.TransportError
-	if err := context.Cause(c.Context()); errors.As(err, &refused) && refused.ErrorCode.IsCryptoError() {
-		p.fail(err)
+	if err := errors.Join(err, context.Cause(c.Context())); errors.As(err, &refused) && refused.ErrorCode.IsCryptoError() {
+		p.fail(refused)
 	}
 }
 
--- a/internal/link/socket.go
+++ b/internal/link/socket.go
@@ -50,28 +50,41 @@
 	}
 }
 
+// udpConn is the part of *net.UDPConn in use; tests replace it.
+type udpConn interface {
+	net.PacketConn
+	ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort([]byte, netip.AddrPort) (int, error)
+	SyscallConn() (syscall.RawConn, error)
+	SetReadBuffer(int) error
+	SetWriteBuffer(int) error
+}
+
 // socket counts the packets of a UDP socket and translates addresses, so that
 // QUIC and everything above it see the addresses of host rows only. It leaves
 // out ReadMsgUDP and WriteMsgUDP on purpose: quic-go then uses ReadFrom and
 // WriteTo with one packet each, which makes the count exact.
 type socket struct {
 	net.PacketConn
-	udp    *net.UDPConn
+	udp    udpConn
 	nat    NAT
 	remote func(netip.Addr) bool
 
 	total, crossing liveCounters
 }
 
-func openSocket(addr netip.AddrPort, nat NAT, remote func(netip.Addr) bool) (*socket, error) {
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+func openSocket(config Config) (*socket, error) {
+	open := config.open
+	if open == nil {
+		open = func(addr netip.AddrPort) (udpConn, error) {
+			return net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+		}
+	}
+	udp, err := open(config.Addr)
 	if err != nil {
 		return nil, fmt.Errorf("open control socket: %w", err)
 	}
-	if remote == nil {
-		remote = func(netip.Addr) bool { return false }
-	}
-	return &socket{PacketConn: udp, udp: udp, nat: nat, remote: remote}, nil
+	return &socket{PacketConn: udp, udp: udp, nat: config.NAT, remote: config.Remote}, nil
 }
 
 // ReadFrom returns the next packet and the host row's address of its sender.
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -87,12 +87,12 @@
 
 // receive takes messages and queries from a connection until it closes.
 func (p *peer) receive(c *conn) {
-	defer p.remove(c)
 	p.link.start(func() { p.receiveStreams(c) })
 	p.link.start(func() { p.receiveQueries(c) })
 	for {
 		data, err := c.ReceiveDatagram(c.Context())
 		if err != nil {
+			p.remove(c, err)
 			return
 		}
 		p.handle(c, data)
--- /dev/null
+++ b/internal/link/time_test.go
@@ -0,0 +1,192 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/peridotlb/peridotlb/internal/message"
+)
+
+// memoryNet carries packets between links inside a synctest bubble, where the
+// clock advances when all goroutines wait.
+type memoryNet struct {
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*memoryConn
+	drop  func([]byte) bool
+}
+
+type memoryPacket struct {
+	from netip.AddrPort
+	data []byte
+}
+
+// memoryConn takes its address and system socket from a UDP socket that carries
+// no packets.
+type memoryConn struct {
+	*net.UDPConn
+	net           *memoryNet
+	addr          netip.AddrPort
+	inbox         chan memoryPacket
+	woken, closed chan struct{} // closed by SetReadDeadline and Close
+	wake, end     sync.Once
+}
+
+func (m *memoryNet) open(addr netip.AddrPort) (udpConn, error) {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	c := &memoryConn{UDPConn: udp, net: m, addr: unmapped(udp.LocalAddr()), inbox: make(chan memoryPacket, 1024), woken: make(chan struct{}), closed: make(chan struct{})}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.conns[c.addr] = c
+	return c, nil
+}
+
+func (c *memoryConn) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+	select {
+	case p := <-c.inbox:
+		return copy(b, p.data), p.from, nil
+	case <-c.closed:
+		return 0, netip.AddrPort{}, net.ErrClosed
+	case <-c.woken:
+		return 0, netip.AddrPort{}, os.ErrDeadlineExceeded
+	}
+}
+
+func (c *memoryConn) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	if peer := c.net.conns[to]; peer != nil && (c.net.drop == nil || !c.net.drop(b)) {
+		select {
+		case peer.inbox <- memoryPacket{c.addr, bytes.Clone(b)}:
+		default:
+		}
+	}
+	return len(b), nil
+}
+
+func (c *memoryConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() {
+		c.wake.Do(func() { close(c.woken) })
+	}
+	return nil
+}
+
+func (c *memoryConn) Close() error {
+	c.net.mu.Lock()
+	if c.net.conns[c.addr] == c {
+		delete(c.net.conns, c.addr)
+	}
+	c.net.mu.Unlock()
+	c.end.Do(func() { close(c.closed) })
+	return c.UDPConn.Close()
+}
+
+// inBubble runs a test with two links and a clock that doesn't depend on the
+// machine.
+func inBubble(t *testing.T, test func(t *testing.T, f fleet, m *memoryNet, a, b node)) {
+	synctest.Test(t, func(t *testing.T) {
+		f, m := newFleet(t), &memoryNet{conns: map[netip.AddrPort]*memoryConn{}}
+		open := func(c *Config) { c.open = m.open }
+		a, b := f.listen(f.host(), open), f.listen(f.host(), open)
+		test(t, f, m, a, b)
+		_, _ = a.Close(), b.Close()
+	})
+}
+
+func TestIdleClose(t *testing.T) { // guards against connections to former neighbours that stay open
+	inBubble(t, func(t *testing.T, _ fleet, _ *memoryNet, a, b node) {
+		a.Send(b.Addr(), message.Announce{Number: 1})
+		<-b.received
+		time.Sleep(idleTimeout - time.Second)
+		if got := a.connections(b); got != 1 {
+			t.Errorf("before the timeout: got %d connections, want 1", got)
+		}
+		packets := a.Traffic().Total.PacketsSent
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if got := a.connections(b) + b.connections(a); got != 0 {
+			t.Errorf("after the timeout: got %d connections, want none", got)
+		}
+		if got := a.Traffic().Total.PacketsSent; got != packets {
+			t.Errorf("got %d packets while idle, want none", got-packets)
+		}
+	})
+}
+
+func TestStreamDeadline(t *testing.T) { // guards against streams that a slow peer holds open for ever
+	inBubble(t, func(t *testing.T, _ fleet, _ *memoryNet, a, b node) {
+		c, err := a.peer(b.Addr()).connection(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := c.OpenUniStream()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Write([]byte{message.ProtocolVersion}); err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		<-s.Context().Done()
+		var canceled *quic.StreamError
+		if err := context.Cause(s.Context()); !errors.As(err, &canceled) || canceled.ErrorCode != streamCanceled {
+			t.Errorf("stream ended with %v, want code %d", err, streamCanceled)
+		}
+		if got := time.Since(start); got < streamTimeout || got > streamTimeout+time.Second {
+			t.Errorf("stream ended after %v of the bubble's time, want %v", got, streamTimeout)
+		}
+		a.Send(b.Addr(), message.Announce{Number: 1})
+		<-b.received
+	})
+}
+
+func TestRefusedCertificate(t *testing.T) { // guards against a handshake for every message to a peer that refuses this host
+	inBubble(t, func(t *testing.T, f fleet, m *memoryNet, a, _ node) {
+		foreign := fleet{t, newFleet(t).ca}
+		server, client, err := LoadTLS(foreign.files(foreign.host()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		// It accepts the fleet's certificates, so that only its own is refused.
+		_, trusting, err := LoadTLS(f.files(f.host()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		client.VerifyConnection = trusting.VerifyConnection
+		bad := foreign.listen(foreign.host(), func(c *Config) { c.open, c.Server, c.Client = m.open, server, client })
+		defer func() { _ = bad.Close() }()
+		p := bad.peer(a.Addr())
+		for failures := 1; failures < 8; failures++ {
+			bad.Send(a.Addr(), message.Announce{Number: 1})
+			synctest.Wait()
+			time.Sleep(minBackoff / 4)
+			synctest.Wait()
+			if p.failures != failures || len(p.conns) != 0 {
+				t.Fatalf("got %d failures and %d connections, want %d and none; log: %v", p.failures, len(p.conns), failures, bad.logs.All())
+			}
+			wait := time.Until(p.notBefore)
+			if low, high := backoff(failures, 0), backoff(failures, 1); wait < low-time.Second/10 || wait > high {
+				t.Errorf("after %d failures: got a wait of %v, want %v to %v", failures, wait, low, high)
+			}
+			packets, dropped := bad.Traffic().Total.PacketsSent, bad.Dropped()
+			bad.Send(a.Addr(), message.Announce{Number: 1})
+			synctest.Wait()
+			if sent, lost := bad.Traffic().Total.PacketsSent-packets, bad.Dropped()-dropped; sent != 0 || lost != 1 {
+				t.Errorf("after %d failures: got %d packets and %d dropped messages during the wait, want 0 and 1", failures, sent, lost)
+			}
+			time.Sleep(wait)
+		}
+	})
+}
