Assemble a version from the one before

The profile showed regular expressions (47%), the formatted size (40%) and labels of faults that were not there. Change: sections with the same name, team, digest and size are taken from the base; checks that concern several sections still run over all of them. The formatted size is checked at acceptance only. Names and paths are checked without regular expressions. Ruled out: trusting the accepting daemon's check, since a daemon must refuse a bad version whatever sent it.

--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -25,22 +24,66 @@
 	MinTimeout = time.Millisecond
 )
 
-var (
-	nameForm = regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
-	// Percent signs are left out because a prefix would otherwise match or
-	// not depending on how the caller encoded the path.
-	pathForm   = regexp.MustCompile(`^/[A-Za-z0-9._~!$&'()*+,;=:@/-]*$`)
-	methodForm = regexp.MustCompile(`^[A-Z]+(-[A-Z]+)*$`)
-)
+// pathCharacters are the characters of a path prefix other than letters and
+// digits. Percent signs are left out because a prefix would otherwise match or
+// not depending on how the caller encoded the path.
+const pathCharacters = "._~!$&'()*+,;=:@/-"
 
-// ValidName reports whether s is kebab case and not too long.
-func ValidName(s string) bool { return len(s) <= MaxName && nameForm.MatchString(s) }
+// ValidName reports whether s is kebab case and not too long. It does without
+// a regular expression, since every daemon checks all names of a version.
+func ValidName(s string) bool {
+	return len(s) <= MaxName && s != "" && lower(s[0]) && hyphenated(s, func(b byte) bool { return lower(b) || digit(b) })
+}
 
-// Check checks a document without positions. The error is Faults.
-func Check(d Document) error {
-	c := checker{report: func(faults *Faults, _ place, message string) {
+func lower(b byte) bool { return 'a' <= b && b <= 'z' }
+func upper(b byte) bool { return 'A' <= b && b <= 'Z' }
+func digit(b byte) bool { return '0' <= b && b <= '9' }
+
+// hyphenated reports whether s consists of allowed bytes with single hyphens
+// between them.
+func hyphenated(s string, allowed func(byte) bool) bool {
+	hyphen := true // a word must come next
+	for i := range len(s) {
+		switch {
+		case allowed(s[i]):
+			hyphen = false
+		case s[i] == '-' && !hyphen:
+			hyphen = true
+		default:
+			return false
+		}
+	}
+	return !hyphen
+}
+
+func validMethod(m string) bool { return len(m) <= MaxName && hyphenated(m, upper) }
+
+func validPathByte(b byte) bool {
+	return lower(b) || upper(b) || digit(b) || strings.IndexByte(pathCharacters, b) >= 0
+}
+
+// CheckSuccessor checks a document whose sections other than the changed ones
+// are part of a document that was checked before: it checks the changed
+// sections and everything that concerns several sections.
+func CheckSuccessor(d Document, changed func(SectionName) bool) error {
+	c := newChecker()
+	c.unchanged = func(n SectionName) bool { return !changed(n) }
+	c.document(d)
+	if len(c.faults) > 0 {
+		return c.faults
+	}
+	return nil
+}
+
+func newChecker() checker {
+	return checker{report: func(faults *Faults, _ place, message string) {
 		*faults = append(*faults, Fault{Message: message})
 	}}
+}
+
+// Check checks a document without positions. The error is Faults.
+func Check(d Document) error {
+	c := newChecker()
 	c.document(d)
 	if len(c.faults) == 0 && formattedSize(d) > MaxBytes {
 		c.fault(place{}, "document is larger than %d bytes when formatted", MaxBytes)
@@ -56,8 +99,30 @@
 type checker struct {
 	faults Faults
 	report func(faults *Faults, at place, message string)
+	// unchanged selects sections whose own content was checked before; nil
+	// selects none.
+	unchanged func(SectionName) bool
+}
+
+// label names a part of the document in a message. It is formatted only when
+// there is a fault.
+type label struct {
+	section SectionName
+	kind    string // "service", "route" or empty
+	name    string
+}
+
+// String returns, for example, section "stock": service "bead-stock".
+func (l label) String() string {
+	if l.kind == "" {
+		return fmt.Sprintf("section %q", l.section)
+	}
+	return fmt.Sprintf("section %q: %s %q", l.section, l.kind, l.name)
 }
 
+// part names the kind of a part that may have no name.
+func (l label) part() string { return fmt.Sprintf("section %q: %s", l.section, l.kind) }
+
 func (c *checker) fault(at place, format string, args ...any) {
 	c.report(&c.faults, at, fmt.Sprintf(format, args...))
 }
@@ -71,29 +136,33 @@
 	routes := map[RouteName]SectionName{}
 	for i, s := range d.Sections {
 		at := place{section: i + 1}
-		label := fmt.Sprintf("section %q", s.Name)
-		c.name(at, "section", string(s.Name))
-		if !validTeam(s.Team) {
-			c.badName(at.in("team"), label+": team", string(s.Team))
+		here := label{section: s.Name}
+		known := c.unchanged != nil && c.unchanged(s.Name)
+		if !known {
+			c.section(at, here, s)
 		}
 		if sections[s.Name] && s.Name != "" {
-			c.fault(at.in("name"), "%s is defined twice", label)
+			c.fault(at.in("name"), "%s is defined twice", here)
 		}
 		sections[s.Name] = true
 		for j, v := range s.Services {
 			at := place{section: i + 1, kind: serviceItem, item: j + 1}
-			c.service(at, label, v)
+			if !known {
+				c.service(at, label{s.Name, "service", string(v.Name)}, v)
+			}
 			if other, ok := services[v.Name]; ok && v.Name != "" {
-				c.fault(at.in("name"), "%s: service %q is already defined in section %q", label, v.Name, other)
+				c.fault(at.in("name"), "%s: service %q is already defined in section %q", here, v.Name, other)
 				continue
 			}
 			services[v.Name] = s.Name
 		}
 		for j, r := range s.Routes {
 			at := place{section: i + 1, kind: routeItem, item: j + 1}
-			c.route(at, label, r)
+			if !known {
+				c.route(at, label{s.Name, "route", string(r.Name)}, r)
+			}
 			if other, ok := routes[r.Name]; ok && r.Name != "" {
-				c.fault(at.in("name"), "%s: route %q is already defined in section %q", label, r.Name, other)
+				c.fault(at.in("name"), "%s: route %q is already defined in section %q", here, r.Name, other)
 				continue
 			}
 			routes[r.Name] = s.Name
@@ -103,14 +172,17 @@
 	c.overlaps(d)
 }
 
-func validTeam(t TeamName) bool { return ValidName(string(t)) }
-
-func (c *checker) name(at place, what, name string) {
-	if !ValidName(name) {
-		c.badName(at.in("name"), what, name)
+func (c *checker) section(at place, here label, s Section) {
+	if !ValidName(string(s.Name)) {
+		c.badName(at.in("name"), "section", string(s.Name))
+	}
+	if !validTeam(s.Team) {
+		c.badName(at.in("team"), here.String()+": team", string(s.Team))
 	}
 }
 
+func validTeam(t TeamName) bool { return ValidName(string(t)) }
+
 func (c *checker) badName(at place, what, name string) {
 	switch {
 	case name == "":
@@ -122,9 +194,10 @@
 	}
 }
 
-func (c *checker) service(at place, section string, s Service) {
-	label := fmt.Sprintf("%s: service %q", section, s.Name)
-	c.name(at, section+": service", string(s.Name))
+func (c *checker) service(at place, label label, s Service) {
+	if !ValidName(string(s.Name)) {
+		c.badName(at.in("name"), label.part(), string(s.Name))
+	}
 	if s.Slots == 0 {
 		c.fault(at.in("slots"), "%s: slots must be 1 to 65535", label)
 	}
@@ -137,22 +210,23 @@
 	for i, h := range s.SuspendedHosts {
 		el := at.in("suspended-hosts").at(i)
 		if !ValidName(string(h)) {
-			c.badName(el, label+": suspended host", string(h))
+			c.badName(el, label.String()+": suspended host", string(h))
 		} else if slices.Contains(s.SuspendedHosts[:i], h) {
 			c.fault(el, "%s: suspended host %q is listed twice", label, h)
 		}
 	}
 }
 
-func (c *checker) route(at place, section string, r Route) {
-	label := fmt.Sprintf("%s: route %q", section, r.Name)
-	c.name(at, section+": route", string(r.Name))
+func (c *checker) route(at place, label label, r Route) {
+	if !ValidName(string(r.Name)) {
+		c.badName(at.in("name"), label.part(), string(r.Name))
+	}
 	if problem := pathProblem(r.PathPrefix); problem != "" {
 		c.fault(at.in("path-prefix"), "%s: path-prefix %s", label, problem)
 	}
 	for i, m := range r.Methods {
 		el := at.in("methods").at(i)
-		if len(m) > MaxName || !methodForm.MatchString(m) {
+		if !validMethod(m) {
 			c.fault(el, "%s: method %q is not an upper-case HTTP method", label, m)
 		} else if slices.Contains(r.Methods[:i], m) {
 			c.fault(el, "%s: method %q is listed twice", label, m)
@@ -180,7 +254,7 @@
 		return fmt.Sprintf("is longer than %d bytes", MaxPath)
 	case p[0] != '/':
 		return fmt.Sprintf("%q must start with a slash", p)
-	case !pathForm.MatchString(p):
+	case !allBytes(p, validPathByte):
 		return fmt.Sprintf("%q has characters that are not allowed in a path prefix", p)
 	case strings.Contains(p, "//"):
 		return fmt.Sprintf("%q has an empty segment", p)
@@ -193,6 +267,15 @@
 	return ""
 }
 
+func allBytes(s string, allowed func(byte) bool) bool {
+	for i := range len(s) {
+		if !allowed(s[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 // references reports the routes whose service does not exist.
 func (c *checker) references(d Document, services map[backend.ServiceName]SectionName) {
 	for i, s := range d.Sections {
@@ -218,7 +301,10 @@
 				continue
 			}
 			at := place{section: i + 1, kind: routeItem, item: j + 1, field: "path-prefix"}
-			methods := slices.Compact(slices.Sorted(slices.Values(r.Methods)))
+			methods := r.Methods
+			if !slices.IsSorted(methods) {
+				methods = slices.Compact(slices.Sorted(slices.Values(methods)))
+			}
 			if len(methods) == 0 {
 				methods = []string{every}
 			}
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -138,14 +138,11 @@
 
 // assemble builds the snapshot that a delta brings.
 func (c *Core) assemble(d message.Delta, base version.Snapshot) (version.Snapshot, error) {
-	blobs := make(map[version.Digest][]byte, len(d.Manifest.Sections))
-	for _, ref := range base.Manifest().Sections {
-		blobs[ref.Digest] = base.Blob(ref.Digest)
-	}
+	blobs := make(map[version.Digest][]byte, len(d.Blobs))
 	for _, b := range d.Blobs {
 		blobs[version.DigestOf(b)] = b
 	}
-	return version.Assemble(d.Manifest, blobs)
+	return version.Succeed(base, d.Manifest, blobs)
 }
 
 func (c *Core) receiveAnnounce(from netip.AddrPort, n version.Number) {
--- a/internal/version/assemble.go
+++ b/internal/version/assemble.go
@@ -48,21 +48,48 @@
 // It verifies every section and checks the whole document. Content that the
 // manifest does not name is ignored. The blobs must not be changed afterwards.
 func Assemble(m Manifest, blobs map[Digest][]byte) (Snapshot, error) {
+	return Succeed(Snapshot{}, m, blobs)
+}
+
+// Succeed does the same as Assemble and takes the sections that base has from
+// there. They were verified with base; the whole document is checked again for
+// everything that concerns several sections.
+func Succeed(base Snapshot, m Manifest, blobs map[Digest][]byte) (Snapshot, error) {
+	known := base.sections()
+	all := make(map[Digest][]byte, len(m.Sections))
+	changed := make(map[document.SectionName]bool)
 	var d document.Document
 	for i, ref := range m.Sections {
 		if i > 0 && m.Sections[i-1].Name >= ref.Name {
 			return Snapshot{}, fmt.Errorf("assemble version %d: section %q: %w", m.Number, ref.Name, ErrUnsorted)
 		}
-		s, err := verify(ref, blobs[ref.Digest])
-		if err != nil {
-			return Snapshot{}, fmt.Errorf("assemble version %d: section %q: %w", m.Number, ref.Name, err)
+		s, ok := known[ref]
+		if ok {
+			all[ref.Digest] = base.blobs[ref.Digest]
+		} else {
+			var err error
+			if s, err = verify(ref, blobs[ref.Digest]); err != nil {
+				return Snapshot{}, fmt.Errorf("assemble version %d: section %q: %w", m.Number, ref.Name, err)
+			}
+			all[ref.Digest] = blobs[ref.Digest]
+			changed[ref.Name] = true
 		}
 		d.Sections = append(d.Sections, s)
 	}
-	if err := document.Check(d); err != nil {
+	if err := document.CheckSuccessor(d, func(n document.SectionName) bool { return changed[n] }); err != nil {
 		return Snapshot{}, fmt.Errorf("assemble version %d: %w", m.Number, err)
 	}
-	return assemble(m, blobs, d)
+	return assemble(m, all, d)
+}
+
+// sections returns the decoded sections by their references. Name, team, digest
+// and size must all be equal for a section to be taken over.
+func (s Snapshot) sections() map[SectionRef]document.Section {
+	known := make(map[SectionRef]document.Section, len(s.document.Sections))
+	for i, ref := range s.manifest.Sections {
+		known[ref] = s.document.Sections[i]
+	}
+	return known
 }
 
 // verify decodes the content of a section and compares it with the manifest.
