--- a/internal/link/time_test.go
+++ b/internal/link/time_test.go
@@ -15,6 +15,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/version"
 )
 
 // memoryNet carries packets between links inside a synctest bubble, where the
@@ -190,3 +191,19 @@
 		}
 	})
 }
+
+func TestLoss(t *testing.T) { // guards against announcements that get lost or overtake each other
+	inBubble(t, func(t *testing.T, _ fleet, m *memoryNet, a, b node) {
+		packets := 0
+		m.drop = func([]byte) bool { packets++; return packets%5 == 0 }
+		for n := version.Number(1); n <= 100; n++ {
+			a.Send(b.Addr(), message.Announce{Number: n})
+			time.Sleep(10 * time.Millisecond)
+		}
+		for n := version.Number(1); n <= 100; n++ {
+			if got := <-b.received; got.m != (message.Announce{Number: n}) {
+				t.Fatalf("got %+v, want announcement %d", got.m, n)
+			}
+		}
+	})
+}
