--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -193,7 +193,7 @@
 }
 
 func (c *Core) probe(t *probeTarget) {
-	t.nonce = c.random.Uint64()
+	t.nonce = uint64(c.random.Uint32())
 	t.waiting = true
 	t.sentAt = c.now
 	t.nextAt = c.now.Add(t.group.interval())
@@ -297,7 +297,7 @@
 	}
 	slices.SortFunc(dead, compareOrder)
 	e := dead[c.random.IntN(len(dead))]
-	c.send(e.row.ControlAddr, message.Probe{Nonce: c.random.Uint64(), Stamp: c.self().Stamp, Head: c.head()})
+	c.send(e.row.ControlAddr, message.Probe{Nonce: uint64(c.random.Uint32()), Stamp: c.self().Stamp, Head: c.head()})
 }
 
 func (c *Core) receiveProbe(from netip.AddrPort, m message.Probe) {
@@ -331,7 +331,7 @@
 	if target == nil {
 		return
 	}
-	nonce := c.random.Uint64()
+	nonce := uint64(c.random.Uint32())
 	c.probes.relayed[nonce] = relayedProbe{requester: from, request: m, expiresAt: c.now.Add(2 * probeTimeout)}
 	c.send(target.row.ControlAddr, message.Probe{Nonce: nonce, Stamp: c.self().Stamp, Head: c.head()})
 }
