Accept with the versions that the daemon holds

Cause: an accepting daemon read all sections of the head from the object store unless it had accepted the version before itself. Change: the acceptor takes the versions that the core holds.

--- a/internal/daemon/held.go
+++ b/internal/daemon/held.go
@@ -5,7 +5,6 @@
 	"sync"
 
 	"github.com/peridotlb/peridotlb/internal/fleet"
-	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
@@ -31,18 +30,18 @@
 	}
 }
 
-// newest returns the held version with the highest number, or nil.
-func (h *heldVersions) newest() *version.Snapshot {
+// newest returns the held version with the highest number; the zero value when
+// there is none.
+func (h *heldVersions) newest() version.Snapshot {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	if len(h.order) == 0 {
-		return nil
+		return version.Snapshot{}
 	}
-	s := h.snapshots[slices.Max(h.order)]
-	return &s
+	return h.snapshots[slices.Max(h.order)]
 }
 
-func (h *heldVersions) get(n version.Number) (message.Snapshot, bool) {
+func (h *heldVersions) get(n version.Number) (version.Snapshot, bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	s, ok := h.snapshots[n]
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -189,4 +189,7 @@
 }
 
 // heldVersion returns a held snapshot to the codec.
-func (p *parts) heldVersion(n version.Number) (message.Snapshot, bool) { return p.held.get(n) }
+func (p *parts) heldVersion(n version.Number) (message.Snapshot, bool) {
+	s, ok := p.held.get(n)
+	return s, ok
+}
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -96,11 +96,8 @@
 // those of the newest version held, which only sets limits here and routes
 // nothing. A server of a service that it lacks gets the slots that the server
 // announced.
-func gateServices(held *version.Snapshot, own []backend.Server) []document.Service {
-	var services []document.Service
-	if held != nil {
-		services = servicesOf(held.Document())
-	}
+func gateServices(held version.Snapshot, own []backend.Server) []document.Service {
+	services := servicesOf(held.Document())
 	var announced []document.Service
 	for _, s := range own {
 		if s.Slots > 0 {
--- a/internal/daemon/view_test.go
+++ b/internal/daemon/view_test.go
@@ -19,9 +19,9 @@
 		t.Fatal(err)
 	}
 	own := []backend.Server{{Service: "stock", Slots: 4}, {Service: "orders", Slots: 5}, {Service: "prices"}}
-	for want, held := range map[string]*version.Snapshot{
-		"stock 4 4,orders 5 5,":   nil,
-		"stock 9 130,orders 5 5,": &s,
+	for want, held := range map[string]version.Snapshot{
+		"stock 4 4,orders 5 5,":   {},
+		"stock 9 130,orders 5 5,": s,
 	} {
 		got := ""
 		for _, service := range gateServices(held, own) {
--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -17,6 +17,10 @@
 // Config configures an Acceptor. Only Platform is required.
 type Config struct {
 	Platform platform.Service
+	// Held returns a version that this daemon holds, and Newest the newest one,
+	// so that few sections are read from the object store; nil for none.
+	Held   func(version.Number) (version.Snapshot, bool)
+	Newest func() version.Snapshot
 	// Now gives the time of acceptance.
 	Now func() time.Time
 	// Sleep waits between attempts, or returns the error of the context.
@@ -51,6 +55,12 @@
 	if c.Sleep == nil {
 		c.Sleep = sleep
 	}
+	if c.Held == nil {
+		c.Held = func(version.Number) (version.Snapshot, bool) { return version.Snapshot{}, false }
+	}
+	if c.Newest == nil {
+		c.Newest = func() version.Snapshot { return version.Snapshot{} }
+	}
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
@@ -186,6 +196,12 @@
 	if last.Number() == m.Number {
 		return last, nil
 	}
+	if s, ok := p.config.Held(m.Number); ok {
+		return s, nil
+	}
+	if newest := p.config.Newest(); newest.Number() > last.Number() {
+		last = newest
+	}
 	s, err := Load(ctx, timed{p.config.Platform, p.config.CallTimeout}, m, last)
 	if err == nil {
 		p.keep(s)
