Roots that fail are replaced while they are suspect

Three zone roots died, both region roots among them; a suspect kept its place in the tree, and the next rank waited 3 s for its death. Change: suspects have no place in the tree and no role, only in the ring; an answer counts as missed after 0.5 s instead of 1 s.

--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -160,6 +160,20 @@
 	return zones
 }
 
+// withoutSuspects returns the hosts that are not suspect, or all when all are.
+func withoutSuspects(order []*hostEntry) []*hostEntry {
+	alive := make([]*hostEntry, 0, len(order))
+	for _, e := range order {
+		if e.row.State == host.Alive {
+			alive = append(alive, e)
+		}
+	}
+	if len(alive) == 0 {
+		return order
+	}
+	return alive
+}
+
 func compareOrder(a, b *hostEntry) int {
 	return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.row.ID, b.row.ID))
 }
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// joinJitter spreads the table reads of daemons that start at once, two rows
-	// each: 600 starts make 300 reads a second, below the budget of 500.
+	// joinJitter spreads the table reads of daemons that start at once, the
+	// contacts over half of it: 600 starts make at most 450 reads a second, below
+	// the budget of 500.
 	joinJitter = 4 * time.Second
 	// joinInterval is the wait for an answer before the next peer is asked. One
 	// at a time, since each costs a handshake and all rows.
@@ -21,11 +22,17 @@
 	minAloneInterval = 500 * time.Millisecond
 	maxAloneInterval = 5 * time.Second
 	// Time between searches of a zone root for zones that it does not know.
+	// Each costs about 2 kB, over the region link in regions without the table.
 	minSearchInterval = time.Second
-	maxSearchInterval = time.Minute
+	maxSearchInterval = 30 * time.Second
 	firstSearch       = 2 * time.Second
-	// publishInterval is the time between checks of the zone's first contacts.
+	// publishInterval is the least time between changes of the zone's contacts,
+	// and checkInterval the time after which they are checked in any case, and
+	// zones are searched for although all seems known.
 	publishInterval = time.Minute
+	checkInterval   = 30 * time.Minute
+	// contactsCheck is the time between looks at this host's own table.
+	contactsCheck = time.Second
 	// maxContacts is the number of first contacts that a zone publishes.
 	maxContacts = 8
 	// joinAnswersPerSecond limits the snapshots of rows that one daemon sends
@@ -48,6 +55,8 @@
 	searchAt     time.Time
 	searchEvery  time.Duration
 	publishAt    time.Time
+	published    []netip.AddrPort
+	checkAt      time.Time
 	settled      bool // the head row was read, so that the floor is final
 	served       int  // join answers in the current second
 	servedFrom   time.Time
@@ -79,7 +88,9 @@
 	j := &c.join
 	j.started = true
 	j.readHeadAt = c.now.Add(c.jitter(joinJitter))
-	j.readPeersAt = j.readHeadAt
+	// The contacts come first, so that the newest version mostly comes from a
+	// peer before the head row is known.
+	j.readPeersAt = c.now.Add(c.jitter(joinJitter / 2))
 	j.setContacts(c.config.Peers, c.config.Self.ControlAddr)
 	c.record(Record{Kind: "host-started", Host: c.config.Self.ID})
 }
@@ -104,23 +115,50 @@
 	if !c.overlay.isRoot() || !j.contactsRead || c.now.Before(j.searchAt) {
 		return
 	}
-	j.searchEvery = min(max(2*j.searchEvery, minSearchInterval), maxSearchInterval)
+	if c.zonesMissing() {
+		j.searchEvery = min(max(2*j.searchEvery, minSearchInterval), maxSearchInterval)
+	} else {
+		j.searchEvery = checkInterval
+	}
 	j.searchAt = c.now.Add(j.searchEvery/2 + c.jitter(j.searchEvery))
 	c.emit(ReadPeers{AllZones: true})
 }
 
+// zonesMissing reports whether this root may lack zones: it knows no other zone
+// of its region, or no other region when it is the region root, or one of them
+// does not answer.
+func (c *Core) zonesMissing() bool {
+	o := &c.overlay
+	own := c.config.Self
+	if len(o.zoneOrder(own.Region)) < 2 || (c.isRegionRoot() && len(o.otherRegions(own.Region)) == 0) {
+		return true
+	}
+	for _, t := range c.probes.targets {
+		if t.group != ringGroup && c.probes.group(t.group).unreachable {
+			return true
+		}
+	}
+	return false
+}
+
 // runPublish lets the zone root publish first contacts of the zone.
 func (c *Core) runPublish() {
 	j := &c.join
 	if !c.overlay.isRoot() || !j.contactsRead || c.now.Before(j.publishAt) {
 		return
 	}
-	j.publishAt = c.now.Add(publishInterval)
 	order := c.overlay.zones[c.config.Self.Zone]
 	contacts := Contacts{Zone: c.config.Self.Zone, Region: c.config.Self.Region}
 	for _, e := range order[:min(len(order), maxContacts)] {
 		contacts.Addrs = append(contacts.Addrs, e.row.ControlAddr)
 	}
+	if slices.Equal(contacts.Addrs, j.published) && c.now.Before(j.checkAt) {
+		j.publishAt = c.now.Add(contactsCheck)
+		return
+	}
+	j.published = contacts.Addrs
+	j.publishAt = c.now.Add(publishInterval)
+	j.checkAt = c.now.Add(checkInterval)
 	c.emit(PublishContacts{Contacts: contacts})
 }
 
--- a/internal/fleet/overlay.go
+++ b/internal/fleet/overlay.go
@@ -36,11 +36,14 @@
 	}
 	c.hosts.dirty = false
 	o := overlay{zones: c.hosts.liveByZone(), regionOf: make(map[host.AvailabilityZone]host.Region)}
+	ring := o.zones[c.config.Self.Zone]
 	for zone, order := range o.zones {
 		o.regionOf[zone] = order[0].row.Region
 		o.liveOthers += len(order)
+		o.zones[zone] = withoutSuspects(order)
 	}
 	o.placeSelf(c.config.Self)
+	o.placeOnRing(ring, c.config.Self)
 	if o.rank >= 0 {
 		o.liveOthers--
 	}
@@ -48,7 +51,7 @@
 	c.refreshProbeTargets()
 }
 
-// placeSelf finds this host's tree and ring edges in its zone.
+// placeSelf finds this host's tree edges in its zone.
 func (o *overlay) placeSelf(self host.Row) {
 	order := o.zones[self.Zone]
 	o.rank = slices.IndexFunc(order, func(e *hostEntry) bool { return e.row.ID == self.ID })
@@ -61,18 +64,26 @@
 	for i := treeFanOut*o.rank + 1; i <= treeFanOut*o.rank+treeFanOut && i < len(order); i++ {
 		o.children = append(o.children, order[i])
 	}
+}
+
+// placeOnRing finds this host's ring edges. The ring holds suspects too.
+func (o *overlay) placeOnRing(order []*hostEntry, self host.Row) {
+	own := slices.IndexFunc(order, func(e *hostEntry) bool { return e.row.ID == self.ID })
+	if own < 0 {
+		return
+	}
 	// Probes go to the next host that is not suspect, and to the suspects in
 	// between so that they can still answer. One successor is enough: a second
 	// one doubled the probe traffic and found single failures no sooner.
 	for i := 1; i <= maxProbed && i < len(order); i++ {
-		e := order[(o.rank+i)%len(order)]
+		e := order[(own+i)%len(order)]
 		o.next = append(o.next, e)
 		if e.row.State == host.Alive {
 			break
 		}
 	}
 	if len(order) > 1 {
-		o.previous = order[(o.rank+len(order)-1)%len(order)]
+		o.previous = order[(own+len(order)-1)%len(order)]
 	}
 }
 
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -9,13 +9,14 @@
 
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/version"
 )
 
 // Timing of failure detection.
 const (
 	probeInterval       = time.Second
 	linkProbeInterval   = 5 * time.Second // keeps the idle region link below 100 B/s
-	probeTimeout        = time.Second
+	probeTimeout        = 500 * time.Millisecond
 	missesForIndirect   = 3
 	missesForSuspect    = 4
 	missesForNextRank   = 2
@@ -54,7 +55,8 @@
 	sentAt  time.Time
 	nextAt  time.Time
 	misses  int
-	passive bool // the other side probes, so this side does not
+	passive bool           // the other side probes, so this side does not
+	checks  version.Number // pushed version whose arrival the next probe checks
 }
 
 // groupState is the progress through the candidates of a group.
@@ -180,7 +182,7 @@
 		if t.waiting && c.now.Sub(t.sentAt) >= probeTimeout {
 			t.waiting = false
 			t.misses++
-			t.nextAt = c.now
+			t.nextAt = c.now // missed answers are repeated at once
 			moved = c.probeMissed(t) || moved
 		}
 		if !t.waiting && !c.now.Before(t.nextAt) {
@@ -197,6 +199,7 @@
 	t.waiting = true
 	t.sentAt = c.now
 	t.nextAt = c.now.Add(t.group.interval())
+	t.checks = 0
 	c.send(t.addr, message.Probe{Nonce: t.nonce, Stamp: c.self().Stamp, Head: c.head()})
 }
 
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -10,12 +10,14 @@
 )
 
 const (
-	readers             = 2
-	readInterval        = time.Second
-	remoteReadInterval  = 5 * time.Second
-	remoteReadAfter     = 10 * time.Second // without contact over the region link
-	maxReadBackoff      = 10 * time.Second
-	acceptedGrace       = 900 * time.Millisecond // time for the accepting daemon to announce its version
+	readers            = 2
+	readInterval       = time.Second
+	remoteReadInterval = 5 * time.Second
+	remoteReadAfter    = 10 * time.Second // without contact over the region link
+	maxReadBackoff     = 10 * time.Second
+	// acceptedGrace is the time for the accepting daemon to announce its version,
+	// and for a starting daemon to get the newest version from a peer.
+	acceptedGrace       = 900 * time.Millisecond
 	readAnswerTimeout   = 5 * time.Second
 	readJitterDivisor   = 5
 	loadAnswerTimeout   = 10 * time.Second
@@ -112,7 +114,7 @@
 	if r.seen != n {
 		r.seen, r.seenAt = n, c.now
 	}
-	if c.now.Sub(r.seenAt) < acceptedGrace && !c.alone() {
+	if c.now.Sub(r.seenAt) < acceptedGrace {
 		return
 	}
 	c.loadVersion(e)
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -19,7 +19,7 @@
 	// mass restart.
 	fullDeltasPerSecond = 8
 	// pushCheck is the time after a push over the region link at which a probe
-	// checks that it arrived.
+	// checks that it arrived, unless the far end has announced it.
 	pushCheck = 300 * time.Millisecond
 )
 
@@ -111,11 +111,23 @@
 	}
 }
 
-// checkPush brings the next probe of a target forward.
+// checkPush brings the next probe of a target forward. The far end announces
+// the version back when it arrived, which makes the probe unnecessary.
 func (c *Core) checkPush(addr netip.AddrPort) {
 	for _, t := range c.probes.targets {
 		if t.addr == addr && !t.waiting {
 			t.nextAt = c.now.Add(pushCheck)
+			t.checks = c.versions.newest
+		}
+	}
+}
+
+// pushArrived puts off the probe that checkPush brought forward.
+func (c *Core) pushArrived(from netip.AddrPort, held version.Number) {
+	for _, t := range c.probes.targets {
+		if t.addr == from && t.checks != 0 && held >= t.checks {
+			t.checks = 0
+			t.nextAt = c.now.Add(t.group.interval())
 		}
 	}
 }
@@ -154,6 +166,7 @@
 	v := &c.versions
 	v.known = max(v.known, h.Known, h.Held)
 	v.heads[from] = h.Held
+	c.pushArrived(from, h.Held)
 	if h.Held <= v.newest {
 		return
 	}
@@ -235,4 +248,7 @@
 	}
 	c.record(Record{Kind: "version-fetched", Version: n})
 	c.take(s, from)
+	if e := c.hosts.byAddr[from]; e != nil && e.row.Region != c.config.Self.Region {
+		c.send(from, message.Announce{Number: n})
+	}
 }
--- a/internal/fleet/versions_test.go
+++ b/internal/fleet/versions_test.go
@@ -70,3 +70,23 @@
 		}
 	}
 }
+
+// TestRootsFailDuringChange guards against a version that waits for the death
+// of failed roots to be declared: all zone roots, the region roots among them,
+// fail at the moment of acceptance. The promise is 7 s.
+func TestRootsFailDuringChange(t *testing.T) {
+	for seed := range uint64(20) {
+		n := newNetwork(t, 100+seed, 8, nil)
+		n.run(40 * time.Second)
+		n.accept(n.nodes[0], false)
+		n.run(5 * time.Second)
+		for _, nd := range n.nodes[1:] {
+			if nd.core.overlay.isRoot() {
+				n.stop(nd)
+			}
+		}
+		n.accept(n.nodes[0], false)
+		took := n.runUntilApplied(7 * time.Second)
+		t.Logf("seed %d: in force after %v", seed, took)
+	}
+}
