Time per attempt for idempotent calls

Cause: a gate or server that hangs held an idempotent call until its deadline, so that no time was left for another server.

An attempt ends after half of the time left while the route has retries, another server can be chosen and the budget grants the retry. The retry is taken from the budget before the attempt ends, so that a call without one waits on instead of failing. Calls passed to other daemons follow the same rule. Peridotlb-Timeout-Ms still carries the whole time left.

Ruled out: a fixed share in the timeout header. Half per level leaves a 2,048th of the time at the end of an 11-deep chain.

Before (go test -run HungGate ./internal/proxy, with the rule switched off): 504 after the whole second. After: 200 from the other server, one request at the hung gate; paid calls and calls without another server: one request, 504.

--- a/internal/proxy/broken_test.go
+++ b/internal/proxy/broken_test.go
@@ -8,10 +8,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/host"
@@ -212,6 +215,56 @@
 	}
 }
 
+// Guards against a hung gate that uses up the time of an idempotent call, and
+// against a paid call, or one without another server, that is sent again.
+func TestHungGate(t *testing.T) {
+	var hung atomic.Int64
+	m := newMesh(t)
+	m.routes[0].Timeout = time.Second
+	release := make(chan bool)
+	defer close(release)
+	addr := rawServer(t, func(int64, *http.Request, net.Conn) bool { hung.Add(1); <-release; return false })
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }))
+	defer good.Close()
+	gates := map[backend.ServerID]netip.AddrPort{"stock-0": addr}
+	m.startRows([]backend.Server{m.row(0, good), m.row(1, good)}, gates)
+	for hung.Load() == 0 {
+		if got := m.do("GET", "/stock", ""); got.StatusCode != 200 {
+			t.Errorf("got %d %s, want 200 from the other server", got.StatusCode, got.body)
+		}
+	}
+	if hung.Load() != 1 {
+		t.Errorf("got %d requests at the hung gate, want 1", hung.Load())
+	}
+	alone := newMesh(t).startRows([]backend.Server{m.row(0, good)}, gates)
+	for i, path := range []string{"/stock", "/refill"} {
+		got := alone.do("GET", path, "", headerIdempotencyKey, "k", HeaderTimeoutMS, "100")
+		if got.StatusCode != 504 || hung.Load() != int64(i)+2 {
+			t.Errorf("%s: got %d %s after %d requests, want 504 after one more", path, got.StatusCode, got.body, hung.Load())
+		}
+	}
+}
+
+// Guards against an attempt that ends without a retry, too late to leave time
+// for one, or while its response is read.
+func TestAttemptContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct{ mayEnd, stopped, want bool }{{true, false, true}, {false, false, false}, {true, true, false}} {
+			ctx, stop := attemptContext(t.Context(), 2*time.Second, func() bool { return c.mayEnd })
+			if c.stopped {
+				stop()
+			}
+			time.Sleep(time.Second - 1)
+			early := attemptEnded(ctx)
+			time.Sleep(1)
+			synctest.Wait()
+			if early || attemptEnded(ctx) != c.want || (ended(ctx) == reasonAttempt) != c.want {
+				t.Errorf("%+v: got ended before half of the time %v, after it %v", c, early, attemptEnded(ctx))
+			}
+		}
+	})
+}
+
 // Guards against retries that multiply the load on failing servers.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	var runs atomic.Int64
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -173,14 +173,24 @@
 	}
 	for n := 0; ; n++ {
 		x.tried = append(x.tried, choice.Server.ID)
-		r := result{answer: x.attempt(ctx, choice), choice: choice}
+		attempt, stop := ctx, func() {}
+		if !x.match.Route.Paid && n < int(x.match.Route.Retries) && x.call.body.resendable() {
+			attempt, stop = attemptContext(ctx, x.call.deadline.Sub(x.entry.config.Now()), x.mayEnd)
+		}
+		r := result{answer: x.attempt(attempt, choice), choice: choice}
+		stop()
+		if attemptEnded(attempt) && r.reply != nil && r.reply.rest != nil {
+			// The rest of the response can no longer be read.
+			r.reply.close()
+			r.answer = answer{failure: &failure{reason: reasonAttempt}}
+		}
 		if r.failure == nil && (!r.reply.failing() || x.match.Route.Paid) {
 			return r
 		}
 		if r.failure == nil || !r.failure.notRun {
 			x.mayHaveRun = true
 		}
-		if !x.mayRetry(ctx, &r, n) {
+		if !x.mayRetry(ctx, &r, n, attemptEnded(attempt)) {
 			return x.end(r)
 		}
 		x.report(r)
@@ -204,9 +214,24 @@
 	return choice, err
 }
 
+// mayEnd reports whether an attempt that takes long may end for a retry, and
+// takes the retry from the budget. There must be another server to choose.
+func (x *exchange) mayEnd() bool {
+	other, err := x.entry.config.Pool.Pick(x.match.Service.Name, x.tried)
+	if err != nil {
+		return false
+	}
+	other.Done(pool.Result{Outcome: pool.Abandoned})
+	return x.takeRetry()
+}
+
+// takeRetry takes a retry of the call from the budget.
+func (x *exchange) takeRetry() bool { return x.entry.config.Pool.Retry(x.match.Service.Name) }
+
 // mayRetry applies the rules for retries. It notes in r that retries are
-// exhausted, so that callers up the chain do not multiply them.
-func (x *exchange) mayRetry(ctx context.Context, r *result, n int) bool {
+// exhausted, so that callers up the chain do not multiply them. With taken, the
+// retry is already taken from the budget.
+func (x *exchange) mayRetry(ctx context.Context, r *result, n int, taken bool) bool {
 	proved := r.failure != nil && r.failure.notRun
 	switch {
 	case ctx.Err() != nil, !x.call.deadline.After(x.entry.config.Now()), !x.call.body.resendable():
@@ -225,7 +250,7 @@
 		r.noRetry = n > 0
 		return false
 	}
-	if !x.entry.config.Pool.Retry(x.match.Service.Name) {
+	if !taken && !x.takeRetry() {
 		r.noRetry = true
 		x.entry.meters.retriesDenied.Inc()
 		x.event("retry-denied", r.choice.Server.ID, "retry budget of "+string(x.match.Service.Name)+" is used up")
@@ -262,7 +287,7 @@
 	case f == nil && r.reply.status >= http.StatusInternalServerError:
 		outcome = pool.Failed
 	case f == nil:
-	case f.reason == reasonCallerGone, f.reason == reasonDeadline && (f.refused || x.shortened):
+	case f.reason == reasonCallerGone, f.reason == reasonDeadline && (f.refused || x.shortened), f.reason == reasonAttempt && x.shortened:
 		// The caller's own timeout says nothing about the server.
 		outcome = pool.Abandoned
 	case f.refused:
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -20,6 +20,7 @@
 // Reasons that more than one place uses.
 const (
 	reasonDeadline   = "deadline-passed"
+	reasonAttempt    = "attempt-timeout"
 	reasonCallerGone = "caller-gone"
 	reasonCallID     = "call-id-mismatch"
 	reasonCut        = "response-cut"
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -79,7 +79,17 @@
 			break
 		}
 		x.tried = append(x.tried, d.ID)
-		reply, f := x.attempt(ctx, d)
+		attempt, stop := ctx, func() {}
+		if !x.mayBePaid && x.call.body.resendable() {
+			attempt, stop = attemptContext(ctx, x.call.deadline.Sub(x.entry.config.Now()), p.RetryDaemon)
+		}
+		reply, f := x.attempt(attempt, d)
+		stop()
+		if attemptEnded(attempt) && reply != nil && reply.rest != nil {
+			// The rest of the response can no longer be read.
+			reply.close()
+			f = &failure{reason: reasonAttempt}
+		}
 		if f == nil {
 			p.ReportDaemon(d.ID, true)
 			return reply, nil
@@ -92,7 +102,7 @@
 			last = f
 		}
 		mayHaveRun = mayHaveRun || !f.notRun
-		if ended(ctx) != "" || !x.call.body.resendable() || !f.notRun && (x.mayBePaid || !p.RetryDaemon()) {
+		if ended(ctx) != "" || !x.call.body.resendable() || !f.notRun && (x.mayBePaid || !attemptEnded(attempt) && !p.RetryDaemon()) {
 			break
 		}
 	}
