Measure goodput near capacity in virtual time

4 entries, 6 gates with a server of 9 slots each, exponential service time with mean 20 ms, 1 ms per new connection. Entries, pools, gates and net/http are the real ones; connections are pipes in a synctest bubble. Slow: one server takes 10 times as long. Lying: one server fails half of its calls at once with 500. Random and round-robin choice are baselines.

--- /dev/null
+++ b/internal/proxy/goodput_test.go
@@ -0,0 +1,272 @@
+package proxy
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/gate"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/pool"
+	"github.com/peridotlb/peridotlb/internal/route"
+)
+
+var goodputFor = flag.Duration("goodput", 0, "virtual time of each run of TestGoodput; 0 makes one short run")
+
+const (
+	cellEntries  = 4
+	cellServers  = 6
+	cellSlots    = 9
+	cellService  = 20 * time.Millisecond // mean of the exponential service time
+	cellDial     = time.Millisecond      // a new connection
+	cellCapacity = cellServers * cellSlots * float64(time.Second) / float64(cellService)
+)
+
+// cell is a service with its entries, gates and servers in virtual time. The
+// handlers are the real ones; connections are pipes.
+type cell struct {
+	slow, lying int // servers that take 10 times as long, or fail half of their calls at once
+	choose      func(p *pool.Pool, ids []backend.ServerID) Pool
+
+	ids     []backend.ServerID
+	entries []http.Handler
+	pools   []*pool.Pool
+	runs    atomic.Int64
+	dials   map[string]chan net.Conn
+	closers []func()
+}
+
+// listener accepts pipes.
+type listener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *listener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (c *cell) serve(addr string, s *http.Server) {
+	l := &listener{conns: make(chan net.Conn), done: make(chan struct{})}
+	c.dials[addr] = l.conns
+	go func() { _ = s.Serve(l) }()
+	c.closers = append(c.closers, func() { s.Close() })
+}
+
+func (c *cell) dial(_ context.Context, _, addr string) (net.Conn, error) {
+	time.Sleep(cellDial)
+	near, far := net.Pipe()
+	c.dials[addr] <- far
+	return &trackedConn{Conn: near}, nil
+}
+
+func (c *cell) transports(connections int) *Transports {
+	t := NewTransports(TransportConfig{})
+	t.gates.DialContext = c.dial
+	t.backends[connections] = newTransport(backendIdle, connections, connections)
+	t.backends[connections].DialContext = c.dial
+	c.closers = append(c.closers, t.CloseIdle)
+	return t
+}
+
+func (c *cell) backend(i int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c.runs.Add(1)
+		took := time.Duration(rand.ExpFloat64() * float64(cellService))
+		switch {
+		case i < c.slow:
+			took *= 10
+		case i < c.slow+c.lying && rand.IntN(2) == 0:
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		time.Sleep(took)
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+func (c *cell) start() {
+	c.dials = make(map[string]chan net.Conn)
+	services := []document.Service{{Name: "stock", Slots: cellSlots, Connections: 130}}
+	routes := []document.Route{{Name: "read", PathPrefix: "/", Service: "stock", Timeout: time.Second, Retries: 2}}
+	table := route.FromDocument(1, document.Document{Sections: []document.Section{{Services: services, Routes: routes}}})
+	v := pool.View{Services: services}
+	for i := range cellServers {
+		id := host.ID(fmt.Sprint("host-", i))
+		addr := func(port uint16) netip.AddrPort {
+			return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), port)
+		}
+		row := backend.Server{ID: backend.ServerID(fmt.Sprint("stock-", i)), Service: "stock", Host: id, Addr: addr(1), State: backend.Ready}
+		v.Hosts = append(v.Hosts, host.Row{ID: id, Zone: "a", Region: "r", GateAddr: addr(2)})
+		v.Servers = append(v.Servers, row)
+		c.ids = append(c.ids, row.ID)
+		g := gate.New(gate.Config{Self: id})
+		g.Update(services, []backend.Server{row})
+		c.serve(addr(1).String(), &http.Server{Handler: c.backend(i)})
+		c.serve(addr(2).String(), newServer(NewGate(Config{Gate: g, Transports: c.transports(130)})))
+	}
+	for i := range cellEntries {
+		p := pool.New(pool.Config{Self: host.ID(fmt.Sprint("entry-", i)), Zone: "a", Region: "r"})
+		p.Update(v)
+		c.pools = append(c.pools, p)
+		c.entries = append(c.entries, NewEntry(Config{
+			Self: "entry", Pool: c.choose(p, c.ids), Transports: c.transports(0),
+			Routes: func() *route.Table { return table }, Gate: gate.New(gate.Config{}),
+		}))
+	}
+}
+
+// figures are the outcome of a run.
+type figures struct {
+	calls, good, refused, failed int
+	p50, p99                     time.Duration // of good calls
+	runs                         float64       // at the servers, per call
+}
+
+func (f figures) String() string {
+	share := func(n int) float64 { return 100 * float64(n) / float64(max(f.calls, 1)) }
+	return fmt.Sprintf("good %5.1f%%  refused %5.2f%%  failed %5.2f%%  p50 %3d ms  p99 %4d ms  runs per call %.3f",
+		share(f.good), share(f.refused), share(f.failed), f.p50.Milliseconds(), f.p99.Milliseconds(), f.runs)
+}
+
+// drive sends calls at random times for a while and waits for their ends.
+func (c *cell) drive(rate float64, d time.Duration) figures {
+	var mu sync.Mutex
+	var f figures
+	var took []time.Duration
+	var calls sync.WaitGroup
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
+		f.calls++
+		calls.Go(func() {
+			start, w := time.Now(), httptest.NewRecorder()
+			c.entries[rand.IntN(cellEntries)].ServeHTTP(w, httptest.NewRequest("GET", "/stock", nil))
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case w.Code == http.StatusOK:
+				f.good++
+				took = append(took, time.Since(start))
+			case w.Header().Get(HeaderNotRun) == "true":
+				f.refused++
+			default:
+				f.failed++
+			}
+		})
+	}
+	calls.Wait()
+	slices.Sort(took)
+	if len(took) > 0 {
+		f.p50, f.p99 = took[len(took)/2], took[len(took)*99/100]
+	}
+	f.runs = float64(c.runs.Load()) / float64(max(f.calls, 1))
+	return f
+}
+
+func (c *cell) stop() {
+	time.Sleep(10 * time.Second) // servers go on with calls whose caller has gone
+	for _, f := range slices.Backward(c.closers) {
+		f()
+	}
+}
+
+// measure runs a cell in virtual time.
+func (c *cell) measure(t *testing.T, load float64, d time.Duration, during func(c *cell)) (f figures) {
+	synctest.Test(t, func(t *testing.T) {
+		c.start()
+		ctx, cancel := context.WithCancel(t.Context())
+		if during != nil {
+			go func() {
+				for ctx.Err() == nil {
+					during(c)
+				}
+			}()
+		}
+		f = c.drive(load*cellCapacity, d)
+		cancel()
+		c.stop()
+	})
+	return f
+}
+
+// fixed makes a pool choose the server that next names, whatever it knows.
+type fixed struct {
+	*pool.Pool
+	ids  []backend.ServerID
+	next func() int
+}
+
+func (f fixed) Pick(name backend.ServiceName, tried []backend.ServerID) (*pool.Choice, error) {
+	if tried == nil { // counts the call for the retry budget
+		if c, err := f.Pool.Pick(name, nil); err == nil {
+			c.Done(pool.Result{Outcome: pool.Abandoned})
+		}
+	}
+	id := f.ids[f.next()%len(f.ids)]
+	for range f.ids {
+		if !slices.Contains(tried, id) {
+			break
+		}
+		id = f.ids[f.next()%len(f.ids)]
+	}
+	return f.Pool.Pick(name, slices.DeleteFunc(slices.Clone(f.ids), func(other backend.ServerID) bool { return other == id }))
+}
+
+var choosers = []struct {
+	name   string
+	choose func(p *pool.Pool, ids []backend.ServerID) Pool
+}{
+	{"random", func(p *pool.Pool, ids []backend.ServerID) Pool { return fixed{p, ids, rand.Int} }},
+	{"round-robin", func(p *pool.Pool, ids []backend.ServerID) Pool {
+		var n atomic.Int64
+		return fixed{p, ids, func() int { return int(n.Add(1)) }}
+	}},
+	{"pool", func(p *pool.Pool, _ []backend.ServerID) Pool { return p }},
+}
+
+// Measures goodput with one slow server, one that fails half of its calls, and
+// both; the figures are printed with -v.
+func TestGoodput(t *testing.T) {
+	for _, faults := range []struct {
+		name        string
+		slow, lying int
+	}{{"healthy", 0, 0}, {"slow", 1, 0}, {"lying", 0, 1}, {"both", 1, 1}} {
+		for _, load := range []float64{0.7, 0.95, 1.3} {
+			if *goodputFor == 0 && (faults.name != "both" || load != 0.7) {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s/%.0f%%", faults.name, 100*load), func(t *testing.T) {
+				t.Parallel()
+				for _, choice := range choosers {
+					c := &cell{slow: faults.slow, lying: faults.lying, choose: choice.choose}
+					f := c.measure(t, load, max(*goodputFor, time.Second), nil)
+					t.Logf("%-7s %3.0f%% %-11s %v", faults.name, 100*load, choice.name, f)
+					if f.good == 0 || f.good+f.refused+f.failed != f.calls {
+						t.Errorf("got %+v, want good calls and the outcome of every call", f)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -53,12 +53,21 @@
 	return Event{Kind: "ejected", Server: server, Detail: "for " + d.String()}
 }
 
+// Pool chooses backend servers and other daemons; pool.Pool implements it.
+type Pool interface {
+	Pick(service backend.ServiceName, tried []backend.ServerID) (*pool.Choice, error)
+	Retry(service backend.ServiceName) bool
+	PickDaemon(tried []host.ID, applied bool) (pool.Daemon, error)
+	ReportDaemon(id host.ID, applied bool)
+	RetryDaemon() bool
+}
+
 // Config holds what the handlers work with. The entry and the gate of a daemon
 // share one Config.
 type Config struct {
 	Self       host.ID
 	Routes     func() *route.Table // nil table: no version is applied yet
-	Pool       *pool.Pool
+	Pool       Pool
 	Gate       *gate.Gate
 	Claims     Claims // nil refuses paid calls
 	Transports *Transports
