Use a partly failing server before full ones

Cause: a server that fails half of its calls was ejected, and calls that found all others full were refused although it could answer half of them.

A free ejected server whose share of failures is below 0.8 (moving average over about 20 calls) is chosen after the free servers of all tiers and before the full ones. One that fails nearly all calls stays out.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -20,12 +20,15 @@
 	tierCount
 )
 
-// rule tells which members of a tier may be chosen.
-type rule struct{ full, ejected bool }
+// rule tells which members of a tier may be chosen: full ones, all ejected ones
+// or those that still answer a part of their calls.
+type rule struct{ full, ejected, partly bool }
 
 // choose returns a member by two random choices in the first tier that has a
-// member to choose. Full servers come after the free ones of all tiers,
-// ejected ones after the full ones, and suspect hosts last.
+// member to choose. Full servers come after the free ones of all tiers, ejected
+// ones after the full ones, and suspect hosts last. A free ejected server that
+// still answers a part of its calls comes before the full ones, which would
+// refuse most of them.
 func (p *Pool) choose(s *service, tried []backend.ServerID) *member {
 	now := p.config.Now()
 	for i := range s.tiers {
@@ -33,7 +36,7 @@
 			return m
 		}
 	}
-	for _, r := range []rule{{full: true}, {full: true, ejected: true}} {
+	for _, r := range []rule{{partly: true}, {full: true}, {full: true, ejected: true}} {
 		for i := range s.tiers {
 			if m := p.twoChoices(s.tiers[i], tried, r, now); m != nil {
 				return m
@@ -49,7 +52,7 @@
 	var small [SubsetSize * 2]candidate
 	candidates := small[:0]
 	for _, m := range tier {
-		if slices.Contains(tried, m.row.ID) || !r.ejected && m.state.ejected(now) {
+		if slices.Contains(tried, m.row.ID) || !r.ejected && m.state.ejected(now) && !(r.partly && m.state.partly()) {
 			continue
 		}
 		load := m.load(now)
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -10,6 +10,12 @@
 	ejectAfter   = 5 // consecutive failures
 	ejectFirst   = time.Second
 	ejectLongest = 30 * time.Second
+	// shareWeight is the weight of one call in the share of failures, which
+	// covers about the last 20 calls.
+	shareWeight = 0.05
+	// brokenShare is the share of failures from which an ejected server is worse
+	// than a queue at a full one.
+	brokenShare = 0.8
 )
 
 // state is what the entry learned about a server. It outlives the views.
@@ -25,8 +31,9 @@
 	}
 	failures struct {
 		sync.Mutex
-		run  int           // consecutive failures
-		last time.Duration // length of the last ejection; 0 after a success
+		run   int           // consecutive failures
+		share float64       // of failures among recent calls
+		last  time.Duration // length of the last ejection; 0 after a success
 	}
 }
 
@@ -52,12 +59,20 @@
 // succeed ends a run of failures. The result of a call that was sent before
 // the ejection does not end the ejection.
 func (s *state) succeed(now time.Time) {
+	s.failures.Lock()
+	defer s.failures.Unlock()
+	s.failures.share -= shareWeight * s.failures.share
 	if s.ejected(now) {
 		return
 	}
+	s.failures.run, s.failures.last = 0, 0
+}
+
+// partly reports whether the server still answers a part of its calls.
+func (s *state) partly() bool {
 	s.failures.Lock()
 	defer s.failures.Unlock()
-	s.failures.run, s.failures.last = 0, 0
+	return s.failures.share < brokenShare
 }
 
 // fail counts a failure and ejects the server after a run of them, unless half
@@ -79,11 +94,12 @@
 // eject returns the length of the ejection, zero when there is none.
 func (p *Pool) eject(s *service, m *member, now time.Time) time.Duration {
 	st := m.state
+	st.failures.Lock()
+	defer st.failures.Unlock()
+	st.failures.share += shareWeight * (1 - st.failures.share)
 	if st.ejected(now) {
 		return 0
 	}
-	st.failures.Lock()
-	defer st.failures.Unlock()
 	st.failures.run++
 	if st.failures.run < ejectAfter && st.failures.last == 0 {
 		return 0
