Retry idempotent calls that got a 500

Cause: only 502, 503 and 504 counted as failures to retry. A server that answers 500 to half of its calls passed them all to callers, although the design permits retries of idempotent calls after any failure.

Ruled out as harmful: a request that causes 500 everywhere is tried again within the route's retries and the 10% budget only; paid calls are not.

--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -59,8 +59,15 @@
 }
 
 // failing reports whether the status is one of a failed or overloaded server.
+// 500 is among them: the cause may be the request, but the budget bounds what
+// its retries cost.
 func (r *reply) failing() bool {
-	return r.status == http.StatusBadGateway || r.status == http.StatusServiceUnavailable || r.status == http.StatusGatewayTimeout
+	switch r.status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
 }
 
 // close gives up the part of the body that was not read. A nil reply has none.
