Prefer servers that fail less

Cause: a server that fails at once has few calls in flight, so that the choice by load sent it more calls than others.

The share of failures is added to the relative load when two servers are compared; it does not make a server count as full.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -11,6 +11,10 @@
 // so that a full healthy server is preferred to an idle unhealthy one.
 const unhealthyPenalty = 1.0
 
+// failingPenalty is added in proportion to the share of failures. A server that
+// fails at once looks empty and would attract calls.
+const failingPenalty = 1.0
+
 // tiers that are tried in this order.
 const (
 	tierZone   = iota // subset, this zone
@@ -59,6 +63,7 @@
 		if !r.full && load >= 1 {
 			continue
 		}
+		load += failingPenalty * m.state.failing()
 		if m.state.unhealthy.Load() {
 			load += unhealthyPenalty
 		}
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -68,13 +68,16 @@
 	s.failures.run, s.failures.last = 0, 0
 }
 
-// partly reports whether the server still answers a part of its calls.
-func (s *state) partly() bool {
+// failing returns the share of failures among recent calls.
+func (s *state) failing() float64 {
 	s.failures.Lock()
 	defer s.failures.Unlock()
-	return s.failures.share < brokenShare
+	return s.failures.share
 }
 
+// partly reports whether the server still answers a part of its calls.
+func (s *state) partly() bool { return s.failing() < brokenShare }
+
 // fail counts a failure and ejects the server after a run of them, unless half
 // of its peers are ejected already. A server that fails again after an ejection
 // is ejected at once, for twice the time.
