Prefer servers that answer faster

Cause: calls sent to a slow server by load alone set the p99 of the service: 195 ms at 70% of capacity against 93 ms without it.

A mean latency above 3 times the lowest one of the tier adds 0.5 to the relative load. A mean is forgotten after 5 s, so that a server that was slow is tried again. Also: TestGoodput fails when the pool is worse than the baselines, and a pool test covers the new preferences.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -15,6 +15,13 @@
 // fails at once looks empty and would attract calls.
 const failingPenalty = 1.0
 
+// slowPenalty is added for a server whose mean latency is above slowFactor
+// times the lowest one of its tier.
+const (
+	slowPenalty = 0.5
+	slowFactor  = 3
+)
+
 // tiers that are tried in this order.
 const (
 	tierZone   = iota // subset, this zone
@@ -67,8 +74,9 @@
 		if m.state.unhealthy.Load() {
 			load += unhealthyPenalty
 		}
-		candidates = append(candidates, candidate{m, load})
+		candidates = append(candidates, candidate{m, load, m.state.mean(now)})
 	}
+	penaliseSlow(candidates)
 	n := len(candidates)
 	if n == 0 {
 		return nil
@@ -91,6 +99,21 @@
 type candidate struct {
 	member *member
 	load   float64
+	mean   time.Duration // latency; 0 when unknown
+}
+
+func penaliseSlow(candidates []candidate) {
+	var lowest time.Duration
+	for _, c := range candidates {
+		if c.mean > 0 && (lowest == 0 || c.mean < lowest) {
+			lowest = c.mean
+		}
+	}
+	for i := range candidates {
+		if candidates[i].mean > slowFactor*lowest {
+			candidates[i].load += slowPenalty
+		}
+	}
 }
 
 // load is the use of the server relative to its slots: own calls in flight and
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -103,6 +103,8 @@
 	// InFlight and Slots are the load that the gate reported; Slots zero means
 	// that it did not.
 	InFlight, Slots int
+	// Took is the time that the server took; zero when unknown.
+	Took time.Duration
 }
 
 // Pick chooses a server of a service that is not in tried. With nil tried, it
@@ -161,6 +163,9 @@
 	switch r.Outcome {
 	case Succeeded:
 		st.succeed(now)
+		if r.Took > 0 {
+			st.answered(now, r.Took)
+		}
 	case Failed:
 		c.pool.fail(c.member, now)
 	case Refused, Abandoned:
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -155,6 +155,51 @@
 	pick(t, p)
 }
 
+// Guards against a slow or failing server that looks empty and attracts calls,
+// against calls refused by full servers while an ejected one answers a part of
+// its calls, and against work for an ejected one that answers none.
+func TestPreferenceByResults(t *testing.T) {
+	p, _ := newPool(1)
+	p.Update(viewOf(9, 2, 0, 0))
+	only := func(id backend.ServerID) *Choice {
+		return pick(t, p, map[backend.ServerID]backend.ServerID{"a-0": "a-1", "a-1": "a-0"}[id])
+	}
+	first := func() backend.ServerID {
+		c := pick(t, p)
+		defer c.Done(Result{Outcome: Abandoned})
+		return c.Server.ID
+	}
+	only("a-1").Done(Result{Took: time.Millisecond})
+	only("a-0").Done(Result{Took: time.Second})
+	for range 20 {
+		if first() != "a-1" {
+			t.Fatal("slow server: it was preferred")
+		}
+	}
+	only("a-0").Done(Result{Outcome: Failed})
+	only("a-1").Done(Result{Took: time.Second})
+	for range 20 {
+		if first() != "a-1" {
+			t.Fatal("failing server: it was preferred")
+		}
+	}
+	for range ejectAfter {
+		only("a-0").Done(Result{Outcome: Failed})
+	}
+	for range 9 {
+		only("a-1")
+	}
+	if got := first(); got != "a-0" {
+		t.Errorf("full server: got %s, want the ejected one, which answered some calls", got)
+	}
+	for range 100 {
+		only("a-0").Done(Result{Outcome: Failed})
+	}
+	if got := first(); got != "a-1" {
+		t.Errorf("broken server: got %s, want the queue of the full one", got)
+	}
+}
+
 // Guards against endless ejections, ejections that do not grow, and results
 // from before the ejection that end or extend it.
 func TestEjectionDoubles(t *testing.T) {
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -10,9 +10,12 @@
 	ejectAfter   = 5 // consecutive failures
 	ejectFirst   = time.Second
 	ejectLongest = 30 * time.Second
-	// shareWeight is the weight of one call in the share of failures, which
-	// covers about the last 20 calls.
+	// shareWeight is the weight of one call in the share of failures and in the
+	// mean latency, which cover about the last 20 calls.
 	shareWeight = 0.05
+	// latencyLifetime is the time after which a mean latency is forgotten, so that
+	// a server that was slow is tried again.
+	latencyLifetime = 5 * time.Second
 	// brokenShare is the share of failures from which an ejected server is worse
 	// than a queue at a full one.
 	brokenShare = 0.8
@@ -29,6 +32,11 @@
 		others, slots int64
 		at            time.Time
 	}
+	latency struct {
+		sync.Mutex
+		mean time.Duration // moving average over calls that succeeded
+		at   time.Time
+	}
 	failures struct {
 		sync.Mutex
 		run   int           // consecutive failures
@@ -56,6 +64,27 @@
 	return s.load.others, s.load.slots
 }
 
+// answered takes the time that the server took for a call.
+func (s *state) answered(now time.Time, took time.Duration) {
+	s.latency.Lock()
+	defer s.latency.Unlock()
+	if now.Sub(s.latency.at) >= latencyLifetime {
+		s.latency.mean = took
+	}
+	s.latency.mean += time.Duration(shareWeight * float64(took-s.latency.mean))
+	s.latency.at = now
+}
+
+// mean returns the mean time of recent calls, or 0 when there was none.
+func (s *state) mean(now time.Time) time.Duration {
+	s.latency.Lock()
+	defer s.latency.Unlock()
+	if now.Sub(s.latency.at) >= latencyLifetime {
+		return 0
+	}
+	return s.latency.mean
+}
+
 // succeed ends a run of failures. The result of a call that was sent before
 // the ejection does not end the ejection.
 func (s *state) succeed(now time.Time) {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -295,7 +295,7 @@
 	default:
 		outcome = pool.Failed
 	}
-	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots})
+	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots, Took: r.server})
 }
 
 // attempt sends the call to one server.
--- a/internal/proxy/goodput_test.go
+++ b/internal/proxy/goodput_test.go
@@ -245,7 +245,8 @@
 	{"pool", func(p *pool.Pool, _ []backend.ServerID) Pool { return p }},
 }
 
-// Measures goodput with one slow server, one that fails half of its calls, and
+// Guards against a choice of servers that is worse than a random or round-robin
+// one. Measures goodput with one slow server, one that fails half of its calls, and
 // both; the figures are printed with -v.
 func TestGoodput(t *testing.T) {
 	for _, faults := range []struct {
@@ -258,13 +259,20 @@
 			}
 			t.Run(fmt.Sprintf("%s/%.0f%%", faults.name, 100*load), func(t *testing.T) {
 				t.Parallel()
-				for _, choice := range choosers {
+				best := 0.0
+				for _, choice := range choosers { // the baselines come first
 					c := &cell{slow: faults.slow, lying: faults.lying, choose: choice.choose}
 					f := c.measure(t, load, max(*goodputFor, time.Second), nil)
 					t.Logf("%-7s %3.0f%% %-11s %v", faults.name, 100*load, choice.name, f)
 					if f.good == 0 || f.good+f.refused+f.failed != f.calls {
 						t.Errorf("got %+v, want good calls and the outcome of every call", f)
 					}
+					good := float64(f.good) / float64(f.calls)
+					// Runs of the same choice differ by up to 0.02.
+					if choice.name == "pool" && good < best-0.03 {
+						t.Errorf("got goodput %.3f, want at least that of the baselines, %.3f", good, best)
+					}
+					best = max(best, good)
 				}
 			})
 		}
