Health of a server on the load header

Cause: a failed health probe lowered the preference only at the daemon of the server's own host; entries elsewhere never learned it.

The gate adds ";health=failing" to Peridotlb-Load while the last probe failed. The entry believes it as long as a reported load (1 s), then tries the server again and learns its present state. This costs no control bytes. Refusals carry it too.

Cost: an entry that sends no calls to the server does not know its health, which then has no effect either. A daemon of an older release reads a load with the mark as unknown.

Before: the share of a failing server at remote entries was that of a healthy one. After (go test ./internal/pool -run Preference): 0 of 100 calls while another server is free.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -181,7 +181,10 @@
 	d.announcements = announcement.New(announcement.Config{
 		Lease:    s.AnnounceLease,
 		Announce: func(b backend.Server) { d.loop.post(ctx, fleet.ServerAnnounced{Server: b}) },
-		Health:   d.pool.SetHealth,
+		Health: func(id backend.ServerID, healthy bool) {
+			d.pool.SetHealth(id, healthy)
+			d.gate.SetHealth(id, healthy)
+		},
 	})
 	operatorServer := &http.Server{Handler: api, ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 30 * time.Second}
 	if s.OperatorTLS {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -104,7 +104,18 @@
 type Load struct {
 	InFlight int
 	Queued   int
-	Slots    int // slots usable now; lower than configured during slow start
+	Slots    int  // slots usable now; lower than configured during slow start
+	Failing  bool // the last health probe failed
+}
+
+// SetHealth takes the result of a health probe. It changes what Load tells, and
+// not what is admitted, because a probe can be stale or misleading.
+func (g *Gate) SetHealth(id backend.ServerID, healthy bool) {
+	if s := (*g.servers.Load())[id]; s != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.failing = !healthy
+	}
 }
 
 // Load returns the use of a backend server; zero when it is unknown.
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -24,6 +24,7 @@
 	drained     bool       // by Drain, whatever the row says
 	drainedAt   host.Stamp // stamp of the row when drained
 	inFlight    int
+	failing     bool // the last health probe failed
 	queue       []*waiter
 	idle        chan struct{} // closed and replaced when nothing is in flight
 }
@@ -112,7 +113,7 @@
 }
 
 func (s *server) load() Load {
-	return Load{InFlight: s.inFlight, Queued: len(s.queue), Slots: s.limit()}
+	return Load{InFlight: s.inFlight, Queued: len(s.queue), Slots: s.limit(), Failing: s.failing}
 }
 
 func (s *server) enter(ctx context.Context) (*Pass, error) {
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		load += failingPenalty * m.state.failing()
-		if m.state.unhealthy.Load() {
+		if m.state.probeFailed(now) {
 			load += unhealthyPenalty
 		}
 		candidates = append(candidates, candidate{m, load, m.state.mean(now)})
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -103,6 +103,8 @@
 	// InFlight and Slots are the load that the gate reported; Slots zero means
 	// that it did not.
 	InFlight, Slots int
+	// Failing says that the gate reported a failed health probe.
+	Failing bool
 	// Took is the time that the server took; zero when unknown.
 	Took time.Duration
 }
@@ -153,6 +155,9 @@
 	now := c.pool.config.Now()
 	st := c.member.state
 	own := st.inFlight.Add(-1)
+	if r.Slots > 0 {
+		st.reportHealth(now, r.Failing)
+	}
 	switch {
 	case r.Outcome == Refused:
 		// A refusing server counts as full until the report expires.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -150,6 +150,13 @@
 	if got := share(); got != 0 {
 		t.Errorf("unhealthy server: got %d of 100 calls, want 0", got)
 	}
+	p.SetHealth(busy, true)
+	for _, failing := range []bool{true, false} {
+		pick(t, p, map[bool]backend.ServerID{true: "a-1", false: "a-0"}[busy == "a-0"]).Done(Result{Slots: 9, Failing: failing})
+		if got := share(); (got == 0) != failing {
+			t.Errorf("gate reports failing %v: got %d of 100 calls", failing, got)
+		}
+	}
 	p.Update(viewOf(9, 1, 0, 0))
 	p.SetHealth("a-0", false)
 	pick(t, p)
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -23,9 +23,10 @@
 
 // state is what the entry learned about a server. It outlives the views.
 type state struct {
-	inFlight  atomic.Int64
-	unhealthy atomic.Bool
-	until     atomic.Int64 // end of the ejection, Unix nanoseconds; 0 for none
+	inFlight     atomic.Int64
+	unhealthy    atomic.Bool  // a probe of this host failed
+	probeFailing atomic.Int64 // end of the time for which a gate's report of a failed probe counts, Unix nanoseconds
+	until        atomic.Int64 // end of the ejection, Unix nanoseconds; 0 for none
 
 	load struct {
 		sync.Mutex
@@ -47,6 +48,20 @@
 
 func (s *state) ejected(now time.Time) bool { return s.until.Load() > now.UnixNano() }
 
+// reportHealth takes the result of a health probe that the gate reported.
+func (s *state) reportHealth(now time.Time, failing bool) {
+	if failing {
+		s.probeFailing.Store(now.Add(reportLifetime).UnixNano())
+	} else if s.probeFailing.Load() != 0 {
+		s.probeFailing.Store(0)
+	}
+}
+
+// probeFailed reports whether the last known health probe failed.
+func (s *state) probeFailed(now time.Time) bool {
+	return s.unhealthy.Load() || s.probeFailing.Load() > now.UnixNano()
+}
+
 // report takes the calls of other entries that the gate counted.
 func (s *state) report(now time.Time, others, slots int) {
 	s.load.Lock()
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -295,7 +295,7 @@
 	default:
 		outcome = pool.Failed
 	}
-	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots, Took: r.server})
+	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots, Failing: r.load.Failing, Took: r.server})
 }
 
 // attempt sends the call to one server.
@@ -354,15 +354,17 @@
 	return &failure{reason: reason, notRun: notRun, refused: notRun && reason != reasonDial, noRetry: h.Get(HeaderNoRetry) == "true"}
 }
 
-// parseLoad reads "<in-flight>/<slots>"; anything else is the zero load.
+// parseLoad reads "<in-flight>/<slots>" with or without failingMark; anything
+// else is the zero load.
 func parseLoad(text string) gate.Load {
+	text, failing := strings.CutSuffix(text, failingMark)
 	a, b, _ := strings.Cut(text, "/")
 	inFlight, err1 := strconv.ParseUint(a, 10, 16)
 	slots, err2 := strconv.ParseUint(b, 10, 16)
 	if err1 != nil || err2 != nil {
 		return gate.Load{}
 	}
-	return gate.Load{InFlight: int(inFlight), Slots: int(slots)}
+	return gate.Load{InFlight: int(inFlight), Slots: int(slots), Failing: failing}
 }
 
 // answer writes the result to the caller.
--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -54,7 +54,7 @@
 		return
 	}
 	a := g.call(ctx, c, server)
-	w.Header()[HeaderLoad] = []string{strconv.Itoa(a.load.InFlight) + "/" + strconv.Itoa(a.load.Slots)}
+	w.Header()[HeaderLoad] = []string{formatLoad(a.load)}
 	if a.failure != nil {
 		g.refuse(w, id, a.failure)
 		return
@@ -64,6 +64,18 @@
 	a.reply.relay(w)
 }
 
+// failingMark follows the load of a server whose last health probe failed. It
+// tells the entries without bytes between daemons.
+const failingMark = ";health=failing"
+
+func formatLoad(l gate.Load) string {
+	text := strconv.Itoa(l.InFlight) + "/" + strconv.Itoa(l.Slots)
+	if l.Failing {
+		text += failingMark
+	}
+	return text
+}
+
 func (g *gateway) refuse(w http.ResponseWriter, id string, f *failure) {
 	w.Header()[HeaderReason] = []string{f.reason}
 	f.write(w, id)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,7 +21,7 @@
 	HeaderTimeoutMS = "Peridotlb-Timeout-Ms"
 	HeaderNotRun    = "Peridotlb-Not-Run"
 	HeaderOutcome   = "Peridotlb-Outcome"
-	HeaderLoad      = "Peridotlb-Load"
+	HeaderLoad      = "Peridotlb-Load" // <in-flight>/<slots>, and ;health=failing
 	HeaderServer    = "Peridotlb-Server"
 	HeaderNoRetry   = "Peridotlb-No-Retry"
 	HeaderReplayed  = "Peridotlb-Replayed"
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -228,6 +228,20 @@
 	}
 }
 
+// Guards against loads that change on the way to the entry, and against a load
+// header that the entry does not understand and takes for a load.
+func TestLoadHeader(t *testing.T) {
+	for text, want := range map[string]gate.Load{
+		"3/9": {InFlight: 3, Slots: 9}, "3/9;health=failing": {InFlight: 3, Slots: 9, Failing: true},
+		"": {}, "3": {}, "-3/9": {}, "3/9;other": {},
+	} {
+		got := parseLoad(text)
+		if got != want || want.Slots > 0 && formatLoad(got) != text {
+			t.Errorf("%q: got %+v, written as %q, want %+v", text, got, formatLoad(got), want)
+		}
+	}
+}
+
 // fixClock makes the clock stand still.
 func (m *mesh) fixClock() time.Time {
 	now := time.Now()
