Measure flapping health against removal of the row

10 servers, the health of 2 changes every 2 s while they serve well; 4 entries; removal: the gate refuses at once and entries get the row 100 ms later. go test ./internal/proxy -run Flapping -goodput=20s -v:

Bytes: 0.5 row changes per second and flapping server. With 240 of 1,200 servers flapping this is 120 changes a second, times 100 bytes and 7 edges 84 KB/s per daemon (computed, not run), against a limit of 2 KB/s.

Not measured: slow start, which a row that comes back would begin again.

Conclusion: the rule stays.

--- a/internal/proxy/goodput_test.go
+++ b/internal/proxy/goodput_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -39,12 +40,16 @@
 // handlers are the real ones; connections are pipes.
 type cell struct {
 	slow, lying int // servers that take 10 times as long, or fail half of their calls at once
+	servers     int // 0 takes cellServers
 	choose      func(p *pool.Pool, ids []backend.ServerID) Pool
 
 	ids     []backend.ServerID
+	view    pool.View
+	gates   []*gate.Gate
 	entries []http.Handler
 	pools   []*pool.Pool
 	runs    atomic.Int64
+	ended   atomic.Bool
 	dials   map[string]chan net.Conn
 	closers []func()
 }
@@ -112,7 +117,7 @@
 	routes := []document.Route{{Name: "read", PathPrefix: "/", Service: "stock", Timeout: time.Second, Retries: 2}}
 	table := route.FromDocument(1, document.Document{Sections: []document.Section{{Services: services, Routes: routes}}})
 	v := pool.View{Services: services}
-	for i := range cellServers {
+	for i := range cmp.Or(c.servers, cellServers) {
 		id := host.ID(fmt.Sprint("host-", i))
 		addr := func(port uint16) netip.AddrPort {
 			return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), port)
@@ -123,9 +128,11 @@
 		c.ids = append(c.ids, row.ID)
 		g := gate.New(gate.Config{Self: id})
 		g.Update(services, []backend.Server{row})
+		c.gates = append(c.gates, g)
 		c.serve(addr(1).String(), &http.Server{Handler: c.backend(i)})
 		c.serve(addr(2).String(), newServer(NewGate(Config{Gate: g, Transports: c.transports(130)})))
 	}
+	c.view = v
 	for i := range cellEntries {
 		p := pool.New(pool.Config{Self: host.ID(fmt.Sprint("entry-", i)), Zone: "a", Region: "r"})
 		p.Update(v)
@@ -193,18 +200,13 @@
 
 // measure runs a cell in virtual time.
 func (c *cell) measure(t *testing.T, load float64, d time.Duration, during func(c *cell)) (f figures) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		c.start()
-		ctx, cancel := context.WithCancel(t.Context())
 		if during != nil {
-			go func() {
-				for ctx.Err() == nil {
-					during(c)
-				}
-			}()
+			go during(c)
 		}
-		f = c.drive(load*cellCapacity, d)
-		cancel()
+		f = c.drive(load*cellCapacity*float64(len(c.ids))/cellServers, d)
+		c.ended.Store(true)
 		c.stop()
 	})
 	return f
@@ -278,3 +280,56 @@
 		}
 	}
 }
+
+// flap changes the health of the first two servers every 2 s. The servers go on
+// serving well. With remove, the gate announces each change as a state of the
+// row, and the daemons of the entries get it 100 ms later.
+func (c *cell) flap(remove bool, changes *int) {
+	for healthy := false; ; healthy = !healthy {
+		time.Sleep(2 * time.Second)
+		for i := range 2 {
+			if !remove {
+				c.gates[i].SetHealth(c.ids[i], healthy)
+				continue
+			}
+			row := &c.view.Servers[i]
+			row.State = backend.Starting
+			if healthy {
+				row.State = backend.Ready
+			}
+			*changes++
+			c.gates[i].Update(c.view.Services, c.view.Servers[i:i+1])
+		}
+		if remove {
+			time.Sleep(100 * time.Millisecond)
+			for _, p := range c.pools {
+				p.Update(c.view)
+			}
+		}
+		if c.ended.Load() {
+			return
+		}
+	}
+}
+
+// Guards against calls that fail because of transient health failures, and
+// measures them against the removal of the row; -goodput sets the time.
+func TestFlappingHealth(t *testing.T) {
+	for _, load := range []float64{0.7, 0.95} {
+		for _, remove := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%.0f%%/remove=%v", 100*load, remove), func(t *testing.T) {
+				t.Parallel()
+				if remove && *goodputFor == 0 {
+					return // the alternative is only measured
+				}
+				changes := 0
+				c := &cell{servers: 10, choose: choosers[2].choose}
+				f := c.measure(t, load, max(*goodputFor, time.Second), func(c *cell) { c.flap(remove, &changes) })
+				t.Logf("%3.0f%% remove %-5v %v  row changes %d", 100*load, remove, f, changes)
+				if !remove && f.failed > 0 {
+					t.Errorf("got %d failed calls, want none", f.failed)
+				}
+			})
+		}
+	}
+}
