Eject hung servers of calls with shortened timeouts

Cause: a timeout that the caller had made shorter than that of the route never counted against the server. Down a call chain every timeout is shorter, so that a hung server there was never ejected and each call lost half of its time to it.

A time-out counts as a failure when the attempt waited for at least a quarter of the route's timeout. Shorter ones still say nothing.

Before, by reading report(): Abandoned for every time-out of a shortened call. After: go test -run TimeoutOfHungServer ./internal/proxy.

--- a/internal/proxy/broken_test.go
+++ b/internal/proxy/broken_test.go
@@ -17,7 +17,9 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/route"
 )
 
 // rawServer serves requests with bytes; serve gets the n-th request of all
@@ -245,6 +247,30 @@
 	}
 }
 
+// Guards against a hung server that is never ejected, because the timeouts of
+// its callers are a little shorter than that of the route; and against one that
+// is ejected because of callers in a hurry.
+func TestTimeoutOfHungServer(t *testing.T) {
+	for _, c := range []struct {
+		reason    string
+		shortened bool
+		waited    time.Duration
+		want      bool
+	}{
+		{reasonAttempt, true, time.Second, false},
+		{reasonDeadline, true, time.Second, false},
+		{reasonAttempt, true, time.Second - 1, true},
+		{reasonDeadline, true, time.Second - 1, true},
+		{reasonDeadline, false, time.Second - 1, false},
+		{reasonCut, true, time.Second - 1, false},
+	} {
+		x := &exchange{shortened: c.shortened, match: route.Match{Route: &document.Route{Timeout: 4 * time.Second}}}
+		if got := x.cutShort(result{answer: answer{failure: &failure{reason: c.reason}}, waited: c.waited}); got != c.want {
+			t.Errorf("%+v: got %v, want %v", c, got, c.want)
+		}
+	}
+}
+
 // Guards against an attempt that ends without a retry, too late to leave time
 // for one, or while its response is read.
 func TestAttemptContext(t *testing.T) {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -163,6 +163,7 @@
 	answer
 	choice  *pool.Choice
 	noRetry bool
+	waited  time.Duration // by the last attempt
 }
 
 // run attempts the call until it has a reply or may not be retried.
@@ -177,7 +178,9 @@
 		if !x.match.Route.Paid && n < int(x.match.Route.Retries) && x.call.body.resendable() {
 			attempt, stop = attemptContext(ctx, x.call.deadline.Sub(x.entry.config.Now()), x.mayEnd)
 		}
+		start := x.entry.config.Now()
 		r := result{answer: x.attempt(attempt, choice), choice: choice}
+		r.waited = x.entry.config.Now().Sub(start)
 		stop()
 		if attemptEnded(attempt) && r.reply != nil && r.reply.rest != nil {
 			// The rest of the response can no longer be read.
@@ -287,8 +290,7 @@
 	case f == nil && r.reply.status >= http.StatusInternalServerError:
 		outcome = pool.Failed
 	case f == nil:
-	case f.reason == reasonCallerGone, f.reason == reasonDeadline && (f.refused || x.shortened), f.reason == reasonAttempt && x.shortened:
-		// The caller's own timeout says nothing about the server.
+	case f.reason == reasonCallerGone, f.reason == reasonDeadline && f.refused, x.cutShort(r):
 		outcome = pool.Abandoned
 	case f.refused:
 		outcome = pool.Refused
@@ -298,6 +300,14 @@
 	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots, Failing: r.load.Failing, Took: r.server})
 }
 
+// cutShort reports whether the caller's own timeout ended the attempt so early
+// that it says nothing about the server. Down a call chain every timeout is
+// shorter than that of the route, and a hung server must still be ejected.
+func (x *exchange) cutShort(r result) bool {
+	timedOut := r.failure.reason == reasonDeadline || r.failure.reason == reasonAttempt
+	return timedOut && x.shortened && r.waited < x.match.Route.Timeout/4
+}
+
 // attempt sends the call to one server.
 func (x *exchange) attempt(ctx context.Context, choice *pool.Choice) answer {
 	if x.call.deadline.Sub(x.entry.config.Now()) <= 0 {
