--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -11,6 +11,17 @@
 // so that a full healthy server is preferred to an idle unhealthy one.
 const unhealthyPenalty = 1.0
 
+// failingPenalty is added in proportion to the share of failures. A server that
+// fails at once looks empty and would attract calls.
+const failingPenalty = 1.0
+
+// slowPenalty is added for a server whose mean latency is above slowFactor
+// times the lowest one of its tier.
+const (
+	slowPenalty = 0.5
+	slowFactor  = 3
+)
+
 // tiers that are tried in this order.
 const (
 	tierZone   = iota // subset, this zone
@@ -20,12 +31,15 @@
 	tierCount
 )
 
-// rule tells which members of a tier may be chosen.
-type rule struct{ full, ejected bool }
+// rule tells which members of a tier may be chosen: full ones, all ejected ones
+// or those that still answer a part of their calls.
+type rule struct{ full, ejected, partly bool }
 
 // choose returns a member by two random choices in the first tier that has a
-// member to choose. Full servers come after the free ones of all tiers,
-// ejected ones after the full ones, and suspect hosts last.
+// member to choose. Full servers come after the free ones of all tiers, ejected
+// ones after the full ones, and suspect hosts last. A free ejected server that
+// still answers a part of its calls comes before the full ones, which would
+// refuse most of them.
 func (p *Pool) choose(s *service, tried []backend.ServerID) *member {
 	now := p.config.Now()
 	for i := range s.tiers {
@@ -33,7 +47,7 @@
 			return m
 		}
 	}
-	for _, r := range []rule{{full: true}, {full: true, ejected: true}} {
+	for _, r := range []rule{{partly: true}, {full: true}, {full: true, ejected: true}} {
 		for i := range s.tiers {
 			if m := p.twoChoices(s.tiers[i], tried, r, now); m != nil {
 				return m
@@ -49,18 +63,20 @@
 	var small [SubsetSize * 2]candidate
 	candidates := small[:0]
 	for _, m := range tier {
-		if slices.Contains(tried, m.row.ID) || !r.ejected && m.state.ejected(now) {
+		if slices.Contains(tried, m.row.ID) || !r.ejected && m.state.ejected(now) && !(r.partly && m.state.partly()) {
 			continue
 		}
 		load := m.load(now)
 		if !r.full && load >= 1 {
 			continue
 		}
-		if m.state.unhealthy.Load() {
+		load += failingPenalty * m.state.failing()
+		if m.state.probeFailed(now) {
 			load += unhealthyPenalty
 		}
-		candidates = append(candidates, candidate{m, load})
+		candidates = append(candidates, candidate{m, load, m.state.mean(now)})
 	}
+	penaliseSlow(candidates)
 	n := len(candidates)
 	if n == 0 {
 		return nil
@@ -83,6 +99,21 @@
 type candidate struct {
 	member *member
 	load   float64
+	mean   time.Duration // latency; 0 when unknown
+}
+
+func penaliseSlow(candidates []candidate) {
+	var lowest time.Duration
+	for _, c := range candidates {
+		if c.mean > 0 && (lowest == 0 || c.mean < lowest) {
+			lowest = c.mean
+		}
+	}
+	for i := range candidates {
+		if candidates[i].mean > slowFactor*lowest {
+			candidates[i].load += slowPenalty
+		}
+	}
 }
 
 // load is the use of the server relative to its slots: own calls in flight and
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -103,6 +103,10 @@
 	// InFlight and Slots are the load that the gate reported; Slots zero means
 	// that it did not.
 	InFlight, Slots int
+	// Failing says that the gate reported a failed health probe.
+	Failing bool
+	// Took is the time that the server took; zero when unknown.
+	Took time.Duration
 }
 
 // Pick chooses a server of a service that is not in tried. With nil tried, it
@@ -151,6 +155,9 @@
 	now := c.pool.config.Now()
 	st := c.member.state
 	own := st.inFlight.Add(-1)
+	if r.Slots > 0 {
+		st.reportHealth(now, r.Failing)
+	}
 	switch {
 	case r.Outcome == Refused:
 		// A refusing server counts as full until the report expires.
@@ -161,6 +168,9 @@
 	switch r.Outcome {
 	case Succeeded:
 		st.succeed(now)
+		if r.Took > 0 {
+			st.answered(now, r.Took)
+		}
 	case Failed:
 		c.pool.fail(c.member, now)
 	case Refused, Abandoned:
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -163,6 +163,7 @@
 	answer
 	choice  *pool.Choice
 	noRetry bool
+	waited  time.Duration // by the last attempt
 }
 
 // run attempts the call until it has a reply or may not be retried.
@@ -173,14 +174,26 @@
 	}
 	for n := 0; ; n++ {
 		x.tried = append(x.tried, choice.Server.ID)
-		r := result{answer: x.attempt(ctx, choice), choice: choice}
+		attempt, stop := ctx, func() {}
+		if !x.match.Route.Paid && n < int(x.match.Route.Retries) && x.call.body.resendable() {
+			attempt, stop = attemptContext(ctx, x.call.deadline.Sub(x.entry.config.Now()), x.mayEnd)
+		}
+		start := x.entry.config.Now()
+		r := result{answer: x.attempt(attempt, choice), choice: choice}
+		r.waited = x.entry.config.Now().Sub(start)
+		stop()
+		if attemptEnded(attempt) && r.reply != nil && r.reply.rest != nil {
+			// The rest of the response can no longer be read.
+			r.reply.close()
+			r.answer = answer{failure: &failure{reason: reasonAttempt}}
+		}
 		if r.failure == nil && (!r.reply.failing() || x.match.Route.Paid) {
 			return r
 		}
 		if r.failure == nil || !r.failure.notRun {
 			x.mayHaveRun = true
 		}
-		if !x.mayRetry(ctx, &r, n) {
+		if !x.mayRetry(ctx, &r, n, attemptEnded(attempt)) {
 			return x.end(r)
 		}
 		x.report(r)
@@ -204,9 +217,24 @@
 	return choice, err
 }
 
+// mayEnd reports whether an attempt that takes long may end for a retry, and
+// takes the retry from the budget. There must be another server to choose.
+func (x *exchange) mayEnd() bool {
+	other, err := x.entry.config.Pool.Pick(x.match.Service.Name, x.tried)
+	if err != nil {
+		return false
+	}
+	other.Done(pool.Result{Outcome: pool.Abandoned})
+	return x.takeRetry()
+}
+
+// takeRetry takes a retry of the call from the budget.
+func (x *exchange) takeRetry() bool { return x.entry.config.Pool.Retry(x.match.Service.Name) }
+
 // mayRetry applies the rules for retries. It notes in r that retries are
-// exhausted, so that callers up the chain do not multiply them.
-func (x *exchange) mayRetry(ctx context.Context, r *result, n int) bool {
+// exhausted, so that callers up the chain do not multiply them. With taken, the
+// retry is already taken from the budget.
+func (x *exchange) mayRetry(ctx context.Context, r *result, n int, taken bool) bool {
 	proved := r.failure != nil && r.failure.notRun
 	switch {
 	case ctx.Err() != nil, !x.call.deadline.After(x.entry.config.Now()), !x.call.body.resendable():
@@ -225,7 +253,7 @@
 		r.noRetry = n > 0
 		return false
 	}
-	if !x.entry.config.Pool.Retry(x.match.Service.Name) {
+	if !taken && !x.takeRetry() {
 		r.noRetry = true
 		x.entry.meters.retriesDenied.Inc()
 		x.event("retry-denied", r.choice.Server.ID, "retry budget of "+string(x.match.Service.Name)+" is used up")
@@ -262,15 +290,22 @@
 	case f == nil && r.reply.status >= http.StatusInternalServerError:
 		outcome = pool.Failed
 	case f == nil:
-	case f.reason == reasonCallerGone, f.reason == reasonDeadline && (f.refused || x.shortened):
-		// The caller's own timeout says nothing about the server.
+	case f.reason == reasonCallerGone, f.reason == reasonDeadline && f.refused, x.cutShort(r):
 		outcome = pool.Abandoned
 	case f.refused:
 		outcome = pool.Refused
 	default:
 		outcome = pool.Failed
 	}
-	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots})
+	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots, Failing: r.load.Failing, Took: r.server})
+}
+
+// cutShort reports whether the caller's own timeout ended the attempt so early
+// that it says nothing about the server. Down a call chain every timeout is
+// shorter than that of the route, and a hung server must still be ejected.
+func (x *exchange) cutShort(r result) bool {
+	timedOut := r.failure.reason == reasonDeadline || r.failure.reason == reasonAttempt
+	return timedOut && x.shortened && r.waited < x.match.Route.Timeout/4
 }
 
 // attempt sends the call to one server.
@@ -329,15 +364,17 @@
 	return &failure{reason: reason, notRun: notRun, refused: notRun && reason != reasonDial, noRetry: h.Get(HeaderNoRetry) == "true"}
 }
 
-// parseLoad reads "<in-flight>/<slots>"; anything else is the zero load.
+// parseLoad reads "<in-flight>/<slots>" with or without failingMark; anything
+// else is the zero load.
 func parseLoad(text string) gate.Load {
+	text, failing := strings.CutSuffix(text, failingMark)
 	a, b, _ := strings.Cut(text, "/")
 	inFlight, err1 := strconv.ParseUint(a, 10, 16)
 	slots, err2 := strconv.ParseUint(b, 10, 16)
 	if err1 != nil || err2 != nil {
 		return gate.Load{}
 	}
-	return gate.Load{InFlight: int(inFlight), Slots: int(slots)}
+	return gate.Load{InFlight: int(inFlight), Slots: int(slots), Failing: failing}
 }
 
 // answer writes the result to the caller.
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -28,9 +28,10 @@
 // error and when the whole body is buffered.
 func readReply(resp *http.Response, method string) (*reply, error) {
 	r := &reply{
-		status: resp.StatusCode, header: endToEnd(resp.Header), length: resp.ContentLength, trailer: &resp.Trailer,
+		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, trailer: &resp.Trailer,
 		hasBody: method != http.MethodHead && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified,
 	}
+	stripHopByHop(r.header)
 	err := r.fill(resp)
 	if err != nil || r.rest == nil {
 		_ = resp.Body.Close()
@@ -59,8 +60,15 @@
 }
 
 // failing reports whether the status is one of a failed or overloaded server.
+// 500 is among them: the cause may be the request, but the budget bounds what
+// its retries cost.
 func (r *reply) failing() bool {
-	return r.status == http.StatusBadGateway || r.status == http.StatusServiceUnavailable || r.status == http.StatusGatewayTimeout
+	switch r.status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
 }
 
 // close gives up the part of the body that was not read. A nil reply has none.
