Search for hosts of this region that are not known

Cause: hosts that start at the same time can form parts of the fleet with roots of their own. A zone root looked for zones that it lacked, so that two parts with two zones each would not have met for 30 minutes. Change: a zone root joins an unknown address among the contacts of any zone of its region; the search interval doubles from 1 s to 30 minutes.

--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -11,18 +11,19 @@
 )
 
 const (
-	// joinJitter spreads the table reads of daemons that start at once, the
-	// contacts over half of it: 600 starts make at most 450 reads a second, below
-	// the budget of 500.
-	joinJitter = 4 * time.Second
+	// joinJitter spreads the table reads of daemons that start at once, two rows
+	// each: 600 starts make 340 reads a second, below the budget of 500.
+	joinJitter = 3500 * time.Millisecond
 	// joinInterval is the wait for an answer before the next peer is asked. One
 	// at a time, since each costs a handshake and all rows.
 	joinInterval = 500 * time.Millisecond
 	// Time between reads of the zone's first contacts while there is no peer.
 	minAloneInterval = 500 * time.Millisecond
 	maxAloneInterval = 5 * time.Second
-	// Time between searches of a zone root for zones that it does not know.
-	// Each costs about 2 kB, over the region link in regions without the table.
+	// Time between searches of a zone root for hosts that it does not know. It
+	// doubles, up to maxSearchInterval while zones are missing and to
+	// checkInterval otherwise, since each search costs about 2 kB, over the
+	// region link in regions without the table.
 	minSearchInterval = time.Second
 	maxSearchInterval = 30 * time.Second
 	firstSearch       = 2 * time.Second
@@ -87,10 +88,10 @@
 func (c *Core) startJoin() {
 	j := &c.join
 	j.started = true
-	j.readHeadAt = c.now.Add(c.jitter(joinJitter))
 	// The contacts come first, so that the newest version mostly comes from a
 	// peer before the head row is known.
-	j.readPeersAt = c.now.Add(c.jitter(joinJitter / 2))
+	j.readPeersAt = c.now.Add(c.jitter(joinJitter))
+	j.readHeadAt = j.readPeersAt.Add(joinInterval)
 	j.setContacts(c.config.Peers, c.config.Self.ControlAddr)
 	c.record(Record{Kind: "host-started", Host: c.config.Self.ID})
 }
@@ -115,11 +116,11 @@
 	if !c.overlay.isRoot() || !j.contactsRead || c.now.Before(j.searchAt) {
 		return
 	}
+	limit := checkInterval
 	if c.zonesMissing() {
-		j.searchEvery = min(max(2*j.searchEvery, minSearchInterval), maxSearchInterval)
-	} else {
-		j.searchEvery = checkInterval
+		limit = maxSearchInterval
 	}
+	j.searchEvery = min(max(2*j.searchEvery, minSearchInterval), limit)
 	j.searchAt = c.now.Add(j.searchEvery/2 + c.jitter(j.searchEvery))
 	c.emit(ReadPeers{AllZones: true})
 }
@@ -191,18 +192,27 @@
 	j.setContacts(peers, c.config.Self.ControlAddr)
 }
 
-// joinUnknownZones asks a host of each zone of this region that has no live
-// host in the table, and of one such zone of other regions when this host is
-// the region root.
+// joinUnknownZones asks a host of each zone of this region whose contacts name
+// an unknown one, and of another region when this host is the region root and
+// knows nobody there. Hosts that start at the same time can form parts of the
+// fleet that do not know each other; this joins them.
 func (c *Core) joinUnknownZones(zones []Contacts) {
+	regions := c.overlay.otherRegions(c.config.Self.Region)
 	for _, z := range zones {
-		known := len(c.overlay.zones[z.Zone]) > 0
-		crosses := z.Region != c.config.Self.Region
-		regionKnown := crosses && slices.Contains(c.overlay.otherRegions(c.config.Self.Region), z.Region)
-		if known || len(z.Addrs) == 0 || regionKnown || (crosses && !c.isRegionRoot()) {
-			continue
+		if z.Region == c.config.Self.Region {
+			c.joinStranger(z.Addrs)
+		} else if c.isRegionRoot() && !slices.Contains(regions, z.Region) {
+			regions = append(regions, z.Region)
+			c.joinStranger(z.Addrs)
 		}
-		c.send(z.Addrs[c.random.IntN(len(z.Addrs))], message.Join{Row: c.self()})
+	}
+}
+
+// joinStranger asks one of the hosts that this daemon does not know, if any.
+func (c *Core) joinStranger(addrs []netip.AddrPort) {
+	strangers := slices.DeleteFunc(slices.Clone(addrs), func(a netip.AddrPort) bool { return c.hosts.byAddr[a] != nil })
+	if len(strangers) > 0 {
+		c.send(strangers[c.random.IntN(len(strangers))], message.Join{Row: c.self()})
 	}
 }
 
