Scenario language on real processes; paid calls while daemons are killed

Scripts under test/scenario/testdata run on test/mesh and test/caller/load. Each starts a mesh of its own; two meshes run at a time.

Backend servers write a run log before they run a call, so that a kill does not lose the account. Callers send the attempt in a header, so that a refusal "not run" is checked for each attempt and not only for the last one of a call. Answers are compared byte by byte with what the request must give.

--- a/test/backendserver/main.go
+++ b/test/backendserver/main.go
@@ -13,11 +13,13 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/peridotlb/peridotlb/test/answer"
+	"github.com/peridotlb/peridotlb/test/caller/load"
 )
 
 type server struct {
@@ -26,6 +28,8 @@
 	serviceTime, cold, coldTime  time.Duration
 	lie                          bool
 	size                         int
+	bodyTime                     time.Duration
+	log                          *os.File // one line per call; nil for none
 	started                      time.Time
 	inFlight                     atomic.Int64
 	draining                     atomic.Bool
@@ -45,15 +49,28 @@
 	flag.DurationVar(&s.coldTime, "cold-time", 50*time.Millisecond, "time that a call takes while cold")
 	flag.BoolVar(&s.lie, "lie", false, "say healthy in any case")
 	flag.IntVar(&s.size, "size", 100, "bytes of an answer")
+	flag.DurationVar(&s.bodyTime, "body-time", 0, "time over which the body of an answer is written")
+	runLog := flag.String("run-log", "", "file to which a line is added for each call before it runs; it outlives the process")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if err := s.openLog(*runLog); err != nil {
+		fmt.Fprintln(os.Stderr, "backendserver:", err)
+		os.Exit(1)
+	}
 	if err := s.run(ctx, *listen); err != nil {
 		fmt.Fprintln(os.Stderr, "backendserver:", err)
 		os.Exit(1)
 	}
 }
 
+func (s *server) openLog(name string) (err error) {
+	if name != "" {
+		s.log, err = os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	}
+	return err
+}
+
 func (s *server) run(ctx context.Context, listen string) error {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
@@ -123,6 +140,10 @@
 	if err != nil {
 		return
 	}
+	if s.log != nil {
+		// One write per line, so that lines are whole after a kill.
+		_, _ = fmt.Fprintf(s.log, "%s %s %s\n", r.Method, r.URL.Path, r.Header.Get(load.AttemptHeader))
+	}
 	if key := r.Header.Get("Idempotency-Key"); key != "" && r.Method != http.MethodGet {
 		s.mu.Lock()
 		s.runs[key]++
@@ -133,9 +154,26 @@
 		wait = s.coldTime
 	}
 	time.Sleep(wait)
-	text := fmt.Sprintf("%s %s %s %s ", s.id, r.Method, r.URL.RequestURI(), body)
 	w.Header().Set("Content-Type", "text/plain")
-	_, _ = io.WriteString(w, text+strings.Repeat(".", max(0, s.size-len(text))))
+	s.write(w, answer.Body(s.id, r.Method, r.URL.RequestURI(), string(body), s.size))
+}
+
+// pieces is the number of parts in which a slow body is written.
+const pieces = 8
+
+// write writes an answer. Without a length in the header, net/http sends what
+// is above its buffer of 2 KiB in chunks.
+func (s *server) write(w http.ResponseWriter, text string) {
+	if s.bodyTime == 0 {
+		_, _ = io.WriteString(w, text)
+		return
+	}
+	control := http.NewResponseController(w)
+	for i := range pieces {
+		_, _ = io.WriteString(w, text[len(text)*i/pieces:len(text)*(i+1)/pieces])
+		_ = control.Flush()
+		time.Sleep(s.bodyTime / pieces)
+	}
 }
 
 func (s *server) health(w http.ResponseWriter, _ *http.Request) {
--- a/test/mesh/mesh.go
+++ b/test/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -83,6 +84,9 @@
 	Servers bool
 	// ServerFlags are more flags for every backend server.
 	ServerFlags []string
+	// Peers gives every daemon the first host of each zone as first contacts, so
+	// that the fleet forms without searches of the table.
+	Peers bool
 	// Logs keeps the directory with the logs.
 	Logs bool
 }
@@ -126,6 +130,9 @@
 // ServerURL returns the base URL of the backend server.
 func (h *Host) ServerURL() string { return "http://" + h.port(backendPort) }
 
+// ControlAddr returns the address of the control traffic.
+func (h *Host) ControlAddr() string { return h.port(controlPort) }
+
 // Start starts a mesh. The processes end with ctx or Close.
 func Start(ctx context.Context, c Config) (*Mesh, error) {
 	dir, err := os.MkdirTemp("", "peridotlb-mesh-")
@@ -267,6 +274,9 @@
 		"--nat", m.nat(h.zone), "--log-format", "json",
 		"--operator-tokens", TeamTokens(),
 	}
+	if m.Peers {
+		args = append(args, "--peers", m.peers(h))
+	}
 	p, err := m.start(ctx, string(h.ID), "peridotlbd", append(args, m.Flags...)...)
 	if err != nil {
 		return err
@@ -275,6 +285,22 @@
 	return nil
 }
 
+// peers returns the control addresses of the first host of each zone, the own
+// zone's first.
+func (m *Mesh) peers(h *Host) string {
+	var own, others []string
+	for _, p := range m.Hosts[:min(zoneCount, len(m.Hosts))] {
+		switch {
+		case p == h:
+		case p.zone == h.zone:
+			own = append(own, p.ControlAddr())
+		default:
+			others = append(others, p.ControlAddr())
+		}
+	}
+	return strings.Join(append(own, others...), ",")
+}
+
 // nat returns the translation rules of a zone.
 func (m *Mesh) nat(zone int) string {
 	var rules []string
@@ -286,11 +312,16 @@
 	return strings.Join(rules, ",")
 }
 
+// blocksGiven counts the blocks of ports that this process gave to meshes, so
+// that two meshes that start at the same time do not get the same one.
+var blocksGiven atomic.Int64
+
 // freePorts finds a base port whose block is free on loopback. The range lies
 // below the ports that the system gives to outgoing connections.
 func freePorts() (uint16, error) {
 	const first, last, tries = 20000, 32000, 100
-	for i := range tries {
+	for range tries {
+		i := int(blocksGiven.Add(1))
 		base := first + (os.Getpid()*37+i*101)%((last-first)/portCount)*portCount
 		if blockFree(base) {
 			return uint16(base), nil
--- a/test/mesh/server.go
+++ b/test/mesh/server.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
+	"strings"
 )
 
 // StartServer starts the backend server of a host.
@@ -12,6 +14,7 @@
 	p, err := m.start(ctx, string(h.ID)+"-server", "backendserver", append([]string{
 		"--id", h.ServerID(), "--service", h.Service, "--listen", h.port(backendPort),
 		"--daemon", "http://" + h.port(announcePort), "--slots", strconv.Itoa(m.Deployment.Slots),
+		"--run-log", m.file(string(h.ID) + ".runs"),
 	}, m.ServerFlags...)...)
 	if err != nil {
 		return err
@@ -23,6 +26,16 @@
 // ServerID returns the id of the host's backend server.
 func (h *Host) ServerID() string { return fmt.Sprintf("%s-%s", h.Service, h.ID) }
 
+// RunLog returns what the backend servers of a host ran, one line per call with
+// method, path and attempt, over all runs of the process.
+func (m *Mesh) RunLog(h *Host) ([]string, error) {
+	text, err := os.ReadFile(m.file(string(h.ID) + ".runs"))
+	if err != nil {
+		return nil, fmt.Errorf("read run log: %w", err)
+	}
+	return strings.FieldsFunc(string(text), func(r rune) bool { return r == '\n' }), nil
+}
+
 // DrainServer asks the backend server to drain, through its announcement.
 func (h *Host) DrainServer(ctx context.Context) error {
 	url := fmt.Sprintf("http://%s/backend-servers/%s/drain", h.port(announcePort), h.ServerID())
--- /dev/null
+++ b/test/scenario/expect.go
@@ -0,0 +1,273 @@
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"os/exec"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// expect checks a promise: expect WHAT [ARGUMENT...]. See expectations.
+func expect(w *world, ts *testscript.TestScript, args []string) error {
+	if len(args) == 0 {
+		return errUsage
+	}
+	check, ok := expectations()[args[0]]
+	if !ok {
+		return fmt.Errorf("%q is not one of the expectations", args[0])
+	}
+	return check(w, ts, args[1:])
+}
+
+func expectations() map[string]command {
+	return map[string]command{
+		"no-duplicates":      noDuplicates,      // no paid action ran twice
+		"no-lost":            noLost,            // acknowledged actions ran
+		"not-run-not-run":    notRunNotRun,      // attempts refused as not run did not run
+		"whole-answers":      wholeAnswers,      // complete answers were whole and the caller's own
+		"no-failed-calls":    noFailedCalls,     // every call got an answer
+		"no-failed-reads":    noFailedReads,     // every idempotent call got an answer
+		"some-refused":       someRefused,       // some attempts were refused as not run
+		"some-cut":           someCut,           // some answers broke off
+		"paid-refused":       paidRefused,       // KEY: every reply says that it was not run
+		"paid-runs":          paidRuns,          // KEY N: the action ran N times
+		"same-answers":       sameAnswers,       // KEY: at least one answer, all equal
+		"no-new-work":        noNewWork,         // HOST: its server begins nothing for 1.5 s
+		"versions-monotonic": versionsMonotonic, // no host applied a version below an earlier one
+		"platform-rates":     platformRates,     // READS WRITES: most rows per second since platform watch
+		"exit":               exitCode,          // CODE PROGRAM ARGUMENT...
+		"running":            running,           // HOST...: the daemons run
+	}
+}
+
+func noDuplicates(w *world, _ *testscript.TestScript, _ []string) error {
+	r, err := w.ran()
+	if err != nil {
+		return err
+	}
+	var twice []string
+	for key, n := range r.actions {
+		if n > 1 {
+			twice = append(twice, fmt.Sprintf("%s ran %d times", key, n))
+		}
+	}
+	if len(r.actions) == 0 {
+		return errors.New("no paid action ran")
+	}
+	return report(twice)
+}
+
+func noLost(w *world, _ *testscript.TestScript, _ []string) error {
+	r, err := w.ran()
+	if err != nil {
+		return err
+	}
+	var lost []string
+	for _, key := range w.result.Acknowledged {
+		if r.actions[key] == 0 {
+			lost = append(lost, key+" was acknowledged and did not run")
+		}
+	}
+	if len(w.result.Acknowledged) == 0 {
+		return errors.New("no paid action was acknowledged")
+	}
+	return report(lost)
+}
+
+func notRunNotRun(w *world, _ *testscript.TestScript, _ []string) error {
+	r, err := w.ran()
+	if err != nil {
+		return err
+	}
+	var wrong []string
+	for _, attempt := range w.result.RefusedAttempts {
+		if r.attempts[attempt] > 0 {
+			wrong = append(wrong, attempt+" was refused as not run and ran")
+		}
+	}
+	return report(wrong)
+}
+
+func wholeAnswers(w *world, _ *testscript.TestScript, _ []string) error {
+	if w.result.Wrong > 0 {
+		return fmt.Errorf("%d answers were truncated or of another request, for example %q", w.result.Wrong, w.result.Errors)
+	}
+	if len(w.result.Latency) == 0 {
+		return errors.New("no call was answered")
+	}
+	return nil
+}
+
+func noFailedCalls(w *world, ts *testscript.TestScript, args []string) error {
+	if w.result.Failed > 0 {
+		return fmt.Errorf("%d of %d calls failed, for example %q", w.result.Failed, w.result.Calls, w.result.Errors)
+	}
+	return wholeAnswers(w, ts, args)
+}
+
+func noFailedReads(w *world, ts *testscript.TestScript, args []string) error {
+	if w.result.FailedReads > 0 {
+		return fmt.Errorf("%d reads of %d calls failed, for example %q", w.result.FailedReads, w.result.Calls, w.result.Errors)
+	}
+	return wholeAnswers(w, ts, args)
+}
+
+func someRefused(w *world, _ *testscript.TestScript, _ []string) error {
+	if w.result.Refused == 0 {
+		return errors.New("no attempt was refused as not run")
+	}
+	return nil
+}
+
+func someCut(w *world, _ *testscript.TestScript, _ []string) error {
+	if w.result.Cut == 0 {
+		return errors.New("no answer broke off")
+	}
+	return nil
+}
+
+func paidRefused(w *world, _ *testscript.TestScript, args []string) error {
+	for _, key := range args {
+		if len(w.paid[key]) == 0 {
+			return fmt.Errorf("no reply for %s", key)
+		}
+		for _, r := range w.paid[key] {
+			if r.err != nil || !r.notRun {
+				return fmt.Errorf("%s: %s answered %d %q (%v), want a refusal as not run", key, r.host, r.status, r.body, r.err)
+			}
+		}
+	}
+	return nil
+}
+
+func paidRuns(w *world, _ *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return errUsage
+	}
+	r, err := w.ran()
+	if err != nil {
+		return err
+	}
+	if want, _ := strconv.Atoi(args[1]); r.actions[args[0]] != want {
+		return fmt.Errorf("%s ran %d times, want %s", args[0], r.actions[args[0]], args[1])
+	}
+	return nil
+}
+
+func sameAnswers(w *world, _ *testscript.TestScript, args []string) error {
+	if len(args) != 1 {
+		return errUsage
+	}
+	var answers []reply
+	for _, r := range w.paid[args[0]] {
+		switch {
+		case r.err == nil && r.status < 300:
+			answers = append(answers, r)
+		case r.err != nil || (!r.unknown && !r.notRun):
+			return fmt.Errorf("%s answered %d %q (%v), want an answer, a refusal or an unknown outcome", r.host, r.status, r.body, r.err)
+		}
+	}
+	if len(answers) == 0 {
+		return fmt.Errorf("no answer among %d replies", len(w.paid[args[0]]))
+	}
+	for _, r := range answers {
+		if r.status != answers[0].status || r.body != answers[0].body {
+			return fmt.Errorf("%s answered %d %q, and %s %d %q", r.host, r.status, r.body, answers[0].host, answers[0].status, answers[0].body)
+		}
+	}
+	return nil
+}
+
+// quietTime is how long a leaving server must begin nothing.
+const quietTime = 1500 * time.Millisecond
+
+func noNewWork(w *world, _ *testscript.TestScript, args []string) error {
+	hosts, err := w.hosts(args...)
+	if err != nil {
+		return err
+	}
+	all, err := w.ran()
+	if err != nil {
+		return err
+	}
+	before := make([]int, len(hosts))
+	for i, h := range hosts {
+		lines, err := w.mesh.RunLog(h)
+		if err != nil {
+			return err
+		}
+		before[i] = len(lines)
+	}
+	time.Sleep(quietTime)
+	for i, h := range hosts {
+		lines, err := w.mesh.RunLog(h)
+		if err != nil {
+			return err
+		}
+		if len(lines) > before[i] {
+			return fmt.Errorf("%s began %d calls, for example %q", h.ServerID(), len(lines)-before[i], lines[len(lines)-1])
+		}
+	}
+	now, err := w.ran()
+	if err != nil {
+		return err
+	}
+	if len(now.attempts) == len(all.attempts) {
+		return errors.New("no other backend server ran anything")
+	}
+	return nil
+}
+
+func exitCode(_ *world, ts *testscript.TestScript, args []string) error {
+	if len(args) < 2 {
+		return errUsage
+	}
+	want, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	got := 0
+	if err := ts.Exec(args[1], args[2:]...); err != nil {
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) {
+			return err
+		}
+		got = exit.ExitCode()
+	}
+	if got != want {
+		return fmt.Errorf("%s exited with %d, want %d", args[1], got, want)
+	}
+	return nil
+}
+
+func running(w *world, _ *testscript.TestScript, args []string) error {
+	hosts, err := w.hosts(args...)
+	if err != nil {
+		return err
+	}
+	var ended []string
+	for _, h := range hosts {
+		ctx, cancel := w.within(5 * time.Second)
+		_, err := h.Metric(ctx, "peridotlb_version_applied")
+		cancel()
+		if err != nil || !h.Daemon.Running() {
+			ended = append(ended, fmt.Sprintf("%s does not run: %v", h.ID, err))
+		}
+	}
+	return report(ended)
+}
+
+// maxReported bounds the violations that one message lists.
+const maxReported = 5
+
+func report(violations []string) error {
+	if len(violations) == 0 {
+		return nil
+	}
+	slices.Sort(violations)
+	return fmt.Errorf("%d violations: %q", len(violations), violations[:min(maxReported, len(violations))])
+}
