Zone roots join hosts of their region that they do not know

Cause: a starting daemon joins one peer, and only of its own zone when the table names any (daemon/seeds.go, nearSeeds). Backend servers of the other part were missing ("got 6 ready backend servers, want 12" after 30 s).

Zone roots now read host rows of every zone of their region and join one that they do not know. The wait between searches doubles up to 30 minutes while no stranger answers.

The fleet test read peers of the whole region, unlike the daemon, and hid the fault. With its peers as the daemon reads them, TestZonesThatStartTogetherMeet failed without the search: "hosts known to pwani-a-1: got 24, want 48".

Ruled out: machine load and the relay, as both parts had converged on their own and reached each other's addresses.

--- a/internal/daemon/seeds.go
+++ b/internal/daemon/seeds.go
@@ -33,11 +33,14 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	read := l.nearSeeds
-	if e.OtherRegions {
+	switch e.Scope {
+	case fleet.EveryZone:
+		read = l.zoneSeeds
+	case fleet.OtherRegions:
 		read = l.otherSeeds
 	}
 	peers, err := read(ctx)
-	l.post(ctx, fleet.PeersRead{Peers: peers, OtherRegions: e.OtherRegions, Err: err})
+	l.post(ctx, fleet.PeersRead{Peers: peers, Scope: e.Scope, Err: err})
 }
 
 // nearSeeds returns hosts of this zone, from a random place on so that starting
@@ -79,6 +82,39 @@
 	return append(before, after...), err
 }
 
+// zoneSeeds returns hosts of this zone that follow this host in the order of
+// their ids, and the first host of each other zone of this region.
+func (l *loop) zoneSeeds(ctx context.Context) ([]netip.AddrPort, error) {
+	region := platform.Key(seedPrefix + string(l.settings.Region) + "/")
+	zone := region + platform.Key(l.settings.AvailabilityZone) + "/"
+	peers, err := l.scanSeeds(ctx, zone, zone+platform.Key(l.settings.HostID))
+	if err != nil {
+		return nil, err
+	}
+	if len(peers) < seedPeers {
+		first, err := l.scanSeeds(ctx, zone, "")
+		if err != nil {
+			return nil, err
+		}
+		peers = append(peers, first...)
+	}
+	for after := platform.Key(""); ; {
+		l.meters.tableReads.Inc()
+		rows, err := l.platform.Scan(ctx, region, after, 1)
+		if err != nil {
+			return nil, fmt.Errorf("scan zones: %w", err)
+		}
+		if len(rows) == 0 {
+			return peers, nil
+		}
+		name, _, _ := strings.Cut(strings.TrimPrefix(string(rows[0].Key), string(region)), "/")
+		after = region + platform.Key(name) + "/\xff"
+		if addr, err := netip.ParseAddrPort(string(rows[0].Value)); err == nil && name != string(l.settings.AvailabilityZone) {
+			peers = append(peers, addr)
+		}
+	}
+}
+
 // scanSeeds reads host rows, without those of this region when the prefix
 // covers all regions.
 func (l *loop) scanSeeds(ctx context.Context, prefix, after platform.Key) ([]netip.AddrPort, error) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,9 +48,9 @@
 // PeersRead is the answer to ReadPeers: control addresses of possible peers,
 // the nearest first.
 type PeersRead struct {
-	Peers        []netip.AddrPort
-	OtherRegions bool // as asked
-	Err          error
+	Peers []netip.AddrPort
+	Scope PeerScope // as asked
+	Err   error
 }
 
 // Leaving starts a planned stop of this daemon.
@@ -85,10 +85,18 @@
 	Have     version.Snapshot
 }
 
-// ReadPeers asks for host rows of the table; PeersRead answers. OtherRegions
-// asks for hosts of other regions only; otherwise those of this region come
-// first, and others only when it has none.
-type ReadPeers struct{ OtherRegions bool }
+// ReadPeers asks for host rows of the table; PeersRead answers.
+type ReadPeers struct{ Scope PeerScope }
+
+// PeerScope says which hosts ReadPeers asks for.
+type PeerScope uint8
+
+// Scopes of ReadPeers.
+const (
+	Nearest      PeerScope = iota // this zone, else this region, else any
+	EveryZone                     // some of every zone of this region
+	OtherRegions                  // other regions only
+)
 
 // WriteHost publishes the row of this host in the table.
 type WriteHost struct{ Row host.Row }
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -20,6 +20,11 @@
 	// otherRegionsInterval is the time between searches of a region root for
 	// other regions while it knows none.
 	otherRegionsInterval = 10 * time.Second
+	// strangersFirst and strangersLast are the mean times between two searches
+	// of a zone root for hosts that it does not know, at the start and at the
+	// most.
+	strangersFirst = 4 * time.Second
+	strangersLast  = 30 * time.Minute
 	// aloneInterval is the time between searches for peers while there are none.
 	aloneInterval = 5 * time.Second
 	// joinAnswersPerSecond limits the snapshots of rows that one daemon sends
@@ -37,9 +42,12 @@
 	headAsked      bool
 	joinAt         time.Time
 	otherRegionsAt time.Time
-	joined         bool // rows have arrived from a peer
-	settled        bool // the head row was read, so that the floor is final
-	served         int  // join answers in the current second
+	strangersAt    time.Time
+	strangersWait  time.Duration  // until the next search
+	stranger       netip.AddrPort // the one that was asked last
+	joined         bool           // rows have arrived from a peer
+	settled        bool           // the head row was read, so that the floor is final
+	served         int            // join answers in the current second
 	servedFrom     time.Time
 }
 
@@ -59,6 +67,7 @@
 			c.emit(ReadPeers{})
 		}
 	}
+	c.findStrangers()
 	c.findOtherRegions()
 	if (!j.joined || c.alone()) && len(j.known) > 0 && !c.now.Before(j.joinAt) {
 		c.askPeers()
@@ -99,11 +108,44 @@
 		return
 	}
 	if !j.otherRegionsAt.IsZero() {
-		c.emit(ReadPeers{OtherRegions: true})
+		c.emit(ReadPeers{Scope: OtherRegions})
 	}
 	j.otherRegionsAt = c.now.Add(otherRegionsInterval/4 + c.jitter(otherRegionsInterval))
 }
 
+// findStrangers lets zone roots look for hosts of their region that they do not
+// know. A starting host joins one peer of its own zone, so that hosts that start
+// at the same time can form parts of the fleet that do not know each other, and
+// each part has roots of its own. The wait doubles while no stranger answers,
+// since the reads of a region without the table cross the region link.
+func (c *Core) findStrangers() {
+	j := &c.join
+	c.refreshOverlay()
+	if c.now.Before(j.strangersAt) || !c.overlay.isRoot() {
+		return
+	}
+	if j.strangersAt.IsZero() {
+		j.strangersWait = strangersFirst
+	} else {
+		c.emit(ReadPeers{Scope: EveryZone})
+	}
+	j.strangersAt = c.now.Add(j.strangersWait/2 + c.jitter(j.strangersWait))
+	j.strangersWait = min(2*j.strangersWait, strangersLast)
+}
+
+// joinStranger joins one of the hosts that this daemon does not know. Many rows
+// of the table may be those of hosts that are gone.
+func (c *Core) joinStranger(peers []netip.AddrPort) {
+	strangers := slices.DeleteFunc(peers, func(p netip.AddrPort) bool {
+		return p == c.config.Self.ControlAddr || c.hosts.byAddr[p] != nil
+	})
+	if len(strangers) == 0 {
+		return
+	}
+	c.join.stranger = strangers[c.random.IntN(len(strangers))]
+	c.send(c.join.stranger, message.Join{Row: c.self()})
+}
+
 // alone reports whether no other live host is known.
 func (c *Core) alone() bool {
 	c.refreshOverlay()
@@ -114,7 +156,11 @@
 	if e.Err != nil {
 		return
 	}
-	if e.OtherRegions {
+	switch {
+	case e.Scope == EveryZone:
+		c.joinStranger(e.Peers)
+		return
+	case e.Scope == OtherRegions:
 		if len(e.Peers) > 0 {
 			c.send(e.Peers[c.random.IntN(len(e.Peers))], message.Join{Row: c.self()})
 		}
@@ -143,7 +189,13 @@
 }
 
 func (c *Core) receiveJoinAnswer(from netip.AddrPort, m message.JoinAnswer) {
-	c.join.joined = true
+	j := &c.join
+	j.joined = true
+	if from == j.stranger {
+		// There may be more parts of the fleet, so that the next search is soon.
+		j.stranger, j.strangersWait = netip.AddrPort{}, strangersFirst
+		j.strangersAt = c.now.Add(strangersFirst/2 + c.jitter(strangersFirst))
+	}
 	c.mergeNews(m.News, from)
 	c.noteHead(from, m.Head)
 }
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -116,3 +116,30 @@
 		}
 	}
 }
+
+// TestZonesThatStartTogetherMeet guards against a fleet that stays in parts when
+// all hosts start at the same time: each joins a peer of its own zone, and no
+// part misses the others.
+func TestZonesThatStartTogetherMeet(t *testing.T) {
+	for seed := range uint64(20) {
+		n := newNetwork(t, seed+1, 12, nil)
+		n.run(40 * time.Second)
+		for _, nd := range n.nodes {
+			if got := len(nd.core.Hosts()); got != len(n.nodes) {
+				t.Fatalf("seed %d: hosts known to %s: got %d, want %d", seed+1, nd.row.ID, got, len(n.nodes))
+			}
+		}
+	}
+}
+
+// TestRowsOfGoneHostsAreNotSearchedForever guards against zone roots that read
+// the table every few seconds because it still names a host that is gone.
+func TestRowsOfGoneHostsAreNotSearchedForever(t *testing.T) {
+	n := newNetwork(t, 14, 3, nil)
+	n.stop(n.nodes[0]) // before its first step, so that nobody learns of it
+	n.run(30 * time.Minute)
+	// Four roots whose waits double from 4 s, and a few searches at the start.
+	if got, limit := n.searches, 100; got > limit {
+		t.Errorf("searches in 30 minutes: got %d, want at most %d", got, limit)
+	}
+}
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -27,6 +27,7 @@
 	nodes     []*node
 	byAddr    map[netip.AddrPort]*node
 	head      version.Snapshot
+	searches  int // reads of host rows of the table
 	tableDown bool
 	loss      float64
 	duplicate float64
@@ -169,22 +170,43 @@
 		}
 		n.schedule(nd, tableDelay, answer)
 	case ReadPeers:
+		n.searches++
 		answer := PeersRead{Err: errTableDown}
 		if !n.tableDown {
-			answer = PeersRead{Peers: n.somePeers(nd, e.OtherRegions), OtherRegions: e.OtherRegions}
+			answer = PeersRead{Peers: n.somePeers(nd, e.Scope), Scope: e.Scope}
 		}
 		n.schedule(nd, tableDelay, answer)
 	}
 }
 
-func (n *network) somePeers(nd *node, otherRegions bool) []netip.AddrPort {
-	var peers []netip.AddrPort
+// somePeers returns host rows as the daemon reads them: a starting host gets
+// those of its own zone only when there are any.
+func (n *network) somePeers(nd *node, scope PeerScope) []netip.AddrPort {
+	var zone, region, others []netip.AddrPort
 	for _, i := range n.random.Perm(len(n.nodes)) {
-		if (n.nodes[i].row.Region != nd.row.Region) == otherRegions {
-			peers = append(peers, n.nodes[i].row.ControlAddr)
+		switch row := n.nodes[i].row; {
+		case row.ID == nd.row.ID:
+		case row.Region != nd.row.Region:
+			others = append(others, row.ControlAddr)
+		case row.Zone != nd.row.Zone:
+			region = append(region, row.ControlAddr)
+		default:
+			zone = append(zone, row.ControlAddr)
 		}
 	}
-	return peers[:min(8, len(peers))]
+	first := func(peers []netip.AddrPort) []netip.AddrPort { return peers[:min(8, len(peers))] }
+	switch {
+	case scope == OtherRegions:
+		return first(others)
+	case scope == EveryZone:
+		return slices.Concat(first(zone), first(region))
+	case len(zone) > 0:
+		return first(zone)
+	case len(region) > 0:
+		return first(region)
+	default:
+		return first(others)
+	}
 }
 
 func (n *network) transmit(from *node, s Send) {
