--- a/test/mesh/process.go
+++ b/test/mesh/process.go
@@ -131,6 +131,7 @@
 	for _, h := range m.Hosts {
 		all = append(all, h.Server, h.Daemon)
 	}
+	all = append(all, m.foreign...)
 	all = append(all, m.Relay, m.Platform)
 	var errs []error
 	for _, p := range all {
--- a/test/scenario/expect.go
+++ b/test/scenario/expect.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/peridotlb/peridotlb/test/mesh"
 )
 
 // expect checks a promise: expect WHAT [ARGUMENT...]. See expectations.
@@ -37,6 +39,8 @@
 		"paid-runs":          paidRuns,          // KEY N: the action ran N times
 		"same-answers":       sameAnswers,       // KEY: at least one answer, all equal
 		"no-new-work":        noNewWork,         // HOST: its server begins nothing for 1.5 s
+		"gate-refused":       gateRefused,       // HOST REASON: its gate refused calls for this reason
+		"absent":             absent,            // ID: no daemon knows the host
 		"versions-monotonic": versionsMonotonic, // no host applied a version below an earlier one
 		"platform-rates":     platformRates,     // READS WRITES: most rows per second since platform watch
 		"exit":               exitCode,          // CODE PROGRAM ARGUMENT...
@@ -222,6 +226,49 @@
 	return nil
 }
 
+func gateRefused(w *world, _ *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return errUsage
+	}
+	hosts, err := w.hosts(args[0])
+	if err != nil {
+		return err
+	}
+	ctx, cancel := w.within(5 * time.Second)
+	defer cancel()
+	name := fmt.Sprintf("peridotlb_refused_total{reason=%q}", args[1])
+	if n, err := hosts[0].Metric(ctx, name); err != nil || n == 0 {
+		return fmt.Errorf("the gate of %s refused %v calls (%v), want some", hosts[0].ID, n, err)
+	}
+	return nil
+}
+
+func absent(w *world, _ *testscript.TestScript, args []string) error {
+	if len(args) != 1 {
+		return errUsage
+	}
+	ctx, cancel := w.within(10 * time.Second)
+	defer cancel()
+	for _, h := range w.mesh.Hosts {
+		client, err := h.Operator(mesh.AnyToken())
+		if err != nil {
+			return err
+		}
+		status, err := client.GetStatus(ctx)
+		if err != nil {
+			return err
+		}
+		live := 0
+		for _, z := range status.Zones {
+			live += z.Hosts
+		}
+		if live != len(w.mesh.Hosts) {
+			return fmt.Errorf("%s counts %d live hosts, want %d without %s", h.ID, live, len(w.mesh.Hosts), args[0])
+		}
+	}
+	return nil
+}
+
 func exitCode(_ *world, ts *testscript.TestScript, args []string) error {
 	if len(args) < 2 {
 		return errUsage
--- a/test/scenario/faults.go
+++ b/test/scenario/faults.go
@@ -183,3 +183,13 @@
 	}
 	return data, nil
 }
+
+// startForeign starts one more daemon in the first zone with keys of its own:
+// foreign ID CA CERTIFICATE KEY. The files are in the directory of the script.
+func startForeign(w *world, ts *testscript.TestScript, args []string) error {
+	if len(args) != 4 {
+		return errUsage
+	}
+	files := mesh.Keys{CA: ts.MkAbs(args[1]), Certificate: ts.MkAbs(args[2]), Key: ts.MkAbs(args[3])}
+	return w.mesh.StartForeign(w.ctx, args[0], files)
+}
