--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -92,6 +92,9 @@
 	// peer before the head row is known.
 	j.readPeersAt = c.now.Add(c.jitter(joinJitter))
 	j.readHeadAt = j.readPeersAt.Add(joinInterval)
+	// A host that has just started takes itself for the root. It joins its own
+	// zone first; a search would cost a join of every other zone.
+	j.searchAt = j.readPeersAt.Add(firstSearch + c.jitter(firstSearch))
 	j.setContacts(c.config.Peers, c.config.Self.ControlAddr)
 	c.record(Record{Kind: "host-started", Host: c.config.Self.ID})
 }
@@ -113,7 +116,7 @@
 func (c *Core) runSearch() {
 	j := &c.join
 	c.refreshOverlay()
-	if !c.overlay.isRoot() || !j.contactsRead || c.now.Before(j.searchAt) {
+	if !c.overlay.isRoot() || c.now.Before(j.searchAt) {
 		return
 	}
 	limit := checkInterval
@@ -145,7 +148,7 @@
 // runPublish lets the zone root publish first contacts of the zone.
 func (c *Core) runPublish() {
 	j := &c.join
-	if !c.overlay.isRoot() || !j.contactsRead || c.now.Before(j.publishAt) {
+	if !c.overlay.isRoot() || !(j.contactsRead || j.joined) || c.now.Before(j.publishAt) {
 		return
 	}
 	order := c.overlay.zones[c.config.Self.Zone]
@@ -178,12 +181,7 @@
 		return
 	}
 	j := &c.join
-	if !j.contactsRead {
-		j.contactsRead = true
-		// A host that has just started takes itself for the root. It joins its
-		// own zone first; a search would cost a join of every other zone.
-		j.searchAt = c.now.Add(firstSearch + c.jitter(firstSearch))
-	}
+	j.contactsRead = true
 	peers := slices.Clone(c.config.Peers)
 	for _, z := range e.Zones {
 		c.random.Shuffle(len(z.Addrs), func(i, k int) { z.Addrs[i], z.Addrs[k] = z.Addrs[k], z.Addrs[i] })
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -139,3 +140,47 @@
 	}
 	n.wantApplied()
 }
+
+// TestZonesThatStartTogetherMeet guards against hosts that start at the same
+// time and form parts of the fleet that never learn of each other.
+func TestZonesThatStartTogetherMeet(t *testing.T) {
+	for seed := range uint64(20) {
+		n := newNetwork(t, seed+1, 12, nil)
+		n.run(40 * time.Second)
+		for _, nd := range n.nodes {
+			if got := len(nd.core.Hosts()); got != len(n.nodes) {
+				t.Fatalf("seed %d: hosts known to %s: got %d, want %d", seed+1, nd.row.ID, got, len(n.nodes))
+			}
+		}
+	}
+}
+
+// TestIdleRootsLeaveTableAlone guards against zone roots that search the table
+// every few seconds, over the region link, when all hosts are known.
+func TestIdleRootsLeaveTableAlone(t *testing.T) {
+	n := newNetwork(t, 17, 3, nil)
+	n.run(10 * time.Minute)
+	before := n.searches
+	n.run(time.Hour)
+	// Four roots that check every 30 minutes.
+	if got, limit := n.searches-before, 16; got > limit {
+		t.Errorf("searches in an hour: got %d, want at most %d", got, limit)
+	}
+}
+
+// TestPeersInOtherZonesOnly guards against a fleet that stays in parts when the
+// configured peers, and not the table, gave the first contacts.
+func TestPeersInOtherZonesOnly(t *testing.T) {
+	for seed := range uint64(20) {
+		n := newNetwork(t, seed+1, 3, func(c *Config) {
+			zone := c.Self.ControlAddr.Addr().As4()[1]
+			c.Peers = []netip.AddrPort{netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, zone%4 + 1, 0, 1}), 7000)}
+		})
+		n.run(40 * time.Second)
+		for _, nd := range n.nodes {
+			if got := len(nd.core.Hosts()); got != len(n.nodes) {
+				t.Fatalf("seed %d: hosts known to %s: got %d, want %d", seed+1, nd.row.ID, got, len(n.nodes))
+			}
+		}
+	}
+}
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -35,6 +35,7 @@
 	config    func(*Config)
 	sent      int
 	reads     int // rows read from the table
+	searches  int // searches of all zones
 	contacts  map[host.AvailabilityZone]Contacts
 }
 
@@ -196,6 +197,9 @@
 		}
 	}
 	n.reads += max(1, len(zones))
+	if all {
+		n.searches++
+	}
 	return zones
 }
 
--- a/test/bench/traffic.go
+++ b/test/bench/traffic.go
@@ -32,7 +32,7 @@
 
 func takeSample(ctx context.Context, m *mesh.Mesh) (sample, error) {
 	s := sample{at: time.Now()}
-	report, err := m.Network(ctx)
+	report, err := m.RelayCounters(ctx)
 	if err != nil {
 		return s, err
 	}
--- a/test/mesh/measure.go
+++ b/test/mesh/measure.go
@@ -88,8 +88,8 @@
 	return group.Wait()
 }
 
-// Network returns the relay's counters.
-func (m *Mesh) Network(ctx context.Context) (relay.Report, error) {
+// RelayCounters returns the relay's counters.
+func (m *Mesh) RelayCounters(ctx context.Context) (relay.Report, error) {
 	text, err := get(ctx, "http://"+m.relayControl()+"/-/counters")
 	if err != nil {
 		return relay.Report{}, fmt.Errorf("relay counters: %w", err)
--- a/test/mesh/mesh.go
+++ b/test/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -88,6 +89,9 @@
 	// Tokens are the operator tokens, as in the setting operator-tokens; empty
 	// takes TeamTokens.
 	Tokens string
+	// Peers gives every daemon the first host of each zone as first contacts, so
+	// that the fleet forms without searches of the table.
+	Peers bool
 	// Logs keeps the directory with the logs.
 	Logs bool
 	// StartLimit is the number of daemons that start at the same time; 0 takes
@@ -105,6 +109,7 @@
 	Platform *Process
 	Relay    *Process
 	Hosts    []*Host
+	foreign  []*Process
 	base     uint16
 }
 
@@ -137,6 +142,9 @@
 // ServerURL returns the base URL of the backend server.
 func (h *Host) ServerURL() string { return "http://" + h.port(backendPort) }
 
+// ControlAddr returns the address of the control traffic.
+func (h *Host) ControlAddr() string { return h.port(controlPort) }
+
 // Start starts a mesh. The processes end with ctx or Close.
 func Start(ctx context.Context, c Config) (*Mesh, error) {
 	dir, err := os.MkdirTemp("", "peridotlb-mesh-")
@@ -277,12 +285,34 @@
 
 // StartDaemon starts the daemon of a host, or starts it again.
 func (m *Mesh) StartDaemon(ctx context.Context, h *Host) error {
+	return m.startDaemon(ctx, h, Keys{CA: m.file("ca.pem"), Certificate: m.file(string(h.ID) + ".pem"), Key: m.file(string(h.ID) + ".key")})
+}
+
+// Keys are the key files of a daemon.
+type Keys struct{ CA, Certificate, Key string }
+
+// foreignHost is the last byte of the address of a foreign daemon.
+const foreignHost = 200
+
+// StartForeign starts a daemon in the first zone that is not a host of the mesh
+// and has keys of its own.
+func (m *Mesh) StartForeign(ctx context.Context, id string, k Keys) error {
+	first := *m.Hosts[0]
+	first.ID, first.addr = host.ID(id), netip.AddrFrom4([4]byte{127, 1, 0, foreignHost})
+	if err := m.startDaemon(ctx, &first, k); err != nil {
+		return err
+	}
+	m.foreign = append(m.foreign, first.Daemon)
+	return nil
+}
+
+func (m *Mesh) startDaemon(ctx context.Context, h *Host, k Keys) error {
 	args := []string{
 		"--host-id", string(h.ID), "--availability-zone", string(h.Zone), "--region", string(h.Region),
 		"--control-address", h.port(controlPort), "--gate-address", h.port(gatePort),
 		"--call-address", h.port(callPort), "--announce-address", h.port(announcePort),
 		"--operator-address", h.port(operatorPort), "--metrics-address", h.port(metricsPort),
-		"--ca-file", m.file("ca.pem"), "--certificate-file", m.file(string(h.ID) + ".pem"), "--key-file", m.file(string(h.ID) + ".key"),
+		"--ca-file", k.CA, "--certificate-file", k.Certificate, "--key-file", k.Key,
 		"--platform", "aws", "--platform-region", string(m.Deployment.Regions[0]),
 		"--table-endpoint", "http://" + m.platformAddr(h.zone), "--object-endpoint", "http://" + m.platformAddr(h.zone),
 		"--table-name", "peridotlb", "--bucket", "peridotlb",
@@ -290,6 +320,9 @@
 		"--nat", m.nat(h.zone), "--log-format", "json",
 		"--operator-tokens", cmp.Or(m.Tokens, TeamTokens()),
 	}
+	if m.Peers {
+		args = append(args, "--peers", m.peers(h))
+	}
 	p, err := m.startWith(ctx, m.Env, string(h.ID), "peridotlbd", append(args, m.Flags...)...)
 	if err != nil {
 		return err
@@ -298,6 +331,22 @@
 	return nil
 }
 
+// peers returns the control addresses of the first host of each zone, the own
+// zone's first.
+func (m *Mesh) peers(h *Host) string {
+	var own, others []string
+	for _, p := range m.Hosts[:min(zoneCount, len(m.Hosts))] {
+		switch {
+		case p == h:
+		case p.zone == h.zone:
+			own = append(own, p.ControlAddr())
+		default:
+			others = append(others, p.ControlAddr())
+		}
+	}
+	return strings.Join(append(own, others...), ",")
+}
+
 // nat returns the translation rules of a zone.
 func (m *Mesh) nat(zone int) string {
 	var rules []string
@@ -309,11 +358,16 @@
 	return strings.Join(rules, ",")
 }
 
+// blocksGiven counts the blocks of ports that this process gave to meshes, so
+// that two meshes that start at the same time do not get the same one.
+var blocksGiven atomic.Int64
+
 // freePorts finds a base port whose block is free on loopback. The range lies
 // below the ports that the system gives to outgoing connections.
 func freePorts() (uint16, error) {
 	const first, last, tries = 20000, 32000, 100
-	for i := range tries {
+	for range tries {
+		i := int(blocksGiven.Add(1))
 		base := first + (os.Getpid()*37+i*101)%((last-first)/portCount)*portCount
 		if blockFree(base) {
 			return uint16(base), nil
