--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/platform"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
@@ -314,7 +315,11 @@
 	}
 	objects := timed{p.config.Platform, p.config.CallTimeout}
 	err := each(ctx, missing, func(ctx context.Context, d version.Digest) error {
-		if err := objects.PutObject(ctx, ObjectName(d), next.Blob(d)); err != nil {
+		data, err := message.Pack(next.Blob(d), nil)
+		if err != nil {
+			return fmt.Errorf("compress section %s: %w", d, err)
+		}
+		if err := objects.PutObject(ctx, ObjectName(d), data); err != nil {
 			return fmt.Errorf("store section %s: %w", d, err)
 		}
 		return nil
--- a/internal/submission/read.go
+++ b/internal/submission/read.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/platform"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
@@ -27,6 +29,10 @@
 // ErrNoVersion is returned for a version that was never accepted.
 var ErrNoVersion = errors.New("no such version")
 
+// maxSection bounds the decompressed content of a section in bytes. The
+// canonical encoding is no larger than the document's text.
+const maxSection = document.MaxBytes
+
 // concurrentObjects bounds the object store requests of one call.
 const concurrentObjects = 8
 
@@ -102,6 +108,9 @@
 		if err != nil {
 			return fmt.Errorf("load version %d: section %s: %w", m.Number, d, err)
 		}
+		if data, err = message.Unpack(data, nil, maxSection); err != nil {
+			return fmt.Errorf("load version %d: decompress section %s: %w", m.Number, d, err)
+		}
 		lock.Lock()
 		defer lock.Unlock()
 		blobs[d] = data
@@ -117,7 +126,9 @@
 	return s, nil
 }
 
-// ObjectName returns the name of a section's content in the object store.
+// ObjectName returns the name of a section's content in the object store. The
+// name is the digest of the content; the object is one zstd frame, because it
+// may cross the region link.
 func ObjectName(d version.Digest) string { return "section/" + d.String() }
 
 // each calls f for every digest, several at a time, and returns the first
