Answer requests on connections accepted just before a planned stop

Cause: drain (internal/daemon/daemon.go) went straight to http.Server.Shutdown. Once that has begun, net/http closes a connection that was accepted but has not yet had a request, as soon as the request arrives and without an answer (net/http server.go, conn.serve: "if c.server.shuttingDown() { return }"). The caller of a paid action was left with an unknown outcome: scenario drain-daemon-stopped, "1 of 739 calls failed: POST /orders/call-1-360: EOF", 2.0 s after SIGTERM.

The listener is now closed first, and accepted connections have 500 ms for their first request before Shutdown. A connection that the kernel completed and the process did not accept is still reset.

Ruled out: idle connections, since the responses of a leaving daemon close theirs and the test caller drops idle ones after 1 s.

Without the wait, TestDrainAnswersAcceptedConnections fails: "request on an accepted connection: got unexpected EOF, want an answer". With it, five runs with the race detector passed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,10 @@
 // is just sending.
 const lameDuckTime = 2 * time.Second
 
+// firstRequestTime is the time that an accepted connection has to send its
+// request after the listener was closed.
+const firstRequestTime = 500 * time.Millisecond
+
 // Config is what a daemon needs from its process.
 type Config struct {
 	Settings settings.Daemon
@@ -88,6 +92,7 @@
 	http     *http.Server
 	listener net.Listener
 	lameDuck bool // carries calls: drained before it is closed
+	draining atomic.Bool
 }
 
 // New returns a daemon that listens on all its addresses. Run serves.
@@ -260,12 +265,25 @@
 	} else {
 		err = s.http.Serve(s.listener)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || (s.draining.Load() && errors.Is(err, net.ErrClosed)) {
 		return nil
 	}
 	return fmt.Errorf("%s: %w", s.name, err)
 }
 
+// drain closes the listener, lets the connections that were accepted send their
+// first request, and waits for the calls in flight. Shutdown alone closes a new
+// connection without answering the request on it.
+func (s *server) drain(ctx context.Context) error {
+	s.draining.Store(true)
+	_ = s.listener.Close()
+	select {
+	case <-time.After(firstRequestTime):
+	case <-ctx.Done():
+	}
+	return s.http.Shutdown(ctx)
+}
+
 // drain leaves the fleet and waits for the calls in flight.
 func (d *Daemon) drain(ctx context.Context) {
 	d.log.Info("Leaving the fleet.", zap.Duration("drain-timeout", d.settings.DrainTimeout))
@@ -282,7 +300,7 @@
 	}
 	for _, srv := range d.servers {
 		if srv.lameDuck {
-			if err := srv.http.Shutdown(ctx); err != nil {
+			if err := srv.drain(ctx); err != nil {
 				d.log.Warn("Could not close a listener in time.", zap.String("listener", srv.name), zap.Error(err))
 			}
 		}
