--- a/test/caller/load/load.go
+++ b/test/caller/load/load.go
@@ -88,7 +88,7 @@
 }
 
 // maxErrors bounds Result.Errors.
-const maxErrors = 10
+const maxErrors = 30
 
 // Load makes calls until it is stopped.
 type Load struct {
@@ -178,6 +178,7 @@
 func (l *Load) make(c call) {
 	start := time.Now()
 	var last attempt
+	var errs []string
 	for n, target := range c.targets {
 		name := fmt.Sprintf("%s/%d", c.id, n)
 		last = l.attempt(c, name, target)
@@ -190,12 +191,14 @@
 				r.Cut++
 			}
 		})
+		errs = append(errs, last.err)
 		if last.complete || (c.paid && !last.notRun) {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	took := time.Since(start)
+	last.err = strings.Join(errs, "; then ")
 	l.count(func(r *Result) { r.add(c, last, took) })
 }
 
@@ -220,7 +223,7 @@
 		r.FailedReads++
 	}
 	if len(r.Errors) < maxErrors {
-		r.Errors = append(r.Errors, c.id+" "+a.err)
+		r.Errors = append(r.Errors, fmt.Sprintf("%s (paid: %v) %s", c.id, c.paid, a.err))
 	}
 }
 
--- a/test/scenario/versions.go
+++ b/test/scenario/versions.go
@@ -230,14 +230,18 @@
 	}
 	ctx, cancel := w.within(20 * time.Second)
 	defer cancel()
+	var last error
 	for {
 		shown, err := w.lacks(ctx, hosts[0], args[0])
 		if err == nil {
 			return nil
 		}
+		if ctx.Err() == nil {
+			last = fmt.Errorf("%w; status: %s", err, shown)
+		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%w; status: %s", err, shown)
+			return last
 		case <-time.After(200 * time.Millisecond):
 		}
 	}
--- a/test/scenario/world.go
+++ b/test/scenario/world.go
@@ -1,5 +1,20 @@
 // Package scenario is the test language in which scripts under testdata prove
-// the promises of the system under failure, on real processes.
+// the promises of the system under failure, on real processes. The commands,
+// besides those of testscript, are:
+//
+//	mesh         starts daemons, backend servers, platform and relay
+//	submit       changes a section           race          submits at all daemons at once
+//	applied      waits for a version         status-lacks  waits for a status
+//	load         makes calls                 paid          sends one paid action
+//	daemon       kill, freeze, resume, stop, start
+//	server       the same for backend servers, and drain
+//	platform     down, up, slow, lose, watch
+//	link, zone   cut, heal                   datagram      sends bad packets
+//	foreign      starts a daemon with keys of its own
+//	sleep        waits                       expect        checks a promise
+//
+// Hosts are named by id or by patterns such as pwani-a-*. A command that begins
+// with ! must fail.
 package scenario
 
 import (
