--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,6 +135,9 @@
 		return fmt.Errorf("load keys: %w", err)
 	}
 	d.serverTLS = serverTLS
+	if err := message.Prepare(); err != nil {
+		return fmt.Errorf("prepare the encoder: %w", err)
+	}
 	d.loop = newLoop(d.parts, d.fleetConfig())
 	if err := d.openLink(ctx, serverTLS, clientTLS); err != nil {
 		return err
--- a/internal/message/pack.go
+++ b/internal/message/pack.go
@@ -58,6 +58,14 @@
 	return packBase(blob, base)
 }
 
+// Prepare makes the encoder with a dictionary, which takes about 10 ms, so that
+// the first delta of a process does not wait for it.
+func Prepare() error {
+	base := make([]byte, minDictionary)
+	_, err := packBase(base, base)
+	return err
+}
+
 func packBase(blob, base []byte) ([]byte, error) {
 	baseEncoder.Lock()
 	defer baseEncoder.Unlock()
