announcement: drains end with a restart, expired leases with a renewal

A server whose lease had ended while its process, or the daemon, was paused stayed draining for as long as it renewed: the end of a lease and a drain that was asked for were the same state. They are kept apart now. A server that restarts with the same address after a drain says so with the state starting; the stand-in backend server does that first.

Health probes no longer follow redirects to other addresses, and a result that arrives after the server was withdrawn or restarted is dropped; an unhealthy mark is taken back with the server, since the pool keeps it by id. Ports 0, unspecified addresses, health paths that do not parse and text after the JSON object are refused.

loop.post lost about half of the events after the process was asked to stop, because a select between a free queue and an ended context picks either one; announcements during a drain were affected.

The tests run under an injected clock and testing/synctest, three times with the race detector.

--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"regexp"
 	"slices"
 	"strings"
@@ -51,6 +52,9 @@
 	row        backend.Server
 	healthPath string
 	renewed    time.Time
+	// asked is the state last asked for by the server or an operator. It
+	// differs from the state of the row after the lease has ended.
+	asked backend.State
 }
 
 // announcement is the body of a PUT request.
@@ -72,7 +76,12 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	a := &API{config: c, mux: http.NewServeMux(), client: &http.Client{Timeout: probeTimeout}, servers: make(map[backend.ServerID]*entry)}
+	a := &API{config: c, mux: http.NewServeMux(), servers: make(map[backend.ServerID]*entry)}
+	a.client = &http.Client{
+		Timeout: probeTimeout,
+		// A health endpoint may not send probes to other addresses.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	a.mux.HandleFunc("PUT /backend-servers/{id}", a.put)
 	a.mux.HandleFunc("POST /backend-servers/{id}/drain", func(w http.ResponseWriter, r *http.Request) { a.setState(w, r, backend.Draining) })
 	a.mux.HandleFunc("DELETE /backend-servers/{id}", func(w http.ResponseWriter, r *http.Request) { a.setState(w, r, backend.Gone) })
@@ -108,14 +117,19 @@
 	defer a.mu.Unlock()
 	e := a.servers[row.ID]
 	if e == nil {
-		e = &entry{row: backend.Server{State: backend.Gone}}
+		e = &entry{asked: backend.Gone, row: backend.Server{State: backend.Gone}}
 		a.servers[row.ID] = e
 	}
-	e.renewed, e.healthPath = a.config.Now(), healthPath
-	// A server that was asked to drain stays so when it renews as ready.
-	if e.row.State == backend.Draining && row.State < backend.Draining && e.row.Addr == row.Addr {
+	if e.healthPath != "" && healthPath == "" {
+		a.forgetHealth(row.ID)
+	}
+	// A server that was asked to drain stays so when it renews as ready. A new
+	// address or the state starting is a restart. The end of a lease asks for
+	// nothing: the holder may have been paused.
+	if e.asked == backend.Draining && row.State == backend.Ready && e.row.Addr == row.Addr {
 		row.State = backend.Draining
 	}
+	e.renewed, e.healthPath, e.asked = a.config.Now(), healthPath, row.State
 	if e.row != row {
 		e.row = row
 		a.config.Announce(row)
@@ -130,9 +144,12 @@
 	if err := d.Decode(&m); err != nil {
 		return backend.Server{}, "", fmt.Errorf("body: %w", err)
 	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return backend.Server{}, "", errors.New("body: more follows the JSON object")
+	}
 	var errs []error
 	addr, err := netip.ParseAddrPort(m.Address)
-	if err != nil {
+	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
 		errs = append(errs, fmt.Errorf("address %q is not an IP address with a port, for example 127.0.0.1:8080", m.Address))
 	}
 	if !validName.MatchString(string(id)) {
@@ -141,8 +158,8 @@
 	if !validName.MatchString(string(m.Service)) {
 		errs = append(errs, fmt.Errorf("service %q is not lower-case letters, digits and hyphens", m.Service))
 	}
-	if m.HealthPath != "" && !strings.HasPrefix(m.HealthPath, "/") {
-		errs = append(errs, fmt.Errorf("health-path %q does not start with /", m.HealthPath))
+	if _, err := url.Parse(m.HealthPath); err != nil || (m.HealthPath != "" && !strings.HasPrefix(m.HealthPath, "/")) {
+		errs = append(errs, fmt.Errorf("health-path %q is not a path that starts with /", m.HealthPath))
 	}
 	state, err := parseState(m.State)
 	errs = append(errs, err)
@@ -172,19 +189,28 @@
 		fail(w, http.StatusNotFound, fmt.Errorf("no backend server %q is announced on this host", id))
 		return
 	}
+	e.asked = s
 	a.change(e, s)
-	if s == backend.Gone {
-		delete(a.servers, id)
-	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// change moves a server on to a later state.
+// change moves a server on to a later state, and forgets it when it is gone.
 func (a *API) change(e *entry, s backend.State) {
 	if e.row.State < s {
 		e.row.State = s
 		a.config.Announce(e.row)
 	}
+	if s == backend.Gone {
+		delete(a.servers, e.row.ID)
+		a.forgetHealth(e.row.ID)
+	}
+}
+
+// forgetHealth takes back an earlier result of a server that is probed no more.
+func (a *API) forgetHealth(id backend.ServerID) {
+	if a.config.Health != nil {
+		a.config.Health(id, true)
+	}
 }
 
 // expire drains servers whose lease has ended, and withdraws them later.
@@ -192,11 +218,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.config.Now()
-	for id, e := range a.servers {
+	for _, e := range a.servers {
 		switch age := now.Sub(e.renewed); {
 		case age > goneAfter*a.config.Lease:
 			a.change(e, backend.Gone)
-			delete(a.servers, id)
 		case age > a.config.Lease:
 			a.change(e, backend.Draining)
 		}
@@ -210,9 +235,18 @@
 		return
 	}
 	for _, e := range a.probed() {
-		go func() {
-			a.config.Health(e.row.ID, a.healthy(ctx, "http://"+e.row.Addr.String()+e.healthPath))
-		}()
+		go func() { a.report(e, a.healthy(ctx, "http://"+e.row.Addr.String()+e.healthPath)) }()
+	}
+}
+
+// report passes on a result unless the server was withdrawn or restarted in the
+// meantime.
+func (a *API) report(probed entry, healthy bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	e := a.servers[probed.row.ID]
+	if e != nil && e.healthPath == probed.healthPath && e.row.Addr == probed.row.Addr {
+		a.config.Health(e.row.ID, healthy)
 	}
 }
 
--- /dev/null
+++ b/internal/announcement/announcement_test.go
@@ -0,0 +1,192 @@
+package announcement
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+)
+
+const ready = `{"service":"bead-stock","address":"127.0.0.1:8080","slots":9}`
+
+// fixture is an API whose clock and callbacks the test sees.
+type fixture struct {
+	*API
+	now    time.Time
+	events []string // announced states and health results, since the last take
+}
+
+func newFixture() *fixture {
+	f := &fixture{now: time.Unix(1_800_000_000, 0)}
+	f.API = New(Config{
+		Lease:    3 * time.Second,
+		Announce: func(s backend.Server) { f.events = append(f.events, fmt.Sprintf("%s %s", s.Addr, s.State)) },
+		Health:   func(id backend.ServerID, ok bool) { f.events = append(f.events, fmt.Sprintf("%s healthy=%v", id, ok)) },
+		Now:      func() time.Time { return f.now },
+	})
+	return f
+}
+
+// send sends a request and returns the status and the body of the response.
+func (f *fixture) send(method, path, body string) (int, string) {
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return w.Code, w.Body.String()
+}
+
+// check compares the callbacks since the last check.
+func (f *fixture) check(t *testing.T, what string, want ...string) {
+	t.Helper()
+	if got := f.take(); !slices.Equal(got, want) {
+		t.Errorf("%s: got callbacks %q, want %q", what, got, want)
+	}
+}
+
+// take returns the callbacks since the last take. The API calls back under its
+// lock.
+func (f *fixture) take() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	events := f.events
+	f.events = nil
+	return events
+}
+
+// at lets the lease check run at a time after the start.
+func (f *fixture) at(d time.Duration) {
+	f.now = time.Unix(1_800_000_000, 0).Add(d)
+	f.expire()
+}
+
+// Guards against a server that is kept after its lease, rows that are published
+// again at every renewal, and a server that stays out after the pause of its
+// process.
+func TestLease(t *testing.T) {
+	f := newFixture()
+	put := func(body string) { f.send("PUT", "/backend-servers/stock-1", body) }
+	put(ready)
+	f.check(t, "first announcement", "127.0.0.1:8080 ready")
+	f.at(3 * time.Second)
+	put(ready)
+	f.check(t, "renewal without a change")
+	f.at(6 * time.Second)
+	f.check(t, "at the end of the lease")
+	f.at(6*time.Second + 1)
+	f.check(t, "after the lease", "127.0.0.1:8080 draining")
+	put(ready)
+	f.check(t, "renewal after a pause", "127.0.0.1:8080 ready")
+	f.at(16 * time.Second)
+	f.check(t, "after three leases", "127.0.0.1:8080 gone", "stock-1 healthy=true")
+	put(ready)
+	f.check(t, "announcement after the withdrawal", "127.0.0.1:8080 ready")
+	f.send("DELETE", "/backend-servers/stock-1", "")
+	f.check(t, "withdrawal", "127.0.0.1:8080 gone", "stock-1 healthy=true")
+}
+
+// Guards against work for a draining server that renews with its old state, and
+// against a drain that outlives a restart.
+func TestDrainEndsWithRestart(t *testing.T) {
+	for restart, want := range map[string]string{
+		`{"service":"bead-stock","address":"127.0.0.1:8081"}`:                    "127.0.0.1:8081 ready",
+		`{"service":"bead-stock","address":"127.0.0.1:8080","state":"starting"}`: "127.0.0.1:8080 starting",
+	} {
+		f := newFixture()
+		f.send("PUT", "/backend-servers/stock-1", ready)
+		f.send("POST", "/backend-servers/stock-1/drain", "")
+		f.check(t, "drain", "127.0.0.1:8080 ready", "127.0.0.1:8080 draining")
+		f.send("PUT", "/backend-servers/stock-1", ready)
+		f.at(4 * time.Second)
+		f.send("PUT", "/backend-servers/stock-1", ready)
+		f.check(t, "renewals as ready, one after the lease")
+		f.send("PUT", "/backend-servers/stock-1", restart)
+		f.check(t, "restart", want)
+	}
+}
+
+// Guards against bad rows and against errors that name one fault at a time.
+func TestBadInput(t *testing.T) {
+	f := newFixture()
+	for body, want := range map[string][]string{
+		`{"service":"Bead","address":"localhost:80","state":"up","health-path":"ok"}`: {`address \"localhost:80\"`, `id \"Stock_1\"`, `service \"Bead\"`, `health-path \"ok\"`, `state \"up\"`},
+		`{"service":"s","address":"0.0.0.0:80","health-path":"/%zz"}`:                 {`address \"0.0.0.0:80\"`, `health-path \"/%zz\"`},
+		`{"service":"s","address":"127.0.0.1:0"}`:                                     {`address \"127.0.0.1:0\"`},
+		`{"service":"s","adress":"127.0.0.1:80"}`:                                     {`unknown field \"adress\"`},
+		`{"slots":70000}`:                        {"slots"},
+		ready + "{}":                             {"more follows"},
+		"":                                       {"body"},
+		`"` + strings.Repeat("x", maxBody) + `"`: {"too large"},
+	} {
+		status, text := f.send("PUT", "/backend-servers/Stock_1", body)
+		for _, part := range want {
+			if status != http.StatusBadRequest || !strings.Contains(text, part) {
+				t.Errorf("PUT %.80s: got %d %s, want 400 with %s", body, status, text, part)
+			}
+		}
+	}
+	if status, _ := f.send("POST", "/backend-servers/none/drain", ""); status != http.StatusNotFound {
+		t.Errorf("drain of an unknown server: got %d, want 404", status)
+	}
+	f.check(t, "after bad input")
+	if _, got := f.send("GET", "/backend-servers", ""); got != "[]\n" {
+		t.Errorf("list: got %s, want []", got)
+	}
+}
+
+// endpoints answers probes by path, in place of the network.
+type endpoints map[string]func(*http.Request) (*http.Response, error)
+
+func (e endpoints) RoundTrip(r *http.Request) (*http.Response, error) { return e[r.URL.Path](r) }
+
+func status(code int, location string) func(*http.Request) (*http.Response, error) {
+	return func(*http.Request) (*http.Response, error) {
+		return &http.Response{StatusCode: code, Header: http.Header{"Location": {location}}, Body: http.NoBody}, nil
+	}
+}
+
+// Guards against a health endpoint that changes a row, sends the probe to
+// another address, or delays the lease of other servers by hanging; and against
+// results that outlive the server.
+func TestHealthOnlyInforms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.client.Transport = endpoints{
+			"/fail":     status(http.StatusInternalServerError, ""),
+			"/redirect": status(http.StatusFound, "http://10.0.0.1/elsewhere"),
+			"/hang": func(r *http.Request) (*http.Response, error) {
+				<-r.Context().Done()
+				return nil, r.Context().Err()
+			},
+		}
+		go f.Run(t.Context())
+		for path := range f.client.Transport.(endpoints) {
+			f.send("PUT", "/backend-servers"+path, fmt.Sprintf(`{"service":"s","address":"127.0.0.1:80","health-path":%q}`, path))
+		}
+		f.send("PUT", "/backend-servers/silent", ready)
+		f.take()
+		time.Sleep(probeInterval)
+		synctest.Wait()
+		if got, want := f.take(), []string{"fail healthy=false", "redirect healthy=true"}; !slices.Equal(slices.Sorted(slices.Values(got)), want) {
+			t.Errorf("at the probe: got callbacks %q, want %q", got, want)
+		}
+		f.send("DELETE", "/backend-servers/redirect", "")
+		f.send("DELETE", "/backend-servers/fail", "")
+		f.take()
+		f.send("PUT", "/backend-servers/silent", strings.Replace(ready, "8080", "8081", 1))
+		f.check(t, "a renewal while a probe hangs", "127.0.0.1:8081 ready")
+		time.Sleep(probeTimeout)
+		synctest.Wait()
+		f.check(t, "after the timeout of the probe", "hang healthy=false")
+		time.Sleep(probeInterval - probeTimeout)
+		synctest.Wait()
+		f.send("DELETE", "/backend-servers/hang", "")
+		time.Sleep(probeTimeout)
+		synctest.Wait()
+		f.check(t, "a withdrawal while a probe hangs", "127.0.0.1:80 gone", "hang healthy=true")
+	})
+}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -51,8 +51,14 @@
 	}
 }
 
-// post queues an event that must not be lost.
+// post queues an event that must not be lost. After the end of ctx it still
+// queues the event when there is room, because the loop runs on during a drain.
 func (l *loop) post(ctx context.Context, e fleet.Event) {
+	select {
+	case l.events <- e:
+		return
+	default:
+	}
 	select {
 	case l.events <- e:
 	case <-ctx.Done():
--- a/test/backendserver/main.go
+++ b/test/backendserver/main.go
@@ -74,6 +74,7 @@
 
 // announce renews the announcement until ctx ends.
 func (s *server) announce(ctx context.Context) {
+	s.put("starting") // ends the drain of an earlier run with the same address
 	for ctx.Err() == nil {
 		s.put("ready")
 		select {
