daemon: tell the fleet of a planned stop; metrics to alert on; tests

The link was opened with the context that the stop signal ends, and closed itself at once on that signal. The message that the host leaves was therefore never sent, and the others took each planned stop for a crash. The link now outlives that context and is closed by Run. With the fault put back, TestPlannedStopCutsNoCall fails: the host is not seen to leave within 30 s.

The platform is wrapped in a counter, so that reads and writes of rows and objects, failures and reachability cover all requests and not only those of the core; readiness takes the table's state from there. New metrics: hosts by state, unreachable zones, claims by outcome, age of the last message from another region. Hosts and zones are read from the core at the scrape, which keeps the core without metrics.

The help of the timeline named an event kind that does not exist.

--- a/internal/command/timeline/timeline.go
+++ b/internal/command/timeline/timeline.go
@@ -52,10 +52,10 @@
 answer, or no longer keep all events, are named on the error stream.
 
 A picture has a row for each host, by availability zone, and marks where the
-version was accepted, secured, fetched and applied.`,
+version was accepted, fetched and applied.`,
 		Examples: []string{
 			"peridotlb timeline --version 41",
-			"peridotlb timeline --kind server-ejected --since 10m",
+			"peridotlb timeline --kind ejected --since 10m",
 			"peridotlb timeline --call-id 7c2f --json",
 			"peridotlb timeline --version 41 --picture rollout.svg",
 		},
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -8,11 +8,15 @@
 )
 
 // claimsAdapter gives the call path the claims of the platform's table.
-type claimsAdapter struct{ claims *claim.Claims }
+type claimsAdapter struct {
+	claims *claim.Claims
+	meters *meters
+}
 
 // Take implements proxy.Claims.
 func (a claimsAdapter) Take(ctx context.Context, key proxy.ClaimKey, f proxy.Fingerprint) (proxy.Decision, error) {
 	decision, err := a.claims.Take(ctx, claim.Key{Route: key.Route, Value: key.Key}, claim.Fingerprint(f))
+	a.meters.claim(decision, err)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/contacts.go
+++ b/internal/daemon/contacts.go
@@ -37,7 +37,6 @@
 	} else {
 		rows, err = l.platform.Get(ctx, contactsKey(l.settings.Region, l.settings.AvailabilityZone))
 	}
-	l.meters.tableReads.Add(max(1, len(rows)))
 	answer := fleet.PeersRead{AllZones: e.AllZones}
 	if err != nil {
 		answer.Err = fmt.Errorf("read contacts: %w", err)
@@ -79,7 +78,6 @@
 	}
 	value := []byte(strings.Join(texts, " "))
 	key := contactsKey(c.Region, c.Zone)
-	l.meters.tableReads.Inc()
 	rows, err := l.platform.Get(ctx, key)
 	if err != nil {
 		return fmt.Errorf("read contacts: %w", err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,21 +54,20 @@
 
 // parts are the adapters that the loop and the servers share.
 type parts struct {
-	settings   settings.Daemon
-	log        *zap.Logger
-	platform   platform.Service
-	platformUp atomic.Bool
-	link       *link.Link
-	nat        link.NAT
-	held       heldVersions
-	timeline   *timeline.Ring
-	pool       *pool.Pool
-	gate       *gate.Gate
-	claims     *claim.Claims
-	calls      callView
-	regions    regionTable
-	meters     *meters
-	leaving    atomic.Bool
+	settings settings.Daemon
+	log      *zap.Logger
+	platform *meteredPlatform
+	link     *link.Link
+	nat      link.NAT
+	held     heldVersions
+	timeline *timeline.Ring
+	pool     *pool.Pool
+	gate     *gate.Gate
+	claims   *claim.Claims
+	calls    callView
+	regions  regionTable
+	meters   *meters
+	leaving  atomic.Bool
 }
 
 // Daemon is one daemon of the fleet.
@@ -92,24 +91,23 @@
 
 // New returns a daemon that listens on all its addresses. Run serves.
 func New(ctx context.Context, c Config) (*Daemon, error) {
-	p := &parts{settings: c.Settings, log: c.Log, platform: c.Platform}
-	if p.platform == nil {
-		service, err := openPlatform(ctx, c)
-		if err != nil {
+	service := c.Platform
+	if service == nil {
+		var err error
+		if service, err = openPlatform(ctx, c); err != nil {
 			return nil, fmt.Errorf("open platform: %w", err)
 		}
-		p.platform = service
 	}
-	d := &Daemon{parts: p}
-	if err := d.build(ctx); err != nil {
+	set := metrics.NewSet()
+	d := &Daemon{parts: &parts{settings: c.Settings, log: c.Log, platform: newMeteredPlatform(service, set)}}
+	if err := d.build(ctx, set); err != nil {
 		return nil, err
 	}
 	return d, nil
 }
 
-func (d *Daemon) build(ctx context.Context) error {
+func (d *Daemon) build(ctx context.Context, set *metrics.Set) error {
 	s := d.settings
-	set := metrics.NewSet()
 	d.timeline = timeline.New(timeline.Config{Host: s.HostID, Zone: s.AvailabilityZone, Size: s.TimelineSize})
 	d.gate = gate.New(gate.Config{Self: s.HostID})
 	d.pool = pool.New(pool.Config{
@@ -151,7 +149,9 @@
 
 func (d *Daemon) openLink(ctx context.Context, serverTLS, clientTLS *tls.Config) error {
 	s := d.settings
-	l, err := link.Listen(ctx, link.Config{
+	// The link outlives ctx, since a planned stop still tells the others; Run
+	// closes it.
+	l, err := link.Listen(context.WithoutCancel(ctx), link.Config{
 		Addr: s.ControlAddress, Server: serverTLS, Client: clientTLS, NAT: d.nat,
 		Codec:   message.Codec{Held: d.heldVersion},
 		Receive: d.loop.receive, Answer: d.answerQuery,
@@ -170,7 +170,7 @@
 	d.transports = proxy.NewTransports(proxy.TransportConfig{TLS: clientTLS, Translate: d.nat.Outside, Source: s.GateAddress.Addr()})
 	calls := proxy.Config{
 		Self: s.HostID, Routes: func() *route.Table { return d.calls.routes.Load() },
-		Pool: d.pool, Gate: d.gate, Claims: claimsAdapter{d.claims}, Transports: d.transports,
+		Pool: d.pool, Gate: d.gate, Claims: claimsAdapter{d.claims, d.meters}, Transports: d.transports,
 		Events: d.callEvent, Metrics: set,
 	}
 	api, err := operator.New(operator.Config{
--- /dev/null
+++ b/internal/daemon/fleet_test.go
@@ -0,0 +1,420 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/link"
+	"github.com/peridotlb/peridotlb/internal/operator"
+	"github.com/peridotlb/peridotlb/internal/platform"
+	"github.com/peridotlb/peridotlb/internal/settings"
+)
+
+const (
+	testToken  = "token-that-nobody-may-see-1"
+	testSecret = "secret-key-that-nobody-may-see-1"
+	// promise is the longest time from acceptance until a version is in force.
+	promise = 7 * time.Second
+	// longWait bounds polling for what has no promised time.
+	longWait = 30 * time.Second
+
+	testDocument = `sections:
+  - name: stock
+    team: stock-team
+    services: [{name: bead-stock, slots: 9, connections: 130, warm-up: 0s}]
+    routes: [{name: read-stock, path-prefix: /stock, methods: [GET], service: bead-stock, timeout: 5s, retries: 2}]
+`
+)
+
+// addressNames are the address settings, in the order of the ports of a block.
+var addressNames = []string{"control", "gate", "call", "announce", "operator", "metrics"}
+
+// freeBlock returns the first of six free ports, for TCP and UDP. They are below
+// the ports that outgoing connections take.
+func freeBlock(t *testing.T) int {
+	t.Helper()
+	for range 100 {
+		base := 20000 + 10*rand.IntN(1200)
+		if isFree(base) {
+			return base
+		}
+	}
+	t.Fatal("found no free block of ports")
+	return 0
+}
+
+func isFree(base int) bool {
+	for i := range addressNames {
+		address := fmt.Sprintf("127.0.0.1:%d", base+i)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+		u, err := net.ListenPacket("udp", address)
+		if err != nil {
+			return false
+		}
+		_ = u.Close()
+	}
+	return true
+}
+
+// keyFiles writes the keys of a host, and returns their flags.
+func keyFiles(t *testing.T, ca link.Keys, id string) []string {
+	t.Helper()
+	keys, err := link.NewHostKeys(ca, id, time.Now().Add(-time.Minute), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	var flags []string
+	for name, data := range map[string][]byte{"ca-file": ca.Certificate, "certificate-file": keys.Certificate, "key-file": keys.Key} {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		flags = append(flags, "--"+name+"="+path)
+	}
+	return flags
+}
+
+func newCA(t *testing.T) link.Keys {
+	t.Helper()
+	ca, err := link.NewCA("test", time.Now().Add(-time.Minute), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ca
+}
+
+// flags returns the arguments of a daemon in region pwani.
+func flags(t *testing.T, ca link.Keys, id, zone string, more ...string) []string {
+	t.Helper()
+	args := append([]string{"--host-id=" + id, "--availability-zone=" + zone, "--region=pwani", "--operator-tokens=stock-team:" + testToken}, keyFiles(t, ca, id)...)
+	base := freeBlock(t)
+	for i, name := range addressNames {
+		args = append(args, fmt.Sprintf("--%s-address=127.0.0.1:%d", name, base+i))
+	}
+	return append(args, more...)
+}
+
+// logBuffer collects the log of a daemon.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// node is a running daemon.
+type node struct {
+	*Daemon
+	log  *logBuffer
+	stop func() // asks for a planned stop and waits for its end
+}
+
+// start starts a daemon with a platform that others may share.
+func start(t *testing.T, p platform.Service, args []string) *node {
+	t.Helper()
+	s, err := settings.Parse(args)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{log: &logBuffer{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	if n.Daemon, err = New(ctx, Config{Settings: s, Log: newLog(s, n.log), Platform: p}); err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("stop of %s: %v", s.HostID, err)
+		}
+	})
+	return n
+}
+
+// startFleet starts daemons "a", "b", ... in the given zones, of which the first
+// is the contact of the others.
+func startFleet(t *testing.T, zones ...string) []*node {
+	t.Helper()
+	ca, memory := newCA(t), platform.NewMemory()
+	var nodes []*node
+	for i, zone := range zones {
+		more := []string{"--log-level=debug", "--platform-secret-key=" + testSecret}
+		if i > 0 {
+			more = append(more, "--peers="+nodes[0].settings.ControlAddress.String())
+		}
+		nodes = append(nodes, start(t, memory, flags(t, ca, string(rune('a'+i)), zone, more...)))
+	}
+	t.Cleanup(func() {
+		var stops sync.WaitGroup
+		for _, n := range nodes {
+			stops.Go(n.stop)
+		}
+		stops.Wait()
+	})
+	for _, n := range nodes {
+		eventually(t, longWait, "all hosts known to "+string(n.settings.HostID), func() bool {
+			return n.hostsIn(t, host.Alive) == len(zones)
+		})
+	}
+	return nodes
+}
+
+// eventually polls until a condition holds.
+func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: got nothing within %v", what, limit)
+		}
+	}
+}
+
+// hostsIn counts the hosts that are in a state.
+func (n *node) hostsIn(t *testing.T, s host.State) int {
+	count := 0
+	if err := n.loop.view(t.Context(), func(c *fleet.Core) {
+		for _, h := range c.Hosts() {
+			if h.State == s {
+				count++
+			}
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return count
+}
+
+// request sends a request to a listener and returns status, header and body.
+func request(t *testing.T, method string, to netip.AddrPort, path, body string) (int, http.Header, string) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+to.String()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testToken)
+	r.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Errorf("%s %s: %v", method, path, err)
+		return 0, nil, ""
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Errorf("%s %s: %v", method, path, err)
+	}
+	return response.StatusCode, response.Header, string(data)
+}
+
+// announceServer starts a backend server on the host of a daemon.
+func (n *node) announceServer(t *testing.T, id string, h http.HandlerFunc) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	put := func() {
+		body := fmt.Sprintf(`{"service":"bead-stock","address":%q}`, server.Listener.Addr())
+		r, _ := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+n.settings.AnnounceAddress.String()+"/backend-servers/"+id, strings.NewReader(body))
+		if response, err := http.DefaultClient.Do(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}
+	put()
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(time.Second)
+			put()
+		}
+	}()
+}
+
+// submit submits the test document at a daemon and waits until it is in force on
+// all of them.
+func submit(t *testing.T, at *node, everywhere ...*node) {
+	t.Helper()
+	status, _, text := request(t, "POST", at.settings.OperatorAddress, "/v1/submissions", fmt.Sprintf(`{"id":"s-1","base":0,"document":%q}`, testDocument))
+	if status != http.StatusOK || !strings.Contains(text, `"version":1`) {
+		t.Fatalf("submission: got %d %s, want version 1", status, text)
+	}
+	for _, n := range everywhere {
+		eventually(t, promise, "version in force on "+string(n.settings.HostID), func() bool {
+			s := n.calls.snapshot.Load()
+			return s != nil && s.Number() == 1
+		})
+	}
+}
+
+// Guards against a version that reaches only the daemon that accepted it, and
+// against a backend server that only the callers of its own host can reach.
+// Secrets may not appear in anything that the daemons write.
+func TestSubmissionAndCallAcrossDaemons(t *testing.T) {
+	t.Parallel()
+	nodes := startFleet(t, "pwani-a", "pwani-a")
+	a, b := nodes[0], nodes[1]
+	submit(t, a, a, b)
+	b.announceServer(t, "stock-b", func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "42 beads "+r.URL.Path) })
+	eventually(t, longWait, "call through a", func() bool {
+		status, header, text := request(t, "GET", a.settings.CallAddress, "/stock/beads", "")
+		if status == http.StatusServiceUnavailable {
+			return false
+		}
+		if text != "42 beads /stock/beads" || header.Get("Peridotlb-Server") == "" && header.Get("Peridotlb-Call-Id") == "" {
+			t.Fatalf("call: got %d %q %v, want the response of stock-b with a call id", status, text, header)
+		}
+		return true
+	})
+
+	_, _, text := request(t, "GET", a.settings.MetricsAddress, "/metrics", "")
+	for _, want := range []string{`peridotlb_hosts{state="alive"} 2`, "peridotlb_zones_unreachable 0", "peridotlb_table_reachable 1", "peridotlb_version_applied 1", `peridotlb_claims_total{outcome="granted"} 0`} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("metrics: got no line %q", want)
+		}
+	}
+
+	var written []string
+	for _, n := range nodes {
+		for _, path := range []string{"/metrics", "/healthz", "/readyz"} {
+			_, _, text := request(t, "GET", n.settings.MetricsAddress, path, "")
+			written = append(written, text)
+		}
+		for _, path := range []string{"/v1/ping", "/v1/status", "/v1/timeline"} {
+			_, _, text := request(t, "GET", n.settings.OperatorAddress, path, "")
+			written = append(written, text)
+		}
+		written = append(written, n.log.String(), fmt.Sprintf("%+v %#v", n.settings, n.settings))
+	}
+	key, err := os.ReadFile(a.settings.KeyFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, secret := range []string{testToken, testSecret, strings.Split(string(key), "\n")[1]} {
+		if i := slices.IndexFunc(written, func(text string) bool { return strings.Contains(text, secret) }); i >= 0 {
+			t.Errorf("secret %.10s...: got it in %.200s, want it nowhere", secret, written[i])
+		}
+	}
+}
+
+// Guards against calls that a planned stop of a daemon cuts or fails, and
+// against a stop that the others take for a crash.
+func TestPlannedStopCutsNoCall(t *testing.T) {
+	t.Parallel()
+	nodes := startFleet(t, "pwani-a", "pwani-a")
+	a, b := nodes[0], nodes[1]
+	submit(t, a, a, b)
+	slow, started := make(chan struct{}), make(chan struct{}, 1)
+	finish := sync.OnceFunc(func() { close(slow) })
+	defer finish()
+	for i, n := range nodes {
+		n.announceServer(t, fmt.Sprint("stock-", i), func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/stock/slow" {
+				started <- struct{}{}
+				<-slow
+			}
+			_, _ = io.WriteString(w, r.URL.RequestURI())
+		})
+	}
+	eventually(t, longWait, "servers known", func() bool {
+		servers, err := a.Servers(t.Context())
+		return err == nil && len(servers) == 2
+	})
+	call := func(at *node, path string) {
+		if status, _, text := request(t, "GET", at.settings.CallAddress, path, ""); status != http.StatusOK || text != path {
+			t.Errorf("GET %s: got %d %q, want 200 and its own response", path, status, text)
+		}
+	}
+	var calls sync.WaitGroup
+	calls.Go(func() { call(b, "/stock/slow") })
+	<-started
+	stopped := make(chan struct{})
+	for worker := range 4 {
+		calls.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stopped:
+					return
+				default:
+					call(a, fmt.Sprintf("/stock/%d-%d", worker, i))
+					time.Sleep(time.Millisecond)
+				}
+			}
+		})
+	}
+	go func() { b.stop(); close(stopped) }()
+	eventually(t, longWait, "b left", func() bool { return a.hostsIn(t, host.Left) == 1 })
+	select {
+	case <-stopped:
+		t.Error("b stopped while a call was in flight")
+	default:
+	}
+	finish()
+	calls.Wait()
+	for _, kind := range []string{"host-suspected", "host-dead"} {
+		if events := timelineOf(t, a, kind).Events; len(events) > 0 {
+			t.Errorf("got %v, want no %s after a planned stop", events, kind)
+		}
+	}
+}
+
+func timelineOf(t *testing.T, n *node, kind string) operator.Timeline {
+	t.Helper()
+	got, err := n.Timeline(t.Context(), operator.Query{Kind: kind})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+// Guards against a status and a timeline that pass for complete while a host
+// does not answer.
+func TestSilentHostIsNamed(t *testing.T) {
+	t.Parallel()
+	nodes := startFleet(t, "pwani-a", "pwani-a", "pwani-b")
+	submit(t, nodes[0], nodes...)
+	_ = nodes[2].link.Close() // the process lives on without a network
+	if got := timelineOf(t, nodes[0], "version-applied"); !slices.Equal(got.Unanswered, []host.ID{"c"}) || len(got.Events) != 2 {
+		t.Errorf("timeline: got %d events and unanswered %v, want 2 and c", len(got.Events), got.Unanswered)
+	}
+	status, err := nodes[0].Status(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, z := range status.Zones {
+		if want := z.Name == "pwani-b"; z.Unreachable != want {
+			t.Errorf("zone %s: got unreachable %v, want %v", z.Name, z.Unreachable, want)
+		}
+	}
+}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -44,6 +44,9 @@
 // receive queues a message from another daemon, or drops it when the core is
 // too far behind.
 func (l *loop) receive(from netip.AddrPort, m message.Message) {
+	if l.isRemote(from.Addr()) {
+		l.meters.remoteAt.Store(time.Now().UnixNano())
+	}
 	select {
 	case l.messages <- fleet.Received{From: from, Message: m}:
 	default:
@@ -135,9 +138,7 @@
 func (l *loop) readHead(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	l.meters.tableReads.Inc()
 	m, err := submission.ReadHead(ctx, l.platform)
-	l.platformUp.Store(err == nil)
 	l.post(ctx, fleet.HeadRead{Manifest: m, Err: err})
 }
 
--- /dev/null
+++ b/internal/daemon/main_test.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"bytes"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotlb/peridotlb/internal/platform"
+	"github.com/peridotlb/peridotlb/internal/settings"
+)
+
+// Guards against faults that are reported one at a time, with a wrong exit code,
+// or with a secret.
+func TestMainFaults(t *testing.T) {
+	t.Parallel()
+	ca := newCA(t)
+	good := slices.Clip(flags(t, ca, "a", "pwani-a"))
+	other := keyFiles(t, newCA(t), "a")
+	caFlag := other[slices.IndexFunc(other, func(f string) bool { return strings.HasPrefix(f, "--ca-file=") })]
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	for _, c := range []struct {
+		name string
+		args []string
+		code int
+		out  []string // parts of standard output
+		errs []string // parts of standard error, one on each line
+	}{
+		{"check", append(good, "--check"), exitDone, []string{"The settings are valid."}, nil},
+		{"help", []string{"--help"}, exitDone, []string{"--host-id", "PERIDOTLB_HOST_ID"}, nil},
+		{"unknown flag", append(good, "--distributoin=fast"), exitUsage, nil, []string{"unknown flag --distributoin", "peridotlbd --help"}},
+		{
+			"several faults", append(good, "--announce-lease=5", "--region=Pwani", "--operator-tokens="+testToken, testSecret), exitUsage, nil,
+			[]string{"is not a flag", `--region: "Pwani" is not a name`, "--operator-tokens: element 2 is not like team:token", `--announce-lease: "5" is not a duration with a unit`, "peridotlbd --help"},
+		},
+		{"port in use", append(good, "--log-level=error", "--call-address="+taken.Addr().String()), exitFault, nil, []string{"peridotlbd: open --call-address: listen tcp " + taken.Addr().String()}},
+		{
+			"certificate of another fleet", append(good, caFlag), exitUsage, nil,
+			[]string{"--certificate-file: ", "peridotlbd --help"},
+		},
+	} {
+		var out, errs bytes.Buffer
+		code := Main(t.Context(), c.args, &out, &errs)
+		lines := strings.Split(strings.TrimSpace(errs.String()), "\n")
+		if errs.Len() == 0 {
+			lines = nil
+		}
+		if code != c.code || len(lines) != len(c.errs) {
+			t.Errorf("%s: got code %d and %q, want code %d and %d lines", c.name, code, lines, c.code, len(c.errs))
+			continue
+		}
+		for i, want := range c.errs {
+			if !strings.Contains(lines[i], want) {
+				t.Errorf("%s: got line %q, want %q in it", c.name, lines[i], want)
+			}
+		}
+		for _, want := range c.out {
+			if !strings.Contains(out.String(), want) {
+				t.Errorf("%s: got %q, want %q in it", c.name, out.String(), want)
+			}
+		}
+		if all := out.String() + errs.String(); strings.Contains(all, testToken) || strings.Contains(all, testSecret) {
+			t.Errorf("%s: got a secret in %q", c.name, all)
+		}
+	}
+}
+
+// Guards against a daemon of another fleet that gets in, and a log that does not
+// say why it is alone.
+func TestOtherFleetIsRefused(t *testing.T) {
+	t.Parallel()
+	a := start(t, platform.NewMemory(), flags(t, newCA(t), "a", "pwani-a"))
+	t.Cleanup(a.stop)
+	b := start(t, platform.NewMemory(), flags(t, newCA(t), "b", "pwani-a", "--peers="+a.settings.ControlAddress.String()))
+	t.Cleanup(b.stop)
+	eventually(t, longWait, "reason in the log", func() bool { return strings.Contains(b.log.String(), `certificate of \"a\" refused`) })
+	if got := a.hostsIn(t, 0); got != 1 {
+		t.Errorf("got %d hosts, want 1", got)
+	}
+}
+
+// Guards against a log that a repeated line fills, and against lines of other
+// parts that are lost with it.
+func TestRepeatedLinesAreLimited(t *testing.T) {
+	var out bytes.Buffer
+	log := newLog(settings.Daemon{LogFormat: settings.JSON}, &out)
+	now := fixedClock(time.Unix(1_800_000_000, 0))
+	log = log.WithOptions(zap.WithClock(&now))
+	for second := 1; second <= 2; second++ {
+		for i := range 1000 {
+			log.Warn("Could not connect.", zap.Int("attempt", i))
+		}
+		log.Warn("Another line.")
+		for text, want := range map[string]int{"Could not connect.": second * logFirst, "Another line.": second} {
+			if got := strings.Count(out.String(), text); got != want {
+				t.Errorf("second %d: got %d lines %q, want %d", second, got, text, want)
+			}
+		}
+		now = fixedClock(time.Time(now).Add(logPeriod))
+	}
+}
+
+// fixedClock is a zapcore.Clock that stands still.
+type fixedClock time.Time
+
+func (c *fixedClock) Now() time.Time                       { return time.Time(*c) }
+func (c *fixedClock) NewTicker(time.Duration) *time.Ticker { return time.NewTicker(time.Hour) }
--- a/internal/daemon/meters.go
+++ b/internal/daemon/meters.go
@@ -5,24 +5,54 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/peridotlb/peridotlb/internal/claim"
 	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/settings"
 )
 
 // meters are the metrics of the control side. docs/operations.md lists them.
 type meters struct {
-	applied    *metrics.Gauge   // number of the version in force
-	delay      *metrics.Gauge   // seconds from acceptance to the present version in force here
-	step       *metrics.Summary // seconds per step of the core
-	dropped    *metrics.Counter // messages dropped because the core was behind
-	tableReads *metrics.Counter // reads of the platform's table for the core
-	submitted  *metrics.Counter
-	refused    *metrics.Counter
-	unknown    *metrics.Counter
+	applied   *metrics.Gauge   // number of the version in force
+	delay     *metrics.Gauge   // seconds from acceptance to the present version in force here
+	step      *metrics.Summary // seconds per step of the core
+	dropped   *metrics.Counter // messages dropped because the core was behind
+	submitted *metrics.Counter
+	refused   *metrics.Counter
+	unknown   *metrics.Counter
+	claims    map[string]*metrics.Counter // by outcome
+	hosts     map[host.State]*metrics.Gauge
+	zones     *metrics.Gauge // zones that are unreachable, as seen from here
+	remoteAt  atomic.Int64   // Unix time in ns of the last message from another region
+}
+
+// claimOutcomes are the label values of claims.
+var claimOutcomes = []string{"granted", "recorded", "pending", "mismatch", "unconfirmed", "unusable"}
+
+// claim counts a decision. It allocates nothing, since it is on the call path.
+func (m *meters) claim(d claim.Decision, err error) {
+	outcome := "unusable"
+	switch d.(type) {
+	case claim.Granted:
+		outcome = "granted"
+	case claim.Recorded:
+		outcome = "recorded"
+	case claim.Pending:
+		outcome = "pending"
+	case claim.Mismatch:
+		outcome = "mismatch"
+	case claim.Unconfirmed:
+		outcome = "unconfirmed"
+	}
+	if err != nil {
+		outcome = "unusable"
+	}
+	m.claims[outcome].Inc()
 }
 
 func newMeters(set *metrics.Set, d *Daemon) *meters {
@@ -41,22 +71,57 @@
 	gauge(`peridotlb_control_sent_packets`, func() uint64 { return d.link.Traffic().Total.PacketsSent })
 	gauge(`peridotlb_control_received_packets`, func() uint64 { return d.link.Traffic().Total.PacketsReceived })
 	gauge(`peridotlb_control_messages_dropped_total`, func() uint64 { return d.link.Dropped() })
-	return &meters{
-		applied:    set.NewGauge("peridotlb_version_applied", nil),
-		delay:      set.NewGauge("peridotlb_version_apply_delay_seconds", nil),
-		step:       set.NewSummary("peridotlb_core_step_seconds"),
-		dropped:    set.NewCounter("peridotlb_core_messages_dropped_total"),
-		tableReads: set.NewCounter("peridotlb_table_reads_total"),
-		submitted:  set.NewCounter(`peridotlb_submissions_total{outcome="accepted"}`),
-		refused:    set.NewCounter(`peridotlb_submissions_total{outcome="refused"}`),
-		unknown:    set.NewCounter(`peridotlb_submissions_total{outcome="unknown"}`),
+	m := &meters{
+		applied:   set.NewGauge("peridotlb_version_applied", nil),
+		delay:     set.NewGauge("peridotlb_version_apply_delay_seconds", nil),
+		step:      set.NewSummary("peridotlb_core_step_seconds"),
+		dropped:   set.NewCounter("peridotlb_core_messages_dropped_total"),
+		submitted: set.NewCounter(`peridotlb_submissions_total{outcome="accepted"}`),
+		refused:   set.NewCounter(`peridotlb_submissions_total{outcome="refused"}`),
+		unknown:   set.NewCounter(`peridotlb_submissions_total{outcome="unknown"}`),
+		claims:    make(map[string]*metrics.Counter),
+		hosts:     make(map[host.State]*metrics.Gauge),
+		zones:     set.NewGauge("peridotlb_zones_unreachable", nil),
+	}
+	for _, outcome := range claimOutcomes {
+		m.claims[outcome] = set.NewCounter(`peridotlb_claims_total{outcome="` + outcome + `"}`)
+	}
+	for s := host.Alive; s <= host.Left; s++ {
+		m.hosts[s] = set.NewGauge(`peridotlb_hosts{state="`+s.String()+`"}`, nil)
+	}
+	m.remoteAt.Store(time.Now().UnixNano())
+	set.NewGauge("peridotlb_region_link_age_seconds", func() float64 {
+		return time.Since(time.Unix(0, m.remoteAt.Load())).Seconds()
+	})
+	return m
+}
+
+// update takes the gauges that come from the core.
+func (m *meters) update(c *fleet.Core) {
+	count := make(map[host.State]int)
+	for _, h := range c.Hosts() {
+		count[h.State]++
+	}
+	for s, gauge := range m.hosts {
+		gauge.Set(float64(count[s]))
+	}
+	unreachable := 0
+	for _, z := range c.Zones() {
+		if z.Unreachable {
+			unreachable++
+		}
 	}
+	m.zones.Set(float64(unreachable))
 }
 
 // metricsHandler serves /metrics, /healthz and /readyz.
 func (d *Daemon) metricsHandler(set *metrics.Set) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		// Without an answer of the core, the gauges keep their last values.
+		ctx, cancel := context.WithTimeout(r.Context(), time.Second)
+		defer cancel()
+		_ = d.loop.view(ctx, d.meters.update)
 		set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
@@ -87,7 +152,7 @@
 	}
 	if d.calls.routes.Load() == nil {
 		problem := "no version is applied yet"
-		if !d.platformUp.Load() {
+		if !d.platform.tableAnswered.Load() {
 			problem += fmt.Sprintf(": the table at %s does not answer", platformName(d.settings))
 		}
 		problems = append(problems, problem)
