--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -44,6 +44,9 @@
 // receive queues a message from another daemon, or drops it when the core is
 // too far behind.
 func (l *loop) receive(from netip.AddrPort, m message.Message) {
+	if l.isRemote(from.Addr()) {
+		l.meters.remoteAt.Store(time.Now().UnixNano())
+	}
 	select {
 	case l.messages <- fleet.Received{From: from, Message: m}:
 	default:
@@ -51,8 +54,14 @@
 	}
 }
 
-// post queues an event that must not be lost.
+// post queues an event that must not be lost. After the end of ctx it still
+// queues the event when there is room, because the loop runs on during a drain.
 func (l *loop) post(ctx context.Context, e fleet.Event) {
+	select {
+	case l.events <- e:
+		return
+	default:
+	}
 	select {
 	case l.events <- e:
 	case <-ctx.Done():
@@ -129,9 +138,7 @@
 func (l *loop) readHead(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	l.meters.tableReads.Inc()
 	m, err := submission.ReadHead(ctx, l.platform)
-	l.platformUp.Store(err == nil)
 	l.post(ctx, fleet.HeadRead{Manifest: m, Err: err})
 }
 
