--- a/internal/change/change_test.go
+++ b/internal/change/change_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/change"
 	"github.com/peridotlb/peridotlb/internal/document"
+	_ "github.com/peridotlb/peridotlb/test/seed"
 )
 
 func sections(names ...string) document.Document {
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/peridotlb/peridotlb/internal/platform"
+	_ "github.com/peridotlb/peridotlb/test/seed"
 )
 
 var errFault = errors.New("fault")
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -13,6 +13,7 @@
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/host"
+	_ "github.com/peridotlb/peridotlb/test/seed"
 )
 
 func service(slots uint16, warmUp time.Duration) []document.Service {
--- a/internal/message/codec_test.go
+++ b/internal/message/codec_test.go
@@ -19,6 +19,7 @@
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/timeline"
 	"github.com/peridotlb/peridotlb/internal/version"
+	_ "github.com/peridotlb/peridotlb/test/seed"
 )
 
 func addrs(t *rapid.T) netip.AddrPort {
--- a/internal/platform/remote_test.go
+++ b/internal/platform/remote_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/platform"
 	"github.com/peridotlb/peridotlb/test/platform/stand"
+	_ "github.com/peridotlb/peridotlb/test/seed"
 )
 
 func connect(t *testing.T, handler http.Handler, timeout time.Duration) *platform.Remote {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -14,6 +14,7 @@
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/host"
+	_ "github.com/peridotlb/peridotlb/test/seed"
 )
 
 // clock is a clock that tests move.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/document"
+	_ "github.com/peridotlb/peridotlb/test/seed"
 )
 
 func table(routes ...document.Route) *Table {
--- a/internal/submission/submission_test.go
+++ b/internal/submission/submission_test.go
@@ -16,6 +16,7 @@
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/submission"
 	"github.com/peridotlb/peridotlb/internal/version"
+	_ "github.com/peridotlb/peridotlb/test/seed"
 )
 
 var errNoTime = errors.New("no time left")
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/peridotlb/peridotlb/internal/host"
+	_ "github.com/peridotlb/peridotlb/test/seed"
 )
 
 // TestMergeKeepsCausality guards against a time line that shows an effect
