Push against the likely base in fast distribution

Cause: a push to a neighbour whose version was not known, which is every tree edge that is not probed, brought the whole version. Change: the base is the version before when none is known, with an announcement for a neighbour that lacks it; a pushed version is taken as held. Also: the unused leave message is removed, names are plainer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,11 +38,11 @@
 	"github.com/peridotlb/peridotlb/internal/timeline"
 )
 
-// lameDuckTime is how long a leaving daemon keeps its connections open and
+// leaveGrace is how long a leaving daemon keeps its connections open and
 // refuses or closes them response by response. In this time the others learn
 // that it leaves; closing idle connections at once would cut a call that a peer
 // is just sending.
-const lameDuckTime = 2 * time.Second
+const leaveGrace = 2 * time.Second
 
 // firstRequestTime is the time that an accepted connection has to send its
 // request after the listener was closed.
@@ -87,11 +87,11 @@
 
 // server is one HTTP listener of the daemon.
 type server struct {
-	name     string
-	http     *http.Server
-	listener net.Listener
-	lameDuck bool // carries calls: drained before it is closed
-	draining atomic.Bool
+	name         string
+	http         *http.Server
+	listener     net.Listener
+	carriesCalls bool // drained before it is closed
+	draining     atomic.Bool
 }
 
 // New returns a daemon that listens on all its addresses. Run serves.
@@ -200,8 +200,8 @@
 		operatorServer.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: d.serverTLS.GetCertificate, Certificates: d.serverTLS.Certificates}
 	}
 	d.servers = []*server{
-		{name: "call-address", http: proxy.EntryServer(d.lameDuck(proxy.NewEntry(calls))), lameDuck: true},
-		{name: "gate-address", http: proxy.GateServer(d.lameDuck(proxy.NewGate(calls)), d.serverTLS), lameDuck: true},
+		{name: "call-address", http: proxy.EntryServer(d.closeWhenLeaving(proxy.NewEntry(calls))), carriesCalls: true},
+		{name: "gate-address", http: proxy.GateServer(d.closeWhenLeaving(proxy.NewGate(calls)), d.serverTLS), carriesCalls: true},
 		{name: "announce-address", http: &http.Server{Handler: d.announcements, ReadHeaderTimeout: 5 * time.Second}},
 		{name: "operator-address", http: operatorServer},
 		{name: "metrics-address", http: &http.Server{Handler: d.metricsHandler(set), ReadHeaderTimeout: 5 * time.Second}},
@@ -226,8 +226,8 @@
 	_ = d.link.Close()
 }
 
-// lameDuck closes the connection after each response once the daemon leaves.
-func (d *Daemon) lameDuck(next http.Handler) http.Handler {
+// closeWhenLeaving closes the connection after each response once the daemon leaves.
+func (d *Daemon) closeWhenLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.leaving.Load() {
 			w.Header().Set("Connection", "close")
@@ -299,14 +299,14 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout)
 	defer cancel()
 	select {
-	case <-time.After(lameDuckTime):
+	case <-time.After(leaveGrace):
 	case <-ctx.Done():
 	}
 	if err := d.gate.DrainAll(ctx); err != nil {
 		d.log.Warn("Calls were still in flight at the end of the drain timeout.", zap.Error(err))
 	}
 	for _, srv := range d.servers {
-		if srv.lameDuck {
+		if srv.carriesCalls {
 			if err := srv.drain(ctx); err != nil {
 				d.log.Warn("Could not close a listener in time.", zap.String("listener", srv.name), zap.Error(err))
 			}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -111,8 +111,6 @@
 		c.receiveJoin(from, m)
 	case message.JoinAnswer:
 		c.receiveJoinAnswer(from, m)
-	case message.Leave:
-		c.mergeNews(message.News{Hosts: []host.Row{m.Row}}, from)
 	case message.Report:
 		c.receiveReport(from, m)
 	}
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -182,10 +182,10 @@
 	regions := c.overlay.otherRegions(c.config.Self.Region)
 	for _, z := range zones {
 		if z.Region == c.config.Self.Region {
-			found = c.joinStranger(z.Addrs) || found
+			found = c.joinUnknown(z.Addrs) || found
 		} else if c.isRegionRoot() && !slices.Contains(regions, z.Region) {
 			regions = append(regions, z.Region)
-			found = c.joinStranger(z.Addrs) || found
+			found = c.joinUnknown(z.Addrs) || found
 		}
 	}
 	if !found {
@@ -197,14 +197,14 @@
 	}
 }
 
-// joinStranger asks one of the hosts that this daemon does not know, and
+// joinUnknown asks one of the hosts that this daemon does not know, and
 // reports whether there is one.
-func (c *Core) joinStranger(addrs []netip.AddrPort) bool {
-	strangers := slices.DeleteFunc(slices.Clone(addrs), func(a netip.AddrPort) bool { return c.hosts.byAddr[a] != nil })
-	if len(strangers) == 0 {
+func (c *Core) joinUnknown(addrs []netip.AddrPort) bool {
+	unknown := slices.DeleteFunc(slices.Clone(addrs), func(a netip.AddrPort) bool { return c.hosts.byAddr[a] != nil })
+	if len(unknown) == 0 {
 		return false
 	}
-	c.send(strangers[c.random.IntN(len(strangers))], message.Join{Row: c.self()})
+	c.send(unknown[c.random.IntN(len(unknown))], message.Join{Row: c.self()})
 	return true
 }
 
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -88,29 +88,43 @@
 	c.record(Record{Kind: "version-applied", Version: s.Number()})
 }
 
-// announce passes the newest version on to all neighbours but the one
-// it came from.
+// announce passes the newest version on to all neighbours but the one it came
+// from.
 func (c *Core) announce(from netip.AddrPort) {
 	v := &c.versions
-	s := v.held[v.newest]
 	for _, e := range c.edges() {
-		if e.addr == from || v.heads[e.addr] >= v.newest {
-			continue
+		switch {
+		case e.addr == from || v.heads[e.addr] >= v.newest:
+		case e.link:
+			// A push saves the bytes and the delay of announcing; the far root is
+			// reached by this edge only.
+			c.send(e.addr, c.delta(v.held[v.newest], v.heads[e.addr]))
+			c.checkPush(e.addr)
+		case e.push && c.config.Distribution == Fast:
+			c.push(e.addr)
+		default:
+			c.send(e.addr, message.Announce{Number: v.newest})
 		}
-		// Over the region link a push saves the bytes and the delay of
-		// announcing; the far root is reached by this edge only.
-		if e.link || (e.push && c.config.Distribution == Fast) {
-			d := c.delta(s, c.baseFor(e.addr))
-			c.send(e.addr, d)
-			if e.link {
-				c.checkPush(e.addr)
-			}
-			continue
-		}
-		c.send(e.addr, message.Announce{Number: v.newest})
 	}
 }
 
+// push sends the newest version to a neighbour, against the version that it
+// holds as far as is known, or else the one before. An announcement goes with a
+// guessed base, so that a neighbour that lacks it fetches; a wrong belief is
+// repaired by the next probe.
+func (c *Core) push(addr netip.AddrPort) {
+	v := &c.versions
+	base, ok := v.heads[addr]
+	if !ok {
+		base = v.newest - 1
+	}
+	c.send(addr, c.delta(v.held[v.newest], base))
+	if !ok {
+		c.send(addr, message.Announce{Number: v.newest})
+	}
+	v.heads[addr] = v.newest
+}
+
 // checkPush brings the next probe of a target forward. The far end announces
 // the version back when it arrived, which makes the probe unnecessary.
 func (c *Core) checkPush(addr netip.AddrPort) {
@@ -132,9 +146,6 @@
 	}
 }
 
-// baseFor returns the version that a peer is known to hold, or zero.
-func (c *Core) baseFor(addr netip.AddrPort) version.Number { return c.versions.heads[addr] }
-
 // delta builds the message that brings a snapshot to a holder of base.
 func (c *Core) delta(s version.Snapshot, base version.Number) message.Delta {
 	b, ok := c.versions.held[base]
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -58,7 +58,6 @@
 	KindSync
 	KindJoin
 	KindJoinAnswer
-	KindLeave
 	KindReport
 )
 
@@ -79,7 +78,6 @@
 	KindSync:           {"sync", Sync{}},
 	KindJoin:           {"join", Join{}},
 	KindJoinAnswer:     {"join-answer", JoinAnswer{}},
-	KindLeave:          {"leave", Leave{}},
 	KindReport:         {"report", Report{}},
 }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -126,13 +126,6 @@
 	Head Head
 }
 
-// Leave says that the sender's host leaves in a planned way.
-type Leave struct {
-	_ struct{} `cbor:",toarray"`
-
-	Row host.Row
-}
-
 // Count is the number of hosts of a subtree that applied a version.
 type Count struct {
 	_ struct{} `cbor:",toarray"`
@@ -162,7 +155,6 @@
 func (Sync) isMessage()           {}
 func (Join) isMessage()           {}
 func (JoinAnswer) isMessage()     {}
-func (Leave) isMessage()          {}
 func (Report) isMessage()         {}
 
 // Changed returns the sections of next whose content base does not have.
