Limit the rate of requests to the operator API

Sizes and depths were bounded, the rate was not: a script, or somebody who guesses tokens, could take a daemon's time. 100 requests a second per daemon, refused with 429 and a hint. TestRateLimit found none refused before.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -14,6 +14,7 @@
 
 	"github.com/ogen-go/ogen/ogenerrors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/host"
@@ -26,7 +27,11 @@
 // its JSON form is larger, since it spells out every field.
 const MaxRequestBytes = 8 << 20
 
-// Config configures the operator API. SubmitTimeout and Log are optional.
+// defaultRate is far above what operators and their tools need: the tool polls
+// the status twice a second while it waits.
+const defaultRate = 100
+
+// Config configures the operator API. SubmitTimeout, Rate and Log are optional.
 type Config struct {
 	Backend Backend
 	Host    host.Row // this daemon, for ping
@@ -35,7 +40,10 @@
 	// SubmitTimeout bounds the accept procedure (default 10 s); the outcome is
 	// then unknown. It must be shorter than the write timeout of the server.
 	SubmitTimeout time.Duration
-	Log           *zap.Logger
+	// Rate bounds the requests a second (default 100), tokens or not, so that
+	// guesses at tokens and runaway scripts do not take the daemon's time.
+	Rate rate.Limit
+	Log  *zap.Logger
 }
 
 // New returns the handler of the operator API.
@@ -43,6 +51,9 @@
 	if c.SubmitTimeout == 0 {
 		c.SubmitTimeout = 10 * time.Second
 	}
+	if c.Rate == 0 {
+		c.Rate = defaultRate
+	}
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
@@ -61,7 +72,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("operator API: %w", err)
 	}
+	limiter := rate.NewLimiter(c.Rate, int(c.Rate))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !limiter.Allow() {
+			write(w, problem{http.StatusTooManyRequests, "too many requests to this daemon", "wait a second, or use another daemon"})
+			return
+		}
 		r.Body = http.MaxBytesReader(w, r.Body, MaxRequestBytes)
 		server.ServeHTTP(w, r)
 	}), nil
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -217,3 +217,23 @@
 		}
 	}
 }
+
+// Guards against guesses at tokens and runaway scripts that take a daemon's
+// time.
+func TestRateLimit(t *testing.T) {
+	h, err := operator.New(operator.Config{Backend: &operatortest.Backend{}, Rate: 5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	limited := 0
+	for range 50 {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/ping", nil))
+		if w.Code == http.StatusTooManyRequests {
+			limited++
+		}
+	}
+	if limited == 0 {
+		t.Error("refused for the rate: got none of 50 requests at a rate of 5, want some")
+	}
+}
