--- /dev/null
+++ b/internal/link/bench_test.go
@@ -0,0 +1,94 @@
+package link
+
+import (
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/timeline"
+)
+
+// BenchmarkHandshake reports the bytes of both directions and the CPU time of
+// both ends for a connection that carries one announcement.
+func BenchmarkHandshake(b *testing.B) {
+	f := newFleet(b)
+	a, to := f.listen(f.host(), nil), f.listen(f.host(), nil)
+	var bytes uint64
+	var used time.Duration
+	for b.Loop() {
+		before, start := a.Traffic().Total, cpu()
+		a.Send(to.Addr(), message.Announce{Number: 1})
+		<-to.received
+		time.Sleep(60 * time.Millisecond) // longer than the delay of an acknowledgement
+		after := a.Traffic().Total
+		bytes += after.BytesSent - before.BytesSent + after.BytesReceived - before.BytesReceived
+		used += cpu() - start
+		_ = a.peer(to.Addr()).conns[0].CloseWithError(codeStopping, "")
+		until(b, "connection stays registered", func() bool { return a.connections(to)+to.connections(a) == 0 })
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op")
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+// BenchmarkProbe reports the bytes of both directions for one probe and its
+// answer on an idle connection.
+func BenchmarkProbe(b *testing.B) {
+	probe := message.Probe{
+		Nonce: 1<<62 + 12345, Stamp: host.Stamp{Incarnation: 1_790_000_000_000, Sequence: 40},
+		Head: message.Head{Known: 70000, Held: 70000, Rows: 1 << 60},
+	}
+	exchange(b, probe, func(to node, from netip.AddrPort, _ message.Message) {
+		to.Send(from, message.ProbeAnswer(probe))
+	}, nil)
+}
+
+// BenchmarkVersion reports the bytes of both directions for an announcement,
+// the fetch and a small delta on an idle connection.
+func BenchmarkVersion(b *testing.B) {
+	exchange(b, message.Announce{Number: 70000}, func(to node, from netip.AddrPort, m message.Message) {
+		if _, ok := m.(message.Announce); ok {
+			to.Send(from, message.Fetch{Number: 70000, Base: 69999})
+		}
+	}, message.Delta{Base: 69999, Blobs: []message.Blob{random(200)}})
+}
+
+// exchange sends first, lets the other end answer, and sends last.
+func exchange(b *testing.B, first message.Message, answer func(node, netip.AddrPort, message.Message), last message.Message) {
+	f := newFleet(b)
+	stamp := timeline.New(timeline.Config{}).Stamp
+	a := f.listen(f.host(), func(c *Config) { c.Stamp = stamp })
+	var to node
+	to = f.listen(f.host(), func(c *Config) {
+		c.Stamp = stamp
+		c.Receive = func(from netip.AddrPort, m message.Message) { answer(to, from, m) }
+	})
+	once := func() {
+		a.Send(to.Addr(), first)
+		<-a.received
+		if last != nil {
+			a.Send(to.Addr(), last)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	once()
+	before := a.Traffic().Total
+	for b.Loop() {
+		once()
+	}
+	after := a.Traffic().Total
+	n := float64(b.N)
+	b.ReportMetric(float64(after.BytesSent-before.BytesSent+after.BytesReceived-before.BytesReceived)/n, "bytes/op")
+	b.ReportMetric(float64(after.PacketsSent-before.PacketsSent+after.PacketsReceived-before.PacketsReceived)/n, "packets/op")
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/link/fixture_test.go
@@ -0,0 +1,125 @@
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/peridotlb/peridotlb/internal/message"
+)
+
+// fleet is a certificate authority with a directory for its files.
+type fleet struct {
+	t  testing.TB
+	ca Keys
+}
+
+func newFleet(t testing.TB) fleet {
+	t.Helper()
+	ca, err := NewCA("test", time.Now().Add(-time.Hour), 24*time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fleet{t, ca}
+}
+
+func (f fleet) leaf(start time.Time, valid time.Duration, names ...string) Keys {
+	f.t.Helper()
+	keys, err := newLeaf(f.ca, "test-host", start, valid, names)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return keys
+}
+
+func (f fleet) host() Keys {
+	return f.leaf(time.Now().Add(-time.Hour), 24*time.Hour, PeerName)
+}
+
+// files writes the authority and a host's keys into a new directory.
+func (f fleet) files(keys Keys) TLSConfig {
+	f.t.Helper()
+	dir := f.t.TempDir()
+	c := TLSConfig{CA: filepath.Join(dir, "ca.pem"), Certificate: filepath.Join(dir, "host.pem"), Key: filepath.Join(dir, "host.key")}
+	for name, data := range map[string][]byte{c.CA: f.ca.Certificate, c.Certificate: keys.Certificate, c.Key: keys.Key} {
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	return c
+}
+
+type received struct {
+	from netip.AddrPort
+	m    message.Message
+}
+
+// node is a link with what it received.
+type node struct {
+	*Link
+	received chan received
+	logs     *observer.ObservedLogs
+}
+
+func (f fleet) listen(keys Keys, change func(*Config)) node {
+	f.t.Helper()
+	return f.listenTLS(f.files(keys), change)
+}
+
+func (f fleet) listenTLS(files TLSConfig, change func(*Config)) node {
+	f.t.Helper()
+	server, client, err := LoadTLS(files)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	core, logs := observer.New(zapcore.DebugLevel)
+	n := node{received: make(chan received, 1024), logs: logs}
+	config := Config{
+		Addr: netip.MustParseAddrPort("127.0.0.1:0"), Server: server, Client: client, Log: zap.New(core),
+		Receive: func(from netip.AddrPort, m message.Message) { n.received <- received{from, m} },
+	}
+	if change != nil {
+		change(&config)
+	}
+	n.Link, err = Listen(context.Background(), config)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.config.Addr = n.Addr()
+	f.t.Cleanup(func() { _ = n.Close() })
+	return n
+}
+
+// until repeats a step until it reports true; the test's own time-out ends it.
+func until(t testing.TB, what string, step func() bool) {
+	t.Helper()
+	for !step() {
+		select {
+		case <-t.Context().Done():
+			t.Fatal(what)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (n node) connections(to node) int {
+	p := n.peer(to.Addr())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+// random returns bytes that don't compress.
+func random(size int) []byte {
+	b := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(b)
+	return b
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,133 +5,19 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/timeline"
 )
 
-// fleet is a certificate authority with a directory for its files.
-type fleet struct {
-	t  testing.TB
-	ca Keys
-}
-
-func newFleet(t testing.TB) fleet {
-	t.Helper()
-	ca, err := NewCA("test", time.Now().Add(-time.Hour), 24*time.Hour)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return fleet{t, ca}
-}
-
-func (f fleet) leaf(start time.Time, valid time.Duration, names ...string) Keys {
-	f.t.Helper()
-	keys, err := newLeaf(f.ca, "test-host", start, valid, names)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return keys
-}
-
-func (f fleet) host() Keys {
-	return f.leaf(time.Now().Add(-time.Hour), 24*time.Hour, PeerName)
-}
-
-// files writes the authority and a host's keys into a new directory.
-func (f fleet) files(keys Keys) TLSConfig {
-	f.t.Helper()
-	dir := f.t.TempDir()
-	c := TLSConfig{CA: filepath.Join(dir, "ca.pem"), Certificate: filepath.Join(dir, "host.pem"), Key: filepath.Join(dir, "host.key")}
-	for name, data := range map[string][]byte{c.CA: f.ca.Certificate, c.Certificate: keys.Certificate, c.Key: keys.Key} {
-		if err := os.WriteFile(name, data, 0o600); err != nil {
-			f.t.Fatal(err)
-		}
-	}
-	return c
-}
-
-type received struct {
-	from netip.AddrPort
-	m    message.Message
-}
-
-// node is a link with what it received.
-type node struct {
-	*Link
-	received chan received
-	logs     *observer.ObservedLogs
-}
-
-func (f fleet) listen(keys Keys, change func(*Config)) node {
-	f.t.Helper()
-	return f.listenTLS(f.files(keys), change)
-}
-
-func (f fleet) listenTLS(files TLSConfig, change func(*Config)) node {
-	f.t.Helper()
-	server, client, err := LoadTLS(files)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	core, logs := observer.New(zapcore.DebugLevel)
-	n := node{received: make(chan received, 1024), logs: logs}
-	config := Config{
-		Addr: netip.MustParseAddrPort("127.0.0.1:0"), Server: server, Client: client, Log: zap.New(core),
-		Receive: func(from netip.AddrPort, m message.Message) { n.received <- received{from, m} },
-	}
-	if change != nil {
-		change(&config)
-	}
-	n.Link, err = Listen(context.Background(), config)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	n.config.Addr = n.Addr()
-	f.t.Cleanup(func() { _ = n.Close() })
-	return n
-}
-
-// until repeats a step until it reports true; the test's own time-out ends it.
-func until(t testing.TB, what string, step func() bool) {
-	t.Helper()
-	for !step() {
-		select {
-		case <-t.Context().Done():
-			t.Fatal(what)
-		case <-time.After(5 * time.Millisecond):
-		}
-	}
-}
-
-func (n node) connections(to node) int {
-	p := n.peer(to.Addr())
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.conns)
-}
-
-// random returns bytes that don't compress.
-func random(size int) []byte {
-	b := make([]byte, size)
-	_, _ = rand.NewChaCha8([32]byte{}).Read(b)
-	return b
-}
-
 func TestSend(t *testing.T) { // guards against lost sizes, a wrong sender and one connection per direction
 	f := newFleet(t)
 	a, b := f.listen(f.host(), nil), f.listen(f.host(), nil)
@@ -460,85 +346,3 @@
 		t.Errorf("got %+v, want a part of the bytes as remote", got)
 	}
 }
-
-// BenchmarkHandshake reports the bytes of both directions and the CPU time of
-// both ends for a connection that carries one announcement.
-func BenchmarkHandshake(b *testing.B) {
-	f := newFleet(b)
-	a, to := f.listen(f.host(), nil), f.listen(f.host(), nil)
-	var bytes uint64
-	var used time.Duration
-	for b.Loop() {
-		before, start := a.Traffic().Total, cpu()
-		a.Send(to.Addr(), message.Announce{Number: 1})
-		<-to.received
-		time.Sleep(60 * time.Millisecond) // longer than the delay of an acknowledgement
-		after := a.Traffic().Total
-		bytes += after.BytesSent - before.BytesSent + after.BytesReceived - before.BytesReceived
-		used += cpu() - start
-		_ = a.peer(to.Addr()).conns[0].CloseWithError(codeStopping, "")
-		until(b, "connection stays registered", func() bool { return a.connections(to)+to.connections(a) == 0 })
-		time.Sleep(10 * time.Millisecond)
-	}
-	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op")
-	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-us/op")
-}
-
-// BenchmarkProbe reports the bytes of both directions for one probe and its
-// answer on an idle connection.
-func BenchmarkProbe(b *testing.B) {
-	probe := message.Probe{
-		Nonce: 1<<62 + 12345, Stamp: host.Stamp{Incarnation: 1_790_000_000_000, Sequence: 40},
-		Head: message.Head{Known: 70000, Held: 70000, Rows: 1 << 60},
-	}
-	exchange(b, probe, func(to node, from netip.AddrPort, _ message.Message) {
-		to.Send(from, message.ProbeAnswer(probe))
-	}, nil)
-}
-
-// BenchmarkVersion reports the bytes of both directions for an announcement,
-// the fetch and a small delta on an idle connection.
-func BenchmarkVersion(b *testing.B) {
-	exchange(b, message.Announce{Number: 70000}, func(to node, from netip.AddrPort, m message.Message) {
-		if _, ok := m.(message.Announce); ok {
-			to.Send(from, message.Fetch{Number: 70000, Base: 69999})
-		}
-	}, message.Delta{Base: 69999, Blobs: []message.Blob{random(200)}})
-}
-
-// exchange sends first, lets the other end answer, and sends last.
-func exchange(b *testing.B, first message.Message, answer func(node, netip.AddrPort, message.Message), last message.Message) {
-	f := newFleet(b)
-	stamp := timeline.New(timeline.Config{}).Stamp
-	a := f.listen(f.host(), func(c *Config) { c.Stamp = stamp })
-	var to node
-	to = f.listen(f.host(), func(c *Config) {
-		c.Stamp = stamp
-		c.Receive = func(from netip.AddrPort, m message.Message) { answer(to, from, m) }
-	})
-	once := func() {
-		a.Send(to.Addr(), first)
-		<-a.received
-		if last != nil {
-			a.Send(to.Addr(), last)
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	once()
-	before := a.Traffic().Total
-	for b.Loop() {
-		once()
-	}
-	after := a.Traffic().Total
-	n := float64(b.N)
-	b.ReportMetric(float64(after.BytesSent-before.BytesSent+after.BytesReceived-before.BytesReceived)/n, "bytes/op")
-	b.ReportMetric(float64(after.PacketsSent-before.PacketsSent+after.PacketsReceived-before.PacketsReceived)/n, "packets/op")
-}
-
-func cpu() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
