--- a/test/mesh/mesh.go
+++ b/test/mesh/mesh.go
@@ -14,7 +14,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -61,20 +60,6 @@
 // platformHost is the last byte of the platform's address.
 const platformHost = 250
 
-// Ports of a host, added to the base port of the mesh.
-const (
-	controlPort = iota
-	gatePort
-	callPort
-	announcePort
-	operatorPort
-	metricsPort
-	backendPort
-	platformPort
-	relayControlPort
-	portCount
-)
-
 // Config holds the settings of a mesh.
 type Config struct {
 	Deployment Deployment
@@ -111,6 +96,7 @@
 	Hosts    []*Host
 	foreign  []*Process
 	base     uint16
+	reserved net.Listener // keeps the block of ports
 }
 
 // Host is a host of the mesh with its daemon and its backend server.
@@ -152,12 +138,12 @@
 		return nil, fmt.Errorf("make directory: %w", err)
 	}
 	m := &Mesh{Config: c, Dir: dir}
-	if m.base, err = freePorts(); err != nil {
-		return nil, err
+	if m.base, m.reserved, err = reservePorts(); err != nil {
+		return nil, errors.Join(err, os.RemoveAll(dir))
 	}
 	m.layOut()
 	if err := m.writeKeys(); err != nil {
-		return nil, fmt.Errorf("write keys: %w", err)
+		return nil, errors.Join(fmt.Errorf("write keys: %w", err), m.Close())
 	}
 	if err := m.startAll(ctx); err != nil {
 		return m, errors.Join(err, m.Close())
@@ -358,35 +344,6 @@
 	return strings.Join(rules, ",")
 }
 
-// blocksGiven counts the blocks of ports that this process gave to meshes, so
-// that two meshes that start at the same time do not get the same one.
-var blocksGiven atomic.Int64
-
-// freePorts finds a base port whose block is free on loopback. The range lies
-// below the ports that the system gives to outgoing connections.
-func freePorts() (uint16, error) {
-	const first, last, tries = 20000, 32000, 100
-	for range tries {
-		i := int(blocksGiven.Add(1))
-		base := first + (os.Getpid()*37+i*101)%((last-first)/portCount)*portCount
-		if blockFree(base) {
-			return uint16(base), nil
-		}
-	}
-	return 0, errors.New("no free block of ports on loopback")
-}
-
-func blockFree(base int) bool {
-	for p := base; p < base+portCount; p++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", p))
-		if err != nil {
-			return false
-		}
-		_ = l.Close()
-	}
-	return true
-}
-
 // relayConfig describes the network between the zones.
 func (m *Mesh) relayConfig() relay.Config {
 	c := relay.Config{
--- a/test/mesh/process.go
+++ b/test/mesh/process.go
@@ -152,6 +152,7 @@
 	}
 	all = append(all, m.foreign...)
 	all = append(all, m.Relay, m.Platform)
+	_ = m.reserved.Close() // Close may be called again after a failed Start
 	errs := []error{KillAll(all...)}
 	if !m.Logs {
 		errs = append(errs, os.RemoveAll(m.Dir))
