Report a repeated submission that is turned down as not known

Cause: an answer below 500 (rate, token) to a repeated submission ended with exit code 1, like a refusal, although it says nothing about the earlier request with the same id, which another daemon may still accept.

Before: TestLostAnswer "turned down when repeated: got with exit code 1, want exit code 3". After: exit code 3 with the command that repeats it; a first submission still ends with code 1, since nothing was sent before.

Ruled out: errors before the submission is sent (a token refused at the first request) keep code 1; no text says "refused" there.

--- a/internal/command/documentsubmit/documentsubmit.go
+++ b/internal/command/documentsubmit/documentsubmit.go
@@ -75,7 +75,8 @@
 		Long: `FILE holds the whole document. It is compared with the base version, and the
 sections of the team of the token that differ are sent. Sections of other teams
 are never sent. Each submission has an id; repeating a submission with the same
-id and base is safe, since it is accepted at most once.`,
+id and base is safe, since it is accepted at most once, and an id that was
+refused is never accepted later.`,
 		Examples: []string{
 			"peridotlb document submit mesh.yaml",
 			"peridotlb document submit mesh.yaml --base 41 --submission-id 20260102-1f9c2ab04e77d310",
@@ -257,12 +258,13 @@
 }
 
 // failed returns the error of a submission without an answer. Unless it is
-// certain that no request arrived, the outcome is unknown.
+// certain that no request arrived, the outcome is unknown. A repeated submission
+// stays unknown when only this request was turned down, as for its rate.
 func (r *run) failed(err error) error {
 	var failed *api.FailedStatusCode
 	var unreachable *command.UnreachableError
 	switch {
-	case errors.As(err, &failed) && failed.StatusCode < 500:
+	case errors.As(err, &failed) && failed.StatusCode < 500 && r.ID == "":
 		return command.Explain(err)
 	case errors.As(err, &unreachable) && !unreachable.Sent:
 		return command.Error{Code: command.Unreachable, Text: unreachable.Error(), Hint: "nothing was sent; " + r.repeat()}
--- a/internal/command/documentsubmit/documentsubmit_test.go
+++ b/internal/command/documentsubmit/documentsubmit_test.go
@@ -103,7 +103,8 @@
 	}
 }
 
-// Guards against a lost answer that is reported as a failure, and against a
+// Guards against a lost answer that is reported as a failure, against a repeated
+// submission that counts as refused although only the request was, and against a
 // repeat command that would submit something else.
 func TestLostAnswer(t *testing.T) {
 	for _, c := range []struct {
@@ -111,6 +112,7 @@
 		err  error
 		want command.ExitCode
 	}{
+		{"turned down when repeated", &api.FailedStatusCode{StatusCode: 429}, command.NotKnown},
 		{"lost", &command.UnreachableError{Sent: true, Err: errors.New("EOF")}, command.NotKnown},
 		{"not sent", &command.UnreachableError{Err: errors.New("refused")}, command.Unreachable},
 		{"server fault", &api.FailedStatusCode{StatusCode: 500}, command.NotKnown},
@@ -120,6 +122,9 @@
 		f := &fake{submit: func(*api.Submission) (api.SubmitDocumentRes, error) { return nil, c.err }}
 		var out, errs bytes.Buffer
 		o := options(t, f, &out, &errs, false)
+		if strings.HasSuffix(c.name, "repeated") {
+			o.ID = "new-1"
+		}
 		o.Repeat = []string{"--operator-address=127.0.0.1:7405"}
 		var got command.Error
 		if err := Run(t.Context(), o); !errors.As(err, &got) || got.Code != c.want {
