Record a refusal before it is reported

Cause: a refusal left no row. A client that gave up on a daemon and was refused at another one could see the submission accepted later by the first, when the head changed in between.

Change: a refusal that depends on the head is written to the submission's row under the condition that the row is absent, before it is reported. The commit of the first daemon then fails on the row and it returns the same refusal. The write replaces the second read of the row, which found a submission's own commit with a lost answer.

Ruled out: a condition on the head as well (a refusal against an older head is as good, and contention would delay it); reporting an unrecorded refusal as refused during an outage of the table (the fault would stay); a row for refusals that follow from the submission alone (no daemon of the release accepts them).

TestRefusedSubmissionChangesNothing counted transactions. A refusal writes its own row now; the test demands exactly these rows and that all others are equal.

--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/platform"
 	"github.com/peridotlb/peridotlb/internal/version"
@@ -88,18 +86,15 @@
 	}
 }
 
-// record is the value of a submission's row.
-type record struct {
-	Number  version.Number `cbor:"1,keyasint"`
-	Content version.Digest `cbor:"2,keyasint"`
-}
-
-// errContention says that another submission was committed first.
-var errContention = errors.New("head changed during the commit")
+// errContention says that another submission, or another daemon with the same
+// one, was first.
+var errContention = errors.New("a row changed during the commit")
 
 // Accept merges a submission into the head version and commits the result. It
 // tries again after failures of the platform and after commits by others, until
-// the context ends; the outcome is then Unknown.
+// the context ends; the outcome is then Unknown. A refusal that depends on the
+// head is recorded before it is returned. A refusal that follows from the
+// submission alone needs no row, because every acceptor refuses it alike.
 func (a *Acceptor) Accept(ctx context.Context, s Submission) Outcome {
 	if faults := s.check(); len(faults) > 0 {
 		return Refused{Reason: reasonInvalid, Faults: faults}
@@ -263,32 +258,32 @@
 	return p.load(ctx, m)
 }
 
-// refuse returns a refusal, unless the submission was accepted meanwhile. The
-// head may hold the submission itself, committed by an earlier attempt whose
-// answer was lost; it would then conflict with itself. Its row is read after
-// the head, so that it is found in this case.
+// refuse records a refusal under the condition that the submission has no row,
+// so that its commit at another daemon, or a late one of an earlier attempt,
+// can no longer apply. An error leaves the outcome open: the submission may have
+// been accepted, and the next attempt reads its row.
 func (p *procedure) refuse(ctx context.Context, r Refused) (Outcome, error) {
-	key := RecordKey(p.submission.ID)
-	rows, err := p.get(ctx, key)
+	write, err := record{Content: p.content, Refusal: newRefusal(r)}.write(p.submission.ID)
 	if err != nil {
 		return nil, err
 	}
-	if row := rowOf(rows, key); row.Revision != 0 {
-		return p.recorded(ctx, row)
+	if err := p.write(ctx, write); err != nil {
+		return nil, fmt.Errorf("record the refusal (%w): %w", r, err)
 	}
 	return r, nil
 }
 
-// recorded returns the outcome of a submission that was accepted earlier.
+// recorded returns the outcome of a submission that was decided earlier.
 func (p *procedure) recorded(ctx context.Context, row platform.Row) (Outcome, error) {
-	var r record
-	if err := cbor.Unmarshal(row.Value, &r); err != nil {
-		return nil, fmt.Errorf("read %s: %w", row.Key, err)
+	r, err := readRecord(row)
+	if err != nil {
+		return nil, err
 	}
 	if r.Content != p.content {
-		return Refused{
-			Reason: fmt.Sprintf("submission id %s was used for another submission, accepted as version %d; choose a new id", p.submission.ID, r.Number),
-		}, nil
+		return Refused{Reason: fmt.Sprintf("submission id %s was used for another submission, %s; choose a new id", p.submission.ID, r)}, nil
+	}
+	if r.Refusal != nil {
+		return r.Refusal.refused(), nil
 	}
 	rows, err := p.get(ctx, VersionKey(r.Number))
 	if err != nil {
@@ -339,28 +334,38 @@
 	if err != nil {
 		return nil, err
 	}
-	recorded, err := cbor.Marshal(record{Number: next.Number(), Content: p.content})
+	recorded, err := record{Number: next.Number(), Content: p.content}.write(p.submission.ID)
 	if err != nil {
-		return nil, fmt.Errorf("encode record of submission %s: %w", p.submission.ID, err)
+		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
-	defer cancel()
-	result, err := p.config.Platform.Commit(
+	err = p.write(
 		ctx,
 		platform.Write{Key: HeadKey, If: revision, Value: manifest},
 		platform.Write{Key: VersionKey(next.Number()), Value: manifest},
-		platform.Write{Key: RecordKey(p.submission.ID), Value: recorded},
+		recorded,
 	)
+	if err != nil {
+		return nil, fmt.Errorf("commit version %d: %w", next.Number(), err)
+	}
+	p.keep(next)
+	return Accepted{Snapshot: next}, nil
+}
+
+// write commits one transaction within the time of one call. The error is nil
+// only when it applied; after other errors than errContention it may apply.
+func (p *procedure) write(ctx context.Context, writes ...platform.Write) error {
+	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
+	defer cancel()
+	result, err := p.config.Platform.Commit(ctx, writes...)
 	switch {
 	case result.Outcome == platform.Applied:
-		p.keep(next)
-		return Accepted{Snapshot: next}, nil
+		return nil
 	case err != nil:
-		return nil, fmt.Errorf("commit version %d: %w", next.Number(), err)
+		return err
 	case result.Outcome == platform.NotApplied:
-		return nil, fmt.Errorf("commit version %d: %w", next.Number(), errContention)
+		return errContention
 	default:
-		return nil, fmt.Errorf("commit version %d: answer was lost", next.Number())
+		return errors.New("answer was lost")
 	}
 }
 
--- /dev/null
+++ b/internal/submission/record.go
@@ -0,0 +1,96 @@
+package submission
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/platform"
+	"github.com/peridotlb/peridotlb/internal/version"
+)
+
+// Limits of a recorded refusal. It takes at most about 20 kB, far below the
+// limit of a row, even when every section of a document has a fault.
+const (
+	maxRecordedFaults    = 32
+	maxRecordedConflicts = 32
+	maxRecordedText      = 512 // bytes of a reason or message
+)
+
+// record is the value of a submission's row: the outcome of its id.
+type record struct {
+	Number  version.Number `cbor:"1,keyasint"` // zero when refused
+	Content version.Digest `cbor:"2,keyasint"`
+	Refusal *refusal       `cbor:"3,keyasint,omitempty"`
+}
+
+// refusal is the recorded part of Refused. A repeated submission gets this part.
+type refusal struct {
+	Reason    string             `cbor:"1,keyasint"`
+	Faults    []string           `cbor:"2,keyasint,omitempty"`
+	Conflicts []recordedConflict `cbor:"3,keyasint,omitempty"`
+}
+
+type recordedConflict struct {
+	Section document.SectionName `cbor:"1,keyasint"`
+	Base    version.Number       `cbor:"2,keyasint"`
+	Head    version.Number       `cbor:"3,keyasint"`
+}
+
+// write returns the write that records the outcome of an id that has none.
+func (r record) write(id version.SubmissionID) (platform.Write, error) {
+	value, err := cbor.Marshal(r)
+	if err != nil {
+		return platform.Write{}, fmt.Errorf("encode record of submission %s: %w", id, err)
+	}
+	return platform.Write{Key: RecordKey(id), Value: value}, nil
+}
+
+func readRecord(row platform.Row) (record, error) {
+	var r record
+	if err := cbor.Unmarshal(row.Value, &r); err != nil {
+		return record{}, fmt.Errorf("read %s: %w", row.Key, err)
+	}
+	return r, nil
+}
+
+// String describes the outcome.
+func (r record) String() string {
+	if r.Refusal != nil {
+		return "which was refused"
+	}
+	return fmt.Sprintf("accepted as version %d", r.Number)
+}
+
+func newRefusal(r Refused) *refusal {
+	out := &refusal{Reason: cut(r.Reason)}
+	for i, f := range r.Faults {
+		if i == maxRecordedFaults {
+			out.Faults = append(out.Faults, fmt.Sprintf("%d more faults were not recorded", len(r.Faults)-i))
+			break
+		}
+		out.Faults = append(out.Faults, cut(f.Error()))
+	}
+	for _, c := range r.Conflicts[:min(maxRecordedConflicts, len(r.Conflicts))] {
+		out.Conflicts = append(out.Conflicts, recordedConflict(c))
+	}
+	return out
+}
+
+func (r refusal) refused() Refused {
+	out := Refused{Reason: r.Reason}
+	for _, text := range r.Faults {
+		out.Faults = append(out.Faults, document.Fault{Message: text})
+	}
+	for _, c := range r.Conflicts {
+		out.Conflicts = append(out.Conflicts, Conflict(c))
+	}
+	return out
+}
+
+// cut shortens a text; CBOR text must remain valid UTF-8.
+func cut(text string) string {
+	return strings.ToValidUTF8(text[:min(maxRecordedText, len(text))], "")
+}
--- a/internal/submission/submission_test.go
+++ b/internal/submission/submission_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"reflect"
 	"strings"
@@ -83,7 +84,7 @@
 	dangling.Routes[0].Service = "bead-nothing"
 	removal := submission.Submission{ID: "r", Team: "stock-team", Base: 3, Removed: []document.SectionName{"nothing"}}
 	foreign := submission.Submission{ID: "f", Team: "stock-team", Base: 3, Removed: []document.SectionName{"prices"}}
-	writes, objects := f.writes, len(f.objects)
+	before, writes, objects := maps.Clone(f.rows), f.writes, len(f.objects)
 	for want, s := range map[string]submission.Submission{
 		`section "stock" differs between version 1, which was edited, and version 3`: edit("c", "stock-team", 1, section("stock-team", "stock", 3)),
 		`belongs to team "price-team", not to team "stock-team"`:                     edit("o", "stock-team", 3, section("stock-team", "prices", 2)),
@@ -104,8 +105,17 @@
 			}
 		}
 	}
-	if f.writes != writes || len(f.objects) != objects {
-		t.Errorf("got %d transactions and %d objects, want %d and %d", f.writes, len(f.objects), writes, objects)
+	// The refusals that depend on the head are recorded, one row each.
+	for _, id := range []string{"c", "o", "p", "f", "d", "n", "r"} {
+		key := submission.RecordKey(version.SubmissionID(id))
+		if f.rows[key].Revision != 1 {
+			t.Errorf("got no row %s, want the refusal", key)
+		}
+		delete(f.rows, key)
+		writes++
+	}
+	if f.writes != writes || len(f.objects) != objects || !reflect.DeepEqual(f.rows, before) {
+		t.Errorf("got %d transactions, %d objects and rows %v, want %d, %d and %v", f.writes, len(f.objects), f.rows, writes, objects, before)
 	}
 }
 
@@ -148,6 +158,57 @@
 	refused(t, a.Accept(ctx, s), `section "orders": route "read-orders": service "bead-stock" is not defined`)
 }
 
+// Guards against a refusal that is followed by an acceptance: the operator's
+// client gave up on a daemon that still tries while the table answers slowly,
+// repeated the id at a second daemon and was refused there; then the head
+// changes so that the first daemon could accept.
+func TestRefusalIsFinal(t *testing.T) {
+	ctx := context.Background()
+	f := newFake(1, 0)
+	accepted(t, acceptor(f, 3).Accept(ctx, edit("one", "stock-team", 0, section("stock-team", "stock", 1))))
+	x := edit("x", "order-team", 1, section("order-team", "orders", 1))
+	x.Changed[0].Routes[0].Service = "bead-prices"
+	slow := true
+	f.gate = func() {
+		if !slow {
+			return
+		}
+		slow = false
+		refused(t, acceptor(f, 3).Accept(ctx, x), `service "bead-prices" is not defined`)
+		accepted(t, acceptor(f, 3).Accept(ctx, edit("two", "price-team", 1, section("price-team", "prices", 1))))
+	}
+	refused(t, acceptor(f, 3).Accept(ctx, x), `service "bead-prices" is not defined`)
+	if head, err := submission.ReadHead(ctx, f); err != nil || head.Number != 2 {
+		t.Errorf("got head %d, error %v, want 2", head.Number, err)
+	}
+}
+
+// Guards against a refusal that is reported although it may not be recorded,
+// and against a repeated submission that is told something else.
+func TestUnrecordedRefusalIsUnknown(t *testing.T) {
+	for _, fate := range []string{"lost", "late", "down"} {
+		ctx := context.Background()
+		f := newFake(7, 0)
+		x := edit("x", "order-team", 0, section("order-team", "orders", 1))
+		for i := range 40 { // more faults than are recorded
+			route := x.Changed[0].Routes[0]
+			route.Name, route.PathPrefix, route.Service = document.RouteName(fmt.Sprint("read-", i)), fmt.Sprint("/", i), "bead-prices"
+			x.Changed[0].Routes = append(x.Changed[0].Routes, route)
+		}
+		f.commit = []string{fate}
+		if o, ok := acceptor(f, 1).Accept(ctx, x).(submission.Unknown); !ok || !strings.Contains(o.Err.Error(), `"bead-prices" is not defined`) {
+			t.Errorf("%s: got outcome %+v, want Unknown with the reason of the refusal", fate, o)
+		}
+		for range 2 {
+			refused(t, acceptor(f, 3).Accept(ctx, x), `"bead-prices" is not defined`)
+		}
+		refused(t, acceptor(f, 3).Accept(ctx, x), "8 more faults were not recorded")
+		x.Changed = x.Changed[:1:1]
+		x.Changed[0].Routes = nil
+		refused(t, acceptor(f, 3).Accept(ctx, x), "id x was used for another submission, which was refused")
+	}
+}
+
 // Guards against lost, doubled and foreign edits when operators submit at the
 // same moment at several daemons while answers of the platform are lost.
 func TestConcurrentSubmissions(t *testing.T) {
@@ -158,6 +219,7 @@
 			fake: newFake(seed, faults), random: rand.New(rand.NewPCG(seed, 3)),
 			submitted: map[version.SubmissionID]submission.Submission{},
 			versions:  map[version.SubmissionID]version.Number{},
+			refused:   map[version.SubmissionID]bool{},
 		}
 		for range 3 {
 			r.acceptors = append(r.acceptors, acceptor(r.fake, 4))
@@ -169,6 +231,9 @@
 		for i := range operators {
 			functions = append(functions, func() { r.operator(i) })
 		}
+		for range rapid.IntRange(0, 3).Draw(t, "abandoned") {
+			functions = append(functions, r.abandoned)
+		}
 		s.run(functions)
 		r.fake.gate, r.fake.faults = func() {}, 0
 		for _, writes := range r.fake.late { // must not apply any more
@@ -187,7 +252,8 @@
 	acceptors []*submission.Acceptor
 	submitted map[version.SubmissionID]submission.Submission
 	versions  map[version.SubmissionID]version.Number // accepted
-	slots     int
+	ids       []version.SubmissionID
+	refused   map[version.SubmissionID]bool
 	problems  []string
 }
 
@@ -199,16 +265,28 @@
 		if err != nil {
 			continue
 		}
-		r.slots++
 		name := fmt.Sprintf("%s-%d", team, r.random.IntN(2))
-		s := edit(fmt.Sprintf("s-%d-%d", i, n), team, head.Number, section(team, name, r.slots))
+		// With two contents, a section may return to that of the base, so that
+		// a conflict goes away.
+		s := edit(fmt.Sprintf("s-%d-%d", i, n), team, head.Number, section(team, name, 1+r.random.IntN(2)))
 		r.submitted[s.ID] = s
+		r.ids = append(r.ids, s.ID)
 		for range 1 + r.random.IntN(2) { // repeated at times although answered
 			r.submit(ctx, s)
 		}
 	}
 }
 
+// abandoned is a daemon on which clients gave up: it still works on submissions
+// that they repeat elsewhere.
+func (r *run) abandoned() {
+	for range 4 {
+		if _, err := submission.ReadHead(context.Background(), r.fake); err == nil && len(r.ids) > 0 {
+			r.submit(context.Background(), r.submitted[r.ids[r.random.IntN(len(r.ids))]])
+		}
+	}
+}
+
 // submit repeats a submission until its outcome is known. The number of tries
 // is bounded so that an outcome that never becomes known fails the test.
 func (r *run) submit(ctx context.Context, s submission.Submission) {
@@ -219,12 +297,16 @@
 			if before, ok := r.versions[s.ID]; ok && before != n {
 				r.problems = append(r.problems, fmt.Sprintf("%s was accepted as %d and as %d", s.ID, before, n))
 			}
+			if r.refused[s.ID] {
+				r.problems = append(r.problems, fmt.Sprintf("%s was refused and then accepted as %d", s.ID, n))
+			}
 			r.versions[s.ID] = n
 			return
 		case submission.Refused:
 			if r.versions[s.ID] != 0 {
 				r.problems = append(r.problems, fmt.Sprintf("%s was accepted and then refused", s.ID))
 			}
+			r.refused[s.ID] = true
 			if len(o.Conflicts) != 1 || o.Conflicts[0].Base != s.Base || o.Conflicts[0].Head <= s.Base || o.Conflicts[0].Section != s.Changed[0].Name {
 				r.problems = append(r.problems, fmt.Sprintf("%s was refused without a conflict: %v", s.ID, o))
 			}
