Give rows of the table an expiry

Cause: rows of claims and submissions are never removed. The platform's table service removes rows by itself: an attribute holds the Unix seconds after which a row may go.

An expired row that is still present is like any other row, for reads and for conditions: so reads and conditions never disagree, and no clock of a daemon is compared with an expiry. Write.First is the revision of an inserted row, because a removed row would start again at revision 1 and a late write on the removed row would apply to the new one.

Before: with the attribute taken out of the adapter, TestRemoteBehavesLikeMemory failed with "got rows [{head [] 1 0}], want [{head [] 1 1}]". After: passes.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/peridotlb/peridotlb/internal/link"
 	"github.com/peridotlb/peridotlb/internal/platform"
@@ -9,11 +10,13 @@
 )
 
 // openPlatform opens the platform of the settings.
-func openPlatform(_ context.Context, c Config) (platform.Service, error) {
+func openPlatform(ctx context.Context, c Config) (platform.Service, error) {
 	s := c.Settings
 	if s.Platform == settings.Memory {
 		c.Log.Named("platform").Warn("Using the embedded in-memory platform: versions and claims are lost when this process ends, and no other daemon shares them.")
-		return platform.NewMemory(), nil
+		memory := platform.NewMemory()
+		go memory.RemoveExpiredEvery(ctx, time.Minute)
+		return memory, nil
 	}
 	return platform.New(platform.Config{
 		TableEndpoint: s.TableEndpoint.String(), ObjectEndpoint: s.ObjectEndpoint.String(),
--- a/internal/platform/memory.go
+++ b/internal/platform/memory.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 	"unicode/utf8"
 )
 
@@ -123,10 +124,41 @@
 	return slices.Clone(data), nil
 }
 
+// RemoveExpired removes the rows that expired before now, as the table service
+// does by itself. It returns their number.
+func (m *Memory) RemoveExpired(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := len(m.order)
+	m.order = slices.DeleteFunc(m.order, func(key Key) bool {
+		expires := m.rows[key].Expires
+		expired := expires != 0 && int64(expires) < now.Unix()
+		if expired {
+			delete(m.rows, key)
+		}
+		return expired
+	})
+	return before - len(m.order)
+}
+
+// RemoveExpiredEvery removes expired rows at intervals until ctx ends.
+func (m *Memory) RemoveExpiredEvery(ctx context.Context, interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			m.RemoveExpired(now)
+		}
+	}
+}
+
 // row returns a copy of the row, so that callers cannot change stored values.
 func (m *Memory) row(key Key) Row {
 	row := m.rows[key]
-	return Row{Key: key, Value: slices.Clone(row.Value), Revision: row.Revision}
+	return Row{Key: key, Value: slices.Clone(row.Value), Revision: row.Revision, Expires: row.Expires}
 }
 
 func (m *Memory) apply(w Write) {
@@ -141,7 +173,7 @@
 	if !found {
 		m.order = slices.Insert(m.order, i, w.Key)
 	}
-	m.rows[w.Key] = Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: w.If + 1}
+	m.rows[w.Key] = Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: w.Next(), Expires: w.Expires}
 }
 
 // checkWrites refuses what DynamoDB refuses, so that every Service behaves
--- a/internal/platform/memory_test.go
+++ b/internal/platform/memory_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 )
 
 // Guards against a transaction that applies in part, or that does not name
@@ -23,6 +24,35 @@
 	}
 }
 
+// Guards against an expired row that counts as absent before it is removed,
+// against one that stays, and against a kept row that is removed, for example
+// because its expiry was put off.
+func TestMemoryRemovesExpiredRows(t *testing.T) {
+	ctx, m, now := context.Background(), NewMemory(), time.Unix(1000, 0)
+	past, future := ExpiryAfter(now, -time.Second), ExpiryAfter(now, time.Second)
+	mustCommit(t, m, Write{Key: "expired", Expires: past, First: 7}, Write{Key: "kept"}, Write{Key: "later", Expires: past}, Write{Key: "now", Expires: ExpiryAfter(now, 0)})
+	mustCommit(t, m, Write{Key: "later", If: 1, Expires: future})
+	if got, _ := m.Commit(ctx, Write{Key: "expired"}); got.Outcome != NotApplied {
+		t.Errorf("insertion over an expired row: got %v, want not-applied", got.Outcome)
+	}
+	revisions := func() (got []Revision) {
+		rows, _ := m.Get(ctx, "expired", "kept", "later", "now")
+		for _, row := range rows {
+			got = append(got, row.Revision)
+		}
+		return got
+	}
+	if got, want := revisions(), []Revision{7, 1, 2, 1}; !slices.Equal(got, want) {
+		t.Errorf("before the removal: got revisions %v, want %v", got, want)
+	}
+	if removed, got, want := m.RemoveExpired(now), revisions(), []Revision{0, 1, 2, 1}; removed != 1 || !slices.Equal(got, want) {
+		t.Errorf("got %d rows removed and revisions %v, want 1 and %v", removed, got, want)
+	}
+	if rows, _ := m.Scan(ctx, "", "", 10); len(rows) != 3 {
+		t.Errorf("got %d rows in a scan, want 3", len(rows))
+	}
+}
+
 // Guards against two writers that both win the same conditional write.
 func TestMemoryCommitIsLinearizable(t *testing.T) {
 	ctx, m := context.Background(), NewMemory()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Key names a row of the table, for example "head" or "submission/4f1c".
@@ -13,22 +14,48 @@
 // Revision counts the writes to a row. Zero means that the row is absent.
 type Revision uint64
 
+// Expiry is the time, in Unix seconds, after which the service may remove a row
+// by itself. Zero means never. Until it is removed, which may take days, an
+// expired row is like any other: reads return it and conditions see its
+// revision. So no daemon compares its clock with an expiry.
+type Expiry int64
+
+// ExpiryAfter returns the expiry of a row that is kept for d from now on.
+func ExpiryAfter(now time.Time, d time.Duration) Expiry {
+	return Expiry(now.Add(d).Unix())
+}
+
 // Row is a row of the table.
 type Row struct {
 	Key      Key
 	Value    []byte
 	Revision Revision
+	Expires  Expiry
 }
 
 // Write is one conditional write of a transaction. It applies only when the
-// row has revision If; If zero requires the row to be absent.
+// row has revision If; If zero requires the row to be absent. It replaces the
+// whole row, the expiry included.
 type Write struct {
-	Key    Key
-	If     Revision
-	Value  []byte
+	Key     Key
+	If      Revision
+	Value   []byte
+	Expires Expiry
+	// First is the revision of a row that is inserted; zero means 1. The writer
+	// of a row that expires chooses one that no earlier row with the key had,
+	// because a late write on the earlier row would apply to the new one.
+	First  Revision
 	Delete bool
 }
 
+// Next returns the revision that the row has after the write.
+func (w Write) Next() Revision {
+	if w.If == 0 {
+		return max(w.First, 1)
+	}
+	return w.If + 1
+}
+
 // Outcome tells what became of a transaction.
 type Outcome uint8
 
--- a/internal/platform/remote_test.go
+++ b/internal/platform/remote_test.go
@@ -49,7 +49,8 @@
 	key := rapid.SampledFrom([]platform.Key{"head", "host/a", "host/b", "host/b/1", "host0", "hosu", "claim/é"})
 	prefix := rapid.SampledFrom([]platform.Key{"", "host/", "host", "claim/", "none"})
 	rapid.Check(t, func(t *rapid.T) {
-		server.Config.Handler = stand.New(stand.Config{})
+		behind := stand.New(stand.Config{})
+		server.Config.Handler = behind
 		ctx, near := context.Background(), platform.NewMemory()
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			var writes []platform.Write
@@ -57,6 +58,7 @@
 				writes = append(writes, platform.Write{
 					Key: k, If: platform.Revision(rapid.IntRange(0, 2).Draw(t, "if")),
 					Value: rapid.SliceOf(rapid.Byte()).Draw(t, "value"), Delete: rapid.Bool().Draw(t, "delete"),
+					Expires: platform.Expiry(rapid.IntRange(0, 3).Draw(t, "expires")), First: platform.Revision(rapid.IntRange(0, 2).Draw(t, "first")),
 				})
 			}
 			want, _ := near.Commit(ctx, writes...)
@@ -64,6 +66,10 @@
 			if err != nil || got.Outcome != want.Outcome || !slices.Equal(got.Failed, want.Failed) {
 				t.Fatalf("commit: got %v, %v, want %v", got, err, want)
 			}
+			if now := time.Unix(int64(rapid.IntRange(0, 3).Draw(t, "now")), 0); rapid.Bool().Draw(t, "removes expired") {
+				near.RemoveExpired(now)
+				behind.Memory().RemoveExpired(now)
+			}
 			keys := rapid.SliceOfN(key, 1, 4).Draw(t, "read")
 			wantRows, _ := near.Get(ctx, keys...)
 			gotRows, err := far.Get(ctx, keys...)
@@ -78,7 +84,7 @@
 
 func same(t *rapid.T, got, want []platform.Row, err error) {
 	equal := func(a, b platform.Row) bool {
-		return a.Key == b.Key && a.Revision == b.Revision && bytes.Equal(a.Value, b.Value)
+		return a.Key == b.Key && a.Revision == b.Revision && a.Expires == b.Expires && bytes.Equal(a.Value, b.Value)
 	}
 	if err != nil || !slices.EqualFunc(got, want, equal) {
 		t.Fatalf("got rows %v, %v, want %v", got, err, want)
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -32,6 +32,9 @@
 	AttributeValue = "value"
 	// AttributeRevision is the revision of the row, a number.
 	AttributeRevision = "revision"
+	// AttributeExpires is the expiry of the row in Unix seconds, a number, when
+	// it has one. The table's time to live must be enabled on it.
+	AttributeExpires = "expires"
 )
 
 // Conditions of a write. Placeholders stand for all names, because "key",
@@ -254,7 +257,10 @@
 	}
 	// The SDK leaves out a nil value, which the protocol refuses.
 	item[AttributeValue] = &types.AttributeValueMemberB{Value: append([]byte{}, w.Value...)}
-	item[AttributeRevision] = number(w.If + 1)
+	item[AttributeRevision] = number(w.Next())
+	if w.Expires != 0 {
+		item[AttributeExpires] = &types.AttributeValueMemberN{Value: strconv.FormatInt(int64(w.Expires), 10)}
+	}
 	return types.TransactWriteItem{Put: &types.Put{
 		TableName: &r.tableName, Item: item, ConditionExpression: condition,
 		ExpressionAttributeNames: names, ExpressionAttributeValues: values,
@@ -296,7 +302,15 @@
 	if err != nil {
 		return Row{}, fmt.Errorf("revision of %s: %w", key.Value, err)
 	}
-	return Row{Key: Key(key.Value), Value: value.Value, Revision: Revision(n)}, nil
+	row := Row{Key: Key(key.Value), Value: value.Value, Revision: Revision(n)}
+	if expires, ok := item[AttributeExpires].(*types.AttributeValueMemberN); ok {
+		seconds, err := strconv.ParseInt(expires.Value, 10, 64)
+		if err != nil {
+			return Row{}, fmt.Errorf("expiry of %s: %w", key.Value, err)
+		}
+		row.Expires = Expiry(seconds)
+	}
+	return row, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/test/platform/main.go
+++ b/test/platform/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/peridotlb/peridotlb/internal/platform"
 	"github.com/peridotlb/peridotlb/test/platform/stand"
 )
 
@@ -34,11 +35,17 @@
 	flag.StringVar(&config.Table, "table", "peridotlb", "name of the table")
 	flag.StringVar(&config.Bucket, "bucket", "peridotlb", "name of the bucket")
 	flag.Uint64Var(&config.Seed, "seed", 1, "seed for the choice of lost answers")
+	expiry := flag.Duration("expiry-interval", time.Minute, "time between two removals of expired rows")
 	flag.Parse()
 	listener, err := net.Listen("tcp", *listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if *expiry <= 0 {
+		return fmt.Errorf("expiry interval %s is not positive", *expiry)
+	}
+	config.Memory = platform.NewMemory()
+	go config.Memory.RemoveExpiredEvery(ctx, *expiry)
 	server := &http.Server{Handler: stand.New(config), ReadHeaderTimeout: stopTimeout}
 	fmt.Printf("listening on %s\n", listener.Addr())
 	served := make(chan error, 1)
--- a/test/platform/stand/table.go
+++ b/test/platform/stand/table.go
@@ -346,14 +346,41 @@
 	if err != nil || del != nil {
 		return platform.Write{Key: key, If: revision, Delete: true}, err
 	}
+	write := platform.Write{Key: key, If: revision}
+	return write, w.item(&write)
+}
+
+// item reads the item of a Put into the write. Numbers are Unix seconds and
+// revisions, which are above zero.
+func (w *conditionalWrite) item(write *platform.Write) error {
 	value, next := w.Item[platform.AttributeValue].B, w.Item[platform.AttributeRevision].N
-	if value == nil || next == nil || *next != strconv.FormatUint(uint64(revision)+1, 10) {
-		return platform.Write{}, invalid("item needs a binary value and revision %d", revision+1)
+	if value == nil || next == nil {
+		return invalid("item needs a binary value and a revision")
+	}
+	n, err := strconv.ParseUint(*next, 10, 64)
+	if err != nil {
+		return invalid("revision %q is not a number", *next)
+	}
+	if write.If == 0 {
+		write.First = platform.Revision(n)
 	}
-	if size := len(key) + len(*value) + len(*next) + len(platform.Partition) + 30; size > maxItem {
-		return platform.Write{}, invalid("Item size has exceeded the maximum allowed size")
+	if write.Next() != platform.Revision(n) {
+		return invalid("item needs revision %d", write.Next())
 	}
-	return platform.Write{Key: key, If: revision, Value: *value}, nil
+	size := len(write.Key) + len(*value) + len(*next) + len(platform.Partition) + 30
+	if expires := w.Item[platform.AttributeExpires].N; expires != nil {
+		seconds, err := strconv.ParseInt(*expires, 10, 64)
+		if err != nil || seconds <= 0 {
+			return invalid("expiry %q is not a number of seconds", *expires)
+		}
+		write.Expires = platform.Expiry(seconds)
+		size += len(platform.AttributeExpires) + len(*expires)
+	}
+	if size > maxItem {
+		return invalid("Item size has exceeded the maximum allowed size")
+	}
+	write.Value = *value
+	return nil
 }
 
 // condition returns the revision that the condition requires.
@@ -424,5 +451,9 @@
 		value = []byte{}
 	}
 	i[platform.AttributeRevision], i[platform.AttributeValue] = attribute{N: &revision}, attribute{B: &value}
+	if row.Expires != 0 {
+		expires := strconv.FormatInt(int64(row.Expires), 10)
+		i[platform.AttributeExpires] = attribute{N: &expires}
+	}
 	return i
 }
