Let rows of claims expire

Cause: rows of paid actions stay in the table for good. A removed row starts again without its history, so that a holder that was paused for longer than the retention could write over the claim of another holder.

Change: each write of a claim row sets its expiry, the setting outcome-retention (default 168 h, 24 h at least) after that write. The first revision of a row comes from the nonce of the claim, so that the condition of a late write compares nonces too. A settlement that finds another row fails with ErrReplaced, or is done when it is a release. A Take that finds its released row removed starts from the absent row. A claim that applied after more than half of the retention is withdrawn and refused as unconfirmed.

Ruled out: the nonce compared by reading the row before the write (the row may change in between; a trial with it alone still failed); the deadline alone against a late grant (it follows the monotonic clock, which stops while a machine is suspended).

Before: TestNewerClaimIsKept with expiry alone, and with the comparison after the write: "record: got <nil>, want success: false" (the newer claim was written over); TestLateGrantIsUnconfirmed "got claim.Granted <nil>, want Unconfirmed"; TestReleasedRowIsRemoved without its case "got claim.Mismatch <nil>, want Granted".

Not covered: a holder that has its claim, is suspended for the retention with the call not sent, and sends it then; only its deadline stops it.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -25,6 +25,9 @@
 	ErrKey = errors.New("idempotency key is not usable")
 	// ErrSettled says that the claim was recorded or released before.
 	ErrSettled = errors.New("claim is already recorded or released")
+	// ErrReplaced says that the row was removed after the retention, and may
+	// belong to another claim now.
+	ErrReplaced = errors.New("claim row was removed after its retention")
 	// ErrAnswer is wrapped by the error for an answer that cannot be recorded.
 	ErrAnswer = errors.New("answer cannot be recorded")
 )
@@ -103,6 +106,9 @@
 	Table  platform.Table
 	Now    func() time.Time // default time.Now
 	Random io.Reader        // source of nonces; default crypto/rand
+	// Retention is the time after which the platform may remove the row of a
+	// claim, counted from its last write; default 168 h.
+	Retention time.Duration
 	// Gather is the time in which claims are gathered into one transaction;
 	// default 2 ms.
 	Gather time.Duration
@@ -133,6 +139,7 @@
 	if c.Random == nil {
 		c.Random = rand.Reader
 	}
+	setDefault(&c.Retention, 168*time.Hour)
 	setDefault(&c.Gather, 2*time.Millisecond)
 	setDefault(&c.CommitTimeout, 2*time.Second)
 	setDefault(&c.ReleaseTimeout, time.Minute)
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -83,6 +83,8 @@
 	records behaviour = iota
 	crashes
 	releases
+	takes
+	removes // the platform removes expired rows
 )
 
 // ledger collects the grants of a run.
@@ -341,6 +343,138 @@
 	})
 }
 
+// Guards against a holder that was paused for longer than the retention and
+// then writes over a newer claim, and against one that takes the newer claim's
+// row for its own: claims, settlements in any order, and removed rows.
+func TestNewerClaimIsKept(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		behaviours := rapid.SliceOfN(rapid.SampledFrom([]behaviour{takes, removes, records, releases}), 2, 12).Draw(rt, "behaviours")
+		older := rapid.SliceOfN(rapid.IntRange(0, 3), 12, 12).Draw(rt, "holders") // how far back
+		var err error
+		synctest.Test(t, func(*testing.T) {
+			p := pausedHolders{memory: platform.NewMemory()}
+			p.table = New(Config{Table: p.memory, Random: rand.NewChaCha8([32]byte{1}), Gather: time.Nanosecond})
+			for i, b := range behaviours {
+				if err = p.step(b, older[i]); err != nil {
+					return
+				}
+			}
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// pausedHolders is one key, all its holders so far, and what its row must hold.
+type pausedHolders struct {
+	memory *platform.Memory
+	table  *Claims
+	claims []*Claim
+	nonce  nonce // zero when the row is absent
+	state  state
+}
+
+func (p *pausedHolders) step(b behaviour, older int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var holder *Claim
+	if n := len(p.claims); n > 0 {
+		holder = p.claims[max(0, n-1-older)]
+	}
+	own := holder != nil && holder.record.Nonce == p.nonce
+	switch {
+	case b == takes:
+		decision, _ := p.table.Take(ctx, keyNumber(1), fingerprint)
+		granted, ok := decision.(Granted)
+		if free := p.nonce == (nonce{}) || p.state == released; ok != free {
+			return fmt.Errorf("take: got %T, want a grant: %v", decision, free)
+		}
+		if ok {
+			p.claims, p.nonce, p.state = append(p.claims, granted.Claim), granted.Claim.record.Nonce, claimed
+		}
+	case b == removes:
+		p.memory.RemoveExpired(time.Now().Add(200 * time.Hour))
+		p.nonce = nonce{}
+	case holder == nil:
+	case b == records:
+		err := holder.Record(ctx, Answer{Status: 200})
+		if want := own && p.state != released; (err == nil) != want {
+			return fmt.Errorf("record: got %v, want success: %v", err, want)
+		}
+		if own && p.state == claimed {
+			p.state = answered
+		}
+	case holder.Release(ctx) == nil && own && p.state == claimed:
+		p.state = released
+	}
+	r, _, err := p.table.read(ctx, "claim/refill/key-1")
+	if err != nil || r.Nonce != p.nonce || p.nonce != (nonce{}) && r.State != p.state {
+		return fmt.Errorf("got row %+v, %v, want nonce %x in state %d", r, err, p.nonce, p.state)
+	}
+	return nil
+}
+
+// hookedTable calls commit, when it is set, before each commit.
+type hookedTable struct {
+	*platform.Memory
+	commit func(context.Context)
+}
+
+func (h *hookedTable) Commit(ctx context.Context, writes ...platform.Write) (platform.Result, error) {
+	if h.commit != nil {
+		h.commit(ctx)
+	}
+	return h.Memory.Commit(ctx, writes...)
+}
+
+// Guards against a released row that is removed while the next request claims
+// it: the request must not take the absent row for one of other content.
+func TestReleasedRowIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &hookedTable{Memory: platform.NewMemory()}
+		claims, ctx := New(Config{Table: table}), t.Context()
+		first, _ := claims.Take(ctx, keyNumber(1), fingerprint)
+		if err := first.(Granted).Claim.Release(ctx); err != nil {
+			t.Fatal(err)
+		}
+		commits := 0
+		table.commit = func(context.Context) {
+			if commits++; commits == 2 { // the first one found the released row
+				table.RemoveExpired(time.Now().Add(200 * time.Hour))
+			}
+		}
+		got, err := claims.Take(ctx, keyNumber(1), fingerprint)
+		if _, ok := got.(Granted); !ok {
+			t.Errorf("got %T %v, want Granted", got, err)
+		}
+	})
+}
+
+// Guards against a claim that is granted after a pause as long as the retention:
+// the row of a claim that ran the action meanwhile may be gone.
+func TestLateGrantIsUnconfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pause := time.Duration(0)
+		table := &hookedTable{Memory: platform.NewMemory()}
+		claims := New(Config{Table: table, Now: func() time.Time { return time.Now().Add(pause) }})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		table.commit = func(context.Context) { pause = 200 * time.Hour }
+		got, err := claims.Take(ctx, keyNumber(1), fingerprint)
+		if u, ok := got.(Unconfirmed); !ok || !errors.Is(u.Err, ErrReplaced) {
+			t.Errorf("got %T %v, want Unconfirmed with ErrReplaced", got, err)
+		}
+		if err := claims.Drain(ctx); err != nil {
+			t.Fatal(err)
+		}
+		again, err := claims.Take(ctx, keyNumber(1), fingerprint)
+		if _, ok := again.(Granted); !ok {
+			t.Errorf("repeated: got %T %v, want Granted", again, err)
+		}
+	})
+}
+
 // Guards against a refusal that comes after the deadline, and against keys that
 // would share a row or exceed the table's limit.
 func TestTakeRefuses(t *testing.T) {
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,8 +21,17 @@
 
 type nonce [16]byte
 
+// first returns the revision of a row that the claim inserts. Being random, it
+// differs from those of an earlier row with the key that the platform removed:
+// the condition on the revision compares the nonces too. Two bits are left free
+// for the writes that follow, since each adds one.
+func (n nonce) first() platform.Revision {
+	return platform.Revision(binary.BigEndian.Uint64(n[:])>>2 | 1)
+}
+
 // record is the value of a claim row. The row is never deleted here: a write
-// that arrives late must fail on its revision.
+// that arrives late must fail on its revision. The platform removes it after
+// the retention.
 type record struct {
 	State       state       `cbor:"1,keyasint"`
 	Epoch       uint64      `cbor:"2,keyasint"` // number of the claim on this key, from 1
@@ -49,12 +59,16 @@
 }
 
 // write returns the conditional write that replaces revision base by r.
-func (r record) write(key platform.Key, base platform.Revision) (platform.Write, error) {
+func (c *Claims) write(r record, key platform.Key, base platform.Revision) (platform.Write, error) {
 	value, err := encoding.Marshal(r)
 	if err != nil {
 		return platform.Write{}, fmt.Errorf("encode %s: %w", key, err)
 	}
-	return platform.Write{Key: key, If: base, Value: value}, nil
+	return platform.Write{
+		Key: key, If: base, Value: value,
+		Expires: platform.ExpiryAfter(c.config.Now(), c.config.Retention),
+		First:   r.Nonce.first(),
+	}, nil
 }
 
 // malformedError says that a claim row cannot be decoded. Reading it again does
--- a/internal/claim/take.go
+++ b/internal/claim/take.go
@@ -56,14 +56,14 @@
 	if ctx.Err() != nil {
 		return nil, nil
 	}
-	write, err := a.record.write(a.key, a.base)
+	write, err := a.claims.write(a.record, a.key, a.base)
 	if err != nil {
 		return nil, err
 	}
 	outcome, err := a.claims.batch.commit(ctx, write)
 	switch {
 	case outcome == platform.Applied:
-		return a.grant(a.base + 1), nil
+		return a.grant(write.Next()), nil
 	case outcome == platform.Unknown:
 		a.sent = true
 	}
@@ -94,6 +94,9 @@
 	}
 	a.sent = false
 	switch {
+	case revision == 0: // removed after the retention
+		a.base, a.record.Epoch = 0, 1
+		return nil, nil
 	case r.Fingerprint != a.record.Fingerprint:
 		return Mismatch{}, nil
 	case r.State == answered:
@@ -105,7 +108,15 @@
 	return nil, nil
 }
 
+// grant grants the claim, unless the process was paused for so long that another
+// holder may have run the action and its row may be removed again. Half of the
+// retention is left for differences of the clocks.
 func (a *attempt) grant(revision platform.Revision) Decision {
+	if c := a.claims.config; c.Now().Sub(time.UnixMilli(a.record.ClaimedMS)) > c.Retention/2 {
+		a.sent = true
+		a.abandon()
+		return Unconfirmed{Err: ErrReplaced}
+	}
 	return Granted{Claim: &Claim{claims: a.claims, key: a.key, record: a.record, revision: revision}}
 }
 
@@ -145,7 +156,7 @@
 	}
 	next := a.record
 	next.State = released
-	write, err := next.write(a.key, revision)
+	write, err := a.claims.write(next, a.key, revision)
 	if err != nil {
 		return true
 	}
@@ -187,7 +198,8 @@
 }
 
 // settle writes the row until it has the next state. Only the holder writes the
-// row of a claim, so that any later revision is the result of its own write.
+// row of a claim, but the platform removes it after the retention, and another
+// claim may follow then. A row of another claim means that a release is done.
 func (c *Claim) settle(ctx context.Context, next record) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -195,7 +207,7 @@
 		return fmt.Errorf("settle %s: %w", c.key, ErrSettled)
 	}
 	c.next = next.State
-	write, err := next.write(c.key, c.revision)
+	write, err := c.claims.write(next, c.key, c.revision)
 	if err != nil {
 		return err
 	}
@@ -205,9 +217,12 @@
 		if outcome == platform.Applied {
 			return nil
 		}
-		_, revision, readErr := c.claims.read(ctx, c.key)
+		r, revision, readErr := c.claims.read(ctx, c.key)
 		if readErr == nil && revision != c.revision {
-			return nil
+			if next.State == released || r.Nonce == c.record.Nonce && r.State == next.State {
+				return nil
+			}
+			return fmt.Errorf("settle %s: %w", c.key, ErrReplaced)
 		}
 		if waitErr := pause.wait(ctx); waitErr != nil {
 			return fmt.Errorf("settle %s: %w", c.key, errors.Join(err, readErr, waitErr))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,7 +119,7 @@
 		Self: s.HostID, Zone: s.AvailabilityZone, Region: s.Region,
 		Ejected: func(id backend.ServerID, t time.Duration) { d.callEvent(proxy.EjectedEvent(id, t)) },
 	})
-	d.claims = claim.New(claim.Config{Table: d.platform})
+	d.claims = claim.New(claim.Config{Table: d.platform, Retention: s.OutcomeRetention})
 	d.acceptor = submission.New(submission.Config{Platform: d.platform, Held: d.held.get, Newest: d.held.newest})
 	d.meters = newMeters(set, d)
 	var err error
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,12 +93,13 @@
 	OperatorTokens  []OperatorToken // none: the operator API refuses every request
 	OperatorTLS     bool
 
-	AnnounceLease time.Duration
-	TimelineSize  int // events
-	DrainTimeout  time.Duration
-	LogLevel      zapcore.Level
-	LogFormat     LogFormat
-	Check         bool // check the settings and exit
+	AnnounceLease    time.Duration
+	OutcomeRetention time.Duration
+	TimelineSize     int // events
+	DrainTimeout     time.Duration
+	LogLevel         zapcore.Level
+	LogFormat        LogFormat
+	Check            bool // check the settings and exit
 }
 
 // Fault is one thing wrong with the settings.
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -113,6 +113,10 @@
 	return []Setting{
 		choice("distribution", "economical", "How versions spread: economical takes the fewest bytes, fast the fewest delays.", map[string]fleet.Distribution{"economical": fleet.Economical, "fast": fleet.Fast}, func(d *Daemon) *fleet.Distribution { return &d.Distribution }),
 		duration("announce-lease", "3s", time.Second, time.Minute, "A backend server that does not renew its announcement for this long gets no new work.", func(d *Daemon) *time.Duration { return &d.AnnounceLease }),
+		// Clients repeat within minutes; a queue that is stopped over a long
+		// weekend repeats after days. 37 paid actions a second fill 22 million
+		// rows in a week.
+		duration("outcome-retention", "168h", 24*time.Hour, 8760*time.Hour, "The outcome of a paid call or submission is kept for this long; repeat none later. The same on all daemons.", func(d *Daemon) *time.Duration { return &d.OutcomeRetention }),
 		// At the maximum, events of about 200 bytes take 50 MB of the 256 MB
 		// that a daemon may use.
 		integer("timeline-size", "16384", "events", 256, 262144, "Events kept in memory; the oldest are dropped first.", func(d *Daemon) *int { return &d.TimelineSize }),
@@ -247,6 +251,9 @@
 	if strings.HasSuffix(s, "m0s") {
 		s = strings.TrimSuffix(s, "0s")
 	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
 	return s
 }
 
