Let rows of submissions expire

Cause: rows of submissions stay in the table for good. Once they are removed, a repeated id has no recorded outcome, and the base check alone accepts it again when the sections have returned to the content of the base.

Change: the row expires after outcome-retention. A submission whose base was followed by another version more than half of the retention ago is refused. A version follows the base of its submission, so that every accepted id whose row may be gone has such a base. One more row is read when the base is not the head.

Before: TestRepeatAfterRetention with the expiry alone: "s1: got version 5 after 49h0m0s, before 2".

--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -22,6 +22,9 @@
 	Newest func() version.Snapshot
 	// Now gives the time of acceptance.
 	Now func() time.Time
+	// Retention is the time after which the platform may remove the row of a
+	// submission; default 168 h. Half of it bounds the age of a base.
+	Retention time.Duration
 	// Sleep waits between attempts, or returns the error of the context.
 	Sleep func(context.Context, time.Duration) error
 	// Random gives numbers in [0, 1) for the jitter. Calls do not overlap.
@@ -60,6 +63,9 @@
 	if c.Newest == nil {
 		c.Newest = func() version.Snapshot { return version.Snapshot{} }
 	}
+	if c.Retention == 0 {
+		c.Retention = 168 * time.Hour
+	}
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
@@ -238,32 +244,52 @@
 	return next, nil
 }
 
-// base loads the version that the operator edited.
+// base loads the version that the operator edited, which is below the head. A
+// base that was followed by another version more than half of the retention ago
+// is refused: the submission may have been accepted, and its row removed, since
+// then. Every version that a submission became follows its base, so that this
+// finds all such cases. Half of the retention is left for differences of clocks.
 func (p *procedure) base(ctx context.Context) (version.Snapshot, error) {
 	n := p.submission.Base
-	if n == 0 {
-		return version.Snapshot{}, nil
+	keys := []platform.Key{VersionKey(n + 1)}
+	if n > 0 {
+		keys = append(keys, VersionKey(n))
 	}
-	rows, err := p.get(ctx, VersionKey(n))
+	rows, err := p.get(ctx, keys...)
 	if err != nil {
 		return version.Snapshot{}, err
 	}
-	m, err := manifestOf(rows, VersionKey(n))
-	if errors.Is(err, ErrNoVersion) {
-		return version.Snapshot{}, Refused{Reason: fmt.Sprintf("version %d, which was edited, is not in the table any more", n)}
+	following, err := manifestOf(rows, VersionKey(n+1))
+	if err != nil {
+		return version.Snapshot{}, missing(n+1, err)
+	}
+	if age := p.config.Now().Sub(time.UnixMilli(following.AcceptedMS)); age > p.config.Retention/2 {
+		return version.Snapshot{}, Refused{Reason: fmt.Sprintf("version %d, which was edited, was replaced %s ago; apply the change to the current version", n, age.Round(time.Hour))}
+	}
+	if n == 0 {
+		return version.Snapshot{}, nil
 	}
+	m, err := manifestOf(rows, VersionKey(n))
 	if err != nil {
-		return version.Snapshot{}, err
+		return version.Snapshot{}, missing(n, err)
 	}
 	return p.load(ctx, m)
 }
 
+// missing returns a refusal when the row of a version is absent.
+func missing(n version.Number, err error) error {
+	if errors.Is(err, ErrNoVersion) {
+		return Refused{Reason: fmt.Sprintf("version %d is not in the table any more; apply the change to the current version", n)}
+	}
+	return err
+}
+
 // refuse records a refusal under the condition that the submission has no row,
 // so that its commit at another daemon, or a late one of an earlier attempt,
 // can no longer apply. An error leaves the outcome open: the submission may have
 // been accepted, and the next attempt reads its row.
 func (p *procedure) refuse(ctx context.Context, r Refused) (Outcome, error) {
-	write, err := record{Content: p.content, Refusal: newRefusal(r)}.write(p.submission.ID)
+	write, err := record{Content: p.content, Refusal: newRefusal(r)}.write(p.submission.ID, p.expiry())
 	if err != nil {
 		return nil, err
 	}
@@ -334,7 +360,7 @@
 	if err != nil {
 		return nil, err
 	}
-	recorded, err := record{Number: next.Number(), Content: p.content}.write(p.submission.ID)
+	recorded, err := record{Number: next.Number(), Content: p.content}.write(p.submission.ID, p.expiry())
 	if err != nil {
 		return nil, err
 	}
@@ -351,6 +377,11 @@
 	return Accepted{Snapshot: next}, nil
 }
 
+// expiry returns the expiry of a submission's row that is written now.
+func (a *Acceptor) expiry() platform.Expiry {
+	return platform.ExpiryAfter(a.config.Now(), a.config.Retention)
+}
+
 // write commits one transaction within the time of one call. The error is nil
 // only when it applied; after other errors than errContention it may apply.
 func (p *procedure) write(ctx context.Context, writes ...platform.Write) error {
--- a/internal/submission/fake_test.go
+++ b/internal/submission/fake_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/peridotlb/peridotlb/internal/platform"
 )
@@ -123,12 +124,19 @@
 		}
 	}
 	for _, w := range writes {
-		f.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: w.If + 1}
+		f.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: w.Next(), Expires: w.Expires}
 	}
 	f.writes++
 	return true
 }
 
+// removeExpired removes rows as the table service does by itself.
+func (f *fakePlatform) removeExpired(now time.Time) {
+	maps.DeleteFunc(f.rows, func(_ platform.Key, row platform.Row) bool {
+		return row.Expires != 0 && int64(row.Expires) < now.Unix()
+	})
+}
+
 func (f *fakePlatform) PutObject(_ context.Context, name string, data []byte) error {
 	f.lock.Lock()
 	defer f.lock.Unlock()
--- a/internal/submission/record.go
+++ b/internal/submission/record.go
@@ -39,13 +39,14 @@
 	Head    version.Number       `cbor:"3,keyasint"`
 }
 
-// write returns the write that records the outcome of an id that has none.
-func (r record) write(id version.SubmissionID) (platform.Write, error) {
+// write returns the write that records the outcome of an id that has none. The
+// row is never written again, so that its revision need not be unique.
+func (r record) write(id version.SubmissionID, expires platform.Expiry) (platform.Write, error) {
 	value, err := cbor.Marshal(r)
 	if err != nil {
 		return platform.Write{}, fmt.Errorf("encode record of submission %s: %w", id, err)
 	}
-	return platform.Write{Key: RecordKey(id), Value: value}, nil
+	return platform.Write{Key: RecordKey(id), Value: value, Expires: expires}, nil
 }
 
 func readRecord(row platform.Row) (record, error) {
--- a/internal/submission/submission_test.go
+++ b/internal/submission/submission_test.go
@@ -209,6 +209,51 @@
 	}
 }
 
+// Guards against an id that is accepted twice because its row was removed after
+// the retention, and against an outcome that changes or rows that stay.
+func TestRepeatAfterRetention(t *testing.T) {
+	const retention = 48 * time.Hour
+	rapid.Check(t, func(t *rapid.T) {
+		ctx, f, now := context.Background(), newFake(1, 0), time.UnixMilli(1000)
+		a := submission.New(submission.Config{Platform: f, Retention: retention, Now: func() time.Time { return now }})
+		type result struct {
+			at      time.Time
+			version version.Number // zero when refused
+		}
+		var submitted []submission.Submission
+		first := map[version.SubmissionID]result{}
+		for i := range rapid.IntRange(2, 20).Draw(t, "steps") {
+			head, _ := submission.ReadHead(ctx, f)
+			s := edit(fmt.Sprint("s", i), "stock-team", head.Number, section("stock-team", "stock", rapid.IntRange(1, 2).Draw(t, "slots")))
+			if len(submitted) > 0 && rapid.Bool().Draw(t, "repeats") {
+				s = rapid.SampledFrom(submitted).Draw(t, "repeated")
+			} else {
+				s.Base -= min(s.Base, version.Number(rapid.IntRange(0, 3).Draw(t, "behind")))
+				submitted = append(submitted, s)
+			}
+			got := result{at: now}
+			if o, ok := a.Accept(ctx, s).(submission.Accepted); ok {
+				got.version = o.Snapshot.Number()
+			}
+			before, repeated := first[s.ID]
+			switch {
+			case !repeated:
+				first[s.ID] = got
+			case got.version != before.version && (got.version != 0 && before.version != 0 || now.Sub(before.at) <= retention):
+				t.Fatalf("%s: got version %d after %s, before %d", s.ID, got.version, now.Sub(before.at), before.version)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "hours")) * time.Hour)
+			if rapid.Bool().Draw(t, "removes expired") {
+				f.removeExpired(now)
+			}
+		}
+		f.removeExpired(now.Add(2 * retention))
+		if left, _ := f.Scan(ctx, "submission/", "", 100); len(left) != 0 {
+			t.Fatalf("got %d rows after the retention, want none", len(left))
+		}
+	})
+}
+
 // Guards against lost, doubled and foreign edits when operators submit at the
 // same moment at several daemons while answers of the platform are lost.
 func TestConcurrentSubmissions(t *testing.T) {
