Decode rows of submissions strictly

Cause: rows of submissions were decoded leniently: fields of a later release, keys given twice and rows without their fields decided outcomes, and the row of a version was not compared with its number.

Change: the options of the other decoders; a row needs its content and is either accepted or refused; the manifest must have the number of its row. A row that is not understood leaves the outcome unknown.

Ruled out: trailing bytes, which the decoder refused before.

Before: TestMalformedRows failed for 7 of 9 rows, "unknown field: got outcome {Err:<nil>}, want Unknown" among them. After: passes.

--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -259,7 +259,7 @@
 	if err != nil {
 		return version.Snapshot{}, err
 	}
-	following, err := manifestOf(rows, VersionKey(n+1))
+	following, err := versionOf(rows, n+1)
 	if err != nil {
 		return version.Snapshot{}, missing(n+1, err)
 	}
@@ -269,7 +269,7 @@
 	if n == 0 {
 		return version.Snapshot{}, nil
 	}
-	m, err := manifestOf(rows, VersionKey(n))
+	m, err := versionOf(rows, n)
 	if err != nil {
 		return version.Snapshot{}, missing(n, err)
 	}
@@ -315,7 +315,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m, err := manifestOf(rows, VersionKey(r.Number))
+	m, err := versionOf(rows, r.Number)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/submission/read.go
+++ b/internal/submission/read.go
@@ -52,12 +52,16 @@
 
 // ReadVersion reads the manifest of a version, or returns ErrNoVersion.
 func ReadVersion(ctx context.Context, t platform.Table, n version.Number) (version.Manifest, error) {
-	key := VersionKey(n)
-	rows, err := t.Get(ctx, key)
+	rows, err := t.Get(ctx, VersionKey(n))
 	if err != nil {
 		return version.Manifest{}, fmt.Errorf("read version %d: %w", n, err)
 	}
-	m, err := manifestOf(rows, key)
+	return versionOf(rows, n)
+}
+
+// versionOf returns the manifest of a version from rows that were read.
+func versionOf(rows []platform.Row, n version.Number) (version.Manifest, error) {
+	m, err := manifestOf(rows, VersionKey(n))
 	if err == nil && m.Number != n {
 		return version.Manifest{}, fmt.Errorf("read version %d: row holds version %d", n, m.Number)
 	}
--- a/internal/submission/record.go
+++ b/internal/submission/record.go
@@ -19,6 +19,24 @@
 	maxRecordedText      = 512 // bytes of a reason or message
 )
 
+var (
+	encoding = must(cbor.CoreDetEncOptions().EncMode())
+	decoding = must(cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	}.DecMode())
+)
+
+// must panics on an error of constant options.
+func must[T any](mode T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // record is the value of a submission's row: the outcome of its id.
 type record struct {
 	Number  version.Number `cbor:"1,keyasint"` // zero when refused
@@ -42,18 +60,23 @@
 // write returns the write that records the outcome of an id that has none. The
 // row is never written again, so that its revision need not be unique.
 func (r record) write(id version.SubmissionID, expires platform.Expiry) (platform.Write, error) {
-	value, err := cbor.Marshal(r)
+	value, err := encoding.Marshal(r)
 	if err != nil {
 		return platform.Write{}, fmt.Errorf("encode record of submission %s: %w", id, err)
 	}
 	return platform.Write{Key: RecordKey(id), Value: value, Expires: expires}, nil
 }
 
+// readRecord decodes a row strictly: a row that this release does not understand
+// whole must not decide an outcome.
 func readRecord(row platform.Row) (record, error) {
 	var r record
-	if err := cbor.Unmarshal(row.Value, &r); err != nil {
+	if err := decoding.Unmarshal(row.Value, &r); err != nil {
 		return record{}, fmt.Errorf("read %s: %w", row.Key, err)
 	}
+	if r.Content == (version.Digest{}) || (r.Number == 0) != (r.Refusal != nil) {
+		return record{}, fmt.Errorf("read %s: row lacks its content, or is not either accepted or refused", row.Key)
+	}
 	return r, nil
 }
 
