Correct an expiry by the clock of the table service

Cause: with expiries, promise 6 depended on the clock of each host: one that is behind by more than the retention wrote claims that had expired already, and the service could remove them while the action ran.

Change: the adapter compares its clock with the Date header of the table service's responses and puts expiries off by what its host is behind, from one minute on. A clock that is ahead only keeps rows longer.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -17,7 +17,8 @@
 // Expiry is the time, in Unix seconds, after which the service may remove a row
 // by itself. Zero means never. Until it is removed, which may take days, an
 // expired row is like any other: reads return it and conditions see its
-// revision. So no daemon compares its clock with an expiry.
+// revision. So no daemon compares its clock with an expiry. The adapter corrects
+// an expiry when the clock of this host is behind that of the service.
 type Expiry int64
 
 // ExpiryAfter returns the expiry of a row that is kept for d from now on.
--- a/internal/platform/remote.go
+++ b/internal/platform/remote.go
@@ -54,6 +54,7 @@
 type Remote struct {
 	table       *dynamodb.Client
 	tableName   string
+	clock       *serviceClock
 	objects     *s3.Client
 	bucket      string
 	connections []*http.Transport
@@ -68,14 +69,16 @@
 	}
 	keys := credentials.NewStaticCredentialsProvider(c.AccessKey, c.SecretKey, c.SessionToken)
 	tables, objects := newTransport(c.Source), newTransport(c.Source)
+	clock := &serviceClock{transport: tables}
 	return &Remote{
 		tableName: c.Table,
+		clock:     clock,
 		bucket:    c.Bucket,
 		table: dynamodb.New(dynamodb.Options{
 			BaseEndpoint: &c.TableEndpoint,
 			Region:       c.Region,
 			Credentials:  keys,
-			HTTPClient:   newClient(tables, c.TableTimeout, defaultTableTimeout),
+			HTTPClient:   newClient(clock, c.TableTimeout, defaultTableTimeout),
 			Retryer:      newRetryer(),
 		}),
 		objects: s3.New(s3.Options{
@@ -132,7 +135,7 @@
 	}
 }
 
-func newClient(t *http.Transport, timeout, fallback time.Duration) *http.Client {
+func newClient(t http.RoundTripper, timeout, fallback time.Duration) *http.Client {
 	if timeout <= 0 {
 		timeout = fallback
 	}
--- a/internal/platform/remote_test.go
+++ b/internal/platform/remote_test.go
@@ -227,6 +227,32 @@
 	return keys
 }
 
+// Guards against rows that expire at once, or early, because the clock of this
+// host is behind that of the service which removes them. The clock of a host
+// that is ahead only keeps rows longer.
+func TestExpiryFollowsTheClockOfTheService(t *testing.T) {
+	const week = 7 * 24 * time.Hour
+	for _, ahead := range []time.Duration{10 * week, 0, -10 * week} {
+		p := stand.New(stand.Config{})
+		far := connect(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Date", time.Now().Add(ahead).UTC().Format(http.TimeFormat))
+			p.ServeHTTP(w, r)
+		}), 0)
+		ctx, expires := context.Background(), platform.ExpiryAfter(time.Now(), week)
+		if _, err := far.Get(ctx, "head"); err != nil { // a daemon reads before it writes
+			t.Fatal(err)
+		}
+		if got, err := far.Commit(ctx, platform.Write{Key: "a", Expires: expires}, platform.Write{Key: "b"}); got.Outcome != platform.Applied {
+			t.Fatal(err)
+		}
+		rows, _ := p.Memory().Get(ctx, "a", "b")
+		want := expires + platform.Expiry(max(0, ahead).Seconds())
+		if late := rows[0].Expires - want; late < -120 || late > 120 || rows[1].Expires != 0 {
+			t.Errorf("service ahead by %s: got expiries %d and %d, want about %d and none", ahead, rows[0].Expires, rows[1].Expires, want)
+		}
+	}
+}
+
 // Guards against objects that change on the way, and against an absent object
 // that looks like an outage.
 func TestObjects(t *testing.T) {
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -259,7 +259,7 @@
 	item[AttributeValue] = &types.AttributeValueMemberB{Value: append([]byte{}, w.Value...)}
 	item[AttributeRevision] = number(w.Next())
 	if w.Expires != 0 {
-		item[AttributeExpires] = &types.AttributeValueMemberN{Value: strconv.FormatInt(int64(w.Expires), 10)}
+		item[AttributeExpires] = &types.AttributeValueMemberN{Value: strconv.FormatInt(int64(r.clock.expiry(w.Expires)), 10)}
 	}
 	return types.TransactWriteItem{Put: &types.Put{
 		TableName: &r.tableName, Item: item, ConditionExpression: condition,
