--- a/internal/platform/remote_test.go
+++ b/internal/platform/remote_test.go
@@ -49,7 +49,8 @@
 	key := rapid.SampledFrom([]platform.Key{"head", "host/a", "host/b", "host/b/1", "host0", "hosu", "claim/é"})
 	prefix := rapid.SampledFrom([]platform.Key{"", "host/", "host", "claim/", "none"})
 	rapid.Check(t, func(t *rapid.T) {
-		server.Config.Handler = stand.New(stand.Config{})
+		behind := stand.New(stand.Config{})
+		server.Config.Handler = behind
 		ctx, near := context.Background(), platform.NewMemory()
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			var writes []platform.Write
@@ -57,6 +58,7 @@
 				writes = append(writes, platform.Write{
 					Key: k, If: platform.Revision(rapid.IntRange(0, 2).Draw(t, "if")),
 					Value: rapid.SliceOf(rapid.Byte()).Draw(t, "value"), Delete: rapid.Bool().Draw(t, "delete"),
+					Expires: platform.Expiry(rapid.IntRange(0, 3).Draw(t, "expires")), First: platform.Revision(rapid.IntRange(0, 2).Draw(t, "first")),
 				})
 			}
 			want, _ := near.Commit(ctx, writes...)
@@ -64,6 +66,10 @@
 			if err != nil || got.Outcome != want.Outcome || !slices.Equal(got.Failed, want.Failed) {
 				t.Fatalf("commit: got %v, %v, want %v", got, err, want)
 			}
+			if now := time.Unix(int64(rapid.IntRange(0, 3).Draw(t, "now")), 0); rapid.Bool().Draw(t, "removes expired") {
+				near.RemoveExpired(now)
+				behind.Memory().RemoveExpired(now)
+			}
 			keys := rapid.SliceOfN(key, 1, 4).Draw(t, "read")
 			wantRows, _ := near.Get(ctx, keys...)
 			gotRows, err := far.Get(ctx, keys...)
@@ -78,7 +84,7 @@
 
 func same(t *rapid.T, got, want []platform.Row, err error) {
 	equal := func(a, b platform.Row) bool {
-		return a.Key == b.Key && a.Revision == b.Revision && bytes.Equal(a.Value, b.Value)
+		return a.Key == b.Key && a.Revision == b.Revision && a.Expires == b.Expires && bytes.Equal(a.Value, b.Value)
 	}
 	if err != nil || !slices.EqualFunc(got, want, equal) {
 		t.Fatalf("got rows %v, %v, want %v", got, err, want)
@@ -221,6 +227,32 @@
 	return keys
 }
 
+// Guards against rows that expire at once, or early, because the clock of this
+// host is behind that of the service which removes them. The clock of a host
+// that is ahead only keeps rows longer.
+func TestExpiryFollowsTheClockOfTheService(t *testing.T) {
+	const week = 7 * 24 * time.Hour
+	for _, ahead := range []time.Duration{10 * week, 0, -10 * week} {
+		p := stand.New(stand.Config{})
+		far := connect(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Date", time.Now().Add(ahead).UTC().Format(http.TimeFormat))
+			p.ServeHTTP(w, r)
+		}), 0)
+		ctx, expires := context.Background(), platform.ExpiryAfter(time.Now(), week)
+		if _, err := far.Get(ctx, "head"); err != nil { // a daemon reads before it writes
+			t.Fatal(err)
+		}
+		if got, err := far.Commit(ctx, platform.Write{Key: "a", Expires: expires}, platform.Write{Key: "b"}); got.Outcome != platform.Applied {
+			t.Fatal(err)
+		}
+		rows, _ := p.Memory().Get(ctx, "a", "b")
+		want := expires + platform.Expiry(max(0, ahead).Seconds())
+		if late := rows[0].Expires - want; late < -120 || late > 120 || rows[1].Expires != 0 {
+			t.Errorf("service ahead by %s: got expiries %d and %d, want about %d and none", ahead, rows[0].Expires, rows[1].Expires, want)
+		}
+	}
+}
+
 // Guards against objects that change on the way, and against an absent object
 // that looks like an outage.
 func TestObjects(t *testing.T) {
--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/platform"
 	"github.com/peridotlb/peridotlb/internal/version"
@@ -24,6 +22,9 @@
 	Newest func() version.Snapshot
 	// Now gives the time of acceptance.
 	Now func() time.Time
+	// Retention is the time after which the platform may remove the row of a
+	// submission; default 168 h. Half of it bounds the age of a base.
+	Retention time.Duration
 	// Sleep waits between attempts, or returns the error of the context.
 	Sleep func(context.Context, time.Duration) error
 	// Random gives numbers in [0, 1) for the jitter. Calls do not overlap.
@@ -62,6 +63,9 @@
 	if c.Newest == nil {
 		c.Newest = func() version.Snapshot { return version.Snapshot{} }
 	}
+	if c.Retention == 0 {
+		c.Retention = 168 * time.Hour
+	}
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
@@ -88,18 +92,15 @@
 	}
 }
 
-// record is the value of a submission's row.
-type record struct {
-	Number  version.Number `cbor:"1,keyasint"`
-	Content version.Digest `cbor:"2,keyasint"`
-}
-
-// errContention says that another submission was committed first.
-var errContention = errors.New("head changed during the commit")
+// errContention says that another submission, or another daemon with the same
+// one, was first.
+var errContention = errors.New("a row changed during the commit")
 
 // Accept merges a submission into the head version and commits the result. It
 // tries again after failures of the platform and after commits by others, until
-// the context ends; the outcome is then Unknown.
+// the context ends; the outcome is then Unknown. A refusal that depends on the
+// head is recorded before it is returned. A refusal that follows from the
+// submission alone needs no row, because every acceptor refuses it alike.
 func (a *Acceptor) Accept(ctx context.Context, s Submission) Outcome {
 	if faults := s.check(); len(faults) > 0 {
 		return Refused{Reason: reasonInvalid, Faults: faults}
@@ -243,58 +244,78 @@
 	return next, nil
 }
 
-// base loads the version that the operator edited.
+// base loads the version that the operator edited, which is below the head. A
+// base that was followed by another version more than half of the retention ago
+// is refused: the submission may have been accepted, and its row removed, since
+// then. Every version that a submission became follows its base, so that this
+// finds all such cases. Half of the retention is left for differences of clocks.
 func (p *procedure) base(ctx context.Context) (version.Snapshot, error) {
 	n := p.submission.Base
-	if n == 0 {
-		return version.Snapshot{}, nil
+	keys := []platform.Key{VersionKey(n + 1)}
+	if n > 0 {
+		keys = append(keys, VersionKey(n))
 	}
-	rows, err := p.get(ctx, VersionKey(n))
+	rows, err := p.get(ctx, keys...)
 	if err != nil {
 		return version.Snapshot{}, err
 	}
-	m, err := manifestOf(rows, VersionKey(n))
-	if errors.Is(err, ErrNoVersion) {
-		return version.Snapshot{}, Refused{Reason: fmt.Sprintf("version %d, which was edited, is not in the table any more", n)}
+	following, err := versionOf(rows, n+1)
+	if err != nil {
+		return version.Snapshot{}, missing(n+1, err)
+	}
+	if age := p.config.Now().Sub(time.UnixMilli(following.AcceptedMS)); age > p.config.Retention/2 {
+		return version.Snapshot{}, Refused{Reason: fmt.Sprintf("version %d, which was edited, was replaced %s ago; apply the change to the current version", n, age.Round(time.Hour))}
 	}
+	if n == 0 {
+		return version.Snapshot{}, nil
+	}
+	m, err := versionOf(rows, n)
 	if err != nil {
-		return version.Snapshot{}, err
+		return version.Snapshot{}, missing(n, err)
 	}
 	return p.load(ctx, m)
 }
 
-// refuse returns a refusal, unless the submission was accepted meanwhile. The
-// head may hold the submission itself, committed by an earlier attempt whose
-// answer was lost; it would then conflict with itself. Its row is read after
-// the head, so that it is found in this case.
+// missing returns a refusal when the row of a version is absent.
+func missing(n version.Number, err error) error {
+	if errors.Is(err, ErrNoVersion) {
+		return Refused{Reason: fmt.Sprintf("version %d is not in the table any more; apply the change to the current version", n)}
+	}
+	return err
+}
+
+// refuse records a refusal under the condition that the submission has no row,
+// so that its commit at another daemon, or a late one of an earlier attempt,
+// can no longer apply. An error leaves the outcome open: the submission may have
+// been accepted, and the next attempt reads its row.
 func (p *procedure) refuse(ctx context.Context, r Refused) (Outcome, error) {
-	key := RecordKey(p.submission.ID)
-	rows, err := p.get(ctx, key)
+	write, err := record{Content: p.content, Refusal: newRefusal(r)}.write(p.submission.ID, p.expiry())
 	if err != nil {
 		return nil, err
 	}
-	if row := rowOf(rows, key); row.Revision != 0 {
-		return p.recorded(ctx, row)
+	if err := p.write(ctx, write); err != nil {
+		return nil, fmt.Errorf("record the refusal (%w): %w", r, err)
 	}
 	return r, nil
 }
 
-// recorded returns the outcome of a submission that was accepted earlier.
+// recorded returns the outcome of a submission that was decided earlier.
 func (p *procedure) recorded(ctx context.Context, row platform.Row) (Outcome, error) {
-	var r record
-	if err := cbor.Unmarshal(row.Value, &r); err != nil {
-		return nil, fmt.Errorf("read %s: %w", row.Key, err)
+	r, err := readRecord(row)
+	if err != nil {
+		return nil, err
 	}
 	if r.Content != p.content {
-		return Refused{
-			Reason: fmt.Sprintf("submission id %s was used for another submission, accepted as version %d; choose a new id", p.submission.ID, r.Number),
-		}, nil
+		return Refused{Reason: fmt.Sprintf("submission id %s was used for another submission, %s; choose a new id", p.submission.ID, r)}, nil
+	}
+	if r.Refusal != nil {
+		return r.Refusal.refused(), nil
 	}
 	rows, err := p.get(ctx, VersionKey(r.Number))
 	if err != nil {
 		return nil, err
 	}
-	m, err := manifestOf(rows, VersionKey(r.Number))
+	m, err := versionOf(rows, r.Number)
 	if err != nil {
 		return nil, err
 	}
@@ -339,28 +360,43 @@
 	if err != nil {
 		return nil, err
 	}
-	recorded, err := cbor.Marshal(record{Number: next.Number(), Content: p.content})
+	recorded, err := record{Number: next.Number(), Content: p.content}.write(p.submission.ID, p.expiry())
 	if err != nil {
-		return nil, fmt.Errorf("encode record of submission %s: %w", p.submission.ID, err)
+		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
-	defer cancel()
-	result, err := p.config.Platform.Commit(
+	err = p.write(
 		ctx,
 		platform.Write{Key: HeadKey, If: revision, Value: manifest},
 		platform.Write{Key: VersionKey(next.Number()), Value: manifest},
-		platform.Write{Key: RecordKey(p.submission.ID), Value: recorded},
+		recorded,
 	)
+	if err != nil {
+		return nil, fmt.Errorf("commit version %d: %w", next.Number(), err)
+	}
+	p.keep(next)
+	return Accepted{Snapshot: next}, nil
+}
+
+// expiry returns the expiry of a submission's row that is written now.
+func (a *Acceptor) expiry() platform.Expiry {
+	return platform.ExpiryAfter(a.config.Now(), a.config.Retention)
+}
+
+// write commits one transaction within the time of one call. The error is nil
+// only when it applied; after other errors than errContention it may apply.
+func (p *procedure) write(ctx context.Context, writes ...platform.Write) error {
+	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
+	defer cancel()
+	result, err := p.config.Platform.Commit(ctx, writes...)
 	switch {
 	case result.Outcome == platform.Applied:
-		p.keep(next)
-		return Accepted{Snapshot: next}, nil
+		return nil
 	case err != nil:
-		return nil, fmt.Errorf("commit version %d: %w", next.Number(), err)
+		return err
 	case result.Outcome == platform.NotApplied:
-		return nil, fmt.Errorf("commit version %d: %w", next.Number(), errContention)
+		return errContention
 	default:
-		return nil, fmt.Errorf("commit version %d: answer was lost", next.Number())
+		return errors.New("answer was lost")
 	}
 }
 
--- a/internal/submission/submission_test.go
+++ b/internal/submission/submission_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
@@ -83,7 +85,7 @@
 	dangling.Routes[0].Service = "bead-nothing"
 	removal := submission.Submission{ID: "r", Team: "stock-team", Base: 3, Removed: []document.SectionName{"nothing"}}
 	foreign := submission.Submission{ID: "f", Team: "stock-team", Base: 3, Removed: []document.SectionName{"prices"}}
-	writes, objects := f.writes, len(f.objects)
+	before, writes, objects := maps.Clone(f.rows), f.writes, len(f.objects)
 	for want, s := range map[string]submission.Submission{
 		`section "stock" differs between version 1, which was edited, and version 3`: edit("c", "stock-team", 1, section("stock-team", "stock", 3)),
 		`belongs to team "price-team", not to team "stock-team"`:                     edit("o", "stock-team", 3, section("stock-team", "prices", 2)),
@@ -104,8 +106,17 @@
 			}
 		}
 	}
-	if f.writes != writes || len(f.objects) != objects {
-		t.Errorf("got %d transactions and %d objects, want %d and %d", f.writes, len(f.objects), writes, objects)
+	// The refusals that depend on the head are recorded, one row each.
+	for _, id := range []string{"c", "o", "p", "f", "d", "n", "r"} {
+		key := submission.RecordKey(version.SubmissionID(id))
+		if f.rows[key].Revision != 1 {
+			t.Errorf("got no row %s, want the refusal", key)
+		}
+		delete(f.rows, key)
+		writes++
+	}
+	if f.writes != writes || len(f.objects) != objects || !reflect.DeepEqual(f.rows, before) {
+		t.Errorf("got %d transactions, %d objects and rows %v, want %d, %d and %v", f.writes, len(f.objects), f.rows, writes, objects, before)
 	}
 }
 
@@ -148,6 +159,162 @@
 	refused(t, a.Accept(ctx, s), `section "orders": route "read-orders": service "bead-stock" is not defined`)
 }
 
+// Guards against a refusal that is followed by an acceptance: the operator's
+// client gave up on a daemon that still tries while the table answers slowly,
+// repeated the id at a second daemon and was refused there; then the head
+// changes so that the first daemon could accept.
+func TestRefusalIsFinal(t *testing.T) {
+	ctx := context.Background()
+	f := newFake(1, 0)
+	accepted(t, acceptor(f, 3).Accept(ctx, edit("one", "stock-team", 0, section("stock-team", "stock", 1))))
+	x := edit("x", "order-team", 1, section("order-team", "orders", 1))
+	x.Changed[0].Routes[0].Service = "bead-prices"
+	slow := true
+	f.gate = func() {
+		if !slow {
+			return
+		}
+		slow = false
+		refused(t, acceptor(f, 3).Accept(ctx, x), `service "bead-prices" is not defined`)
+		accepted(t, acceptor(f, 3).Accept(ctx, edit("two", "price-team", 1, section("price-team", "prices", 1))))
+	}
+	refused(t, acceptor(f, 3).Accept(ctx, x), `service "bead-prices" is not defined`)
+	if head, err := submission.ReadHead(ctx, f); err != nil || head.Number != 2 {
+		t.Errorf("got head %d, error %v, want 2", head.Number, err)
+	}
+}
+
+// Guards against a refusal that is reported although it may not be recorded,
+// and against a repeated submission that is told something else.
+func TestUnrecordedRefusalIsUnknown(t *testing.T) {
+	for _, fate := range []string{"lost", "late", "down"} {
+		ctx := context.Background()
+		f := newFake(7, 0)
+		x := edit("x", "order-team", 0, section("order-team", "orders", 1))
+		for i := range 40 { // more faults than are recorded
+			route := x.Changed[0].Routes[0]
+			route.Name, route.PathPrefix, route.Service = document.RouteName(fmt.Sprint("read-", i)), fmt.Sprint("/", i), "bead-prices"
+			x.Changed[0].Routes = append(x.Changed[0].Routes, route)
+		}
+		f.commit = []string{fate}
+		if o, ok := acceptor(f, 1).Accept(ctx, x).(submission.Unknown); !ok || !strings.Contains(o.Err.Error(), `"bead-prices" is not defined`) {
+			t.Errorf("%s: got outcome %+v, want Unknown with the reason of the refusal", fate, o)
+		}
+		for range 2 {
+			refused(t, acceptor(f, 3).Accept(ctx, x), `"bead-prices" is not defined`)
+		}
+		refused(t, acceptor(f, 3).Accept(ctx, x), "8 more faults were not recorded")
+		x.Changed = x.Changed[:1:1]
+		x.Changed[0].Routes = nil
+		refused(t, acceptor(f, 3).Accept(ctx, x), "id x was used for another submission, which was refused")
+	}
+}
+
+// Guards against an outcome that is taken from a row which this release does not
+// understand whole, for example one of a later release.
+func TestMalformedRows(t *testing.T) {
+	ctx := context.Background()
+	s := edit("one", "stock-team", 0, section("stock-team", "stock", 1))
+	key := submission.RecordKey("one")
+	for name, change := range map[string]func(f *fakePlatform, fields map[int]any) []byte{
+		"unknown field": func(_ *fakePlatform, fields map[int]any) []byte { fields[9] = 1; return marshal(fields) },
+		"trailing byte": func(_ *fakePlatform, fields map[int]any) []byte { return append(marshal(fields), 0) },
+		"key twice": func(_ *fakePlatform, fields map[int]any) []byte {
+			return append(append([]byte{0xa3}, marshal(fields)[1:]...), 1, 1)
+		},
+		"indefinite length": func(_ *fakePlatform, fields map[int]any) []byte {
+			return append(append([]byte{0xbf}, marshal(fields)[1:]...), 0xff)
+		},
+		"no content":                   func(_ *fakePlatform, fields map[int]any) []byte { delete(fields, 2); return marshal(fields) },
+		"neither accepted nor refused": func(_ *fakePlatform, fields map[int]any) []byte { delete(fields, 1); return marshal(fields) },
+		"accepted and refused": func(_ *fakePlatform, fields map[int]any) []byte {
+			fields[3] = map[int]any{1: "reason"}
+			return marshal(fields)
+		},
+		"refusal with an unknown field": func(_ *fakePlatform, fields map[int]any) []byte {
+			delete(fields, 1)
+			fields[3] = map[int]any{1: "reason", 9: 1}
+			return marshal(fields)
+		},
+		"row of another version": func(f *fakePlatform, fields map[int]any) []byte {
+			accepted(t, acceptor(f, 3).Accept(ctx, edit("two", "price-team", 1, section("price-team", "prices", 1))))
+			f.rows[submission.VersionKey(1)] = f.rows[submission.VersionKey(2)]
+			return marshal(fields)
+		},
+	} {
+		f := newFake(1, 0)
+		accepted(t, acceptor(f, 3).Accept(ctx, s))
+		row := f.rows[key]
+		fields := map[int]any{}
+		if err := cbor.Unmarshal(row.Value, &fields); err != nil {
+			t.Fatal(err)
+		}
+		row.Value = change(f, fields)
+		f.rows[key] = row
+		if o, ok := acceptor(f, 3).Accept(ctx, s).(submission.Unknown); !ok {
+			t.Errorf("%s: got outcome %+v, want Unknown", name, o)
+		}
+	}
+}
+
+// marshal encodes with keys in ascending order, as the rows are.
+func marshal(fields map[int]any) []byte {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	data, err := mode.Marshal(fields)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// Guards against an id that is accepted twice because its row was removed after
+// the retention, and against an outcome that changes or rows that stay.
+func TestRepeatAfterRetention(t *testing.T) {
+	const retention = 48 * time.Hour
+	rapid.Check(t, func(t *rapid.T) {
+		ctx, f, now := context.Background(), newFake(1, 0), time.UnixMilli(1000)
+		a := submission.New(submission.Config{Platform: f, Retention: retention, Now: func() time.Time { return now }})
+		type result struct {
+			at      time.Time
+			version version.Number // zero when refused
+		}
+		var submitted []submission.Submission
+		first := map[version.SubmissionID]result{}
+		for i := range rapid.IntRange(2, 20).Draw(t, "steps") {
+			head, _ := submission.ReadHead(ctx, f)
+			s := edit(fmt.Sprint("s", i), "stock-team", head.Number, section("stock-team", "stock", rapid.IntRange(1, 2).Draw(t, "slots")))
+			if len(submitted) > 0 && rapid.Bool().Draw(t, "repeats") {
+				s = rapid.SampledFrom(submitted).Draw(t, "repeated")
+			} else {
+				s.Base -= min(s.Base, version.Number(rapid.IntRange(0, 3).Draw(t, "behind")))
+				submitted = append(submitted, s)
+			}
+			got := result{at: now}
+			if o, ok := a.Accept(ctx, s).(submission.Accepted); ok {
+				got.version = o.Snapshot.Number()
+			}
+			before, repeated := first[s.ID]
+			switch {
+			case !repeated:
+				first[s.ID] = got
+			case got.version != before.version && (got.version != 0 && before.version != 0 || now.Sub(before.at) <= retention):
+				t.Fatalf("%s: got version %d after %s, before %d", s.ID, got.version, now.Sub(before.at), before.version)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "hours")) * time.Hour)
+			if rapid.Bool().Draw(t, "removes expired") {
+				f.removeExpired(now)
+			}
+		}
+		f.removeExpired(now.Add(2 * retention))
+		if left, _ := f.Scan(ctx, "submission/", "", 100); len(left) != 0 {
+			t.Fatalf("got %d rows after the retention, want none", len(left))
+		}
+	})
+}
+
 // Guards against lost, doubled and foreign edits when operators submit at the
 // same moment at several daemons while answers of the platform are lost.
 func TestConcurrentSubmissions(t *testing.T) {
@@ -158,6 +325,7 @@
 			fake: newFake(seed, faults), random: rand.New(rand.NewPCG(seed, 3)),
 			submitted: map[version.SubmissionID]submission.Submission{},
 			versions:  map[version.SubmissionID]version.Number{},
+			refused:   map[version.SubmissionID]bool{},
 		}
 		for range 3 {
 			r.acceptors = append(r.acceptors, acceptor(r.fake, 4))
@@ -169,6 +337,9 @@
 		for i := range operators {
 			functions = append(functions, func() { r.operator(i) })
 		}
+		for range rapid.IntRange(0, 3).Draw(t, "abandoned") {
+			functions = append(functions, r.abandoned)
+		}
 		s.run(functions)
 		r.fake.gate, r.fake.faults = func() {}, 0
 		for _, writes := range r.fake.late { // must not apply any more
@@ -187,7 +358,8 @@
 	acceptors []*submission.Acceptor
 	submitted map[version.SubmissionID]submission.Submission
 	versions  map[version.SubmissionID]version.Number // accepted
-	slots     int
+	ids       []version.SubmissionID
+	refused   map[version.SubmissionID]bool
 	problems  []string
 }
 
@@ -199,16 +371,28 @@
 		if err != nil {
 			continue
 		}
-		r.slots++
 		name := fmt.Sprintf("%s-%d", team, r.random.IntN(2))
-		s := edit(fmt.Sprintf("s-%d-%d", i, n), team, head.Number, section(team, name, r.slots))
+		// With two contents, a section may return to that of the base, so that
+		// a conflict goes away.
+		s := edit(fmt.Sprintf("s-%d-%d", i, n), team, head.Number, section(team, name, 1+r.random.IntN(2)))
 		r.submitted[s.ID] = s
+		r.ids = append(r.ids, s.ID)
 		for range 1 + r.random.IntN(2) { // repeated at times although answered
 			r.submit(ctx, s)
 		}
 	}
 }
 
+// abandoned is a daemon on which clients gave up: it still works on submissions
+// that they repeat elsewhere.
+func (r *run) abandoned() {
+	for range 4 {
+		if _, err := submission.ReadHead(context.Background(), r.fake); err == nil && len(r.ids) > 0 {
+			r.submit(context.Background(), r.submitted[r.ids[r.random.IntN(len(r.ids))]])
+		}
+	}
+}
+
 // submit repeats a submission until its outcome is known. The number of tries
 // is bounded so that an outcome that never becomes known fails the test.
 func (r *run) submit(ctx context.Context, s submission.Submission) {
@@ -219,12 +403,16 @@
 			if before, ok := r.versions[s.ID]; ok && before != n {
 				r.problems = append(r.problems, fmt.Sprintf("%s was accepted as %d and as %d", s.ID, before, n))
 			}
+			if r.refused[s.ID] {
+				r.problems = append(r.problems, fmt.Sprintf("%s was refused and then accepted as %d", s.ID, n))
+			}
 			r.versions[s.ID] = n
 			return
 		case submission.Refused:
 			if r.versions[s.ID] != 0 {
 				r.problems = append(r.problems, fmt.Sprintf("%s was accepted and then refused", s.ID))
 			}
+			r.refused[s.ID] = true
 			if len(o.Conflicts) != 1 || o.Conflicts[0].Base != s.Base || o.Conflicts[0].Head <= s.Base || o.Conflicts[0].Section != s.Changed[0].Name {
 				r.problems = append(r.problems, fmt.Sprintf("%s was refused without a conflict: %v", s.ID, o))
 			}
