Limit the rate of requests to the announcement API

The operator API had a limit, the announcement API had none. A backend server that loops took the daemon's time, and each change of its row goes to every daemon.

One limit for the host would let the looping server take the leases of the others. Renewals are limited for each server, to 5 a second (the shortest lease of 1 s needs 3). First announcements, drains, withdrawals and lists share 20 a second, less than the 100 of the operator API because they change rows of the whole fleet. Refused requests get 429 with Retry-After and an error that says what to do.

--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -17,6 +17,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/peridotlb/peridotlb/internal/backend"
 )
 
@@ -30,6 +32,16 @@
 	maxBody       = 16 << 10
 )
 
+// Requests a second, which may come at once. Every change of a row goes to the
+// whole fleet, so that a backend server that loops must not make many.
+const (
+	// renewalRate bounds the renewals of one backend server, so that the others
+	// of the host keep their leases. The shortest lease of 1 s needs 3 a second.
+	renewalRate = 5
+	// otherRate bounds all other requests of the host together.
+	otherRate = 20
+)
+
 // Config holds the settings of the API.
 type Config struct {
 	Lease    time.Duration // an announcement must be renewed within it; 0 takes 5 s
@@ -43,6 +55,7 @@
 	config Config
 	mux    *http.ServeMux
 	client *http.Client
+	others *rate.Limiter // all requests but renewals
 
 	mu      sync.Mutex
 	servers map[backend.ServerID]*entry
@@ -52,6 +65,7 @@
 	row        backend.Server
 	healthPath string
 	renewed    time.Time
+	renewals   *rate.Limiter
 	// asked is the state last asked for by the server or an operator. It
 	// differs from the state of the row after the lease has ended.
 	asked backend.State
@@ -77,6 +91,7 @@
 		c.Now = time.Now
 	}
 	a := &API{config: c, mux: http.NewServeMux(), servers: make(map[backend.ServerID]*entry)}
+	a.others = rate.NewLimiter(otherRate, otherRate)
 	a.client = &http.Client{
 		Timeout: probeTimeout,
 		// A health endpoint may not send probes to other addresses.
@@ -92,6 +107,21 @@
 // ServeHTTP implements http.Handler.
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
 
+// limited refuses a request that comes too soon. Without an entry it is not the
+// renewal of an announced server.
+func (a *API) limited(w http.ResponseWriter, e *entry) bool {
+	limiter, err := a.others, fmt.Errorf("more than %d requests a second on this host: wait a second, and find the server or script that loops", otherRate)
+	if e != nil {
+		limiter, err = e.renewals, fmt.Errorf("more than %d announcements of %q a second: renew it three times within the lease", renewalRate, e.row.ID)
+	}
+	if limiter.AllowN(a.config.Now(), 1) {
+		return false
+	}
+	w.Header().Set("Retry-After", "1")
+	fail(w, http.StatusTooManyRequests, err)
+	return true
+}
+
 // Run ends leases that were not renewed and probes health until ctx ends.
 func (a *API) Run(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
@@ -108,6 +138,12 @@
 }
 
 func (a *API) put(w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	limited := a.limited(w, a.servers[backend.ServerID(r.PathValue("id"))])
+	a.mu.Unlock()
+	if limited {
+		return
+	}
 	row, healthPath, err := parse(backend.ServerID(r.PathValue("id")), http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		fail(w, http.StatusBadRequest, err)
@@ -117,7 +153,7 @@
 	defer a.mu.Unlock()
 	e := a.servers[row.ID]
 	if e == nil {
-		e = &entry{asked: backend.Gone, row: backend.Server{State: backend.Gone}}
+		e = &entry{asked: backend.Gone, row: backend.Server{State: backend.Gone}, renewals: rate.NewLimiter(renewalRate, renewalRate)}
 		a.servers[row.ID] = e
 	}
 	if e.healthPath != "" && healthPath == "" {
@@ -183,6 +219,9 @@
 func (a *API) setState(w http.ResponseWriter, r *http.Request, s backend.State) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.limited(w, nil) {
+		return
+	}
 	id := backend.ServerID(r.PathValue("id"))
 	e := a.servers[id]
 	if e == nil {
@@ -276,6 +315,9 @@
 }
 
 func (a *API) list(w http.ResponseWriter, _ *http.Request) {
+	if a.limited(w, nil) {
+		return
+	}
 	type row struct {
 		ID backend.ServerID `json:"id"`
 		announcement
--- a/internal/announcement/announcement_test.go
+++ b/internal/announcement/announcement_test.go
@@ -138,6 +138,45 @@
 	}
 }
 
+// Guards against a backend server that loads the daemon and the fleet by looping,
+// and against a limit that takes the leases of other servers or an operator's
+// drain.
+func TestRateLimit(t *testing.T) {
+	f := newFixture()
+	loop := func(method, path, body string) (refused int, text string) {
+		for range 100 {
+			if code, answer := f.send(method, path, body); code == http.StatusTooManyRequests {
+				refused, text = refused+1, answer
+			}
+		}
+		return refused, text
+	}
+	f.send("PUT", "/backend-servers/stock-1", ready)
+	f.send("PUT", "/backend-servers/stock-2", ready)
+	refused, text := loop("PUT", "/backend-servers/stock-1", ready)
+	if want := "renew it three times within the lease"; refused != 100-renewalRate || !strings.Contains(text, want) {
+		t.Errorf("renewals: got %d of 100 refused with %s, want %d with %q", refused, text, 100-renewalRate, want)
+	}
+	if code, text := f.send("PUT", "/backend-servers/stock-2", ready); code != http.StatusNoContent {
+		t.Errorf("renewal of another server: got %d %s, want 204", code, text)
+	}
+	if code, text := f.send("POST", "/backend-servers/stock-1/drain", ""); code != http.StatusNoContent {
+		t.Errorf("drain of the server that loops: got %d %s, want 204", code, text)
+	}
+	for _, r := range [][3]string{{"GET", "/backend-servers"}, {"POST", "/backend-servers/stock-1/drain"}, {"DELETE", "/backend-servers/none"}, {"PUT", "/backend-servers/none", "{}"}} {
+		if refused, text = loop(r[0], r[1], r[2]); refused < 100-otherRate || !strings.Contains(text, "wait a second") {
+			t.Errorf("%s %s: got %d of 100 refused with %s, want %d or more", r[0], r[1], refused, text, 100-otherRate)
+		}
+	}
+	if code, text := f.send("PUT", "/backend-servers/stock-2", ready); code != http.StatusNoContent {
+		t.Errorf("renewal while another server loops: got %d %s, want 204", code, text)
+	}
+	f.at(time.Second)
+	if code, text := f.send("GET", "/backend-servers", ""); code != http.StatusOK {
+		t.Errorf("a second later: got %d %s, want 200", code, text)
+	}
+}
+
 // endpoints answers probes by path, in place of the network.
 type endpoints map[string]func(*http.Request) (*http.Response, error)
 
