--- a/internal/command/documenthistory/documenthistory.go
+++ b/internal/command/documenthistory/documenthistory.go
@@ -14,33 +14,25 @@
 
 // Options are the options of the command.
 type Options struct {
-	Streams command.Streams
-	API     api.Invoker
-	Before  uint64 // zero: from the newest
-	Limit   int
-	JSON    bool
+	command.Query
+	Before uint64 // zero: from the newest
+	Limit  int
 }
 
 // New returns the command.
 func New(s command.Streams) *ffcli.Command {
-	o := Options{Streams: s}
-	var c command.Connection
+	o := Options{Query: command.Query{Streams: s}}
 	fs := command.FlagSet("document history")
-	c.Register(fs)
 	fs.Uint64Var(&o.Before, "before", 0, "only versions with a lower `number`")
 	fs.IntVar(&o.Limit, "limit", 20, "`number` of versions, 1 to 200")
-	fs.BoolVar(&o.JSON, "json", false, "print JSON")
-	return command.Leaf(command.Spec{
+	return o.Leaf(command.Spec{
 		Path: "document history", Short: "List accepted versions, newest first, with the sections that each changed.",
 		Long:     "Columns: version, time of acceptance, submission id, changed sections, removed sections.",
 		Examples: []string{"peridotlb document history", "peridotlb document history --before 100 --limit 50"},
-	}, fs, func(ctx context.Context, _ []string) (err error) {
+	}, fs, func(ctx context.Context, _ []string) error {
 		if o.Limit < 1 || o.Limit > 200 {
 			return command.UsageError("--limit: %d is out of range 1 to 200", o.Limit)
 		}
-		if o.API, err = c.Dial(); err != nil {
-			return err
-		}
 		return Run(ctx, o)
 	})
 }
@@ -55,12 +47,9 @@
 	if err != nil {
 		return command.Explain(err)
 	}
-	if o.JSON {
-		return command.JSON(o.Streams, list)
-	}
 	t := command.Table{Header: []string{"VERSION", "ACCEPTED", "SUBMISSION", "CHANGED", "REMOVED"}}
 	for _, v := range list.Versions {
 		t.Add(v.Number, v.AcceptedAt.UTC().Format(time.RFC3339), v.Submission, strings.Join(v.Changed, ","), strings.Join(v.Removed, ","))
 	}
-	return t.Write(o.Streams)
+	return o.Print(list, t)
 }
--- a/internal/command/documentshow/documentshow.go
+++ b/internal/command/documentshow/documentshow.go
@@ -13,27 +13,19 @@
 
 // Options are the options of the command.
 type Options struct {
-	Streams command.Streams
-	API     api.Invoker
+	command.Query
 	Version uint64 // zero: the current one
-	JSON    bool
 }
 
 // New returns the command.
 func New(s command.Streams) *ffcli.Command {
-	o := Options{Streams: s}
-	var c command.Connection
+	o := Options{Query: command.Query{Streams: s}}
 	fs := command.FlagSet("document show")
-	c.Register(fs)
 	fs.Uint64Var(&o.Version, "version", 0, "`number` of a version; without it, the current one")
-	fs.BoolVar(&o.JSON, "json", false, "print JSON")
-	return command.Leaf(command.Spec{
+	return o.Leaf(command.Spec{
 		Path: "document show", Short: "Print the document of a version as YAML.",
 		Examples: []string{"peridotlb document show > mesh.yaml", "peridotlb document show --version 41"},
-	}, fs, func(ctx context.Context, _ []string) (err error) {
-		if o.API, err = c.Dial(); err != nil {
-			return err
-		}
+	}, fs, func(ctx context.Context, _ []string) error {
 		return Run(ctx, o)
 	})
 }
--- a/internal/command/routelist/routelist.go
+++ b/internal/command/routelist/routelist.go
@@ -13,28 +13,20 @@
 
 // Options are the options of the command.
 type Options struct {
-	Streams command.Streams
-	API     api.Invoker
+	command.Query
 	Service string // empty: all services
-	JSON    bool
 }
 
 // New returns the command.
 func New(s command.Streams) *ffcli.Command {
-	o := Options{Streams: s}
-	var c command.Connection
+	o := Options{Query: command.Query{Streams: s}}
 	fs := command.FlagSet("route list")
-	c.Register(fs)
 	fs.StringVar(&o.Service, "service", "", "only routes to this `service`")
-	fs.BoolVar(&o.JSON, "json", false, "print JSON")
-	return command.Leaf(command.Spec{
+	return o.Leaf(command.Spec{
 		Path: "route list", Short: "List the routes of the current version.",
 		Long:     "Columns: path prefix, methods (* for every method), route, service, timeout, retries, paid, section, team.",
 		Examples: []string{"peridotlb route list", "peridotlb route list --service bead-stock"},
-	}, fs, func(ctx context.Context, _ []string) (err error) {
-		if o.API, err = c.Dial(); err != nil {
-			return err
-		}
+	}, fs, func(ctx context.Context, _ []string) error {
 		return Run(ctx, o)
 	})
 }
@@ -59,9 +51,6 @@
 		kept = append(kept, e)
 		t.Add(r.PathPrefix, methods, r.Name, r.Service, r.Timeout, r.Retries, r.Paid, e.Section, e.Team)
 	}
-	if o.JSON {
-		list.Routes = kept
-		return command.JSON(o.Streams, list)
-	}
-	return t.Write(o.Streams)
+	list.Routes = kept
+	return o.Print(list, t)
 }
--- a/internal/command/sectionlist/sectionlist.go
+++ b/internal/command/sectionlist/sectionlist.go
@@ -12,28 +12,20 @@
 
 // Options are the options of the command.
 type Options struct {
-	Streams command.Streams
-	API     api.Invoker
-	Team    string // empty: all teams
-	JSON    bool
+	command.Query
+	Team string // empty: all teams
 }
 
 // New returns the command.
 func New(s command.Streams) *ffcli.Command {
-	o := Options{Streams: s}
-	var c command.Connection
+	o := Options{Query: command.Query{Streams: s}}
 	fs := command.FlagSet("section list")
-	c.Register(fs)
 	fs.StringVar(&o.Team, "team", "", "only sections of this `team`")
-	fs.BoolVar(&o.JSON, "json", false, "print JSON")
-	return command.Leaf(command.Spec{
+	return o.Leaf(command.Spec{
 		Path: "section list", Short: "List the sections of the current version.",
 		Long:     "Columns: section, team, number of services, number of routes, bytes of the canonical encoding, start of the digest.",
 		Examples: []string{"peridotlb section list", "peridotlb section list --team stock-team --json"},
-	}, fs, func(ctx context.Context, _ []string) (err error) {
-		if o.API, err = c.Dial(); err != nil {
-			return err
-		}
+	}, fs, func(ctx context.Context, _ []string) error {
 		return Run(ctx, o)
 	})
 }
@@ -52,9 +44,6 @@
 			t.Add(s.Name, s.Team, s.Services, s.Routes, s.Bytes, s.Digest[:min(12, len(s.Digest))])
 		}
 	}
-	if o.JSON {
-		list.Sections = kept
-		return command.JSON(o.Streams, list)
-	}
-	return t.Write(o.Streams)
+	list.Sections = kept
+	return o.Print(list, t)
 }
--- a/internal/command/sectionshow/sectionshow.go
+++ b/internal/command/sectionshow/sectionshow.go
@@ -13,28 +13,20 @@
 
 // Options are the options of the command.
 type Options struct {
-	Streams command.Streams
-	API     api.Invoker
-	Name    string
-	JSON    bool
+	command.Query
+	Name string
 }
 
 // New returns the command.
 func New(s command.Streams) *ffcli.Command {
-	o := Options{Streams: s}
-	var c command.Connection
+	o := Options{Query: command.Query{Streams: s}}
 	fs := command.FlagSet("section show")
-	c.Register(fs)
-	fs.BoolVar(&o.JSON, "json", false, "print JSON")
-	return command.Leaf(command.Spec{
+	return o.Leaf(command.Spec{
 		Path: "section show", Operands: "NAME", Min: 1, Max: 1,
 		Short:    "Print one section of the current version as YAML.",
 		Examples: []string{"peridotlb section show stock"},
-	}, fs, func(ctx context.Context, operands []string) (err error) {
+	}, fs, func(ctx context.Context, operands []string) error {
 		o.Name = operands[0]
-		if o.API, err = c.Dial(); err != nil {
-			return err
-		}
 		return Run(ctx, o)
 	})
 }
--- a/internal/command/serverlist/serverlist.go
+++ b/internal/command/serverlist/serverlist.go
@@ -12,28 +12,20 @@
 
 // Options are the options of the command.
 type Options struct {
-	Streams command.Streams
-	API     api.Invoker
+	command.Query
 	Service string // empty: all services
-	JSON    bool
 }
 
 // New returns the command.
 func New(s command.Streams) *ffcli.Command {
-	o := Options{Streams: s}
-	var c command.Connection
+	o := Options{Query: command.Query{Streams: s}}
 	fs := command.FlagSet("server list")
-	c.Register(fs)
 	fs.StringVar(&o.Service, "service", "", "only backend servers of this `service`")
-	fs.BoolVar(&o.JSON, "json", false, "print JSON")
-	return command.Leaf(command.Spec{
+	return o.Leaf(command.Spec{
 		Path: "server list", Short: "List backend servers and the state of their hosts.",
 		Long:     "Columns: service, backend server, state, slots, address, host, state of the host, availability zone, region.",
 		Examples: []string{"peridotlb server list", "peridotlb server list --service bead-stock"},
-	}, fs, func(ctx context.Context, _ []string) (err error) {
-		if o.API, err = c.Dial(); err != nil {
-			return err
-		}
+	}, fs, func(ctx context.Context, _ []string) error {
 		return Run(ctx, o)
 	})
 }
@@ -48,12 +40,9 @@
 	if err != nil {
 		return command.Explain(err)
 	}
-	if o.JSON {
-		return command.JSON(o.Streams, list)
-	}
 	t := command.Table{Header: []string{"SERVICE", "SERVER", "STATE", "SLOTS", "ADDRESS", "HOST", "HOST STATE", "ZONE", "REGION"}}
 	for _, s := range list.Servers {
 		t.Add(s.Service, s.ID, s.State, s.Slots, s.Address, s.Host, s.HostState, s.Zone, s.Region)
 	}
-	return t.Write(o.Streams)
+	return o.Print(list, t)
 }
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -14,29 +14,21 @@
 
 // Options are the options of the command.
 type Options struct {
-	Streams command.Streams
-	API     api.Invoker
-	JSON    bool
+	command.Query
 }
 
 // New returns the command.
 func New(s command.Streams) *ffcli.Command {
-	o := Options{Streams: s}
-	var c command.Connection
+	o := Options{Query: command.Query{Streams: s}}
 	fs := command.FlagSet("status")
-	c.Register(fs)
-	fs.BoolVar(&o.JSON, "json", false, "print JSON")
-	return command.Leaf(command.Spec{
+	return o.Leaf(command.Spec{
 		Path: "status", Short: "Show which versions the hosts of each availability zone have applied.",
 		Long: `Columns: region, availability zone, state (converged, converging, unreachable),
 head version, live hosts, hosts by applied version as VERSION:HOSTS, and some of
 the hosts that lack the head version. Counts of an unreachable zone may be old.
 On a terminal, a first line has the control traffic of the answering daemon.`,
 		Examples: []string{"peridotlb status", "peridotlb status --json"},
-	}, fs, func(ctx context.Context, _ []string) (err error) {
-		if o.API, err = c.Dial(); err != nil {
-			return err
-		}
+	}, fs, func(ctx context.Context, _ []string) error {
 		return Run(ctx, o)
 	})
 }
@@ -47,10 +39,7 @@
 	if err != nil {
 		return command.Explain(err)
 	}
-	if o.JSON {
-		return command.JSON(o.Streams, s)
-	}
-	if o.Streams.Terminal {
+	if o.Streams.Terminal && !o.JSON {
 		fmt.Fprintf(o.Streams.Out, "head version %d; control traffic of this daemon: sent %d B in %d packets, received %d B in %d packets\n",
 			s.Head, s.Traffic.SentBytes, s.Traffic.SentPackets, s.Traffic.ReceivedBytes, s.Traffic.ReceivedPackets)
 	}
@@ -62,7 +51,7 @@
 		}
 		t.Add(z.Region, z.Zone, State(z, s.Head), s.Head, z.Hosts, strings.Join(applied, ","), strings.Join(z.Stragglers, ","))
 	}
-	return t.Write(o.Streams)
+	return o.Print(s, t)
 }
 
 // State returns the state of a zone with respect to a version.
