Log refused certificates on the refusing side, count dropped lines

A daemon that refused the certificate of a connecting peer logged nothing; only the peer, if it is one of ours, had "Peer not reached.". Verification of accepted control connections now logs one warning with the address and the reason, at most one a minute for each address and for ten addresses. The gate already logs its failed handshakes through "http". A foreign daemon that refuses this host's certificate first never presents its own, so that it still leaves no line here.

Lines that the limiter of repeats drops are counted in peridotlb_log_lines_dropped_total.

"Started." was logged twice: by the daemon when it serves, and for the timeline's host-started, which is recorded before contacts are asked. The second is now "Joining the fleet."; test/mesh waits for "Started." and finds the first.

Seen to fail first: TestCertificates and TestRefusedCertificate (no line), TestSubmissionAndCallAcrossDaemons (2 lines "Started.").

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,6 +52,8 @@
 type Config struct {
 	Settings settings.Daemon
 	Log      *zap.Logger
+	// LinesDropped counts the log lines that Log has dropped; nil for none.
+	LinesDropped *atomic.Uint64
 	// Platform replaces the platform of the settings; nil for none.
 	Platform platform.Service
 }
@@ -105,6 +107,12 @@
 	}
 	set := metrics.NewSet()
 	d := &Daemon{parts: &parts{settings: c.Settings, log: c.Log, platform: newMeteredPlatform(service, set)}}
+	set.NewGauge("peridotlb_log_lines_dropped_total", func() float64 {
+		if c.LinesDropped == nil {
+			return 0
+		}
+		return float64(c.LinesDropped.Load())
+	})
 	if err := d.build(ctx, set); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -161,7 +161,8 @@
 	}
 	n := &node{log: &logBuffer{}}
 	ctx, cancel := context.WithCancel(context.Background())
-	if n.Daemon, err = New(ctx, Config{Settings: s, Log: newLog(s, n.log), Platform: p}); err != nil {
+	log, dropped := newLog(s, n.log)
+	if n.Daemon, err = New(ctx, Config{Settings: s, Log: log, LinesDropped: dropped, Platform: p}); err != nil {
 		cancel()
 		t.Fatal(err)
 	}
@@ -292,7 +293,8 @@
 
 // Guards against a version that reaches only the daemon that accepted it, and
 // against a backend server that only the callers of its own host can reach.
-// Secrets may not appear in anything that the daemons write.
+// Secrets may not appear in anything that the daemons write, dropped lines must
+// show in the metrics, and one line alone says that a daemon serves.
 func TestSubmissionAndCallAcrossDaemons(t *testing.T) {
 	t.Parallel()
 	nodes := startFleet(t, "pwani-a", "pwani-a")
@@ -310,7 +312,16 @@
 		return true
 	})
 
+	for range 2 * logFirst {
+		a.Daemon.log.Info("Repeated.")
+	}
 	_, _, text := request(t, "GET", a.settings.MetricsAddress, "/metrics", "")
+	if name := "\nperidotlb_log_lines_dropped_total "; !strings.Contains(text, name) || strings.Contains(text, name+"0\n") {
+		t.Errorf("metrics: got no line or zero for peridotlb_log_lines_dropped_total after %d repeated lines", 2*logFirst)
+	}
+	if got := strings.Count(a.log.String(), "Started."); got != 1 {
+		t.Errorf("got %d lines Started., want 1", got)
+	}
 	for _, want := range []string{`peridotlb_hosts{state="alive"} 2`, "peridotlb_zones_unreachable 0", "peridotlb_table_reachable 1", "peridotlb_version_applied 1", `peridotlb_claims_total{outcome="granted"} 0`} {
 		if !strings.Contains(text, want+"\n") {
 			t.Errorf("metrics: got no line %q", want)
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -176,7 +176,7 @@
 	"version-loaded":  "Loaded a version from the object store.",
 	"load-failed":     "Could not load a version from the object store.",
 	"delta-refused":   "Refused a delta.",
-	"host-started":    "Started.",
+	"host-started":    "Joining the fleet.",
 	"host-left":       "Left the fleet.",
 	"host-suspected":  "Suspected a host.",
 	"host-dead":       "Declared a host dead.",
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,9 +48,9 @@
 		_, _ = fmt.Fprintln(out, "The settings are valid.")
 		return exitDone
 	}
-	log := newLog(s, errs)
+	log, dropped := newLog(s, errs)
 	defer func() { _ = log.Sync() }()
-	d, err := New(ctx, Config{Settings: s, Log: log})
+	d, err := New(ctx, Config{Settings: s, Log: log, LinesDropped: dropped})
 	if err == nil {
 		err = d.Run(ctx)
 	}
@@ -66,7 +67,8 @@
 	return err
 }
 
-func newLog(s settings.Daemon, w io.Writer) *zap.Logger {
+// newLog returns the log and the number of lines that it has dropped.
+func newLog(s settings.Daemon, w io.Writer) (*zap.Logger, *atomic.Uint64) {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
 	encoder := zapcore.NewConsoleEncoder(config)
@@ -76,6 +78,11 @@
 	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), s.LogLevel)
 	// Repeats of a line within a second are cut after the tenth, so that a
 	// failing peer does not fill the log.
-	sampled := zapcore.NewSamplerWithOptions(core, logPeriod, logFirst, 0)
-	return zap.New(sampled)
+	dropped := new(atomic.Uint64)
+	sampled := zapcore.NewSamplerWithOptions(core, logPeriod, logFirst, 0, zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+		if d&zapcore.LogDropped != 0 {
+			dropped.Add(1)
+		}
+	}))
+	return zap.New(sampled), dropped
 }
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -87,11 +87,11 @@
 	}
 }
 
-// Guards against a log that a repeated line fills, and against lines of other
-// parts that are lost with it.
+// Guards against a log that a repeated line fills, against lines of other parts
+// that are lost with it, and against dropped lines that nobody counts.
 func TestRepeatedLinesAreLimited(t *testing.T) {
 	var out bytes.Buffer
-	log := newLog(settings.Daemon{LogFormat: settings.JSON}, &out)
+	log, dropped := newLog(settings.Daemon{LogFormat: settings.JSON}, &out)
 	now := fixedClock(time.Unix(1_800_000_000, 0))
 	log = log.WithOptions(zap.WithClock(&now))
 	for second := 1; second <= 2; second++ {
@@ -104,6 +104,9 @@
 				t.Errorf("second %d: got %d lines %q, want %d", second, got, text, want)
 			}
 		}
+		if got, want := dropped.Load(), uint64(second*(1000-logFirst)); got != want {
+			t.Errorf("second %d: got %d dropped lines counted, want %d", second, got, want)
+		}
 		now = fixedClock(time.Time(now).Add(logPeriod))
 	}
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -140,7 +140,8 @@
 		clientTLS: controlTLS(config.Client),
 		peers:     map[netip.AddrPort]*peer{},
 	}
-	if l.listener, err = l.transport.Listen(controlTLS(config.Server), l.quic); err != nil {
+	refused := &refusals{log: config.Log, now: config.Now}
+	if l.listener, err = l.transport.Listen(refused.watch(controlTLS(config.Server)), l.quic); err != nil {
 		return nil, errors.Join(fmt.Errorf("listen for daemons at %s: %w", config.Addr, err), s.udp.Close())
 	}
 	l.ctx, l.cancel = context.WithCancel(ctx)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
@@ -58,7 +59,7 @@
 	})
 }
 
-func TestCertificates(t *testing.T) { // guards against peers outside the fleet
+func TestCertificates(t *testing.T) { // guards against peers outside the fleet, and against refusals that the log does not show
 	f, foreign := newFleet(t), newFleet(t)
 	now := time.Now()
 	for name, c := range map[string]struct {
@@ -95,6 +96,17 @@
 			if len(good.received) != 0 {
 				t.Error("a message of the bad host was received")
 			}
+			if bytes.Equal(c.signer.ca.Certificate, f.ca.Certificate) {
+				// The foreign host has already refused the certificate of this one.
+				refused := good.logs.FilterMessageSnippet("Refused a connection").FilterLevelExact(zapcore.WarnLevel).All()
+				if len(refused) != 1 {
+					t.Fatalf("got %d lines about a refused peer, want 1; log: %v", len(refused), good.logs.All())
+				}
+				line := refused[0].ContextMap()
+				if reason, _ := line["error"].(string); line["peer"] != bad.Addr().String() || !strings.Contains(reason, c.want) {
+					t.Errorf("line about the refused peer: got %v, want peer %v and %q", line, bad.Addr(), c.want)
+				}
+			}
 		})
 	}
 }
--- a/internal/link/time_test.go
+++ b/internal/link/time_test.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/version"
@@ -189,9 +192,29 @@
 			}
 			time.Sleep(wait)
 		}
+		if got := a.logs.FilterMessageSnippet("Refused a connection").Len(); got != 1 {
+			t.Errorf("got %d lines about the refused peer within a minute, want 1", got)
+		}
 	})
 }
 
+func TestRefusalLines(t *testing.T) { // guards against a log that refused peers fill, and against a peer that is named only once
+	core, logs := observer.New(zapcore.InfoLevel)
+	now := time.Unix(1_800_000_000, 0)
+	r := &refusals{log: zap.New(core), now: func() time.Time { return now }}
+	for minute := 1; minute <= 2; minute++ {
+		for i := range 2 * refusalPeers {
+			for port := range uint16(3) {
+				r.add(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), port+1), errors.New("unknown authority"))
+			}
+		}
+		if got, want := logs.Len(), minute*refusalPeers; got != want {
+			t.Errorf("minute %d: got %d lines, want %d", minute, got, want)
+		}
+		now = now.Add(refusalPeriod)
+	}
+}
+
 func TestLoss(t *testing.T) { // guards against announcements that get lost or overtake each other
 	inBubble(t, func(t *testing.T, _ fleet, m *memoryNet, a, b node) {
 		packets := 0
