--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -62,19 +62,6 @@
 	return lower(b) || upper(b) || digit(b) || strings.IndexByte(pathCharacters, b) >= 0
 }
 
-// CheckSuccessor checks a document whose sections other than the changed ones
-// are part of a document that was checked before: it checks the changed
-// sections and everything that concerns several sections.
-func CheckSuccessor(d Document, changed func(SectionName) bool) error {
-	c := newChecker()
-	c.unchanged = func(n SectionName) bool { return !changed(n) }
-	c.document(d)
-	if len(c.faults) > 0 {
-		return c.faults
-	}
-	return nil
-}
-
 func newChecker() checker {
 	return checker{report: func(faults *Faults, _ place, message string) {
 		*faults = append(*faults, Fault{Message: message})
@@ -131,6 +118,14 @@
 	if len(d.Sections) > MaxSections {
 		c.fault(place{}, "document has %d sections, more than %d", len(d.Sections), MaxSections)
 	}
+	services := c.items(d)
+	c.references(d, func(s backend.ServiceName) bool { _, ok := services[s]; return ok })
+	c.overlaps(d)
+}
+
+// items checks sections, services and routes by themselves and for names that
+// are used twice. It returns the services with the section of each.
+func (c *checker) items(d Document) map[backend.ServiceName]SectionName {
 	sections := map[SectionName]bool{}
 	services := map[backend.ServiceName]SectionName{}
 	routes := map[RouteName]SectionName{}
@@ -168,8 +163,7 @@
 			routes[r.Name] = s.Name
 		}
 	}
-	c.references(d, services)
-	c.overlaps(d)
+	return services
 }
 
 func (c *checker) section(at place, here label, s Section) {
@@ -277,10 +271,10 @@
 }
 
 // references reports the routes whose service does not exist.
-func (c *checker) references(d Document, services map[backend.ServiceName]SectionName) {
+func (c *checker) references(d Document, defined func(backend.ServiceName) bool) {
 	for i, s := range d.Sections {
 		for j, r := range s.Routes {
-			if _, ok := services[r.Service]; !ok && r.Service != "" {
+			if r.Service != "" && !defined(r.Service) {
 				at := place{section: i + 1, kind: routeItem, item: j + 1, field: "service"}
 				c.fault(at, "section %q: route %q: service %q is not defined in any section", s.Name, r.Name, r.Service)
 			}
