Build the routing table with one allocation for all routes

Cause: a slice per path prefix in a map that grew while it was filled took 2.6 ms and 2.0 MB for each version applied, more than the rest together after the check of a version had become cheap.

Change: the routes lie in one slice, chained per prefix; the map has its size from the start. A case for two routes that differ in a trailing slash guards the order of the chain; it passed before too.

Ruled out: sharing parts of the table between versions. A changed service touches the routes of all sections, and lookups would need a second map.

go test ./internal/route -bench . -benchmem, 8,550 routes, before and after by turns, load 17: before 2.9, 2.5, 2.6 ms, 1,986 kB, 8,641 allocations; after 1.0, 1.0, 1.1 ms, 657 kB, 45 allocations. Match takes 24 to 51 ns in both.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -19,14 +19,17 @@
 
 // Table is the immutable routing table of one version.
 type Table struct {
-	number   version.Number
-	prefixes map[string][]entry // by path prefix without trailing slash
-	longest  int                // length of the longest prefix in bytes
+	number  version.Number
+	first   map[string]int32 // by path prefix without trailing slash: index into entries, plus one
+	entries []entry
+	longest int // length of the longest prefix in bytes
 }
 
+// entry is a route in the list of those with its prefix. A slice per prefix
+// took one allocation per route, and 2.6 ms instead of 1.0 ms for 8,550 routes.
 type entry struct {
-	methods []string // empty means every method
-	match   Match
+	match Match
+	next  int32 // index into entries, plus one; zero at the end
 }
 
 // New builds the table of a snapshot.
@@ -42,9 +45,15 @@
 			services[s.Name] = s
 		}
 	}
-	t := &Table{number: number, prefixes: make(map[string][]entry)}
+	routes := 0
 	for i := range d.Sections {
-		for j := range d.Sections[i].Routes {
+		routes += len(d.Sections[i].Routes)
+	}
+	t := &Table{number: number, first: make(map[string]int32, routes), entries: make([]entry, 0, routes)}
+	// Backwards, so that the first of several routes with a prefix is found
+	// first.
+	for i := range slices.Backward(d.Sections) {
+		for j := range slices.Backward(d.Sections[i].Routes) {
 			r := &d.Sections[i].Routes[j]
 			if s := services[r.Service]; s != nil {
 				t.add(r, s)
@@ -57,7 +66,8 @@
 func (t *Table) add(r *document.Route, s *document.Service) {
 	prefix := strings.TrimRight(r.PathPrefix, "/")
 	t.longest = max(t.longest, len(prefix))
-	t.prefixes[prefix] = append(t.prefixes[prefix], entry{r.Methods, Match{r, s}})
+	t.entries = append(t.entries, entry{match: Match{r, s}, next: t.first[prefix]})
+	t.first[prefix] = int32(len(t.entries))
 }
 
 // Number returns the version that the table was built from.
@@ -71,10 +81,10 @@
 		return Match{}, false
 	}
 	for prefix := t.candidate(path); ; prefix = prefix[:strings.LastIndexByte(prefix, '/')] {
-		for i := range t.prefixes[prefix] {
-			e := &t.prefixes[prefix][i]
-			if len(e.methods) == 0 || slices.Contains(e.methods, method) {
-				return e.match, true
+		for i := t.first[prefix]; i != 0; i = t.entries[i-1].next {
+			m := t.entries[i-1].match
+			if len(m.Route.Methods) == 0 || slices.Contains(m.Route.Methods, method) {
+				return m, true
 			}
 		}
 		if prefix == "" {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -18,12 +18,15 @@
 	return FromDocument(7, document.Document{Sections: []document.Section{{Services: services, Routes: routes}}})
 }
 
-// Guards against prefixes that match inside a segment, and against a longer
-// prefix of another method that hides a shorter one.
+// Guards against prefixes that match inside a segment, against a longer
+// prefix of another method that hides a shorter one, and against a choice among
+// routes that differ in a trailing slash that depends on how the table is built.
 func TestMatch(t *testing.T) {
 	tab := table(
 		document.Route{Name: "stock", PathPrefix: "/stock", Service: "stock", Methods: []string{"GET", "POST"}},
 		document.Route{Name: "beads", PathPrefix: "/stock/beads/", Service: "stock", Methods: []string{"GET"}},
+		document.Route{Name: "first", PathPrefix: "/twice", Service: "stock"},
+		document.Route{Name: "second", PathPrefix: "/twice/", Service: "stock"},
 		document.Route{Name: "dangling", PathPrefix: "/other", Service: "absent"},
 	)
 	for _, c := range []struct{ method, path, want string }{
@@ -39,6 +42,7 @@
 		{"GET", "", ""},
 		{"GET", "*", ""},
 		{"GET", "/other", ""},
+		{"GET", "/twice/x", "first"},
 	} {
 		m, ok := tab.Match(c.method, c.path)
 		got := ""
@@ -109,3 +113,19 @@
 		tab.Match("POST", paths[i%len(paths)])
 	}
 }
+
+// BenchmarkNew builds the table of 57 sections of 20 kB.
+func BenchmarkNew(b *testing.B) {
+	var d document.Document
+	for i := range 57 {
+		s := document.Section{Services: []document.Service{{Name: backend.ServiceName(fmt.Sprintf("service-%02d", i))}}}
+		for j := range 150 {
+			s.Routes = append(s.Routes, document.Route{PathPrefix: fmt.Sprintf("/s%02d/%d/%s", i, j, strings.Repeat("x", 40)), Methods: []string{"GET"}, Service: s.Services[0].Name})
+		}
+		d.Sections = append(d.Sections, s)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		FromDocument(1, d)
+	}
+}
