Pass a received delta on as it came

Cause: every tree parent compressed the delta that it had just unpacked. With a dictionary this takes 1.7 ms, most of it for the tables of the encoder, on the way of the version at each level of the tree.

Change: unpacking puts the packed form into the cache of deltas. The key is the base and the digest of the body, so that a forged delta that was refused is not passed on in place of the right one. TestReceivedDeltaIsPassedOn fails when the key leaves out the digest.

--- a/internal/message/based.go
+++ b/internal/message/based.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"fmt"
 
@@ -31,7 +32,7 @@
 	if !ok {
 		return nil, false, nil
 	}
-	key := deltaKey{number: d.Manifest.Number, base: d.Base}
+	key := deltaKey{base: d.Base, body: sha256.Sum256(body)}
 	if cached, ok := c.Deltas.get(key); ok {
 		return cached, true, nil
 	}
@@ -70,6 +71,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
+	// A tree parent passes the delta on as it came: compressing it again takes
+	// 1.7 ms at each level of the tree.
+	c.Deltas.put(deltaKey{base: b.Base, body: sha256.Sum256(body)}, bytes.Clone(packed))
 	return body, nil
 }
 
--- a/internal/message/cache.go
+++ b/internal/message/cache.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"crypto/sha256"
 	"sync"
 
 	"github.com/peridotlb/peridotlb/internal/version"
@@ -10,11 +11,15 @@
 // mostly hold the version before, so that few bases are in use at a time.
 const cachedDeltas = 4
 
-// deltaKey identifies a delta: a version has one content, and so has the
-// difference of two.
-type deltaKey struct{ number, base version.Number }
+// deltaKey identifies a based delta. The digest of the body, rather than the
+// number of the version, keeps a forged delta that was received from being
+// passed on as another one.
+type deltaKey struct {
+	base version.Number
+	body [sha256.Size]byte
+}
 
-// DeltaCache keeps the bodies of the last based deltas. The zero value is
+// DeltaCache keeps the bodies of the last based deltas, sent or received. The zero value is
 // ready for use, by several goroutines.
 type DeltaCache struct {
 	mu     sync.Mutex
--- a/internal/message/codec_test.go
+++ b/internal/message/codec_test.go
@@ -279,6 +279,66 @@
 	}
 }
 
+// TestReceivedDeltaIsPassedOn guards against compressing a delta anew at each
+// level of the tree, and against passing on a forged delta of the same version.
+func TestReceivedDeltaIsPassedOn(t *testing.T) {
+	blob := section(1, 2_000)
+	base := holding(8, blob)
+	delta := func(old, changed string) Delta {
+		b := bytes.Replace(blob, []byte(old), []byte(changed), 1)
+		return Delta{Manifest: holding(9, b).manifest, Base: 8, Blobs: []Blob{b}}
+	}
+	d, forged := delta("timeout 1", "timeout 73"), delta("service", "servant")
+	held := func(n version.Number) (Snapshot, bool) { return base, n == 8 }
+	c := Codec{Held: held, Deltas: new(DeltaCache)}
+	for _, received := range []Delta{forged, d} {
+		data, err := Codec{Held: held}.Encode(received)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Decode(data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	data, err := c.Encode(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := c.Decode(data); err != nil || !reflect.DeepEqual(got, d) {
+		t.Errorf("got %+v, error %v, want %+v", got, err, d)
+	}
+	body, err := encMode.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := c.Deltas.get(deltaKey{base: 8, body: sha256.Sum256(body)}); !ok {
+		t.Error("got no encoding of the received delta, want one to pass on")
+	}
+}
+
+// BenchmarkRelay receives a delta and sends it to four children.
+func BenchmarkRelay(b *testing.B) {
+	blob := section(1, 20_000)
+	base := holding(8, blob)
+	changed := bytes.Replace(blob, []byte("timeout 1"), []byte("timeout 73"), 1)
+	held := func(n version.Number) (Snapshot, bool) { return base, n == 8 }
+	data, err := Codec{Held: held}.Encode(Delta{Manifest: holding(9, changed).manifest, Base: 8, Blobs: []Blob{changed}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c := Codec{Held: held, Deltas: new(DeltaCache)}
+		m, err := c.Decode(data)
+		for i := 0; i < 4 && err == nil; i++ {
+			_, err = c.Encode(m)
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func TestPack(t *testing.T) { // guards against unbounded output and against a wrong dictionary
 	base := section(1, 20_000)
 	next := bytes.Replace(base, []byte("timeout 1"), []byte("timeout 73"), 1)
