Check that a refused merge lists the fault of the document

TestMergeIsCheckedWhole stayed green when Merge no longer called document.Check: version.New checks the document again and refuses with the same text, but as a reason without faults. The test now wants the fault listed and the head unchanged.

Mutation in Merge: `err := error(nil)` in place of document.Check(merged). Printed: "got refusal new version 3: ... is not defined in any section, want it to list one fault". Mutation of both checks: "got outcome submission.Accepted ..., want Refused". Green after: go test ./internal/submission (ok, 0.8 s).

--- a/internal/submission/submission_test.go
+++ b/internal/submission/submission_test.go
@@ -135,7 +135,9 @@
 }
 
 // Guards against a removed service that another team's route still needs: both
-// edits are valid alone, and the merge is not.
+// edits are valid alone, and the merge is not. The fault is listed as one of the
+// document; without the check of the merge only version.New would refuse it, as
+// an error without faults.
 func TestMergeIsCheckedWhole(t *testing.T) {
 	ctx := context.Background()
 	f := newFake(1, 0)
@@ -145,7 +147,13 @@
 	orders.Routes[0].Service = "bead-stock"
 	accepted(t, a.Accept(ctx, edit("two", "order-team", 1, orders)))
 	s := submission.Submission{ID: "three", Team: "stock-team", Base: 1, Removed: []document.SectionName{"stock"}}
-	refused(t, a.Accept(ctx, s), `section "orders": route "read-orders": service "bead-stock" is not defined`)
+	r := refused(t, a.Accept(ctx, s), `section "orders": route "read-orders": service "bead-stock" is not defined`)
+	if len(r.Faults) != 1 {
+		t.Errorf("got refusal %+v, want it to list one fault", r)
+	}
+	if head, err := submission.ReadHead(ctx, f); err != nil || head.Number != 2 {
+		t.Errorf("got head %d, error %v, want 2", head.Number, err)
+	}
 }
 
 // Guards against lost, doubled and foreign edits when operators submit at the
