Test a passed call on a reused connection that breaks

TestForwardingDaemonDies used new connections only, on which net/http never repeats a request. It now runs both kinds: the daemon answers one call and dies at the second one on the same connection.

Not seen by this test: a canonical Idempotency-Key in the passed headers. The request body without GetBody prevents the repetition on its own.

--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -97,17 +97,32 @@
 }
 
 // Guards against a paid call that is sent again after the daemon that took it
-// died, and against other calls that are not.
+// died, by the entry or by net/http on a reused connection, and against other
+// calls that are not.
 func TestForwardingDaemonDies(t *testing.T) {
 	for _, key := range []string{"", "k"} {
-		var sent, passed atomic.Int64
-		m := newMesh(t).start(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }))
-		dying := rawServer(t, func(int64, *http.Request, net.Conn) bool { sent.Add(1); return false })
-		m.withoutVersion(closedPort(t), dying, m.gateOf(m.config, &passed))
-		got := m.do("GET", "/stock", "", headerIdempotencyKey, key)
-		paid := key != ""
-		if sent.Load() != 1 || paid != (passed.Load() == 0) || paid != (got.StatusCode == 502 && got.Header.Get(HeaderOutcome) == "unknown") {
-			t.Errorf("paid %v: got %d %v, %d calls at the dying daemon and %d at the next", paid, got.StatusCode, got.Header, sent.Load(), passed.Load())
+		for _, reused := range []bool{false, true} {
+			var sent, passed atomic.Int64
+			m := newMesh(t).start(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }))
+			dying := rawServer(t, func(n int64, r *http.Request, conn net.Conn) bool {
+				if reused && n == 1 {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", HeaderCallID, r.Header.Get(HeaderCallID))
+					return true
+				}
+				sent.Add(1)
+				return false
+			})
+			m.withoutVersion(closedPort(t), dying, m.gateOf(m.config, &passed))
+			if reused {
+				if got := m.do("GET", "/stock", ""); got.StatusCode != 200 {
+					t.Fatalf("first call: got %d %v, want 200", got.StatusCode, got.Header)
+				}
+			}
+			got := m.do("GET", "/stock", "", headerIdempotencyKey, key)
+			paid := key != ""
+			if sent.Load() != 1 || paid != (passed.Load() == 0) || paid != (got.StatusCode == 502 && got.Header.Get(HeaderOutcome) == "unknown") {
+				t.Errorf("paid %v, reused %v: got %d %v, %d calls at the dying daemon and %d at the next", paid, reused, got.StatusCode, got.Header, sent.Load(), passed.Load())
+			}
 		}
 	}
 }
