Check that malformed input leaves other connections alone

TestMalformed stayed green when refuse closed the connections of all peers, because the other peer connected again. It now keeps the other connection and wants it open at the end. A connection that was not closed ended the test by its time-out without a message; the wait is now bounded below the idle timeout.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -99,11 +99,18 @@
 	}
 }
 
+// closeLimit is below the idle timeout, which would end the connection too.
+const closeLimit = idleTimeout / 3
+
 func TestMalformed(t *testing.T) { // guards against forged input that passes silently or harms other peers
 	f := newFleet(t)
 	a, b, other := f.listen(f.host(), nil), f.listen(f.host(), nil), f.listen(f.host(), nil)
 	other.Send(b.Addr(), message.Announce{Number: 1})
 	<-b.received
+	healthy, err := other.peer(b.Addr()).connection(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
 	for name, send := range map[string]func(*conn, context.Context, []byte) error{
 		"datagram": (*conn).sendDatagram, "stream": (*conn).sendStream, "sequence": (*conn).sendInSequence,
 	} {
@@ -114,7 +121,11 @@
 		if err := send(c, t.Context(), []byte{message.ProtocolVersion, 63, 0}); err != nil {
 			t.Fatal(err)
 		}
-		<-c.Context().Done()
+		select {
+		case <-c.Context().Done():
+		case <-time.After(closeLimit):
+			t.Fatalf("%s: the connection stays open after a malformed message", name)
+		}
 		var app *quic.ApplicationError
 		if err := context.Cause(c.Context()); !errors.As(err, &app) || app.ErrorCode != codeMalformed {
 			t.Errorf("%s: connection ended with %v, want code %d", name, err, codeMalformed)
@@ -130,6 +141,9 @@
 	if got := <-b.received; got.from != other.Addr() {
 		t.Errorf("got %+v, want the announcement of the other peer", got)
 	}
+	if err := context.Cause(healthy.Context()); err != nil {
+		t.Errorf("connection of the other peer ended with %v, want it to stay", err)
+	}
 	if got := b.connections(other); got != 1 {
 		t.Errorf("got %d connections to the other peer, want 1", got)
 	}
