Report a repeated submission as not known when an earlier request fails

Cause: the tool asks for the team and the base before it submits. When one of these requests was turned down (token, rate), a repeated submission ended with exit code 1, which means refused, while another daemon may still accept it.

Ruled out: a file that does not parse or names faults keeps code 1; it is found before anything is asked, and is no answer about the id.

Before: TestRepeatedTurnedDownEarly failed for 401, 429 (code 1) and 503 (code 4). After: exit code 3 with the command that repeats the submission.

--- a/internal/command/documentsubmit/documentsubmit.go
+++ b/internal/command/documentsubmit/documentsubmit.go
@@ -160,6 +160,10 @@
 		return err
 	}
 	own, err := r.compare(ctx, edited)
+	if err != nil && r.ID != "" && r.Base.Set {
+		r.result.Submission, r.result.Base = r.ID, r.Base.Number
+		return r.unknown(err.Error())
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/command/documentsubmit/documentsubmit_test.go
+++ b/internal/command/documentsubmit/documentsubmit_test.go
@@ -20,9 +20,12 @@
 	submit func(*api.Submission) (api.SubmitDocumentRes, error)
 	status func(n int) (*api.Status, error)
 	polls  int
+	ping   error
 }
 
-func (f *fake) Ping(context.Context) (*api.Pong, error) { return &api.Pong{Team: "stock-team"}, nil }
+func (f *fake) Ping(context.Context) (*api.Pong, error) {
+	return &api.Pong{Team: "stock-team"}, f.ping
+}
 
 func (f *fake) GetDocument(context.Context) (*api.Document, error) {
 	return &api.Document{Version: 7}, nil
@@ -103,6 +106,20 @@
 	}
 }
 
+// Guards against a repeated submission that counts as refused because a request
+// before it was turned down: the one with this id may still be accepted.
+func TestRepeatedTurnedDownEarly(t *testing.T) {
+	for _, status := range []int{401, 429, 503} {
+		var out, errs bytes.Buffer
+		o := options(t, &fake{ping: &api.FailedStatusCode{StatusCode: status}}, &out, &errs, false)
+		o.ID, o.Base = "new-1", Base{Number: 7, Set: true}
+		var got command.Error
+		if err := Run(t.Context(), o); !errors.As(err, &got) || got.Code != command.NotKnown || !strings.HasSuffix(got.Hint, "--base=7 --submission-id=new-1") {
+			t.Errorf("status %d: got %v with exit code %d, hint %q", status, err, got.Code, got.Hint)
+		}
+	}
+}
+
 // Guards against a lost answer that is reported as a failure, against a repeated
 // submission that counts as refused although only the request was, and against a
 // repeat command that would submit something else.
