Give the reasons of a refusal that could not be recorded

Two changes met: operators get one sentence about the platform in place of the error text of the SDK, and a refusal that can't be recorded is reported as unknown with its reasons. The sentence dropped the reasons. Seen in TestSubmissions before: "the platform's table gave no usable answer within 10s" alone for a conflict whose refusal was not recorded; passes now.

--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -60,13 +60,19 @@
 	}
 }
 
-// unsettled returns the sentence for operators about an unknown outcome.
+// unsettled returns the text for operators about an unknown outcome: what failed
+// and, when the submission was to be refused, the reasons.
 func (h *handler) unsettled(err error) string {
+	text := fmt.Sprintf("the submission was not settled within %v", h.SubmitTimeout)
 	var failed *PlatformError
 	if errors.As(err, &failed) {
-		return fmt.Sprintf("the platform's %s gave no usable answer within %v", failed.Part, h.SubmitTimeout)
+		text = fmt.Sprintf("the platform's %s gave no usable answer within %v", failed.Part, h.SubmitTimeout)
 	}
-	return fmt.Sprintf("the submission was not settled within %v", h.SubmitTimeout)
+	var refused submission.Refused
+	if errors.As(err, &refused) {
+		text += "; a refusal could not be recorded: " + refused.Error()
+	}
+	return text
 }
 
 // submission converts a request. The error may be document.Faults.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -168,7 +168,12 @@
 		t.Errorf("duration without unit: got %+v, want one fault", got)
 	}
 	section.Services[0].WarmUp = "20s"
-	conflict, ok := submit(stock, api.Submission{ID: "5", Base: 1, Changed: []api.Section{section}}).(*api.Refused)
+	conflicting := api.Submission{ID: "5", Base: 1, Changed: []api.Section{section}}
+	b.LoseNext(1)
+	if got, ok := submit(stock, conflicting).(*api.Unknown); !ok || !strings.Contains(got.Error, "version 1, which was edited") {
+		t.Errorf("refusal that was not recorded: got %+v, want unknown with the conflict", got)
+	}
+	conflict, ok := submit(stock, conflicting).(*api.Refused)
 	if want := []api.Conflict{{Section: "stock", Base: 1, Head: 2}}; !ok || !reflect.DeepEqual(conflict.Conflicts, want) {
 		t.Errorf("conflict: got %+v, want %+v", conflict, want)
 	}
--- a/internal/operator/operatortest/backend.go
+++ b/internal/operator/operatortest/backend.go
@@ -63,7 +63,8 @@
 	b.down = down
 }
 
-// LoseNext makes the next n submissions take effect with an unknown outcome.
+// LoseNext makes the next n submissions end with an unknown outcome: an accepted
+// one takes effect, a refused one is not recorded.
 func (b *Backend) LoseNext(n int) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -112,6 +113,10 @@
 	merged, err := submission.Merge(base, head, s)
 	var refused submission.Refused
 	if errors.As(err, &refused) {
+		if b.loseNext > 0 {
+			b.loseNext--
+			return submission.Unknown{Err: fmt.Errorf("record the refusal (%w): %w", refused, ErrDown)}
+		}
 		return refused
 	}
 	next, err := b.next(s.ID, merged, err)
