Declare the decisions of a claim once

internal/proxy had a copy of the keys, answers and decisions of internal/claim, and internal/daemon translated between them. The call path now uses those of internal/claim; the daemon only counts the decisions.

The copy had drifted: it selected Retry-After to be recorded, which internal/claim dropped. Nothing that reaches the table or a caller changes.

The tests of the call path use the real claims over an in-memory table instead of a fake. A table wrapper counts the rows written as released, as the fake counted calls of Release.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -36,6 +36,10 @@
 	maxHeader = 8 << 10 // recorded header names and values
 )
 
+// AnswerLimit is the size in bytes above which the body of an answer is not
+// recorded whole.
+const AnswerLimit = maxBody
+
 // Key names a paid action: the route and the Idempotency-Key header.
 type Key struct {
 	Route document.RouteName
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,7 +178,7 @@
 	d.transports = proxy.NewTransports(proxy.TransportConfig{TLS: clientTLS, Translate: d.nat.Outside, Source: s.GateAddress.Addr()})
 	calls := proxy.Config{
 		Self: s.HostID, Routes: func() *route.Table { return d.calls.routes.Load() },
-		Pool: d.pool, Gate: d.gate, Claims: claimsAdapter{d.claims, d.meters}, Transports: d.transports,
+		Pool: d.pool, Gate: d.gate, Claims: meteredClaims{d.claims, d.meters}, Transports: d.transports,
 		Events: d.callEvent, Metrics: set,
 	}
 	api, err := operator.New(operator.Config{
--- a/internal/proxy/paid.go
+++ b/internal/proxy/paid.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"errors"
 	"maps"
 	"net/http"
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/claim"
 )
 
 const (
@@ -42,65 +42,61 @@
 	ctx = context.WithoutCancel(ctx)
 	runCtx, cancel := context.WithDeadline(ctx, x.call.deadline)
 	defer cancel()
-	claim, f, recorded := x.claim(runCtx, keys[0])
+	held, f, recorded := x.claim(runCtx, keys[0])
 	switch {
 	case f != nil:
 		x.entry.fail(w, x.call.id, f)
 	case recorded != nil:
 		x.replay(w, *recorded)
 	default:
-		x.answer(w, r, x.runPaid(runCtx, claim))
+		x.answer(w, r, x.runPaid(runCtx, held))
 	}
 }
 
 // claim takes the claim of the call. It returns one of its results.
-func (x *exchange) claim(ctx context.Context, key string) (Claim, *failure, *Answer) {
+func (x *exchange) claim(ctx context.Context, key string) (*claim.Claim, *failure, *claim.Answer) {
 	unconfirmed := func(err error) *failure {
 		return &failure{reason: "claim-unconfirmed", notRun: true, hint: "the call was not run, because its claim could not be confirmed; send it again with the same " + headerIdempotencyKey, err: err}
 	}
 	if x.entry.config.Claims == nil {
 		return nil, unconfirmed(errors.New("no claims")), nil
 	}
-	d, err := x.entry.config.Claims.Take(ctx, ClaimKey{x.match.Route.Name, key}, x.fingerprint())
+	d, err := x.entry.config.Claims.Take(ctx, claim.Key{Route: x.match.Route.Name, Value: key}, x.fingerprint())
 	if err != nil {
 		return nil, unconfirmed(err), nil
 	}
 	switch d := d.(type) {
-	case Granted:
+	case claim.Granted:
 		return d.Claim, nil, nil
-	case Recorded:
+	case claim.Recorded:
 		return nil, nil, &d.Answer
-	case Pending:
+	case claim.Pending:
 		return nil, &failure{reason: "claim-pending", status: http.StatusConflict, hint: "a call with this key was sent before and its outcome is not known; this one was not run"}, nil
-	case Mismatch:
+	case claim.Mismatch:
 		return nil, &failure{reason: "key-reused", status: http.StatusUnprocessableEntity, notRun: true, hint: "this key was used for another request; use a new key for a new action"}, nil
-	case Unconfirmed:
+	case claim.Unconfirmed:
 		return nil, unconfirmed(d.Err), nil
 	default:
 		return nil, unconfirmed(errors.New("unknown decision")), nil
 	}
 }
 
-func (x *exchange) fingerprint() Fingerprint {
-	h := sha256.New()
-	body := sha256.Sum256(x.call.body.buffered)
-	h.Write([]byte(x.call.method + "\n" + x.call.url.RequestURI() + "\n"))
-	h.Write(body[:])
-	return Fingerprint(h.Sum(nil))
+func (x *exchange) fingerprint() claim.Fingerprint {
+	return claim.FingerprintOf(x.call.method, x.call.url.RequestURI(), x.call.body.buffered)
 }
 
 // runPaid runs a claimed call, and records or releases the claim before the
 // caller gets the response: a repeated call then finds it.
-func (x *exchange) runPaid(ctx context.Context, claim Claim) result {
+func (x *exchange) runPaid(ctx context.Context, held *claim.Claim) result {
 	res := x.run(ctx)
 	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
 	var err error
 	switch {
 	case res.failure == nil:
-		err = claim.Record(settle, recordOf(res.reply))
+		err = held.Record(settle, recordOf(res.reply))
 	case res.failure.notRun:
-		err = claim.Release(settle)
+		err = held.Release(settle)
 	}
 	if err != nil {
 		var server backend.ServerID
@@ -112,16 +108,12 @@
 	return res
 }
 
-// recordOf selects what is kept of a reply.
-func recordOf(r *reply) Answer {
-	a := Answer{Status: r.status, Header: make(http.Header)}
-	for _, name := range []string{"Content-Type", "Content-Encoding", "Content-Language", "Location", "Etag", "Last-Modified", "Retry-After"} {
-		if values, ok := r.header[name]; ok {
-			a.Header[name] = values
-		}
-	}
-	if r.rest != nil || len(r.head) > AnswerLimit {
-		a.Partial = true
+// recordOf returns what is recorded of a reply. A body that is too large is left
+// out, because a part of it cannot be replayed.
+func recordOf(r *reply) claim.Answer {
+	a := claim.Answer{Status: r.status, Header: r.header}
+	if r.rest != nil || len(r.head) > claim.AnswerLimit {
+		a.Truncated = true
 		return a
 	}
 	a.Body = r.head
@@ -129,8 +121,8 @@
 }
 
 // replay answers with a recorded response.
-func (x *exchange) replay(w http.ResponseWriter, a Answer) {
-	if a.Partial {
+func (x *exchange) replay(w http.ResponseWriter, a claim.Answer) {
+	if a.Truncated {
 		w.Header().Set(HeaderReplayed, "true")
 		x.entry.fail(w, x.call.id, &failure{
 			reason: "already-run", status: http.StatusGone,
--- a/internal/proxy/paid_test.go
+++ b/internal/proxy/paid_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/claim"
 )
 
 // Guards against paid calls that run without a claim, run twice, or whose
@@ -22,7 +23,7 @@
 		w.Header().Set(HeaderNotRun, "true") // of a call deeper in the chain
 		w.WriteHeader(http.StatusCreated)
 		if r.URL.RawQuery == "large" {
-			fmt.Fprint(w, strings.Repeat("x", AnswerLimit+1))
+			fmt.Fprint(w, strings.Repeat("x", claim.AnswerLimit+1))
 		} else {
 			fmt.Fprint(w, "booked")
 		}
@@ -56,15 +57,15 @@
 // was taken before.
 func TestClaimNotGranted(t *testing.T) {
 	for _, c := range []struct {
-		decision        Decision
+		decision        claim.Decision
 		status          int
 		notRun, outcome string
 	}{
-		{Unconfirmed{errors.New("table is down")}, 503, "true", ""},
-		{Pending{}, 409, "", "unknown"},
+		{claim.Unconfirmed{Err: errors.New("table is down")}, 503, "true", ""},
+		{claim.Pending{}, 409, "", "unknown"},
 	} {
 		m := newMesh(t)
-		m.claims = &fakeClaims{decision: c.decision}
+		m.claims = fixedClaims{c.decision}
 		m.start(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the call was run") }))
 		got := m.do("POST", "/refill", "", headerIdempotencyKey, "k")
 		if got.StatusCode != c.status || got.Header.Get(HeaderNotRun) != c.notRun || got.Header.Get(HeaderOutcome) != c.outcome {
@@ -76,9 +77,8 @@
 // Guards against claims that block a key after proof that nothing was run, and
 // against ones that are released although the action may have run.
 func TestClaimRelease(t *testing.T) {
-	claims := &fakeClaims{}
-	m := newMesh(t)
-	m.claims = claims
+	table, m := newReleases(), newMesh(t)
+	m.claims = table.claims()
 	m.start(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	row := m.row(0, m.entry)
 	row.State, row.Stamp.Sequence = backend.Draining, 2
@@ -92,8 +92,8 @@
 	}{{row, 1, 503}, {ready, 1, 502}, {ready, 1, 409}} {
 		m.gate.Update(m.services(), []backend.Server{c.row})
 		got := m.do("POST", "/refill", "", headerIdempotencyKey, "k")
-		if got.StatusCode != c.status || claims.released != c.released {
-			t.Errorf("%v: got %d and %d releases, want %d and %d", c.row.State, got.StatusCode, claims.released, c.status, c.released)
+		if got.StatusCode != c.status || int(table.released.Load()) != c.released {
+			t.Errorf("%v: got %d and %d releases, want %d and %d", c.row.State, got.StatusCode, int(table.released.Load()), c.status, c.released)
 		}
 	}
 }
@@ -107,9 +107,8 @@
 	} {
 		for _, local := range []bool{false, true} {
 			var runs atomic.Int64
-			claims := &fakeClaims{}
-			m := newMesh(t)
-			m.claims, m.local = claims, local
+			table, m := newReleases(), newMesh(t)
+			m.claims, m.local = table.claims(), local
 			h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				status := c.first
 				if runs.Add(1) > 1 {
@@ -126,8 +125,8 @@
 			if c.first == 503 || c.first == 429 {
 				wantRuns = 2
 			}
-			if got.StatusCode != c.want || proof != (c.released == 1) || claims.released != c.released || runs.Load() != wantRuns {
-				t.Errorf("%v: got %d %v, %d releases, %d requests", c, got.StatusCode, got.Header, claims.released, runs.Load())
+			if got.StatusCode != c.want || proof != (c.released == 1) || int(table.released.Load()) != c.released || runs.Load() != wantRuns {
+				t.Errorf("%v: got %d %v, %d releases, %d requests", c, got.StatusCode, got.Header, int(table.released.Load()), runs.Load())
 			}
 		}
 	}
@@ -137,9 +136,8 @@
 // its caller goes away; and against other calls that go on without a caller.
 func TestCallerGoesAway(t *testing.T) {
 	started, cancelled, finish := make(chan bool, 1), make(chan bool, 1), make(chan bool)
-	claims := &fakeClaims{}
-	m := newMesh(t)
-	m.claims = claims
+	table, m := newReleases(), newMesh(t)
+	m.claims = table.claims()
 	m.start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		started <- true
 		if r.URL.Path == "/stock" {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -9,15 +9,19 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/claim"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/platform"
 	"github.com/peridotlb/peridotlb/internal/pool"
 	"github.com/peridotlb/peridotlb/internal/route"
 )
@@ -51,7 +55,7 @@
 			{Name: "read", PathPrefix: "/stock", Service: "stock", Timeout: 5 * time.Second, Retries: 2},
 			{Name: "refill", PathPrefix: "/refill", Service: "stock", Timeout: 5 * time.Second, Retries: 2, Paid: true},
 		},
-		claims: &fakeClaims{}, set: metrics.NewSet(),
+		claims: newReleases().claims(), set: metrics.NewSet(),
 	}
 }
 
@@ -153,53 +157,36 @@
 	return response{resp, string(data), err}
 }
 
-// fakeClaims keeps claims in memory.
-type fakeClaims struct {
-	mu       sync.Mutex
-	taken    map[ClaimKey]Decision
-	prints   map[ClaimKey]Fingerprint
-	decision Decision // overrides the answer to Take
-	fail     error    // of Record and Release
-	released int
+// releases is a table that counts the claims released in it.
+type releases struct {
+	*platform.Memory
+	released atomic.Int64
 }
 
-type fakeClaim struct {
-	claims *fakeClaims
-	key    ClaimKey
+func newReleases() *releases { return &releases{Memory: platform.NewMemory()} }
+
+func (r *releases) claims() Claims {
+	return claim.New(claim.Config{Table: r, Gather: time.Microsecond})
 }
 
-func (c *fakeClaims) Take(_ context.Context, key ClaimKey, f Fingerprint) (Decision, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.decision != nil {
-		return c.decision, nil
-	}
-	if c.taken == nil {
-		c.taken, c.prints = map[ClaimKey]Decision{}, map[ClaimKey]Fingerprint{}
-	}
-	if d := c.taken[key]; d != nil {
-		if c.prints[key] != f {
-			return Mismatch{}, nil
+func (r *releases) Commit(ctx context.Context, writes ...platform.Write) (platform.Result, error) {
+	const released = 3 // state of a claim row
+	for _, w := range writes {
+		var row struct {
+			State int `cbor:"1,keyasint"`
+		}
+		if cbor.Unmarshal(w.Value, &row) == nil && row.State == released {
+			r.released.Add(1)
 		}
-		return d, nil
 	}
-	c.taken[key], c.prints[key] = Pending{}, f
-	return Granted{fakeClaim{c, key}}, nil
+	return r.Memory.Commit(ctx, writes...)
 }
 
-func (c fakeClaim) Record(_ context.Context, a Answer) error {
-	c.claims.mu.Lock()
-	defer c.claims.mu.Unlock()
-	c.claims.taken[c.key] = Recorded{a}
-	return c.claims.fail
-}
+// fixedClaims answers every Take with one decision.
+type fixedClaims struct{ decision claim.Decision }
 
-func (c fakeClaim) Release(context.Context) error {
-	c.claims.mu.Lock()
-	defer c.claims.mu.Unlock()
-	c.claims.released++
-	delete(c.claims.taken, c.key)
-	return c.claims.fail
+func (f fixedClaims) Take(context.Context, claim.Key, claim.Fingerprint) (claim.Decision, error) {
+	return f.decision, nil
 }
 
 // Guards against calls that lose their method, path, headers or body on the
