Measure the update of the view and the rate of calls at three sizes

BenchmarkLatency gets -latency-view, which replaces the view every 50 ms. Neither garbage collection nor the update of the view can be told from the noise of the machine at this load; both were ruled out as the cause of most of the p99.

--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -380,12 +380,12 @@
 	})
 }
 
-func largeView() View {
+func largeView(servers int) View {
 	var v View
 	for i := range 57 {
 		v.Services = append(v.Services, document.Service{Name: backend.ServiceName(fmt.Sprintf("service-%d", i)), Slots: 9})
 	}
-	for i := range 1200 {
+	for i := range servers {
 		id := fmt.Sprintf("host-%d", i)
 		zone := i % 7
 		v.Hosts = append(v.Hosts, host.Row{ID: host.ID(id), Zone: host.AvailabilityZone(fmt.Sprint("z", zone)), Region: host.Region(fmt.Sprint("r", zone/4))})
@@ -396,7 +396,7 @@
 
 func BenchmarkPick(b *testing.B) {
 	p := New(Config{Self: "host-0", Zone: "z0", Region: "r0"})
-	v := largeView()
+	v := largeView(1200)
 	p.Update(v)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
@@ -409,10 +409,14 @@
 }
 
 func BenchmarkUpdate(b *testing.B) {
-	p := New(Config{Self: "host-0", Zone: "z0", Region: "r0"})
-	v := largeView()
-	b.ReportAllocs()
-	for b.Loop() {
-		p.Update(v)
+	for _, servers := range []int{150, 600, 1200} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			p := New(Config{Self: "host-0", Zone: "z0", Region: "r0"})
+			v := largeView(servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Update(v)
+			}
+		})
 	}
 }
--- a/internal/proxy/latency_test.go
+++ b/internal/proxy/latency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,8 +10,33 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
 )
 
+var latencyView = flag.Int("latency-view", 0, "servers of the view that BenchmarkLatency replaces every 50 ms; 0 replaces none")
+
+// replaceView replaces the view of the entry every 50 ms, as often as a daemon
+// does while rows change, until ctx ends.
+func (m *mesh) replaceView(ctx context.Context, servers int) {
+	for i := range servers {
+		id := fmt.Sprint("other-", i)
+		m.view.Hosts = append(m.view.Hosts, host.Row{ID: host.ID(id), Zone: "b", Region: "r"})
+		m.view.Servers = append(m.view.Servers, backend.Server{ID: backend.ServerID(id), Service: "stock", Host: host.ID(id), State: backend.Ready})
+	}
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		m.pool.Update(m.view)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // BenchmarkLatency compares calls to a server directly, through an entry on the
 // server's host (one hop) and through an entry and a gate with mutual TLS (two
 // hops). The three take turns, so that noise of the machine hits them alike.
@@ -22,6 +48,12 @@
 	local.local = true
 	local.start(server)
 	two, direct := secure(b, server)
+	if *latencyView > 0 {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go local.replaceView(ctx, *latencyView)
+		go two.replaceView(ctx, *latencyView)
+	}
 	kinds := []struct{ name, url string }{{"direct", direct}, {"one-hop", local.entry.URL}, {"two-hops", two.entry.URL}}
 	took := make([][]time.Duration, len(kinds))
 	var mu sync.Mutex
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -42,6 +42,7 @@
 	events   []Event
 	mu       sync.Mutex
 	pool     *pool.Pool
+	view     pool.View
 	gate     *gate.Gate // of the entry, or of the first server's host
 	entry    *httptest.Server
 	config   Config // of the entry
@@ -116,7 +117,8 @@
 		}
 		hosts = append(hosts, host.Row{ID: row.Host, Zone: "a", Region: "r", GateAddr: addr})
 	}
-	m.pool.Update(pool.View{Services: services, Hosts: hosts, Servers: rows})
+	m.view = pool.View{Services: services, Hosts: hosts, Servers: rows}
+	m.pool.Update(m.view)
 	c := base
 	c.Self, c.Pool, c.Gate, c.Metrics = "entry", m.pool, gate.New(gate.Config{Self: "entry", Now: m.now}), m.set
 	c.Gate.Update(services, rows)
--- a/test/bench/calls.go
+++ b/test/bench/calls.go
@@ -58,6 +58,9 @@
 	if err := callLatency(ctx, o, r, ways); err != nil {
 		return fmt.Errorf("latency: %w", err)
 	}
+	if err := callRates(ctx, o, r, ways[1:]); err != nil {
+		return fmt.Errorf("rates: %w", err)
+	}
 	if err := callLoad(ctx, o, r, ways); err != nil {
 		return fmt.Errorf("load: %w", err)
 	}
@@ -192,6 +195,62 @@
 	return r.print("latency of calls", rows...)
 }
 
+// callRates measures the processor time of a call at fixed rates. The processor
+// time of the daemons without calls is taken off.
+func callRates(ctx context.Context, o options, r *reporter, ways []way) error {
+	var rows []row
+	for _, w := range ways {
+		_, idle, err := w.pace(ctx, 0, o.duration)
+		if err != nil {
+			return err
+		}
+		for _, rate := range o.rates {
+			calls, cpu, err := w.pace(ctx, rate, o.duration)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, row{
+				{"way", w.name},
+				{"rate", rate},
+				{"calls", calls},
+				{"idle-core-seconds", idle},
+				{"core-seconds", cpu},
+				{"ms-per-call", milliseconds(time.Duration((cpu - idle) / float64(max(calls, 1)) * float64(time.Second)))},
+			})
+		}
+	}
+	return r.print("processor time of calls at fixed rates", rows...)
+}
+
+// pace makes calls at a rate for a while, and returns their number and the
+// processor time of the daemons on the way in seconds.
+func (w way) pace(ctx context.Context, rate int, d time.Duration) (calls int, cpu float64, err error) {
+	before, err := processorTime(ctx, w.daemons)
+	if err != nil {
+		return 0, 0, err
+	}
+	var group errgroup.Group
+	start := time.Now()
+	calls = int(float64(rate) * d.Seconds())
+	for n := range calls {
+		if err := sleep(ctx, time.Until(start.Add(d*time.Duration(n)/time.Duration(calls)))); err != nil {
+			return 0, 0, err
+		}
+		group.Go(func() error {
+			_, err := w.call(ctx)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return 0, 0, err
+	}
+	if err := sleep(ctx, time.Until(start.Add(d))); err != nil {
+		return 0, 0, err
+	}
+	after, err := processorTime(ctx, w.daemons)
+	return calls, after - before, err
+}
+
 // callLoad makes as many calls as the callers can on each way in turn, and
 // divides them by the processor time of the daemons on the way.
 func callLoad(ctx context.Context, o options, r *reporter, ways []way) error {
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -53,6 +53,7 @@
 	changes      int
 	duration     time.Duration
 	callers      int
+	rates        []int
 	timeout      time.Duration
 }
 
@@ -75,7 +76,7 @@
 `
 
 func parse(args []string, out io.Writer) (options, error) {
-	o := options{situations: situations, daemons: []int{15, 60, 150}, deployments: []mesh.Deployment{mesh.Kujaza, mesh.Prairie}}
+	o := options{situations: situations, daemons: []int{15, 60, 150}, rates: []int{50, 500, 5000}, deployments: []mesh.Deployment{mesh.Kujaza, mesh.Prairie}}
 	flags := flag.NewFlagSet("bench", flag.ContinueOnError)
 	flags.SetOutput(out)
 	flags.Usage = func() {
@@ -86,7 +87,7 @@
 	flags.BoolVar(&o.json, "json", false, "print one JSON object per measurement")
 	flags.BoolVar(&o.logs, "logs", false, "keep the directories with the logs and print their names")
 	flags.Func("daemons", "comma-separated `sizes` of the fleet (default 15,60,150)", func(s string) (err error) {
-		o.daemons, err = parseSizes(s)
+		o.daemons, err = parseNumbers(s, 2, mostDaemons)
 		return err
 	})
 	flags.Func("deployments", "comma-separated `names` of deployments (default kujaza,prairie)", func(s string) (err error) {
@@ -105,6 +106,10 @@
 	flags.IntVar(&o.changes, "changes", 5, "single changes per measurement")
 	flags.DurationVar(&o.duration, "duration", 10*time.Second, "time of a measurement of calls")
 	flags.IntVar(&o.callers, "callers", 32, "callers of the measurement of calls under load")
+	flags.Func("rates", "comma-separated `rates` in calls a second at which the processor time of a call is measured (default 50,500,5000)", func(s string) (err error) {
+		o.rates, err = parseNumbers(s, 1, 20000)
+		return err
+	})
 	flags.DurationVar(&o.timeout, "timeout", 6*time.Minute, "longest time of one measurement")
 	if err := flags.Parse(args); err != nil {
 		return o, err
@@ -120,19 +125,20 @@
 	return o, err
 }
 
-func parseSizes(s string) ([]int, error) {
-	// With the platform, the relay and this program, more daemons would exceed
-	// 250 processes.
-	const most = 240
-	var sizes []int
+// mostDaemons bounds the daemons. With the platform, the relay and this program,
+// more would exceed 250 processes.
+const mostDaemons = 240
+
+func parseNumbers(s string, least, most int) ([]int, error) {
+	var numbers []int
 	for part := range strings.SplitSeq(s, ",") {
 		n, err := strconv.Atoi(part)
-		if err != nil || n < 2 || n > most {
-			return nil, fmt.Errorf("%q is not a number from 2 to %d", part, most)
+		if err != nil || n < least || n > most {
+			return nil, fmt.Errorf("%q is not a number from %d to %d", part, least, most)
 		}
-		sizes = append(sizes, n)
+		numbers = append(numbers, n)
 	}
-	return sizes, nil
+	return numbers, nil
 }
 
 func parseDeployments(s string) ([]mesh.Deployment, error) {
