--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -2,13 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
 	"io"
 	"maps"
 	"net/http"
-	"net/netip"
 	"net/textproto"
 	"net/url"
 	"strconv"
@@ -54,23 +54,22 @@
 
 // request makes the request for one attempt. The headers of all but the first
 // are a copy, because a goroutine of an earlier attempt may still read them.
-func (c *call) request(addr netip.AddrPort, remaining time.Duration) *http.Request {
+func (c *call) request(ctx context.Context, scheme, addr string, remaining time.Duration) *http.Request {
 	header := c.header
 	if c.shared {
 		header = maps.Clone(c.header)
 		delete(header, HeaderServer) // of the earlier attempt
 	}
 	c.shared = true
+	u := *c.url
+	u.Scheme, u.Host, u.User = scheme, addr, nil
 	r := &http.Request{
-		Method: c.method, URL: c.url, Host: c.host, Header: header,
+		Method: c.method, URL: &u, Host: c.host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	if r.Host == "" { // allowed in HTTP/1.0
-		r.Host = addr.String()
-	}
 	r.Header[HeaderTimeoutMS] = []string{strconv.FormatInt(max(1, remaining.Milliseconds()), 10)}
 	c.body.attach(r)
-	return r
+	return r.WithContext(ctx)
 }
 
 // body is a request body that can be sent again as long as nothing was read
@@ -123,17 +122,23 @@
 // resendable reports whether the body can be sent (again).
 func (b *body) resendable() bool { return !b.restRead.Load() }
 
-// attach sets the body of a request.
+// attach sets the body of a request. The body never has GetBody and is never
+// nil for methods that net/http takes for idempotent, so that net/http does not
+// repeat the request on its own: retries are subject to the budget.
 func (b *body) attach(r *http.Request) {
 	r.ContentLength = b.length
 	switch {
 	case b.rest != nil:
 		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(b.buffered), restReader{b}))
 	case len(b.trailer) > 0:
-		r.Body = io.NopCloser(bytes.NewReader(b.buffered))
+		r.Body = io.NopCloser(bytes.NewBuffer(b.buffered))
 		r.ContentLength = -1
 	case len(b.buffered) > 0:
-		r.Body = io.NopCloser(bytes.NewReader(b.buffered))
+		r.Body = struct{ io.ReadCloser }{io.NopCloser(bytes.NewReader(b.buffered))}
+	case r.Method == http.MethodGet, r.Method == http.MethodHead, r.Method == http.MethodOptions, r.Method == http.MethodTrace:
+		// "identity" keeps net/http from looking for a body with a timer.
+		r.Body = emptyBody{}
+		r.TransferEncoding = []string{"identity"}
 	default:
 		r.Body = http.NoBody
 	}
@@ -142,6 +147,16 @@
 	}
 }
 
+// emptyBody is a body without content that differs from http.NoBody.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
+// WriteTo writes nothing. Without it, net/http allocates a buffer of 32 KiB to
+// copy the empty body.
+func (emptyBody) WriteTo(io.Writer) (int64, error) { return 0, nil }
+
 type restReader struct{ body *body }
 
 func (r restReader) Read(p []byte) (int, error) {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -321,8 +321,9 @@
 
 // remote sends the call to the gate of another host.
 func (x *exchange) remote(ctx context.Context, choice *pool.Choice) answer {
-	s := x.entry.config.Transports.gates.send(ctx, choice.Gate, func() *http.Request {
-		r := x.call.request(choice.Gate, x.call.deadline.Sub(x.entry.config.Now()))
+	t, addr := x.entry.config.Transports, choice.Gate.String()
+	s := send(ctx, t.gates, func(ctx context.Context) *http.Request {
+		r := x.call.request(ctx, t.scheme, addr, x.call.deadline.Sub(x.entry.config.Now()))
 		r.Header[HeaderServer] = []string{string(choice.Server.ID)}
 		return r
 	})
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -113,8 +113,9 @@
 
 // attempt passes the call to one daemon.
 func (x *forwarding) attempt(ctx context.Context, d pool.Daemon) (*reply, *failure) {
-	s := x.entry.config.Transports.gates.send(ctx, d.Gate, func() *http.Request {
-		return x.call.request(d.Gate, x.call.deadline.Sub(x.entry.config.Now()))
+	t, addr := x.entry.config.Transports, d.Gate.String()
+	s := send(ctx, t.gates, func(ctx context.Context) *http.Request {
+		return x.call.request(ctx, t.scheme, addr, x.call.deadline.Sub(x.entry.config.Now()))
 	})
 	if s.err != nil {
 		return nil, sendFailure(ctx, s, "daemon-unreachable", "daemon-broke")
--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -141,9 +141,9 @@
 	if remaining <= 0 || ctx.Err() != nil {
 		return answer{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
 	}
-	addr := pass.Server().Addr
-	s := g.config.Transports.backend(pass.Connections()).send(ctx, addr, func() *http.Request {
-		return c.request(addr, remaining)
+	addr := pass.Server().Addr.String()
+	s := send(ctx, g.config.Transports.backend(pass.Connections()), func(ctx context.Context) *http.Request {
+		return c.request(ctx, "http", addr, remaining)
 	})
 	if s.err != nil {
 		return answer{failure: sendFailure(ctx, s, reasonDial, "server-broke")}
--- a/internal/proxy/goodput_test.go
+++ b/internal/proxy/goodput_test.go
@@ -79,17 +79,18 @@
 	c.closers = append(c.closers, func() { s.Close() })
 }
 
-func (c *cell) dial(_ context.Context, addr netip.AddrPort) (net.Conn, error) {
+func (c *cell) dial(_ context.Context, _, addr string) (net.Conn, error) {
 	time.Sleep(cellDial)
 	near, far := net.Pipe()
-	c.dials[addr.String()] <- far
-	return near, nil
+	c.dials[addr] <- far
+	return &trackedConn{Conn: near}, nil
 }
 
 func (c *cell) transports(connections int) *Transports {
 	t := NewTransports(TransportConfig{})
-	t.gates.dial = c.dial
-	t.backends[connections] = newClient(backendIdle, connections, connections, c.dial)
+	t.gates.DialContext = c.dial
+	t.backends[connections] = newTransport(backendIdle, connections, connections)
+	t.backends[connections].DialContext = c.dial
 	c.closers = append(c.closers, t.CloseIdle)
 	return t
 }
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"sync"
 	"time"
@@ -22,6 +24,8 @@
 	// with 32 calls at a time to one gate made a handshake for every other call.
 	gateConnections     = 256
 	gateIdleConnections = 64
+	// redials bounds the dials after reused connections turned out to be closed.
+	redials = 2
 )
 
 // TransportConfig holds the settings of the outgoing connections.
@@ -40,64 +44,85 @@
 // Transports holds the connections to gates and to local backend servers.
 type Transports struct {
 	config TransportConfig
-	gates  *client
+	scheme string
+	gates  *http.Transport
 
 	mu       sync.Mutex
-	backends map[int]*client // by the limit of connections per server
+	backends map[int]*http.Transport // by the limit of connections per server
 }
 
 // NewTransports returns transports without connections.
 func NewTransports(c TransportConfig) *Transports {
-	t := &Transports{config: c, backends: make(map[int]*client)}
-	t.gates = newClient(gateIdle, gateConnections, gateIdleConnections, t.dialGate)
+	t := &Transports{config: c, scheme: "http", backends: make(map[int]*http.Transport)}
+	t.gates = newTransport(gateIdle, gateConnections, gateIdleConnections)
+	t.gates.DialContext = t.dialGate
 	if c.TLS != nil {
+		t.scheme = "https"
 		t.config.TLS = c.TLS.Clone()
 		t.config.TLS.NextProtos = []string{"http/1.1"}
-		t.gates.dial = t.dialGateTLS
+		t.gates.DialTLSContext = t.dialGateTLS
 	}
 	return t
 }
 
 // CloseIdle closes the connections that carry no call.
 func (t *Transports) CloseIdle() {
-	t.gates.closeIdle()
+	t.gates.CloseIdleConnections()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range t.backends {
-		b.closeIdle()
+		b.CloseIdleConnections()
 	}
 }
 
-// backend returns the client for servers with a limit of connections.
-func (t *Transports) backend(connections int) *client {
+// backend returns the transport for servers with a limit of connections.
+func (t *Transports) backend(connections int) *http.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.backends[connections]
 	if b == nil {
-		b = newClient(backendIdle, connections, max(connections, 1), func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		b = newTransport(backendIdle, connections, max(connections, 1))
+		b.DialContext = func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return dial(ctx, addr, netip.Addr{})
-		})
+		}
 		t.backends[connections] = b
 	}
 	return b
 }
 
-func (t *Transports) dialGate(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+func newTransport(idle time.Duration, connections, idleConnections int) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DisableCompression:     true,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idle,
+		MaxResponseHeaderBytes: 64 << 10,
+		Protocols:              protocols,
+	}
+}
+
+func (t *Transports) dialGate(ctx context.Context, _, addr string) (net.Conn, error) {
 	if t.config.Translate != nil {
-		addr = t.config.Translate(addr)
+		ap, err := netip.ParseAddrPort(addr)
+		if err != nil {
+			return nil, fmt.Errorf("address of a gate: %w", err)
+		}
+		addr = t.config.Translate(ap).String()
 	}
 	return dial(ctx, addr, t.config.Source)
 }
 
-func (t *Transports) dialGateTLS(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	raw, err := t.dialGate(ctx, addr)
+func (t *Transports) dialGateTLS(ctx context.Context, network, addr string) (net.Conn, error) {
+	raw, err := t.dialGate(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
 	config := t.config.TLS
 	if config.ServerName == "" {
 		config = config.Clone()
-		config.ServerName = addr.Addr().String()
+		config.ServerName, _, _ = net.SplitHostPort(addr)
 	}
 	// The handshake takes one round trip and two signatures; four dial timeouts
 	// leave room for a busy host.
@@ -108,15 +133,19 @@
 		_ = raw.Close()
 		return nil, fmt.Errorf("handshake with gate %s: %w", addr, err)
 	}
-	return conn, nil
+	return &trackedConn{Conn: conn}, nil
 }
 
-func dial(ctx context.Context, addr netip.AddrPort, source netip.Addr) (net.Conn, error) {
+func dial(ctx context.Context, addr string, source netip.Addr) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	if source.IsValid() {
 		d.LocalAddr = &net.TCPAddr{IP: source.AsSlice()}
 	}
-	return d.DialContext(ctx, "tcp", addr.String())
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &trackedConn{Conn: conn}, nil
 }
 
 // trackedConn knows whether anything of the present call was written. With
@@ -148,8 +177,8 @@
 }
 
 // seal reports whether nothing of the call was written, and makes sure that
-// nothing will be. The writer of a large request may still be about to
-// write when the call has failed.
+// nothing will be. The writing goroutine of net/http may still be about to
+// write when RoundTrip has returned an error.
 func (c *trackedConn) seal() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -159,3 +188,35 @@
 	c.sealed = true
 	return true
 }
+
+// sent is the outcome of sending a request.
+type sent struct {
+	response *http.Response
+	conn     *trackedConn // nil when there was no connection
+	reused   bool
+	notRun   bool // with err: it is proved that nothing was sent
+	err      error
+}
+
+// send makes a request and sends it. When a reused connection turns out to be
+// closed before anything was written, it uses another one; that is no retry,
+// because nothing reached a server.
+func send(ctx context.Context, t *http.Transport, build func(context.Context) *http.Request) sent {
+	for n := 0; ; n++ {
+		s := sent{}
+		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+			// Every connection of these transports comes from dial or dialGateTLS.
+			s.conn = info.Conn.(*trackedConn)
+			s.reused = info.Reused
+			s.conn.begin()
+		}}
+		s.response, s.err = t.RoundTrip(build(httptrace.WithClientTrace(ctx, trace)))
+		if s.err == nil {
+			return s
+		}
+		s.notRun = s.conn == nil || s.conn.seal()
+		if !s.notRun || !s.reused || n == redials || ctx.Err() != nil {
+			return s
+		}
+	}
+}
