Keep the CBOR modes in one package

Package codec declares them once with the limits of each. Records of claims now refuse tags and lengths that are not given in advance too, as the others did.

Tests of document, version, claim, submission, message, fleet and link pass.

--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -5,8 +5,7 @@
 	"encoding/binary"
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"github.com/peridotlb/peridotlb/internal/codec"
 	"github.com/peridotlb/peridotlb/internal/platform"
 )
 
@@ -41,26 +40,11 @@
 	Answer      *Answer     `cbor:"6,keyasint,omitempty"`
 }
 
-var (
-	encoding = must(cbor.CoreDetEncOptions().EncMode())
-	decoding = must(cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode())
-)
-
-// must returns a mode whose options are constant, so that an error is a fault
-// of the program.
-func must[T any](mode T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var decoding = codec.Strict(codec.Limits{})
 
 // write returns the conditional write that replaces revision base by r.
 func (c *Claims) write(r record, key platform.Key, base platform.Revision) (platform.Write, error) {
-	value, err := encoding.Marshal(r)
+	value, err := codec.Marshal(r)
 	if err != nil {
 		return platform.Write{}, fmt.Errorf("encode %s: %w", key, err)
 	}
--- a/internal/document/encode.go
+++ b/internal/document/encode.go
@@ -7,34 +7,17 @@
 	"fmt"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/peridotlb/peridotlb/internal/codec"
 )
 
 // maxNested is the depth of CBOR arrays and maps in an encoded section: the
 // section, its services, one service, its hosts.
 const maxNested = 4
 
-var (
-	encoding = must(cbor.CoreDetEncOptions().EncMode())
-	decoding = must(cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		MaxNestedLevels:   maxNested,
-	}.DecMode())
-)
+var decoding = codec.Strict(codec.Limits{Levels: maxNested})
 
 var errNotCanonical = errors.New("encoding is not canonical")
 
-// must panics on an error of constant options.
-func must[T any](mode T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Canonical returns the document in canonical order: sections, services and
 // routes by name, methods and suspended hosts sorted, empty lists nil.
 func Canonical(d Document) Document {
@@ -74,7 +57,7 @@
 // EncodeSection returns the canonical encoding of a section. Sections that
 // differ only in the order of their items have the same encoding.
 func EncodeSection(s Section) ([]byte, error) {
-	data, err := encoding.Marshal(canonicalSection(s))
+	data, err := codec.Marshal(canonicalSection(s))
 	if err != nil {
 		return nil, fmt.Errorf("encode section %q: %w", s.Name, err)
 	}
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -7,8 +7,7 @@
 	"reflect"
 	"sync"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"github.com/peridotlb/peridotlb/internal/codec"
 	"github.com/peridotlb/peridotlb/internal/timeline"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
@@ -100,35 +99,13 @@
 // KindOf returns the kind of a message, or zero for nil.
 func KindOf(m Message) Kind { return kindOfType[reflect.TypeOf(m)] }
 
-var encMode = func() cbor.EncMode {
-	o := cbor.CoreDetEncOptions()
-	o.NilContainers = cbor.NilContainerAsEmpty // a nil slice has the encoding of an empty one
-	o.TagsMd = cbor.TagsForbidden
-	m, err := o.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
-
-var decMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		// The deepest message is Sync: news, rows, row, stamp.
-		MaxNestedLevels: 8,
-		// 4,096 sections and 1,200 hosts are the design limits; the bound keeps a
-		// forged array of empty rows from taking gigabytes.
-		MaxArrayElements: 16384,
-		MaxMapPairs:      4096,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
+var (
+	encMode = codec.MessageMode()
+	// The deepest message is Sync: news, rows, row, stamp. 4,096 sections and
+	// 1,200 hosts are the design limits; the bound on elements keeps a forged
+	// array of empty rows from taking gigabytes.
+	decMode = codec.Strict(codec.Limits{Levels: 8, Elements: 16384, Pairs: 4096})
+)
 
 // Snapshot is the part of version.Snapshot that a Codec reads.
 type Snapshot interface {
--- a/internal/submission/record.go
+++ b/internal/submission/record.go
@@ -4,8 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"github.com/peridotlb/peridotlb/internal/codec"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/platform"
 	"github.com/peridotlb/peridotlb/internal/version"
@@ -19,23 +18,7 @@
 	maxRecordedText      = 512 // bytes of a reason or message
 )
 
-var (
-	encoding = must(cbor.CoreDetEncOptions().EncMode())
-	decoding = must(cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode())
-)
-
-// must panics on an error of constant options.
-func must[T any](mode T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var decoding = codec.Strict(codec.Limits{})
 
 // record is the value of a submission's row: the outcome of its id.
 type record struct {
@@ -60,7 +43,7 @@
 // write returns the write that records the outcome of an id that has none. The
 // row is never written again, so that its revision need not be unique.
 func (r record) write(id version.SubmissionID, expires platform.Expiry) (platform.Write, error) {
-	value, err := encoding.Marshal(r)
+	value, err := codec.Marshal(r)
 	if err != nil {
 		return platform.Write{}, fmt.Errorf("encode record of submission %s: %w", id, err)
 	}
--- a/internal/version/encode.go
+++ b/internal/version/encode.go
@@ -3,34 +3,15 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"github.com/peridotlb/peridotlb/internal/codec"
 	"github.com/peridotlb/peridotlb/internal/document"
 )
 
-var (
-	encoding = must(cbor.CoreDetEncOptions().EncMode())
-	decoding = must(cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		MaxNestedLevels:   4,
-		MaxArrayElements:  document.MaxSections,
-	}.DecMode())
-)
-
-// must panics on an error of constant options.
-func must[T any](mode T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var decoding = codec.Strict(codec.Limits{Levels: 4, Elements: document.MaxSections})
 
 // EncodeManifest returns the CBOR encoding of a manifest, as kept in the table.
 func EncodeManifest(m Manifest) ([]byte, error) {
-	data, err := encoding.Marshal(m)
+	data, err := codec.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode manifest of version %d: %w", m.Number, err)
 	}
