--- a/internal/command/connection.go
+++ b/internal/command/connection.go
@@ -143,7 +143,7 @@
 	if len(e.Waited) == 0 {
 		return "no daemon answered: " + e.Err.Error()
 	}
-	text := strings.Join(e.Waited, ", ") + " got the request, but did not answer in time; the platform may be down or slow"
+	text := strings.Join(e.Waited, ", ") + " got the request, but did not answer in time; the platform or the daemon may be slow or down"
 	if e.Err != nil {
 		text += "; " + e.Err.Error()
 	}
--- a/internal/command/documentsubmit/wait.go
+++ b/internal/command/documentsubmit/wait.go
@@ -86,6 +86,7 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		why = "no convergence within " + r.Timeout.String()
 	}
+	// The last status may be old: while zones are unreachable, it takes seconds.
 	var missing []string
 	for zone, done := range r.result.Zones {
 		if !done {
@@ -95,7 +96,7 @@
 	slices.Sort(missing)
 	text := fmt.Sprintf("%s: version %d is accepted and cannot be lost", why, r.result.Version)
 	if len(missing) > 0 {
-		text += ", but not yet in effect in " + strings.Join(missing, ", ")
+		text += ", but was not yet seen in effect in " + strings.Join(missing, ", ")
 	}
 	if last != nil {
 		text += "; last status: " + last.Error()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -220,7 +221,7 @@
 			d.closeListeners()
 			return fmt.Errorf("open --%s: %w", srv.name, err)
 		}
-		srv.http.ErrorLog = zap.NewStdLog(d.log.Named("http"))
+		srv.http.ErrorLog = stdlog.New(serverLog{d.log.Named("http")}, "", 0)
 	}
 	return nil
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -319,6 +319,9 @@
 	if name := "\nperidotlb_log_lines_dropped_total "; !strings.Contains(text, name) || strings.Contains(text, name+"0\n") {
 		t.Errorf("metrics: got no line or zero for peridotlb_log_lines_dropped_total after %d repeated lines", 2*logFirst)
 	}
+	if name := "\nperidotlb_certificate_expires_in_seconds "; !strings.Contains(text, name) || strings.Contains(text, name+"0\n") || strings.Contains(text, name+"-") {
+		t.Error("metrics: got no positive peridotlb_certificate_expires_in_seconds with a valid certificate")
+	}
 	if got := strings.Count(a.log.String(), "Started."); got != 1 {
 		t.Errorf("got %d lines Started., want 1", got)
 	}
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -111,6 +112,29 @@
 	}
 }
 
+// Guards against refused handshakes of the gate that fill the log because each
+// line has another port in it.
+func TestHandshakeLinesAreLimited(t *testing.T) {
+	var out bytes.Buffer
+	log, dropped := newLog(settings.Daemon{LogFormat: settings.JSON}, &out)
+	now := fixedClock(time.Unix(1_800_000_000, 0))
+	w := serverLog{log.WithOptions(zap.WithClock(&now))}
+	for port := range 100 {
+		fmt.Fprintf(w, "http: TLS handshake error from [fd00::1]:%d: certificate of \"a\" refused: expired\n", port)
+	}
+	fmt.Fprintln(w, "http: another line")
+	for text, want := range map[string]int{
+		`"TLS handshake failed.","peer":"[fd00::1]:`: logFirst, `"reason":"certificate of \"a\" refused: expired"`: logFirst, "http: another line": 1,
+	} {
+		if got := strings.Count(out.String(), text); got != want {
+			t.Errorf("got %d lines with %s, want %d; log: %s", got, text, want, out.String())
+		}
+	}
+	if got, want := dropped.Load(), uint64(100-logFirst); got != want {
+		t.Errorf("got %d dropped lines counted, want %d", got, want)
+	}
+}
+
 // fixedClock is a zapcore.Clock that stands still.
 type fixedClock time.Time
 
--- a/internal/daemon/meters.go
+++ b/internal/daemon/meters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -72,6 +73,17 @@
 	gauge(`peridotlb_control_sent_packets`, func() uint64 { return d.link.Traffic().Total.PacketsSent })
 	gauge(`peridotlb_control_received_packets`, func() uint64 { return d.link.Traffic().Total.PacketsReceived })
 	gauge(`peridotlb_control_messages_dropped_total`, func() uint64 { return d.link.Dropped() })
+	set.NewGauge("peridotlb_certificate_expires_in_seconds", func() float64 {
+		if d.serverTLS == nil {
+			return 0
+		}
+		// The certificate in use; a changed file is loaded first.
+		c, err := d.serverTLS.GetCertificate(&tls.ClientHelloInfo{})
+		if err != nil {
+			return 0
+		}
+		return time.Until(c.Leaf.NotAfter).Seconds()
+	})
 	m := &meters{
 		applied:   set.NewGauge("peridotlb_version_applied", nil),
 		delay:     set.NewGauge("peridotlb_version_apply_delay_seconds", nil),
@@ -155,8 +167,11 @@
 	}
 	if d.calls.routes.Load() == nil {
 		problem := "no version is applied yet"
-		if !d.platform.tableAnswered.Load() {
+		switch {
+		case !d.platform.tableAnswered.Load():
 			problem += fmt.Sprintf(": the table at %s does not answer", platformName(d.settings))
+		case !d.platform.objectAnswered.Load() && d.platform.objectErrors.Get() > 0:
+			problem += ": no other daemon has one, and the object store does not answer"
 		}
 		problems = append(problems, problem)
 	}
