Share reads of the head row among hosts that start together

Cause: each starting host read its contacts and the head row, 690 rows a second when all 1,200 start at once; the budget is 500. The head row gives the floor, which the knowledge of peers cannot give.

Change: a starting host asks the first contact of its zone to read the head row. Reads have numbers, so that one in progress answers nobody, and requests have nonces.

A second cause showed: each starting host published its own list of contacts before it knew its zone, which moved the contact that all ask, and wrote 159 rows a second for 600 starts (budget 37, scaled). A host that found contacts now publishes after 2 s.

Ruled out: more jitter (slows every start; the head reads alone would need 8 s), and jitter by what the host sees, since it sees nothing before its first read.

TestFloorComesFromLaterRead fails without the number of the read or the nonce.

An older daemon that is asked for the floor closes the connection, as the kinds are new; the asking host then reads the row itself.

--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -125,7 +125,7 @@
 	case fleet.ServersChanged:
 		l.serversChanged(l.core)
 	case fleet.ReadHead:
-		go l.readHead(ctx)
+		go l.readHead(ctx, e)
 	case fleet.LoadVersion:
 		go l.loadVersion(ctx, e)
 	case fleet.ReadPeers:
@@ -137,11 +137,11 @@
 	}
 }
 
-func (l *loop) readHead(ctx context.Context) {
+func (l *loop) readHead(ctx context.Context, e fleet.ReadHead) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	m, err := submission.ReadHead(ctx, l.platform)
-	l.post(ctx, fleet.HeadRead{Manifest: m, Err: err})
+	l.post(ctx, fleet.HeadRead{Read: e.Read, Manifest: m, Err: err})
 }
 
 func (l *loop) loadVersion(ctx context.Context, e fleet.LoadVersion) {
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -25,6 +25,7 @@
 	overlay overlay
 
 	join     joinState
+	floors   floorState
 	probes   probeState
 	news     newsState
 	versions versionState
@@ -113,6 +114,10 @@
 		c.receiveJoin(from, m)
 	case message.JoinAnswer:
 		c.receiveJoinAnswer(from, m)
+	case message.FloorRequest:
+		c.receiveFloorRequest(from, m)
+	case message.Floor:
+		c.receiveFloor(m)
 	case message.Report:
 		c.receiveReport(from, m)
 	}
@@ -126,6 +131,7 @@
 	c.runReconnect()
 	c.runFetch()
 	c.runReader()
+	c.runFloors()
 	c.runReports()
 	c.refreshOverlay()
 	c.flushNews()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,6 +35,7 @@
 // HeadRead is the answer to ReadHead. Err is not nil when the table did not
 // answer; Number zero means that there is no version yet.
 type HeadRead struct {
+	Read     uint64 // of ReadHead
 	Manifest version.Manifest
 	Err      error
 }
@@ -82,8 +83,8 @@
 // routing table has to be rebuilt.
 type ServersChanged struct{}
 
-// ReadHead asks for the head row; HeadRead answers.
-type ReadHead struct{}
+// ReadHead asks for the head row; HeadRead answers with the number of the read.
+type ReadHead struct{ Read uint64 }
 
 // LoadVersion asks for the version of a manifest from the object store;
 // VersionLoaded answers. Have holds the sections that need no reading.
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// joinJitter spreads the table reads of daemons that start at once, two rows
-	// each: 600 starts make 340 reads a second, below the budget of 500.
+	// joinJitter spreads the table reads of daemons that start at once: 1,200
+	// starts read their contacts 340 times a second, of a budget of 500. The head
+	// row is mostly read by one host for a zone, see floorState.
 	joinJitter = 3500 * time.Millisecond
 	// joinInterval is the wait for an answer before the next peer is asked. One
 	// at a time, since each costs a handshake and all rows.
@@ -33,7 +34,11 @@
 	// and checkInterval the time after which they are checked in any case, and
 	// zones are searched for although all seems known.
 	publishInterval = time.Minute
-	checkInterval   = 30 * time.Minute
+	// firstPublish lets a host that found contacts learn the hosts of its zone. It
+	// takes itself for the root until then: in a mass restart each host replaced
+	// the contacts of its zone with a list of its own.
+	firstPublish  = 2 * time.Second
+	checkInterval = 30 * time.Minute
 	// contactsCheck is the time between looks at this host's own table.
 	contactsCheck = time.Second
 	// maxContacts is the number of first contacts that a zone publishes.
@@ -74,7 +79,9 @@
 	}
 	if !j.headAsked && !c.now.Before(j.readHeadAt) {
 		j.headAsked = true
-		c.emit(ReadHead{})
+		if !j.settled {
+			c.readHead()
+		}
 	}
 	if (len(j.contacts) == 0 || c.alone()) && !c.now.Before(j.readPeersAt) {
 		j.aloneFor = min(max(2*j.aloneFor, minAloneInterval), maxAloneInterval)
@@ -166,10 +173,14 @@
 	j.contactsRead = true
 	peers := slices.Clone(c.config.Peers)
 	for _, z := range e.Zones {
+		c.askFloor(z.Addrs)
 		c.random.Shuffle(len(z.Addrs), func(i, k int) { z.Addrs[i], z.Addrs[k] = z.Addrs[k], z.Addrs[i] })
 		peers = append(peers, z.Addrs...)
 	}
 	j.setContacts(peers, c.config.Self.ControlAddr)
+	if len(j.contacts) > 0 && j.publishAt.IsZero() {
+		j.publishAt = c.now.Add(firstPublish)
+	}
 }
 
 // joinUnknownZones asks a host of each zone of this region whose contacts name
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -12,6 +12,7 @@
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/version"
 )
 
 // stateAt returns the state of a host in the table of another one.
@@ -232,6 +233,95 @@
 	n.wantApplied()
 }
 
+// TestAllStartReadsTable guards against the same when all 1,200 start at once,
+// and against hosts that wait for their floor longer than for a read of their
+// own. Scaled to 600 hosts; zones have about as many hosts as at the target.
+func TestAllStartReadsTable(t *testing.T) {
+	for seed := range uint64(1) {
+		n := newNetwork(t, 30+seed, 150, nil)
+		n.run(30 * time.Second)
+		n.accept(n.nodes[0], false)
+		n.run(5 * time.Second)
+		for _, nd := range n.nodes {
+			n.stop(nd)
+		}
+		n.run(5 * time.Second)
+		for _, nd := range n.nodes {
+			n.start(nd)
+		}
+		reads, writes := 500*600/1200, 75*600/1200
+		for second := range 10 {
+			read, written := n.reads, n.writes
+			n.run(time.Second)
+			if got := n.reads - read; got > reads {
+				t.Errorf("seed %d, second %d: got %d rows read, want at most %d", seed, second, got, reads)
+			}
+			if got := n.writes - written; got > writes {
+				t.Errorf("seed %d, second %d: got %d rows written, want at most %d", seed, second, got, writes)
+			}
+			for _, nd := range n.nodes {
+				if limit := 4; second > limit && !nd.core.join.settled {
+					t.Errorf("seed %d, second %d: %s has no floor, want one after %d s", seed, second, nd.row.ID, limit)
+				}
+			}
+		}
+		n.wantApplied()
+	}
+}
+
+// TestFloorComesFromLaterRead guards against a floor from a read that began
+// before the starting host asked, and from an answer to an earlier run of it:
+// versions can have been accepted and applied in between.
+func TestFloorComesFromLaterRead(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	asker := netip.MustParseAddrPort("10.0.0.1:7000")
+	c := New(Config{Self: host.Row{ID: "self", Zone: "a", Region: "r", ControlAddr: netip.MustParseAddrPort("10.0.0.2:7000")}, Started: now})
+	c.Step(now, Tick{})
+	now = now.Add(joinJitter + joinInterval)
+	var reads []uint64
+	var floors []message.Floor
+	step := func(e Event) {
+		for _, effect := range c.Step(now, e) {
+			switch e := effect.(type) {
+			case ReadHead:
+				reads = append(reads, e.Read)
+			case Send:
+				if f, ok := e.Message.(message.Floor); ok {
+					floors = append(floors, f)
+				}
+			}
+		}
+	}
+	step(Tick{})
+	before := slices.Clone(reads)
+	step(Received{From: asker, Message: message.FloorRequest{Nonce: 7}})
+	if len(before) == 0 || len(reads) != len(before)+1 {
+		t.Fatalf("got reads %v, and %v after the request, want one more", before, reads)
+	}
+	for _, read := range before {
+		step(HeadRead{Read: read, Manifest: version.Manifest{Number: 4}})
+	}
+	if len(floors) != 0 {
+		t.Errorf("got %+v from a read that began before the request, want no answer", floors)
+	}
+	step(HeadRead{Read: reads[len(before)], Manifest: version.Manifest{Number: 5}})
+	if want := []message.Floor{{Nonce: 7, Number: 5}}; !slices.Equal(floors, want) {
+		t.Errorf("got %+v, want %+v", floors, want)
+	}
+	fresh := New(Config{Self: c.config.Self, Started: now})
+	fresh.Step(now, PeersRead{Zones: []Contacts{{Zone: "a", Region: "r", Addrs: []netip.AddrPort{asker}}}})
+	for _, nonce := range []uint64{0, 7} {
+		fresh.Step(now, Received{From: asker, Message: message.Floor{Nonce: nonce, Number: 5}})
+		if fresh.join.settled {
+			t.Errorf("answer with nonce %d: got a floor, want none", nonce)
+		}
+	}
+	fresh.Step(now, Received{From: asker, Message: message.Floor{Nonce: fresh.floors.nonce, Number: 5}})
+	if !fresh.join.settled || fresh.versions.floor != 5 {
+		t.Errorf("answer to the request: got settled %v, floor %d, want floor 5", fresh.join.settled, fresh.versions.floor)
+	}
+}
+
 // TestZonesThatStartTogetherMeet guards against hosts that start at the same
 // time and form parts of the fleet that never learn of each other.
 func TestZonesThatStartTogetherMeet(t *testing.T) {
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -36,6 +36,7 @@
 	sent      int
 	reads     int // rows read from the table
 	searches  int // searches of all zones
+	writes    int // rows written to the table by the fleet
 	contacts  map[host.AvailabilityZone]Contacts
 }
 
@@ -163,9 +164,9 @@
 		n.checkApply(nd, e.Snapshot)
 	case ReadHead:
 		n.reads++
-		answer := HeadRead{Manifest: n.head.Manifest()}
+		answer := HeadRead{Read: e.Read, Manifest: n.head.Manifest()}
 		if n.tableDown {
-			answer = HeadRead{Err: errTableDown}
+			answer = HeadRead{Read: e.Read, Err: errTableDown}
 		}
 		n.schedule(nd, tableDelay, answer)
 	case LoadVersion:
@@ -182,6 +183,7 @@
 		n.schedule(nd, tableDelay, answer)
 	case PublishContacts:
 		if !n.tableDown {
+			n.writes++
 			n.contacts[nd.row.Zone] = e.Contacts
 		}
 	}
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -54,7 +54,7 @@
 	r.nextAt = c.now.Add(interval - interval/(2*readJitterDivisor) + c.jitter(interval/readJitterDivisor))
 	r.waiting = true
 	r.askedAt = c.now
-	c.emit(ReadHead{})
+	c.readHead()
 }
 
 // readInterval returns how often this daemon reads the head row, if it does.
@@ -98,6 +98,7 @@
 	r := &c.reader
 	r.waiting = false
 	if e.Err != nil {
+		c.floors.waiting = nil // they read the row themselves
 		r.backoff = min(max(2*r.backoff, readInterval), maxReadBackoff)
 		if !c.join.settled {
 			c.join.headAsked = false
@@ -108,6 +109,7 @@
 	r.backoff = 0
 	n := e.Manifest.Number
 	c.settle(n)
+	c.answerFloors(e.Read, n)
 	if n <= c.versions.newest {
 		return
 	}
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -59,6 +59,8 @@
 	KindJoin
 	KindJoinAnswer
 	KindReport
+	KindFloorRequest
+	KindFloor
 )
 
 // kinds lists the type and the name of every kind.
@@ -79,6 +81,8 @@
 	KindJoin:           {"join", Join{}},
 	KindJoinAnswer:     {"join-answer", JoinAnswer{}},
 	KindReport:         {"report", Report{}},
+	KindFloorRequest:   {"floor-request", FloorRequest{}},
+	KindFloor:          {"floor", Floor{}},
 }
 
 var kindOfType = func() map[reflect.Type]Kind {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -126,6 +126,22 @@
 	Head Head
 }
 
+// FloorRequest asks a daemon to read the head row and to answer with Floor.
+type FloorRequest struct {
+	_ struct{} `cbor:",toarray"`
+
+	Nonce uint64
+}
+
+// Floor brings the number of the head row, from a read that began after the
+// request with the nonce had arrived.
+type Floor struct {
+	_ struct{} `cbor:",toarray"`
+
+	Nonce  uint64
+	Number version.Number
+}
+
 // Count is the number of hosts of a subtree that applied a version.
 type Count struct {
 	_ struct{} `cbor:",toarray"`
@@ -156,6 +172,8 @@
 func (Join) isMessage()           {}
 func (JoinAnswer) isMessage()     {}
 func (Report) isMessage()         {}
+func (FloorRequest) isMessage()   {}
+func (Floor) isMessage()          {}
 
 // Changed returns the sections of next whose content base does not have.
 func Changed(base, next version.Manifest) []version.SectionRef {
