Find runs of failed hosts together, and check every push over the link

Cause: 30% of the hosts killed at a change took up to 16 s. Successors on the ring were probed one after the other: the next only when the one before was suspect, 2 s later, and no more than 8, so that a run of 9 waited for deaths. A failed zone root behind such a run kept its role. Second, the check of a version pushed over the region link was never sent by the end that leaves probing to the other one, which is always pwani: a failed far root was noticed after 15 s.

Change: each missed answer of a successor adds one host to those probed, up to 16. The check of a push is sent in any case, and after two misses the far end counts as a visitor no longer, so that the next candidate is probed.

--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -94,7 +94,7 @@
 	for z, zone := range []host.AvailabilityZone{"pwani-a", "pwani-b", "kaskazini-a", "kaskazini-b"} {
 		region := host.Region(zone[:len(zone)-2])
 		for i := range perZone {
-			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(z + 1), 0, byte(i + 1)}), 7000)
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(z + 1), byte((i + 1) >> 8), byte(i + 1)}), 7000)
 			nd := &node{row: host.Row{
 				ID: host.ID(fmt.Sprintf("%s-%d", zone, i+1)), Zone: zone, Region: region,
 				ControlAddr: addr, GateAddr: netip.AddrPortFrom(addr.Addr(), 7001),
--- a/internal/fleet/overlay.go
+++ b/internal/fleet/overlay.go
@@ -11,9 +11,9 @@
 // Shape of the overlay within a zone.
 const (
 	treeFanOut = 4
-	// maxProbed bounds the hosts that one daemon probes when many in a row are
-	// suspect, as after the failure of a rack.
-	maxProbed = 8
+	// maxProbed bounds the hosts that one daemon probes when many in a row have
+	// failed. With 8, a run of 9 waited 3 s for the first ones to be dead.
+	maxProbed = 16
 )
 
 // overlay is this daemon's part of the graph that all daemons compute from the
@@ -25,7 +25,7 @@
 	liveOthers int // live hosts other than this one
 	parent     *hostEntry
 	children   []*hostEntry
-	next       []*hostEntry // ring successors, which this daemon probes
+	next       []*hostEntry // ring successors, the nearest first, at most maxProbed
 	previous   *hostEntry   // ring predecessor
 }
 
@@ -71,15 +71,8 @@
 	if own < 0 {
 		return
 	}
-	// Probes go to the next host that is not suspect, and to the suspects in
-	// between so that they can still answer. One successor is enough: a second
-	// one doubled the probe traffic and found single failures no sooner.
 	for i := 1; i <= maxProbed && i < len(order); i++ {
-		e := order[(own+i)%len(order)]
-		o.next = append(o.next, e)
-		if e.row.State == host.Alive {
-			break
-		}
+		o.next = append(o.next, order[(own+i)%len(order)])
 	}
 	if len(order) > 1 {
 		o.previous = order[(own+len(order)-1)%len(order)]
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -109,6 +109,7 @@
 		if t.addr != from {
 			continue
 		}
+		p.moved = p.moved || t.group == ringGroup && t.misses > 0
 		t.misses = 0
 		if t.waiting && now.Sub(t.sentAt) >= probeTimeout {
 			t.waiting = false
@@ -132,8 +133,21 @@
 func (c *Core) refreshProbeTargets() {
 	old := c.probes.targets
 	c.probes.targets = nil
+	// Probes go to the next host that answers and is not suspect, and to those in
+	// between so that they can still answer. One successor is enough: a second
+	// one doubled the probe traffic and found single failures no sooner. Each
+	// missed answer adds one host, without waiting for a suspicion, which takes
+	// 2 s: a run of failed hosts took as long for each of them.
+	alive, missed := 0, 0
 	for _, e := range c.overlay.next {
 		c.addTarget(old, e, ringGroup)
+		if e.row.State != host.Alive {
+			continue
+		}
+		alive++
+		if missed += c.probes.targets[len(c.probes.targets)-1].misses; alive > missed {
+			break
+		}
 	}
 	if !c.overlay.isRoot() {
 		return
@@ -181,7 +195,10 @@
 			// read; counting them as missed would suspect healthy hosts.
 			t.waiting, t.misses, t.nextAt = false, 0, c.now
 		}
-		t.passive = t.group != ringGroup && c.visitedBy(t.group)
+		// A pushed version is checked although the other side probes: it may have
+		// failed since its last probe.
+		checking := t.checks != 0 || t.waiting || t.misses > 0
+		t.passive = t.group != ringGroup && !checking && c.visitedBy(t.group)
 		if t.passive {
 			t.waiting, t.misses, t.nextAt = false, 0, c.now
 			p.reached(t.group)
@@ -212,13 +229,14 @@
 	c.send(t.addr, message.Probe{Nonce: t.nonce, Stamp: c.self().Stamp, Head: c.head()})
 }
 
-// probeMissed acts on a missed answer. It reports whether another candidate of
-// the group is to be probed.
+// probeMissed acts on a missed answer. It reports whether other hosts are to be
+// probed.
 func (c *Core) probeMissed(t *probeTarget) bool {
 	if t.group != ringGroup {
 		if t.misses < missesForNextRank {
 			return false
 		}
+		delete(c.probes.visitors, t.addr)
 		g := c.probes.group(t.group)
 		g.attempt++
 		if g.attempt%len(c.groupCandidates(t.group)) == 0 && !g.unreachable {
@@ -233,7 +251,7 @@
 	case t.misses >= missesForSuspect:
 		c.suspect(t.id)
 	}
-	return false
+	return true
 }
 
 func (c *Core) groupCandidates(g probeGroup) []*hostEntry {
@@ -351,6 +369,7 @@
 func (c *Core) receiveIndirectAnswer(m message.IndirectAnswer) {
 	for _, t := range c.probes.targets {
 		if t.id == m.Target {
+			c.probes.moved = c.probes.moved || t.misses > 0
 			t.misses, t.waiting = 0, false
 		}
 	}
