--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -36,6 +36,7 @@
 	sent      int
 	reads     int // rows read from the table
 	searches  int // searches of all zones
+	writes    int // rows written to the table by the fleet
 	contacts  map[host.AvailabilityZone]Contacts
 }
 
@@ -93,7 +94,7 @@
 	for z, zone := range []host.AvailabilityZone{"pwani-a", "pwani-b", "kaskazini-a", "kaskazini-b"} {
 		region := host.Region(zone[:len(zone)-2])
 		for i := range perZone {
-			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(z + 1), 0, byte(i + 1)}), 7000)
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(z + 1), byte((i + 1) >> 8), byte(i + 1)}), 7000)
 			nd := &node{row: host.Row{
 				ID: host.ID(fmt.Sprintf("%s-%d", zone, i+1)), Zone: zone, Region: region,
 				ControlAddr: addr, GateAddr: netip.AddrPortFrom(addr.Addr(), 7001),
@@ -163,9 +164,9 @@
 		n.checkApply(nd, e.Snapshot)
 	case ReadHead:
 		n.reads++
-		answer := HeadRead{Manifest: n.head.Manifest()}
+		answer := HeadRead{Read: e.Read, Manifest: n.head.Manifest()}
 		if n.tableDown {
-			answer = HeadRead{Err: errTableDown}
+			answer = HeadRead{Read: e.Read, Err: errTableDown}
 		}
 		n.schedule(nd, tableDelay, answer)
 	case LoadVersion:
@@ -182,6 +183,7 @@
 		n.schedule(nd, tableDelay, answer)
 	case PublishContacts:
 		if !n.tableDown {
+			n.writes++
 			n.contacts[nd.row.Zone] = e.Contacts
 		}
 	}
