Separate the retry budgets of refused and of failed calls

Cause: with one slow and one lying server at 95% load, 17% of the calls go to the lying server and fail, and full servers refuse more. Both took their retries from one budget of 10% of the calls plus 3 a second, so that half of the failed calls had no retry left. A retry after proof that the call was not run adds no work to a server, so it now has a budget of its own, of the same size: at most 20% of the calls plus 6 a second are sent again.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -118,6 +118,7 @@
 	}
 	if tried == nil {
 		s.budget.call()
+		s.refused.call()
 	}
 	m := p.choose(s, tried)
 	if m == nil {
@@ -134,6 +135,14 @@
 	return s != nil && s.budget.take(p.config.Now())
 }
 
+// RetryRefused takes one retry of a call that was not run from a budget of its
+// own, of the same size: such a retry adds no work to the servers, and refusals
+// must not use up the retries of calls that failed.
+func (p *Pool) RetryRefused(name backend.ServiceName) bool {
+	s := p.view.Load().services[name]
+	return s != nil && s.refused.take(p.config.Now())
+}
+
 // SetHealth takes the result of a health probe. It only lowers the preference
 // for a server, because a probe can be stale or misleading.
 func (p *Pool) SetHealth(id backend.ServerID, healthy bool) {
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -26,6 +26,7 @@
 	subset   []*member // tierZone and tierSubset
 	suspect  []*member // servers on suspect hosts
 	budget   *budget
+	refused  *budget     // of retries of calls that were not run
 	ejecting *sync.Mutex // serialises ejections of the service
 }
 
@@ -78,9 +79,9 @@
 
 // service builds a service and adds its members to next.
 func (p *Pool) service(d document.Service, rows []backend.Server, hosts map[host.ID]host.Row, old, next *view, now time.Time) *service {
-	s := &service{budget: newBudget(now), ejecting: new(sync.Mutex)}
+	s := &service{budget: newBudget(now), refused: newBudget(now), ejecting: new(sync.Mutex)}
 	if o := old.services[d.Name]; o != nil {
-		s.budget, s.ejecting = o.budget, o.ejecting
+		s.budget, s.refused, s.ejecting = o.budget, o.refused, o.ejecting
 	}
 	var alive []*member
 	for _, row := range rows {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -253,7 +253,11 @@
 		r.noRetry = n > 0
 		return false
 	}
-	if !taken && !x.takeRetry() {
+	take := x.entry.config.Pool.Retry
+	if proved {
+		take = x.entry.config.Pool.RetryRefused
+	}
+	if !taken && !take(x.match.Service.Name) {
 		r.noRetry = true
 		x.entry.meters.retriesDenied.Inc()
 		x.event("retry-denied", r.choice.Server.ID, "retry budget of "+string(x.match.Service.Name)+" is used up")
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -57,6 +57,7 @@
 type Pool interface {
 	Pick(service backend.ServiceName, tried []backend.ServerID) (*pool.Choice, error)
 	Retry(service backend.ServiceName) bool
+	RetryRefused(service backend.ServiceName) bool
 	PickDaemon(tried []host.ID, applied bool) (pool.Daemon, error)
 	ReportDaemon(id host.ID, applied bool)
 	RetryDaemon() bool
