Cut the region link for longer than connections live

version-link-cut cut the link for 8 s, in which QUIC keeps the connection and sends the lost packets again after the healing. The new test TestRegionsPartedForHours parts the regions of the fake network, and one of them from the table, for two hours, with restarts on both sides.

Found by the core test and listed as not proved: hosts that restarted while cut off from the table may need more than 7 s, because they ask for the head row every 11 s at most. The test gives these 20 s more and the table.

--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -29,6 +29,7 @@
 	byAddr    map[netip.AddrPort]*node
 	head      version.Snapshot
 	tableDown bool
+	cutTable  func(host.Row) bool // hosts that cannot reach the table
 	loss      float64
 	duplicate float64
 	cut       func(a, b host.Row) bool
@@ -88,6 +89,7 @@
 	n := &network{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
 		byAddr: make(map[netip.AddrPort]*node), cut: func(_, _ host.Row) bool { return false }, config: config,
+		cutTable: func(host.Row) bool { return false },
 		contacts: make(map[host.AvailabilityZone]Contacts),
 	}
 	for z, zone := range []host.AvailabilityZone{"pwani-a", "pwani-b", "kaskazini-a", "kaskazini-b"} {
@@ -156,6 +158,7 @@
 
 func (n *network) carryOut(nd *node, effect Effect) {
 	tableDelay := 5 * time.Millisecond
+	tableDown := n.tableDown || n.cutTable(nd.row)
 	switch e := effect.(type) {
 	case Send:
 		n.transmit(nd, e)
@@ -164,24 +167,24 @@
 	case ReadHead:
 		n.reads++
 		answer := HeadRead{Manifest: n.head.Manifest()}
-		if n.tableDown {
+		if tableDown {
 			answer = HeadRead{Err: errTableDown}
 		}
 		n.schedule(nd, tableDelay, answer)
 	case LoadVersion:
 		answer := VersionLoaded{Snapshot: n.head}
-		if n.tableDown {
+		if tableDown {
 			answer = VersionLoaded{Err: errTableDown}
 		}
 		n.schedule(nd, tableDelay, answer)
 	case ReadPeers:
 		answer := PeersRead{Err: errTableDown}
-		if !n.tableDown {
+		if !tableDown {
 			answer = PeersRead{Zones: n.published(nd, e.AllZones), AllZones: e.AllZones}
 		}
 		n.schedule(nd, tableDelay, answer)
 	case PublishContacts:
-		if !n.tableDown {
+		if !tableDown {
 			n.contacts[nd.row.Zone] = e.Contacts
 		}
 	}
--- a/internal/fleet/versions_test.go
+++ b/internal/fleet/versions_test.go
@@ -59,6 +59,7 @@
 func (n *network) heal() {
 	n.tableDown, n.loss, n.duplicate = false, 0, 0
 	n.cut = func(_, _ host.Row) bool { return false }
+	n.cutTable = func(host.Row) bool { return false }
 	for _, nd := range n.nodes {
 		nd.paused = false
 		if !nd.up {
@@ -86,3 +87,42 @@
 		t.Logf("seed %d: in force after %v", seed, took)
 	}
 }
+
+// TestRegionsPartedForHours guards against a region that stays behind after it
+// was parted from the other one and from the table for longer than tombstones
+// and the bases of deltas are kept, while versions were accepted and hosts
+// restarted on both sides. The promise is 7 s after the link is healed, with the
+// table still out of reach. Hosts that restarted without the table apply nothing
+// until they have read the head row, for which they ask at least every 11 s.
+func TestRegionsPartedForHours(t *testing.T) {
+	for seed := range uint64(2) {
+		n := newNetwork(t, 200+seed, 3, nil)
+		n.run(40 * time.Second)
+		n.accept(n.nodes[0], false)
+		n.run(5 * time.Second)
+		n.cut = func(a, b host.Row) bool { return a.Region != b.Region }
+		n.cutTable = func(r host.Row) bool { return r.Region != "pwani" }
+		restart := []*node{n.nodes[1], n.nodes[4], n.nodes[7], n.nodes[10]}
+		for i := range HeldVersions + 4 {
+			n.accept(n.nodes[0], false)
+			n.run(tombstoneAge / 10)
+			nd := restart[i%len(restart)]
+			n.stop(nd)
+			n.run(30 * time.Second)
+			n.start(nd)
+		}
+		// No news of the last restart may cross the healed link and start the repair.
+		n.run(time.Minute)
+		n.cut = func(_, _ host.Row) bool { return false }
+		n.run(7 * time.Second)
+		for _, nd := range n.nodes {
+			if nd.runs == 1 && nd.current != n.head.Number() {
+				t.Errorf("seed %d: %s: got version %d after 7 s, want %d", seed, nd.row.ID, nd.current, n.head.Number())
+			}
+		}
+		n.heal()
+		n.run(20 * time.Second)
+		n.wantApplied()
+		wantSameRows(t, n, "after the healing")
+	}
+}
--- a/test/scenario/versions.go
+++ b/test/scenario/versions.go
@@ -275,6 +275,9 @@
 				return fmt.Errorf("status shows version %d in zone %s, want it to lack it", head, z.Zone)
 			}
 		}
+		if !z.Unreachable && len(z.Applied) == 0 {
+			return fmt.Errorf("status shows zone %s as reachable without any version, want it unreachable or with an older one", z.Zone)
+		}
 	}
 	if !seen {
 		return fmt.Errorf("status lacks the zones of region %s", region)
