--- a/test/scenario/world.go
+++ b/test/scenario/world.go
@@ -214,6 +214,7 @@
 		name := strings.ReplaceAll(string(h.ID), "-", "_")
 		ts.Setenv(name+"_operator", h.OperatorURL())
 		ts.Setenv(name+"_control", h.ControlAddr())
+		ts.Setenv(name+"_call", strings.TrimPrefix(h.CallURL(), "http://"))
 	}
 	ts.Setenv("MESH", w.mesh.Dir)
 	if !c.Servers {
