Test loading a version from a damaged object store

TestAssembleVerifies covers content that is passed in; nothing covered the way from the object store. TestLoadRefusesBadObjects loads a version whose section is absent, empty, not compressed, cut off, an older one or that of another section, with and without the version before.

Mutation: verify does not compare the digest. Printed: "older content, with version 0: got version 2 and error <nil>, want an error only". Still green: size not compared (the digest is), error of GetObject ignored (the decompression or the digest fails). Green after: go test ./internal/submission (ok).

--- a/internal/submission/submission_test.go
+++ b/internal/submission/submission_test.go
@@ -156,6 +156,37 @@
 	}
 }
 
+// Guards against a version that is loaded in part, or with content that its
+// manifest does not name, because the object store lost or damaged a section.
+func TestLoadRefusesBadObjects(t *testing.T) {
+	ctx := context.Background()
+	f := newFake(1, 0)
+	a := acceptor(f, 3)
+	base := accepted(t, a.Accept(ctx, edit("one", "stock-team", 0, section("stock-team", "stock", 1))))
+	head := accepted(t, a.Accept(ctx, edit("two", "stock-team", 1, section("stock-team", "stock", 2), section("stock-team", "beads", 1))))
+	name := func(s version.Snapshot, i int) string { return submission.ObjectName(s.Manifest().Sections[i].Digest) }
+	stock := name(head, 1)
+	good := f.objects[stock]
+	for what, data := range map[string][]byte{
+		"absent": nil, "empty": {}, "not compressed": head.Blob(head.Manifest().Sections[1].Digest),
+		"cut off": good[:len(good)-1], "older content": f.objects[name(base, 0)], "content of another section": f.objects[name(head, 0)],
+	} {
+		f.objects[stock] = data
+		if data == nil {
+			delete(f.objects, stock)
+		}
+		for _, have := range []version.Snapshot{{}, base} {
+			if s, err := submission.Load(ctx, f, head.Manifest(), have); err == nil || s.Number() != 0 {
+				t.Errorf("%s, with version %d: got version %d and error %v, want an error only", what, have.Number(), s.Number(), err)
+			}
+		}
+	}
+	f.objects[stock] = good
+	if s, err := submission.Load(ctx, f, head.Manifest(), base); err != nil || !reflect.DeepEqual(s, head) {
+		t.Errorf("got version %d and error %v, want version 2 whole", s.Number(), err)
+	}
+}
+
 // Guards against lost, doubled and foreign edits when operators submit at the
 // same moment at several daemons while answers of the platform are lost.
 func TestConcurrentSubmissions(t *testing.T) {
