--- a/test/platform/stand/faults.go
+++ b/test/platform/stand/faults.go
@@ -31,13 +31,14 @@
 	ObjectReads   uint64 `json:"object-reads"`
 	ObjectWrites  uint64 `json:"object-writes"`
 	Throttled     uint64 `json:"throttled"`    // requests
+	Dropped       uint64 `json:"dropped"`      // requests that arrived while the platform was down
 	LostAnswers   uint64 `json:"lost-answers"` // commits
 }
 
 type counters struct {
 	reads, writes, readRequests, writeRequests atomic.Uint64
 	objectReads, objectWrites                  atomic.Uint64
-	throttled, lostAnswers                     atomic.Uint64
+	throttled, dropped, lostAnswers            atomic.Uint64
 }
 
 // faults holds the faults in effect and what they need to be decided.
@@ -77,6 +78,7 @@
 		ObjectReads:   p.counts.objectReads.Load(),
 		ObjectWrites:  p.counts.objectWrites.Load(),
 		Throttled:     p.counts.throttled.Load(),
+		Dropped:       p.counts.dropped.Load(),
 		LostAnswers:   p.counts.lostAnswers.Load(),
 	}
 }
@@ -116,6 +118,7 @@
 		time.Sleep(time.Duration(delay) * time.Millisecond)
 	}
 	if p.Faults().Down {
+		p.counts.dropped.Add(1)
 		dropConnection()
 	}
 }
--- a/test/scenario/rates.go
+++ b/test/scenario/rates.go
@@ -12,8 +12,18 @@
 	"github.com/peridotlb/peridotlb/test/mesh"
 )
 
-// rateInterval is the time between two readings of the platform's counters.
-const rateInterval = time.Second
+const (
+	// rateInterval is the time between two readings of the platform's counters.
+	rateInterval = time.Second
+	// shareWindow is the number of intervals over which the mesh may use its share
+	// of the reads. In one second, a few starts of a small mesh can coincide.
+	shareWindow = 10
+	// targetDaemons is the fleet that the budgets are meant for.
+	targetDaemons = 1200
+	// fixedReads are the reads per second that do not grow with the fleet: two
+	// readers, and below 5 for the searches of the zone roots (CAPACITY.md).
+	fixedReads = 2 + 5
+)
 
 // rates holds readings of the platform's counters.
 type rates struct {
@@ -52,7 +62,10 @@
 }
 
 // platformRates checks the rows read and written per second, between readings
-// that are at least a second apart.
+// that are at least a second apart. The budgets are those of 1,200 daemons; a
+// mesh of a few would keep them whatever each of its daemons did. Over ten seconds
+// it may therefore read only its share and what does not depend on the size of
+// the fleet.
 func platformRates(w *world, ts *testscript.TestScript, args []string) error {
 	if len(args) != 2 || w.rates == nil {
 		return errUsage
@@ -63,13 +76,8 @@
 		return err
 	}
 	w.rates.stop()
-	var topReads, topWrites float64
 	all := w.rates.readings
-	for i := 1; i < len(all); i++ {
-		seconds := all[i].at.Sub(all[i-1].at).Seconds()
-		topReads = max(topReads, float64(all[i].Reads-all[i-1].Reads)/seconds)
-		topWrites = max(topWrites, float64(all[i].Writes-all[i-1].Writes)/seconds)
-	}
+	topReads, topWrites := top(all, 1, reading.reads), top(all, 1, reading.writes)
 	ts.Logf("platform: at most %.0f reads/s and %.0f writes/s in %d readings", topReads, topWrites, len(all))
 	switch {
 	case topReads == 0:
@@ -77,5 +85,53 @@
 	case topReads > reads || topWrites > writes:
 		return fmt.Errorf("platform counted up to %.0f reads/s and %.0f writes/s, want at most %v and %v", topReads, topWrites, reads, writes)
 	}
+	return w.checkShare(ts, "reads", reading.reads, reads)
+}
+
+// platformDropped checks the requests that arrived while the platform was down:
+// the share of the mesh in what the platform can serve when it returns.
+func platformDropped(w *world, ts *testscript.TestScript, args []string) error {
+	if len(args) != 1 || w.rates == nil {
+		return errUsage
+	}
+	limit, err := strconv.ParseFloat(args[0], 64)
+	if err != nil {
+		return err
+	}
+	w.rates.stop()
+	if all := w.rates.readings; len(all) == 0 || all[len(all)-1].Dropped == 0 {
+		return errors.New("no request arrived while the platform was down")
+	}
+	return w.checkShare(ts, "dropped requests", reading.dropped, limit)
+}
+
+// checkShare compares the highest rate over ten seconds with the share of the
+// mesh in a limit for 1,200 daemons.
+func (w *world) checkShare(ts *testscript.TestScript, what string, of func(reading) uint64, limit float64) error {
+	all := w.rates.readings
+	if len(all) <= shareWindow {
+		return fmt.Errorf("got %d readings of the platform's counters, want more than %d", len(all), shareWindow)
+	}
+	got := top(all, shareWindow, of)
+	share := limit*float64(len(w.mesh.Hosts))/targetDaemons + fixedReads
+	ts.Logf("platform: %.1f %s/s over %d s, of %.0f", got, what, shareWindow, share)
+	if got > share {
+		return fmt.Errorf("platform counted %.1f %s/s over %d s, want at most %.0f: the share of %d daemons and %d that do not depend on their number",
+			got, what, shareWindow, share, len(w.mesh.Hosts), fixedReads)
+	}
 	return nil
 }
+
+func (r reading) reads() uint64   { return r.Reads }
+func (r reading) writes() uint64  { return r.Writes }
+func (r reading) dropped() uint64 { return r.Dropped }
+
+// top returns the highest rate per second over a number of intervals.
+func top(all []reading, intervals int, of func(reading) uint64) float64 {
+	highest := 0.0
+	for i := intervals; i < len(all); i++ {
+		from, to := all[i-intervals], all[i]
+		highest = max(highest, float64(of(to)-of(from))/to.at.Sub(from.at).Seconds())
+	}
+	return highest
+}
