Bound the retries of reads during an outage of the platform

Cause: each read was sent three times, and the token bucket of the SDK allows 35 retries per client, so that an outage multiplied the reads: 15.9 to 18.2 requests a second over 10 s with 12 daemons, against a share of 12 of the budget of 500.

Change: a client has two retries until requests succeed again, and one more for every 14 that succeed at once. TestRetriesEndInAnOutage fails with the bucket of the SDK: "got 55 requests for 20 reads, want at most 22".

--- a/internal/platform/remote.go
+++ b/internal/platform/remote.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/aws/ratelimit"
 	"github.com/aws/aws-sdk-go-v2/aws/retry"
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
@@ -46,6 +47,14 @@
 // sent before its error is returned. Commits are sent once.
 const readAttempts = 3
 
+// Retries of a client, out of a bucket of tokens: two until requests succeed
+// again, and one more for every 14 requests that succeed at once. With the
+// default of 35, every read of an outage was sent three times.
+const (
+	retryTokens = 2 * retryCost
+	retryCost   = 14
+)
+
 // maxRetryDelay is the upper bound of the delay between two attempts.
 const maxRetryDelay = 500 * time.Millisecond
 
@@ -146,5 +155,7 @@
 	return retry.NewStandard(func(o *retry.StandardOptions) {
 		o.MaxAttempts = readAttempts
 		o.MaxBackoff = maxRetryDelay
+		o.RateLimiter = ratelimit.NewTokenRateLimit(retryTokens)
+		o.RetryCost, o.ThrottlingRetryCost = retryCost, retryCost
 	})
 }
--- a/internal/platform/remote_test.go
+++ b/internal/platform/remote_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -227,6 +228,45 @@
 	return keys
 }
 
+// Guards against an outage in which every read is sent several times, and
+// against a client that does not retry any more after it.
+func TestRetriesEndInAnOutage(t *testing.T) {
+	const reads = 20
+	var requests, failing atomic.Int64
+	up := stand.New(stand.Config{})
+	r := connect(t, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		requests.Add(1)
+		if failing.Add(-1) >= 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		up.ServeHTTP(w, request)
+	}), time.Second)
+	read := func(n int) (failed int) {
+		for range n {
+			if _, err := r.Get(t.Context(), "head"); err != nil {
+				failed++
+			}
+		}
+		return failed
+	}
+	failing.Store(1000)
+	if got := read(reads); got != reads {
+		t.Errorf("down: got %d reads failed, want %d", got, reads)
+	}
+	if got, want := requests.Load(), int64(reads+2); got > want {
+		t.Errorf("down: got %d requests for %d reads, want at most %d", got, reads, want)
+	}
+	failing.Store(0)
+	if got := read(reads); got != 0 {
+		t.Errorf("up: got %d reads failed, want none", got)
+	}
+	failing.Store(1)
+	if got := read(1); got != 0 {
+		t.Error("one failure: got no retry, want one")
+	}
+}
+
 // Guards against rows that expire at once, or early, because the clock of this
 // host is behind that of the service which removes them. The clock of a host
 // that is ahead only keeps rows longer.
