--- /dev/null
+++ b/internal/change/lines.go
@@ -0,0 +1,108 @@
+package change
+
+import "strings"
+
+// maxCells bounds the table of the comparison. Beyond it, the differing middle
+// of two texts counts as replaced whole.
+const maxCells = 16 << 20
+
+// surrounding is the number of equal lines shown around a difference.
+const surrounding = 3
+
+// Lines returns the difference of two texts: lines with "-" and "+", and equal
+// lines around them with a space. It is empty for equal texts.
+func Lines(from, to string) []string {
+	a, b := split(from), split(to)
+	start := 0
+	for start < len(a) && start < len(b) && a[start] == b[start] {
+		start++
+	}
+	end := 0
+	for end < len(a)-start && end < len(b)-start && a[len(a)-1-end] == b[len(b)-1-end] {
+		end++
+	}
+	var all []string
+	for _, l := range a[:start] {
+		all = append(all, " "+l)
+	}
+	all = append(all, middle(a[start:len(a)-end], b[start:len(b)-end])...)
+	for _, l := range a[len(a)-end:] {
+		all = append(all, " "+l)
+	}
+	return excerpt(all)
+}
+
+func split(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(strings.TrimSuffix(s, "\n"), "\n")
+}
+
+// middle compares lines by their longest common subsequence.
+func middle(a, b []string) []string {
+	var out []string
+	i, j := 0, 0
+	if len(a)*len(b) <= maxCells {
+		// common[i][j] is the length of the subsequence of a[i:] and b[j:].
+		common := make([][]int32, len(a)+1)
+		for i := range common {
+			common[i] = make([]int32, len(b)+1)
+		}
+		for i := len(a) - 1; i >= 0; i-- {
+			for j := len(b) - 1; j >= 0; j-- {
+				if a[i] == b[j] {
+					common[i][j] = common[i+1][j+1] + 1
+				} else {
+					common[i][j] = max(common[i+1][j], common[i][j+1])
+				}
+			}
+		}
+		for i < len(a) && j < len(b) {
+			switch {
+			case a[i] == b[j]:
+				out = append(out, " "+a[i])
+				i, j = i+1, j+1
+			case common[i+1][j] >= common[i][j+1]:
+				out = append(out, "-"+a[i])
+				i++
+			default:
+				out = append(out, "+"+b[j])
+				j++
+			}
+		}
+	}
+	for _, l := range a[i:] {
+		out = append(out, "-"+l)
+	}
+	for _, l := range b[j:] {
+		out = append(out, "+"+l)
+	}
+	return out
+}
+
+// excerpt keeps differences and the lines around them, with "..." for gaps.
+func excerpt(all []string) []string {
+	keep := make([]bool, len(all))
+	for i, l := range all {
+		if l[0] != ' ' {
+			for k := max(0, i-surrounding); k <= min(len(all)-1, i+surrounding); k++ {
+				keep[k] = true
+			}
+		}
+	}
+	var out []string
+	gap := false
+	for i, l := range all {
+		if !keep[i] {
+			gap = true
+			continue
+		}
+		if gap && len(out) > 0 {
+			out = append(out, "...")
+		}
+		gap = false
+		out = append(out, l)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,196 @@
+// Package command holds what the commands of the tool share: streams, exit
+// codes, the connection to the operator API, tables and help.
+package command
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Streams are the standard streams of the tool.
+type Streams struct {
+	Out, Err io.Writer
+	Terminal bool // Out is a terminal
+}
+
+// ExitCode is the exit code of the tool.
+type ExitCode int
+
+// Exit codes.
+const (
+	Done        ExitCode = 0
+	Refused     ExitCode = 1
+	Usage       ExitCode = 2
+	NotKnown    ExitCode = 3 // the outcome is not known yet
+	Unreachable ExitCode = 4
+)
+
+// exitCodes is part of every help text.
+const exitCodes = `  0  done
+  1  refused, or faults found
+  2  wrong usage
+  3  not known yet: repeat as the message says
+  4  no daemon, or the platform, could be reached`
+
+// Error is an error with an exit code and a hint what to do next.
+type Error struct {
+	Code ExitCode
+	Text string // empty when the command has printed the error already
+	Hint string
+}
+
+// Error returns the text.
+func (e Error) Error() string { return e.Text }
+
+// UsageError returns an error of wrong usage.
+func UsageError(format string, args ...any) error {
+	return Error{Code: Usage, Text: fmt.Sprintf(format, args...), Hint: "see --help"}
+}
+
+// Report prints an error and returns its exit code.
+func Report(s Streams, err error) ExitCode {
+	if err == nil {
+		return Done
+	}
+	e := Error{Code: Refused, Text: err.Error()}
+	errors.As(err, &e)
+	if e.Text != "" {
+		fmt.Fprintln(s.Err, "error: "+printable(e.Text))
+	}
+	if e.Hint != "" {
+		fmt.Fprintln(s.Err, "hint: "+printable(e.Hint))
+	}
+	return e.Code
+}
+
+// Spec describes a command that runs.
+type Spec struct {
+	Path     string // all words, for example "document submit"
+	Operands string // for the usage line, for example "FILE"
+	Min, Max int    // number of operands
+	Short    string // one sentence
+	Long     string
+	Examples []string
+}
+
+// Leaf returns a command that runs. Flags may follow operands.
+func Leaf(spec Spec, fs *flag.FlagSet, run func(ctx context.Context, operands []string) error) *ffcli.Command {
+	words := strings.Fields(spec.Path)
+	usage := strings.TrimSpace("peridotlb " + spec.Path + " " + spec.Operands)
+	var long strings.Builder
+	if spec.Long != "" {
+		long.WriteString(spec.Long + "\n\n")
+	}
+	long.WriteString("Examples:\n")
+	for _, e := range spec.Examples {
+		long.WriteString("  " + e + "\n")
+	}
+	return &ffcli.Command{
+		Name: words[len(words)-1], ShortUsage: usage + " [flags]", ShortHelp: spec.Short,
+		LongHelp: strings.TrimRight(long.String(), "\n"), FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			operands, err := interspersed(fs, args)
+			if err != nil {
+				return err
+			}
+			if len(operands) < spec.Min || len(operands) > spec.Max {
+				return UsageError("%s takes %s, got %d operands", spec.Path, countOf(spec), len(operands))
+			}
+			return run(ctx, operands)
+		},
+	}
+}
+
+func countOf(s Spec) string {
+	if s.Max == 0 {
+		return "no operands"
+	}
+	return s.Operands
+}
+
+// interspersed parses flags that follow operands. The flag package stops at
+// the first operand. Everything after "--" is an operand.
+func interspersed(fs *flag.FlagSet, args []string) ([]string, error) {
+	var operands []string
+	for len(args) > 0 {
+		if args[0] == "--" {
+			return append(operands, args[1:]...), nil
+		}
+		if strings.HasPrefix(args[0], "-") && args[0] != "-" {
+			if err := fs.Parse(args); err != nil {
+				if errors.Is(err, flag.ErrHelp) {
+					return nil, err
+				}
+				return nil, UsageError("%v", err)
+			}
+			args = fs.Args()
+			continue
+		}
+		operands = append(operands, args[0])
+		args = args[1:]
+	}
+	return operands, nil
+}
+
+// Group returns a command that only has subcommands.
+func Group(path, short string, subcommands ...*ffcli.Command) *ffcli.Command {
+	words := strings.Fields("peridotlb " + path)
+	return &ffcli.Command{
+		Name: words[len(words)-1], ShortUsage: strings.Join(words, " ") + " COMMAND [flags]", ShortHelp: short,
+		FlagSet: FlagSet(path), Subcommands: subcommands,
+		Exec: func(_ context.Context, args []string) error {
+			names := make([]string, len(subcommands))
+			for i, c := range subcommands {
+				names[i] = c.Name
+			}
+			if len(args) == 0 {
+				return UsageError("name a command: %s", strings.Join(names, ", "))
+			}
+			return UsageError("unknown command %q; commands: %s", strings.TrimSpace(path+" "+args[0]), strings.Join(names, ", "))
+		},
+	}
+}
+
+// FlagSet returns a flag set that prints nothing on its own.
+func FlagSet(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	return fs
+}
+
+// Help returns the help text of a command.
+func Help(c *ffcli.Command) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Usage: %s\n\n%s\n", c.ShortUsage, c.ShortHelp)
+	if c.LongHelp != "" {
+		fmt.Fprintf(&b, "\n%s\n", c.LongHelp)
+	}
+	if len(c.Subcommands) > 0 {
+		b.WriteString("\nCommands:\n")
+		for _, s := range c.Subcommands {
+			fmt.Fprintf(&b, "  %-10s %s\n", s.Name, s.ShortHelp)
+		}
+	}
+	var flags strings.Builder
+	c.FlagSet.VisitAll(func(f *flag.Flag) {
+		value, help := flag.UnquoteUsage(f)
+		if value != "" {
+			value = "=" + strings.ToUpper(value)
+		}
+		if f.DefValue != "" && f.DefValue != "false" && f.DefValue != "0" {
+			help += " (default " + f.DefValue + ")"
+		}
+		fmt.Fprintf(&flags, "  --%s%s\n        %s\n", f.Name, value, help)
+	})
+	if flags.Len() > 0 {
+		b.WriteString("\nFlags:\n" + flags.String())
+	}
+	b.WriteString("\nExit codes:\n" + exitCodes + "\n")
+	return b.String()
+}
--- /dev/null
+++ b/internal/command/connection.go
@@ -0,0 +1,204 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// envPrefix precedes the environment variables of the connection settings.
+const envPrefix = "PERIDOTLB"
+
+// dialTimeout bounds one connection attempt, so that the next address is tried
+// while the operator waits. The delay between regions is far below it.
+const dialTimeout = 2 * time.Second
+
+// requestTimeout bounds one request. A daemon answers a submission within 10 s.
+const requestTimeout = 20 * time.Second
+
+// Connection holds the settings of the tool.
+type Connection struct {
+	Addresses string
+	Token     string
+	CAFile    string
+}
+
+// Register defines the flags and sets them from the environment. Flags that are
+// parsed later take precedence. Only these settings are read from the
+// environment.
+func (c *Connection) Register(fs *flag.FlagSet) {
+	define := func(fs *flag.FlagSet) {
+		fs.StringVar(&c.Addresses, "operator-address", "127.0.0.1:7405", "`IP:port,...` of operator APIs; the next is tried when one does not answer; environment "+envPrefix+"_OPERATOR_ADDRESS")
+		fs.StringVar(&c.Token, "token", "", "bearer token; environment "+envPrefix+"_TOKEN, which other users cannot see")
+		fs.StringVar(&c.CAFile, "ca-file", "", "CA certificates, `path` of a PEM file; turns TLS on; environment "+envPrefix+"_CA_FILE")
+	}
+	define(fs)
+	env := FlagSet("environment")
+	define(env)
+	// Cannot fail: there are no arguments, and text flags accept every value.
+	_ = ff.Parse(env, nil, ff.WithEnvVarPrefix(envPrefix))
+}
+
+// Dial returns a client of the operator API. It does not connect yet.
+func (c *Connection) Dial() (*api.Client, error) {
+	t, err := c.transport()
+	if err != nil {
+		return nil, err
+	}
+	scheme := "http"
+	if c.CAFile != "" {
+		scheme = "https"
+	}
+	return api.NewClient(scheme+"://"+t.addresses[0], bearer(c.Token), api.WithClient(t))
+}
+
+func (c *Connection) transport() (*failover, error) {
+	f := &failover{}
+	for part := range strings.SplitSeq(c.Addresses, ",") {
+		a, err := netip.ParseAddrPort(strings.TrimSpace(part))
+		if err != nil || a.Port() == 0 {
+			return nil, UsageError("--operator-address: %q is not a numeric IP and port, for example 127.0.0.1:7405", part)
+		}
+		if c.CAFile == "" && !a.Addr().IsLoopback() {
+			return nil, UsageError("--operator-address: the token would be sent in the clear to %s; set --ca-file to use TLS", a)
+		}
+		f.addresses = append(f.addresses, a.String())
+	}
+	if c.Token == "" {
+		return nil, UsageError("--token is missing; set it or %s_TOKEN", envPrefix)
+	}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, TLSHandshakeTimeout: dialTimeout}
+	if c.CAFile != "" {
+		var err error
+		if transport.TLSClientConfig, err = trust(c.CAFile); err != nil {
+			return nil, err
+		}
+	}
+	f.client = &http.Client{Transport: transport, Timeout: requestTimeout}
+	return f, nil
+}
+
+// trust returns a configuration that accepts every certificate signed by the
+// CA. Certificates carry host ids, which the tool does not know: addresses lead
+// to any daemon. The CA signs hosts of the mesh only.
+func trust(file string) (*tls.Config, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, UsageError("--ca-file: %v", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(data) {
+		return nil, UsageError("--ca-file: %s holds no PEM certificate", file)
+	}
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true, // VerifyConnection checks the chain instead
+		VerifyConnection: func(s tls.ConnectionState) error {
+			options := x509.VerifyOptions{Roots: roots, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
+			for _, c := range s.PeerCertificates[1:] {
+				options.Intermediates.AddCert(c)
+			}
+			_, err := s.PeerCertificates[0].Verify(options)
+			return err
+		},
+	}, nil
+}
+
+type bearer string
+
+// Bearer implements api.SecuritySource.
+func (b bearer) Bearer(context.Context, api.OperationName) (api.Bearer, error) {
+	return api.Bearer{Token: string(b)}, nil
+}
+
+// UnreachableError says that no address answered.
+type UnreachableError struct {
+	Sent bool // a request may have arrived, its answer did not
+	Err  error
+}
+
+// Error lists the failure of each address.
+func (e *UnreachableError) Error() string { return "no daemon answered: " + e.Err.Error() }
+
+// Unwrap returns the failures.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// failover sends requests to the address that answered last, and to the others
+// in order when it does not answer. Sending a request again is safe: reads
+// change nothing, and submissions carry an id.
+type failover struct {
+	addresses []string
+	client    *http.Client
+	preferred atomic.Uint32
+}
+
+// Do implements the HTTP client of the generated API client.
+func (f *failover) Do(r *http.Request) (*http.Response, error) {
+	var body []byte
+	if r.Body != nil {
+		var err error
+		if body, err = io.ReadAll(r.Body); err != nil {
+			return nil, fmt.Errorf("read request: %w", err)
+		}
+		_ = r.Body.Close()
+	}
+	var wrote atomic.Bool
+	failed := &UnreachableError{}
+	first := int(f.preferred.Load())
+	for i := range f.addresses {
+		n := (first + i) % len(f.addresses)
+		trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}
+		again := r.Clone(httptrace.WithClientTrace(r.Context(), trace))
+		again.URL.Host, again.Host = f.addresses[n], ""
+		again.Body, again.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+		if len(body) == 0 {
+			again.Body = http.NoBody
+		}
+		resp, err := f.client.Do(again)
+		if err == nil {
+			f.preferred.Store(uint32(n))
+			return resp, nil
+		}
+		failed.Sent = wrote.Load()
+		failed.Err = errors.Join(failed.Err, fmt.Errorf("%s: %w", f.addresses[n], errors.Unwrap(err)))
+		if r.Context().Err() != nil {
+			break
+		}
+	}
+	return nil, failed
+}
+
+// Explain turns an error of the API client into one with an exit code.
+func Explain(err error) error {
+	var failed *api.FailedStatusCode
+	var unreachable *UnreachableError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &failed) && failed.StatusCode < 500:
+		return Error{Code: Refused, Text: failed.Response.Error, Hint: failed.Response.Hint}
+	case errors.As(err, &failed):
+		return Error{Code: Unreachable, Text: failed.Response.Error, Hint: failed.Response.Hint}
+	case errors.As(err, &unreachable):
+		return Error{Code: Unreachable, Text: unreachable.Error(), Hint: "check --operator-address, or add addresses of other daemons"}
+	default:
+		return Error{Code: Unreachable, Text: err.Error(), Hint: "the answer is not one of the operator API; check --operator-address"}
+	}
+}
--- /dev/null
+++ b/internal/command/documentcheck/documentcheck.go
@@ -0,0 +1,82 @@
+// Package documentcheck is the command that checks a document file.
+package documentcheck
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/document"
+)
+
+// Options are the options of the command.
+type Options struct {
+	Streams command.Streams
+	File    string
+	JSON    bool
+}
+
+// New returns the command.
+func New(s command.Streams) *ffcli.Command {
+	o := Options{Streams: s}
+	fs := command.FlagSet("document check")
+	fs.BoolVar(&o.JSON, "json", false, "print JSON")
+	return command.Leaf(command.Spec{
+		Path: "document check", Operands: "FILE", Min: 1, Max: 1,
+		Short:    "Check a document file without a daemon; prints every fault as file:line:column: message.",
+		Examples: []string{"peridotlb document check mesh.yaml"},
+	}, fs, func(_ context.Context, operands []string) error {
+		o.File = operands[0]
+		return Run(o)
+	})
+}
+
+// Fault is a fault in JSON.
+type Fault struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Message string `json:"message"`
+}
+
+// Run checks the file.
+func Run(o Options) error {
+	data, err := os.ReadFile(o.File)
+	if err != nil {
+		return command.UsageError("%v", err)
+	}
+	d, err := document.Parse(o.File, data)
+	var faults document.Faults
+	if err != nil && !errors.As(err, &faults) {
+		return err
+	}
+	if o.JSON {
+		list := []Fault{}
+		for _, f := range faults {
+			list = append(list, Fault(f))
+		}
+		if err := command.JSON(o.Streams, map[string]any{"faults": list}); err != nil {
+			return err
+		}
+	} else {
+		for _, f := range faults {
+			fmt.Fprintln(o.Streams.Out, f.Error())
+		}
+	}
+	if len(faults) > 0 {
+		return command.Error{Code: command.Refused, Hint: fmt.Sprintf("correct the %d faults of %s and check again", len(faults), o.File)}
+	}
+	if !o.JSON {
+		services, routes := 0, 0
+		for _, s := range d.Sections {
+			services += len(s.Services)
+			routes += len(s.Routes)
+		}
+		fmt.Fprintf(o.Streams.Out, "%s: no faults; sections %d, services %d, routes %d\n", o.File, len(d.Sections), services, routes)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/documenthistory/documenthistory.go
@@ -0,0 +1,66 @@
+// Package documenthistory is the command that lists accepted versions.
+package documenthistory
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// Options are the options of the command.
+type Options struct {
+	Streams command.Streams
+	API     api.Invoker
+	Before  uint64 // zero: from the newest
+	Limit   int
+	JSON    bool
+}
+
+// New returns the command.
+func New(s command.Streams) *ffcli.Command {
+	o := Options{Streams: s}
+	var c command.Connection
+	fs := command.FlagSet("document history")
+	c.Register(fs)
+	fs.Uint64Var(&o.Before, "before", 0, "only versions with a lower `number`")
+	fs.IntVar(&o.Limit, "limit", 20, "`number` of versions, 1 to 200")
+	fs.BoolVar(&o.JSON, "json", false, "print JSON")
+	return command.Leaf(command.Spec{
+		Path: "document history", Short: "List accepted versions, newest first, with the sections that each changed.",
+		Long:     "Columns: version, time of acceptance, submission id, changed sections, removed sections.",
+		Examples: []string{"peridotlb document history", "peridotlb document history --before 100 --limit 50"},
+	}, fs, func(ctx context.Context, _ []string) (err error) {
+		if o.Limit < 1 || o.Limit > 200 {
+			return command.UsageError("--limit: %d is out of range 1 to 200", o.Limit)
+		}
+		if o.API, err = c.Dial(); err != nil {
+			return err
+		}
+		return Run(ctx, o)
+	})
+}
+
+// Run lists the versions.
+func Run(ctx context.Context, o Options) error {
+	params := api.ListVersionsParams{Limit: api.NewOptInt(o.Limit)}
+	if o.Before > 0 {
+		params.Before = api.NewOptUint64(o.Before)
+	}
+	list, err := o.API.ListVersions(ctx, params)
+	if err != nil {
+		return command.Explain(err)
+	}
+	if o.JSON {
+		return command.JSON(o.Streams, list)
+	}
+	t := command.Table{Header: []string{"VERSION", "ACCEPTED", "SUBMISSION", "CHANGED", "REMOVED"}}
+	for _, v := range list.Versions {
+		t.Add(v.Number, v.AcceptedAt.UTC().Format(time.RFC3339), v.Submission, strings.Join(v.Changed, ","), strings.Join(v.Removed, ","))
+	}
+	return t.Write(o.Streams)
+}
--- /dev/null
+++ b/internal/command/documentshow/documentshow.go
@@ -0,0 +1,61 @@
+// Package documentshow is the command that prints the document.
+package documentshow
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// Options are the options of the command.
+type Options struct {
+	Streams command.Streams
+	API     api.Invoker
+	Version uint64 // zero: the current one
+	JSON    bool
+}
+
+// New returns the command.
+func New(s command.Streams) *ffcli.Command {
+	o := Options{Streams: s}
+	var c command.Connection
+	fs := command.FlagSet("document show")
+	c.Register(fs)
+	fs.Uint64Var(&o.Version, "version", 0, "`number` of a version; without it, the current one")
+	fs.BoolVar(&o.JSON, "json", false, "print JSON")
+	return command.Leaf(command.Spec{
+		Path: "document show", Short: "Print the document of a version as YAML.",
+		Examples: []string{"peridotlb document show > mesh.yaml", "peridotlb document show --version 41"},
+	}, fs, func(ctx context.Context, _ []string) (err error) {
+		if o.API, err = c.Dial(); err != nil {
+			return err
+		}
+		return Run(ctx, o)
+	})
+}
+
+// Run prints the document.
+func Run(ctx context.Context, o Options) error {
+	var d *api.Document
+	var err error
+	if o.Version == 0 {
+		d, err = o.API.GetDocument(ctx)
+	} else {
+		d, err = o.API.GetVersion(ctx, api.GetVersionParams{Number: o.Version})
+	}
+	if err != nil {
+		return command.Explain(err)
+	}
+	if o.JSON {
+		return command.JSON(o.Streams, d)
+	}
+	if o.Streams.Terminal {
+		fmt.Fprintf(o.Streams.Out, "# version %d\n", d.Version)
+	}
+	_, err = fmt.Fprint(o.Streams.Out, d.Yaml)
+	return err
+}
--- /dev/null
+++ b/internal/command/documentsubmit/documentsubmit_test.go
@@ -0,0 +1,133 @@
+package documentsubmit
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// fake answers like a daemon whose zones converge one poll after another.
+type fake struct {
+	api.Invoker
+	submit func(*api.Submission) (api.SubmitDocumentRes, error)
+	status func(n int) (*api.Status, error)
+	polls  int
+}
+
+func (f *fake) Ping(context.Context) (*api.Pong, error) { return &api.Pong{Team: "stock-team"}, nil }
+
+func (f *fake) GetDocument(context.Context) (*api.Document, error) {
+	return &api.Document{Version: 7}, nil
+}
+
+func (f *fake) SubmitDocument(_ context.Context, s *api.Submission) (api.SubmitDocumentRes, error) {
+	return f.submit(s)
+}
+
+func (f *fake) GetStatus(context.Context) (*api.Status, error) {
+	f.polls++
+	return f.status(f.polls)
+}
+
+func options(t *testing.T, f *fake, out, errs *bytes.Buffer, terminal bool) Options {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "mesh's.yaml")
+	text := "sections:\n  - {name: stock, team: stock-team}\n"
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Options{
+		Streams: command.Streams{Out: out, Err: errs, Terminal: terminal}, API: f, File: file, Wait: true,
+		Timeout: time.Minute, NewID: func() string { return "new-1" }, Now: func() time.Time { return time.Time{} },
+	}
+}
+
+func accepted(*api.Submission) (api.SubmitDocumentRes, error) { return &api.Accepted{Version: 8}, nil }
+
+func zone(name string, hosts, applied int) api.ZoneStatus {
+	return api.ZoneStatus{Zone: name, Hosts: hosts, Applied: []api.AppliedCount{{Version: 9, Hosts: applied}, {Version: 7, Hosts: hosts - applied}}}
+}
+
+// Guards against a live line that stays on the terminal, against zones that are
+// not shown, and against a wait that ends early or at a failed status.
+func TestLiveLine(t *testing.T) {
+	f := &fake{submit: accepted, status: func(n int) (*api.Status, error) {
+		switch n {
+		case 1:
+			return &api.Status{Zones: []api.ZoneStatus{zone("pwani-a", 2, 1), {Zone: "pwani-b", Hosts: 3, Unreachable: true}}}, nil
+		case 2:
+			return nil, errors.New("connection lost")
+		case 3:
+			return &api.Status{Zones: []api.ZoneStatus{zone("pwani-a", 2, 2), zone("pwani-b", 3, 1)}}, nil
+		default:
+			return &api.Status{Zones: []api.ZoneStatus{zone("pwani-a", 2, 2), zone("pwani-b", 3, 3)}}, nil
+		}
+	}}
+	var out, errs bytes.Buffer
+	if err := Run(t.Context(), options(t, f, &out, &errs, true)); err != nil {
+		t.Fatal(err)
+	}
+	want := "accepted as version 8: changed stock\n" +
+		"\r\x1b[Kwaiting: pwani-a 1/2, pwani-b unreachable" +
+		"\r\x1b[Kzone pwani-a applied version 8 on 2 hosts after 0.0 s\n" +
+		"\r\x1b[Kwaiting: pwani-b 1/3" +
+		"\r\x1b[Kzone pwani-b applied version 8 on 3 hosts after 0.0 s\n" +
+		"version 8 is in effect in all 2 zones\n"
+	if got := out.String(); got != want {
+		t.Errorf("output:\ngot  %q\nwant %q", got, want)
+	}
+}
+
+// Guards against an interruption that hides that the version was accepted.
+func TestInterruptedWait(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &fake{submit: accepted, status: func(int) (*api.Status, error) {
+		cancel()
+		return &api.Status{Zones: []api.ZoneStatus{zone("pwani-a", 2, 1)}}, nil
+	}}
+	var out, errs bytes.Buffer
+	o := options(t, f, &out, &errs, false)
+	o.Poll = time.Hour
+	got := Run(ctx, o)
+	var e command.Error
+	if !errors.As(got, &e) || e.Code != command.NotKnown || !strings.HasPrefix(e.Text, "interrupted: version 8 is accepted") {
+		t.Errorf("got %v, want exit code %d and an accepted version", got, command.NotKnown)
+	}
+}
+
+// Guards against a lost answer that is reported as a failure, and against a
+// repeat command that would submit something else.
+func TestLostAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		want command.ExitCode
+	}{
+		{"lost", &command.UnreachableError{Sent: true, Err: errors.New("EOF")}, command.NotKnown},
+		{"not sent", &command.UnreachableError{Err: errors.New("refused")}, command.Unreachable},
+		{"server fault", &api.FailedStatusCode{StatusCode: 500}, command.NotKnown},
+		{"interrupted", context.Canceled, command.NotKnown},
+		{"bad request", &api.FailedStatusCode{StatusCode: 400}, command.Refused},
+	} {
+		f := &fake{submit: func(*api.Submission) (api.SubmitDocumentRes, error) { return nil, c.err }}
+		var out, errs bytes.Buffer
+		o := options(t, f, &out, &errs, false)
+		o.Repeat = []string{"--operator-address=127.0.0.1:7405"}
+		var got command.Error
+		if err := Run(t.Context(), o); !errors.As(err, &got) || got.Code != c.want {
+			t.Errorf("%s: got %v with exit code %d, want exit code %d", c.name, err, got.Code, c.want)
+		}
+		repeat := `mesh'\''s.yaml' --base=7 --submission-id=new-1 --operator-address=127.0.0.1:7405`
+		if c.want != command.Refused && !strings.HasSuffix(got.Hint, repeat) {
+			t.Errorf("%s: hint: got %q, want it to end with %q", c.name, got.Hint, repeat)
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/root/root.go
@@ -0,0 +1,73 @@
+// Package root assembles the commands of the tool.
+package root
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/command/documentcheck"
+	"github.com/peridotlb/peridotlb/internal/command/documentdiff"
+	"github.com/peridotlb/peridotlb/internal/command/documenthistory"
+	"github.com/peridotlb/peridotlb/internal/command/documentshow"
+	"github.com/peridotlb/peridotlb/internal/command/documentsubmit"
+	"github.com/peridotlb/peridotlb/internal/command/routelist"
+	"github.com/peridotlb/peridotlb/internal/command/sectionlist"
+	"github.com/peridotlb/peridotlb/internal/command/sectionshow"
+	"github.com/peridotlb/peridotlb/internal/command/serverlist"
+	"github.com/peridotlb/peridotlb/internal/command/status"
+	"github.com/peridotlb/peridotlb/internal/command/timeline"
+	"github.com/peridotlb/peridotlb/internal/command/version"
+)
+
+// New returns the tool with all commands.
+func New(s command.Streams) *ffcli.Command {
+	return command.Group(
+		"", "Operators' tool of peridotlb.",
+		command.Group(
+			"document", "Submit, check, show and compare the document.",
+			documentsubmit.New(s), documentcheck.New(s), documentshow.New(s), documentdiff.New(s), documenthistory.New(s),
+		),
+		command.Group("section", "List and show sections.", sectionlist.New(s), sectionshow.New(s)),
+		status.New(s),
+		command.Group("server", "List backend servers.", serverlist.New(s)),
+		command.Group("route", "List routes.", routelist.New(s)),
+		timeline.New(s),
+		version.New(s),
+	)
+}
+
+// Run runs the tool and returns its exit code.
+func Run(ctx context.Context, args []string, s command.Streams) command.ExitCode {
+	var help string
+	tree := New(s)
+	capture(tree, &help)
+	err := tree.Parse(args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		return command.Report(s, command.Error{Code: command.Usage, Text: err.Error(), Hint: "see --help"})
+	}
+	if err == nil {
+		err = tree.Run(ctx)
+	}
+	if errors.Is(err, flag.ErrHelp) {
+		fmt.Fprint(s.Out, help)
+		return command.Done
+	}
+	return command.Report(s, err)
+}
+
+// capture keeps the help of the command that was selected. The flag package
+// would print it on every error too.
+func capture(c *ffcli.Command, help *string) {
+	c.UsageFunc = func(c *ffcli.Command) string {
+		*help = command.Help(c)
+		return ""
+	}
+	for _, sub := range c.Subcommands {
+		capture(sub, help)
+	}
+}
--- /dev/null
+++ b/internal/command/root/root_test.go
@@ -0,0 +1,184 @@
+package root_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"flag"
+	"math/big"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/command/root"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/operator"
+	"github.com/peridotlb/peridotlb/internal/operator/operatortest"
+	"github.com/peridotlb/peridotlb/internal/settings"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"peridotlb": func() {
+		os.Exit(int(root.Run(context.Background(), os.Args[1:], command.Streams{Out: os.Stdout, Err: os.Stderr})))
+	}})
+}
+
+type backendKey struct{}
+
+// newBackend returns a fake with two regions, two backend servers and the
+// events of one rollout.
+func newBackend() *operatortest.Backend {
+	at := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+	b := &operatortest.Backend{
+		Now: at,
+		Fleet: []operatortest.Zone{
+			{Name: "pwani-a", Region: "pwani", Hosts: []host.ID{"pwani-a-1", "pwani-a-2"}},
+			{Name: "kaskazini-a", Region: "kaskazini", Hosts: []host.ID{"kaskazini-a-1"}},
+		},
+		ServerRows: []operator.Server{
+			{Server: backend.Server{ID: "bead-2", Service: "bead-stock", Host: "pwani-a-2", Addr: netip.MustParseAddrPort("127.1.0.2:9000"), Slots: 9, State: backend.Draining}, Zone: "pwani-a", Region: "pwani", HostState: host.Suspect},
+			{Server: backend.Server{ID: "bead-1", Service: "bead-stock", Host: "pwani-a-1", Addr: netip.MustParseAddrPort("127.1.0.1:9000"), Slots: 9, State: backend.Ready}, Zone: "pwani-a", Region: "pwani"},
+			{Server: backend.Server{ID: "road-1", Service: "road-map", Host: "kaskazini-a-1", Addr: netip.MustParseAddrPort("127.2.0.1:9000"), State: backend.Ready}, Zone: "kaskazini-a", Region: "kaskazini"},
+		},
+		Unanswered: []host.ID{"kaskazini-b-1"},
+	}
+	for i, e := range []operator.Event{
+		{Kind: "version-accepted", Host: "pwani-a-1", Zone: "pwani-a"},
+		{Kind: "version-secured", Host: "pwani-a-1", Zone: "pwani-a"},
+		{Kind: "version-fetched", Host: "kaskazini-a-1", Zone: "kaskazini-a"},
+		{Kind: "version-applied", Host: "pwani-a-1", Zone: "pwani-a"},
+		{Kind: "version-applied", Host: "kaskazini-a-1", Zone: "kaskazini-a", Detail: "line\nbreak\x1b[31m"},
+	} {
+		e.Time, e.Version = at.Add(time.Duration(i)*10*time.Millisecond), 1
+		b.Events = append(b.Events, e)
+	}
+	return b
+}
+
+func setup(e *testscript.Env) error {
+	b := newBackend()
+	h, err := operator.New(operator.Config{
+		Backend: b, Host: host.Row{ID: "pwani-a-1", Zone: "pwani-a", Region: "pwani"}, Release: "1.2.3",
+		Tokens: []settings.OperatorToken{{Team: "stock-team", Token: "stock-0123456789"}, {Team: "road-team", Token: "road-0123456789"}},
+	})
+	if err != nil {
+		return err
+	}
+	plain, encrypted := httptest.NewServer(h), httptest.NewTLSServer(h)
+	e.Defer(plain.Close)
+	e.Defer(encrypted.Close)
+	other, err := otherCertificate()
+	if err != nil {
+		return err
+	}
+	for name, der := range map[string][]byte{"server-ca.pem": encrypted.Certificate().Raw, "other-ca.pem": other} {
+		data := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+		if err := os.WriteFile(filepath.Join(e.WorkDir, name), data, 0o600); err != nil {
+			return err
+		}
+	}
+	e.Values[backendKey{}] = b
+	e.Setenv("PERIDOTLB_OPERATOR_ADDRESS", plain.Listener.Addr().String())
+	e.Setenv("TLS_ADDRESS", encrypted.Listener.Addr().String())
+	e.Setenv("PERIDOTLB_TOKEN", "stock-0123456789")
+	return nil
+}
+
+// otherCertificate returns a CA certificate that signed nothing.
+func otherCertificate() ([]byte, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	ca := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true}
+	return x509.CreateCertificate(rand.Reader, ca, ca, key.Public(), key)
+}
+
+// exits runs a program and checks its exit code.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	var exit *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code: got %d, want %d", got, want)
+	}
+}
+
+// control changes the fake: down, up, lose N, hold ZONE, release ZONE.
+func control(ts *testscript.TestScript, _ bool, args []string) {
+	b := ts.Value(backendKey{}).(*operatortest.Backend)
+	switch args[0] {
+	case "down", "up":
+		b.SetDown(args[0] == "down")
+	case "lose":
+		n, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		b.LoseNext(n)
+	case "hold", "release":
+		b.HoldZone(host.AvailabilityZone(args[1]), args[0] == "hold")
+	default:
+		ts.Fatalf("unknown: %v", args)
+	}
+}
+
+// Runs the scenarios of testdata. Each guards against a wrong exit code, a
+// missing hint or a listing that differs from what the API returned.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata", Setup: setup, RequireExplicitExec: true, RequireUniqueNames: true,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits, "backend": control},
+	})
+}
+
+// Guards against a command without examples or documented exit codes, and
+// against a flag without help.
+func TestHelp(t *testing.T) {
+	var visit func(path []string, c *ffcli.Command)
+	visit = func(path []string, c *ffcli.Command) {
+		var out, errs bytes.Buffer
+		code := root.Run(t.Context(), append(path, "--help"), command.Streams{Out: &out, Err: &errs})
+		if code != command.Done || errs.Len() > 0 {
+			t.Errorf("%v --help: got exit code %d and errors %q", path, code, errs.String())
+		}
+		wants := []string{"Usage: peridotlb", "Exit codes:", "  3  not known yet"}
+		if len(c.Subcommands) == 0 {
+			wants = append(wants, "Examples:\n  peridotlb "+strings.Join(path, " "))
+		}
+		for _, want := range wants {
+			if !strings.Contains(out.String(), want) {
+				t.Errorf("%v --help: got %q, want %q in it", path, out.String(), want)
+			}
+		}
+		c.FlagSet.VisitAll(func(f *flag.Flag) {
+			if f.Usage == "" {
+				t.Errorf("%v: flag %s has no help", path, f.Name)
+			}
+		})
+		for _, sub := range c.Subcommands {
+			visit(append(path[:len(path):len(path)], sub.Name), sub)
+		}
+	}
+	visit(nil, root.New(command.Streams{}))
+}
--- /dev/null
+++ b/internal/command/routelist/routelist.go
@@ -0,0 +1,67 @@
+// Package routelist is the command that lists routes.
+package routelist
+
+import (
+	"context"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// Options are the options of the command.
+type Options struct {
+	Streams command.Streams
+	API     api.Invoker
+	Service string // empty: all services
+	JSON    bool
+}
+
+// New returns the command.
+func New(s command.Streams) *ffcli.Command {
+	o := Options{Streams: s}
+	var c command.Connection
+	fs := command.FlagSet("route list")
+	c.Register(fs)
+	fs.StringVar(&o.Service, "service", "", "only routes to this `service`")
+	fs.BoolVar(&o.JSON, "json", false, "print JSON")
+	return command.Leaf(command.Spec{
+		Path: "route list", Short: "List the routes of the current version.",
+		Long:     "Columns: path prefix, methods (* for every method), route, service, timeout, retries, paid, section, team.",
+		Examples: []string{"peridotlb route list", "peridotlb route list --service bead-stock"},
+	}, fs, func(ctx context.Context, _ []string) (err error) {
+		if o.API, err = c.Dial(); err != nil {
+			return err
+		}
+		return Run(ctx, o)
+	})
+}
+
+// Run lists the routes.
+func Run(ctx context.Context, o Options) error {
+	list, err := o.API.ListRoutes(ctx)
+	if err != nil {
+		return command.Explain(err)
+	}
+	kept := []api.RouteEntry{}
+	t := command.Table{Header: []string{"PATH PREFIX", "METHODS", "ROUTE", "SERVICE", "TIMEOUT", "RETRIES", "PAID", "SECTION", "TEAM"}}
+	for _, e := range list.Routes {
+		r := e.Route
+		if o.Service != "" && r.Service != o.Service {
+			continue
+		}
+		methods := strings.Join(r.Methods, ",")
+		if methods == "" {
+			methods = "*"
+		}
+		kept = append(kept, e)
+		t.Add(r.PathPrefix, methods, r.Name, r.Service, r.Timeout, r.Retries, r.Paid, e.Section, e.Team)
+	}
+	if o.JSON {
+		list.Routes = kept
+		return command.JSON(o.Streams, list)
+	}
+	return t.Write(o.Streams)
+}
--- /dev/null
+++ b/internal/command/sectionshow/sectionshow.go
@@ -0,0 +1,53 @@
+// Package sectionshow is the command that prints one section.
+package sectionshow
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// Options are the options of the command.
+type Options struct {
+	Streams command.Streams
+	API     api.Invoker
+	Name    string
+	JSON    bool
+}
+
+// New returns the command.
+func New(s command.Streams) *ffcli.Command {
+	o := Options{Streams: s}
+	var c command.Connection
+	fs := command.FlagSet("section show")
+	c.Register(fs)
+	fs.BoolVar(&o.JSON, "json", false, "print JSON")
+	return command.Leaf(command.Spec{
+		Path: "section show", Operands: "NAME", Min: 1, Max: 1,
+		Short:    "Print one section of the current version as YAML.",
+		Examples: []string{"peridotlb section show stock"},
+	}, fs, func(ctx context.Context, operands []string) (err error) {
+		o.Name = operands[0]
+		if o.API, err = c.Dial(); err != nil {
+			return err
+		}
+		return Run(ctx, o)
+	})
+}
+
+// Run prints the section.
+func Run(ctx context.Context, o Options) error {
+	s, err := o.API.GetSection(ctx, api.GetSectionParams{Name: o.Name})
+	if err != nil {
+		return command.Explain(err)
+	}
+	if o.JSON {
+		return command.JSON(o.Streams, s)
+	}
+	_, err = fmt.Fprint(o.Streams.Out, s.Yaml)
+	return err
+}
--- /dev/null
+++ b/internal/command/serverlist/serverlist.go
@@ -0,0 +1,59 @@
+// Package serverlist is the command that lists backend servers.
+package serverlist
+
+import (
+	"context"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// Options are the options of the command.
+type Options struct {
+	Streams command.Streams
+	API     api.Invoker
+	Service string // empty: all services
+	JSON    bool
+}
+
+// New returns the command.
+func New(s command.Streams) *ffcli.Command {
+	o := Options{Streams: s}
+	var c command.Connection
+	fs := command.FlagSet("server list")
+	c.Register(fs)
+	fs.StringVar(&o.Service, "service", "", "only backend servers of this `service`")
+	fs.BoolVar(&o.JSON, "json", false, "print JSON")
+	return command.Leaf(command.Spec{
+		Path: "server list", Short: "List backend servers and the state of their hosts.",
+		Long:     "Columns: service, backend server, state, slots, address, host, state of the host, availability zone, region.",
+		Examples: []string{"peridotlb server list", "peridotlb server list --service bead-stock"},
+	}, fs, func(ctx context.Context, _ []string) (err error) {
+		if o.API, err = c.Dial(); err != nil {
+			return err
+		}
+		return Run(ctx, o)
+	})
+}
+
+// Run lists the backend servers.
+func Run(ctx context.Context, o Options) error {
+	var params api.ListServersParams
+	if o.Service != "" {
+		params.Service = api.NewOptString(o.Service)
+	}
+	list, err := o.API.ListServers(ctx, params)
+	if err != nil {
+		return command.Explain(err)
+	}
+	if o.JSON {
+		return command.JSON(o.Streams, list)
+	}
+	t := command.Table{Header: []string{"SERVICE", "SERVER", "STATE", "SLOTS", "ADDRESS", "HOST", "HOST STATE", "ZONE", "REGION"}}
+	for _, s := range list.Servers {
+		t.Add(s.Service, s.ID, s.State, s.Slots, s.Address, s.Host, s.HostState, s.Zone, s.Region)
+	}
+	return t.Write(o.Streams)
+}
--- /dev/null
+++ b/internal/command/status/status.go
@@ -0,0 +1,90 @@
+// Package status is the command that shows the convergence of the fleet.
+package status
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// Options are the options of the command.
+type Options struct {
+	Streams command.Streams
+	API     api.Invoker
+	JSON    bool
+}
+
+// New returns the command.
+func New(s command.Streams) *ffcli.Command {
+	o := Options{Streams: s}
+	var c command.Connection
+	fs := command.FlagSet("status")
+	c.Register(fs)
+	fs.BoolVar(&o.JSON, "json", false, "print JSON")
+	return command.Leaf(command.Spec{
+		Path: "status", Short: "Show which versions the hosts of each availability zone have applied.",
+		Long: `Columns: region, availability zone, state (converged, converging, unreachable),
+head version, live hosts, hosts by applied version as VERSION:HOSTS, and some of
+the hosts that lack the head version. Counts of an unreachable zone may be old.
+On a terminal, a first line has the control traffic of the answering daemon.`,
+		Examples: []string{"peridotlb status", "peridotlb status --json"},
+	}, fs, func(ctx context.Context, _ []string) (err error) {
+		if o.API, err = c.Dial(); err != nil {
+			return err
+		}
+		return Run(ctx, o)
+	})
+}
+
+// Run shows the status.
+func Run(ctx context.Context, o Options) error {
+	s, err := o.API.GetStatus(ctx)
+	if err != nil {
+		return command.Explain(err)
+	}
+	if o.JSON {
+		return command.JSON(o.Streams, s)
+	}
+	if o.Streams.Terminal {
+		fmt.Fprintf(o.Streams.Out, "head version %d; control traffic of this daemon: sent %d B in %d packets, received %d B in %d packets\n",
+			s.Head, s.Traffic.SentBytes, s.Traffic.SentPackets, s.Traffic.ReceivedBytes, s.Traffic.ReceivedPackets)
+	}
+	t := command.Table{Header: []string{"REGION", "ZONE", "STATE", "HEAD", "HOSTS", "APPLIED", "STRAGGLERS"}}
+	for _, z := range s.Zones {
+		applied := make([]string, len(z.Applied))
+		for i, a := range z.Applied {
+			applied[i] = fmt.Sprintf("%d:%d", a.Version, a.Hosts)
+		}
+		t.Add(z.Region, z.Zone, State(z, s.Head), s.Head, z.Hosts, strings.Join(applied, ","), strings.Join(z.Stragglers, ","))
+	}
+	return t.Write(o.Streams)
+}
+
+// State returns the state of a zone with respect to a version.
+func State(z api.ZoneStatus, version uint64) string {
+	switch {
+	case z.Unreachable:
+		return "unreachable"
+	case Applied(z, version) >= z.Hosts:
+		return "converged"
+	default:
+		return "converging"
+	}
+}
+
+// Applied returns the number of hosts that have applied a version or a newer
+// one.
+func Applied(z api.ZoneStatus, version uint64) int {
+	hosts := 0
+	for _, a := range z.Applied {
+		if a.Version >= version {
+			hosts += a.Hosts
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/command/timeline/timeline.go
@@ -0,0 +1,107 @@
+// Package timeline is the command that queries the events of all daemons.
+package timeline
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/operator/api"
+)
+
+// Options are the options of the command.
+type Options struct {
+	Streams command.Streams
+	API     api.Invoker
+	Params  api.QueryTimelineParams
+	JSON    bool
+}
+
+// New returns the command.
+func New(s command.Streams) *ffcli.Command {
+	o := Options{Streams: s}
+	var c command.Connection
+	var kind, server, call, zone, since string
+	var version uint64
+	var limit int
+	fs := command.FlagSet("timeline")
+	c.Register(fs)
+	fs.StringVar(&kind, "kind", "", "only events of this `kind`")
+	fs.Uint64Var(&version, "version", 0, "only events of the version with this `number`")
+	fs.StringVar(&server, "server", "", "only events of the backend server with this `id`")
+	fs.StringVar(&call, "call-id", "", "only events of the call with this `id`")
+	fs.StringVar(&zone, "zone", "", "only events of this availability `zone`")
+	fs.StringVar(&since, "since", "", "only events since this `time`: RFC 3339, or a duration before now, such as 10m")
+	fs.IntVar(&limit, "limit", 1000, "newest matching events, a `number` from 1 to 100000")
+	fs.BoolVar(&o.JSON, "json", false, "print JSON")
+	return command.Leaf(command.Spec{
+		Path: "timeline", Short: "List events of all daemons in the order of their clocks.",
+		Long: `Columns: time, logical counter, availability zone, host, kind, version, backend
+server, call id, detail. Filters are combined with "and". Hosts that did not
+answer are named on the error stream: their events are missing.`,
+		Examples: []string{
+			"peridotlb timeline --version 41",
+			"peridotlb timeline --kind server-ejected --since 10m",
+			"peridotlb timeline --call-id 7c2f --json",
+		},
+	}, fs, func(ctx context.Context, _ []string) (err error) {
+		if limit < 1 || limit > 100000 {
+			return command.UsageError("--limit: %d is out of range 1 to 100000", limit)
+		}
+		o.Params = api.QueryTimelineParams{Kind: optional(kind), Server: optional(server), CallID: optional(call), Zone: optional(zone), Limit: api.NewOptInt(limit)}
+		if version > 0 {
+			o.Params.Version = api.NewOptUint64(version)
+		}
+		if since != "" {
+			at, err := parseSince(since, time.Now())
+			if err != nil {
+				return err
+			}
+			o.Params.Since = api.NewOptDateTime(at)
+		}
+		if o.API, err = c.Dial(); err != nil {
+			return err
+		}
+		return Run(ctx, o)
+	})
+}
+
+func optional(s string) api.OptString { return api.OptString{Value: s, Set: s != ""} }
+
+func parseSince(s string, now time.Time) (time.Time, error) {
+	if d, err := time.ParseDuration(s); err == nil && d >= 0 {
+		return now.Add(-d), nil
+	}
+	at, err := time.Parse(time.RFC3339, s)
+	if err != nil {
+		return at, command.UsageError("--since: %q is neither a duration such as 10m nor a time such as 2026-01-02T15:04:05Z", s)
+	}
+	return at, nil
+}
+
+// Run lists the events.
+func Run(ctx context.Context, o Options) error {
+	line, err := o.API.QueryTimeline(ctx, o.Params)
+	if err != nil {
+		return command.Explain(err)
+	}
+	if len(line.Unanswered) > 0 {
+		fmt.Fprintf(o.Streams.Err, "events are missing from hosts that did not answer: %s\n", strings.Join(line.Unanswered, ", "))
+	}
+	if o.JSON {
+		return command.JSON(o.Streams, line)
+	}
+	t := command.Table{Header: []string{"TIME", "COUNTER", "ZONE", "HOST", "KIND", "VERSION", "SERVER", "CALL", "DETAIL"}}
+	for _, e := range line.Events {
+		number := ""
+		if v, ok := e.Version.Get(); ok {
+			number = fmt.Sprint(v)
+		}
+		t.Add(e.Time.UTC().Format("2006-01-02T15:04:05.000Z"), e.Counter, e.Zone, e.Host, e.Kind, number, e.Server.Or(""), e.CallID.Or(""), e.Detail.Or(""))
+	}
+	return t.Write(o.Streams)
+}
--- a/internal/operator/api/oas_client_gen.go
+++ b/internal/operator/api/oas_client_gen.go
@@ -1022,7 +1022,7 @@
 
 		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
 			if val, ok := params.Since.Get(); ok {
-				return e.EncodeValue(conv.DateTimeToString(val))
+				return e.EncodeValue(val.Format("2006-01-02T15:04:05.999999999Z07:00"))
 			}
 			return nil
 		}); err != nil {
--- a/internal/operator/api/oas_json_gen.go
+++ b/internal/operator/api/oas_json_gen.go
@@ -603,7 +603,7 @@
 	{
 		if s.AcceptedAt.Set {
 			e.FieldStart("accepted-at")
-			s.AcceptedAt.Encode(e, json.EncodeDateTime)
+			s.AcceptedAt.Encode(e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 		}
 	}
 	{
@@ -662,7 +662,7 @@
 		case "accepted-at":
 			if err := func() error {
 				s.AcceptedAt.Reset()
-				if err := s.AcceptedAt.Decode(d, json.DecodeDateTime); err != nil {
+				if err := s.AcceptedAt.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00")); err != nil {
 					return err
 				}
 				return nil
@@ -879,7 +879,7 @@
 func (s *Event) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("time")
-		json.EncodeDateTime(e, s.Time)
+		json.EncodeTimeFormat(e, s.Time, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("counter")
@@ -954,7 +954,7 @@
 		case "time":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.Time = v
 				if err != nil {
 					return err
@@ -1922,14 +1922,14 @@
 // MarshalJSON implements stdjson.Marshaler.
 func (s OptDateTime) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
-	s.Encode(&e, json.EncodeDateTime)
+	s.Encode(&e, json.NewTimeEncoder("2006-01-02T15:04:05.999999999Z07:00"))
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
 func (s *OptDateTime) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
-	return s.Decode(d, json.DecodeDateTime)
+	return s.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00"))
 }
 
 // Encode encodes int as json.
@@ -4020,7 +4020,7 @@
 	}
 	{
 		e.FieldStart("accepted-at")
-		json.EncodeDateTime(e, s.AcceptedAt)
+		json.EncodeTimeFormat(e, s.AcceptedAt, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("changed")
@@ -4084,7 +4084,7 @@
 		case "accepted-at":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.AcceptedAt = v
 				if err != nil {
 					return err
--- a/internal/operator/api/oas_parameters_gen.go
+++ b/internal/operator/api/oas_parameters_gen.go
@@ -838,7 +838,7 @@
 						return err
 					}
 
-					c, err := conv.ToDateTime(val)
+					c, err := time.Parse("2006-01-02T15:04:05.999999999Z07:00", val)
 					if err != nil {
 						return err
 					}
