--- a/internal/command/connection.go
+++ b/internal/command/connection.go
@@ -20,6 +20,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
+	"github.com/peridotlb/peridotlb/internal/link"
 	"github.com/peridotlb/peridotlb/internal/operator/api"
 )
 
@@ -95,9 +96,8 @@
 	return f, nil
 }
 
-// trust returns a configuration that accepts every certificate signed by the
-// CA. Certificates carry host ids, which the tool does not know: addresses lead
-// to any daemon. The CA signs hosts of the mesh only.
+// trust returns a configuration that accepts the certificate of every daemon of
+// the fleet. Addresses may lead to any of them, and certificates carry no IPs.
 func trust(file string) (*tls.Config, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -111,7 +111,7 @@
 		MinVersion:         tls.VersionTLS13,
 		InsecureSkipVerify: true, // VerifyConnection checks the chain instead
 		VerifyConnection: func(s tls.ConnectionState) error {
-			options := x509.VerifyOptions{Roots: roots, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
+			options := x509.VerifyOptions{DNSName: link.PeerName, Roots: roots, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
 			for _, c := range s.PeerCertificates[1:] {
 				options.Intermediates.AddCert(c)
 			}
--- a/internal/command/timeline/picture.go
+++ b/internal/command/timeline/picture.go
@@ -24,6 +24,7 @@
 var phases = []phase{
 	{"version-accepted", "accepted", "#D55E00", "M0-6L6 0L0 6L-6 0Z"},
 	{"version-secured", "secured", "#E69F00", "M-4.5-4.5H4.5V4.5H-4.5Z"},
+	{"version-loaded", "loaded from the object store", "#0072B2", "M-4.5-2.5H4.5V2.5H-4.5Z"},
 	{"version-fetched", "fetched", "#56B4E9", "M-4 0A4 4 0 1 1 4 0A4 4 0 1 1-4 0Z"},
 	{"version-applied", "applied", "#009E73", "M0-5.5L5.5 4.5H-5.5Z"},
 }
@@ -149,7 +150,7 @@
 }
 
 func (c *canvas) mark(p phase, x float64, y int, title string) {
-	fmt.Fprintf(c, "<path class=\"%s\" fill=\"%s\" stroke=\"#ffffff\" transform=\"translate(%.1f %d)\" d=\"%s\">", p.label, p.colour, x, y, p.shape)
+	fmt.Fprintf(c, "<path class=\"%s\" fill=\"%s\" stroke=\"#ffffff\" transform=\"translate(%.1f %d)\" d=\"%s\">", p.kind, p.colour, x, y, p.shape)
 	if title != "" {
 		fmt.Fprintf(c, "<title>%s</title>", html.EscapeString(title))
 	}
@@ -204,12 +205,23 @@
 	c.text(12, 42, "note", "Time since the first event, "+r.start.UTC().Format("2006-01-02 15:04:05.000")+" UTC")
 	x := float64(c.left)
 	for _, p := range phases {
-		c.mark(p, x, 58, "")
-		c.text(x+10, 62, "legend", p.label)
-		x += 90
+		if r.has(p) {
+			c.mark(p, x, 58, "")
+			c.text(x+10, 62, "legend", p.label)
+			x += float64(len(p.label)*charWidth) + 30
+		}
 	}
 }
 
+// has reports whether any host passed the phase.
+func (r rollout) has(p phase) bool {
+	return slices.ContainsFunc(r.zones, func(z zone) bool {
+		return slices.ContainsFunc(z.rows, func(row row) bool {
+			return slices.ContainsFunc(row.marks, func(m mark) bool { return m.phase == p })
+		})
+	})
+}
+
 func (c *canvas) axis(bottom int) {
 	for at := time.Duration(0); at <= c.end; at += c.step {
 		c.line("grid", c.x(at), topSpace, c.x(at), bottom)
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -13,6 +13,8 @@
 	"strings"
 
 	"github.com/peterbourgon/ff/v3"
+
+	"github.com/peridotlb/peridotlb/internal/link"
 )
 
 // value collects the texts of a flag. Set does not fail, so that all faults
@@ -193,7 +195,7 @@
 }
 
 // files checks that the files exist, that the key belongs to the certificate,
-// and that the CA signed it.
+// and that the CA signed it with the name that daemons require.
 func (c *check) files() {
 	d := c.daemon
 	ca := c.read("ca-file", d.CAFile)
@@ -233,7 +235,7 @@
 		intermediates.AddCert(c)
 	}
 	_, err := pair.Leaf.Verify(x509.VerifyOptions{
-		Roots: roots, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+		DNSName: link.PeerName, Roots: roots, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
 	})
 	return err
 }
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/netip"
 	"net/url"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -124,12 +123,11 @@
 	}
 }
 
-const nameRange = "kebab case, 1 to 63 characters"
-
-var namePattern = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
+const nameRange = "kebab case from a letter, 1 to 63 characters"
 
+// checkName applies the rule of the document, which names hosts and teams too.
 func checkName(s string) error {
-	if len(s) > 63 || !namePattern.MatchString(s) {
+	if !document.ValidName(s) {
 		return fmt.Errorf("%q is not a name in %s", s, nameRange)
 	}
 	return nil
