--- a/internal/command/documentsubmit/documentsubmit.go
+++ b/internal/command/documentsubmit/documentsubmit.go
@@ -36,7 +36,7 @@
 	Repeat []string
 
 	NewID func() string
-	Poll  time.Duration // between reads of the status
+	Poll  time.Duration // longest pause between reads of the status
 	Now   func() time.Time
 }
 
--- a/internal/command/documentsubmit/wait.go
+++ b/internal/command/documentsubmit/wait.go
@@ -13,13 +13,17 @@
 	"github.com/peridotlb/peridotlb/internal/operator/api"
 )
 
+// firstPoll is the first pause between reads of the status; it doubles up to
+// Options.Poll. Most zones converge within fractions of a second.
+const firstPoll = 50 * time.Millisecond
+
 // wait shows the zones as they converge, until all have or the context ends.
 // Reads of the status that fail are repeated: the version is accepted anyway.
 func (r *run) wait(ctx context.Context) error {
 	started := r.Now()
 	r.result.Zones = map[string]bool{}
 	var last error
-	for {
+	for pause := min(r.Poll, firstPoll); ; pause = min(r.Poll, 2*pause) {
 		s, err := r.API.GetStatus(ctx)
 		if err == nil && r.observe(s, r.Now().Sub(started)) {
 			r.result.Converged = true
@@ -33,7 +37,7 @@
 		case <-ctx.Done():
 			r.endLine()
 			return r.notConverged(ctx, last)
-		case <-time.After(r.Poll):
+		case <-time.After(pause):
 		}
 	}
 }
