--- a/internal/command/timeline/picture.go
+++ b/internal/command/timeline/picture.go
@@ -23,7 +23,6 @@
 // phases are in the order in which a host passes them.
 var phases = []phase{
 	{"accepted", "accepted", "#D55E00", "M0-6L6 0L0 6L-6 0Z"},
-	{"version-secured", "secured", "#E69F00", "M-4.5-4.5H4.5V4.5H-4.5Z"},
 	{"version-loaded", "loaded from the object store", "#0072B2", "M-4.5-2.5H4.5V2.5H-4.5Z"},
 	{"version-fetched", "fetched", "#56B4E9", "M-4 0A4 4 0 1 1 4 0A4 4 0 1 1-4 0Z"},
 	{"version-applied", "applied", "#009E73", "M0-5.5L5.5 4.5H-5.5Z"},
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -110,7 +110,7 @@
 	Head Head
 }
 
-// Join asks a daemon for its rows and its secured version.
+// Join asks a daemon for its rows and its head.
 type Join struct {
 	_ struct{} `cbor:",toarray"`
 
