--- /dev/null
+++ b/internal/command/completion/completion.go
@@ -0,0 +1,133 @@
+// Package completion is the command that prints completion scripts for shells.
+package completion
+
+import (
+	"context"
+	_ "embed"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"text/template"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/peridotlb/peridotlb/internal/command"
+)
+
+//go:embed bash.tmpl
+var bashScript string
+
+//go:embed zsh.tmpl
+var zshScript string
+
+//go:embed fish.tmpl
+var fishScript string
+
+// Shell is a shell that scripts exist for.
+type Shell string
+
+// Shells.
+const (
+	Bash Shell = "bash"
+	Zsh  Shell = "zsh"
+	Fish Shell = "fish"
+)
+
+var functions = template.FuncMap{"names": names, "valued": valued, "quote": quote, "fishQuote": fishQuote}
+
+var scripts = map[Shell]*template.Template{
+	Bash: template.Must(template.New("bash").Funcs(functions).Parse(bashScript)),
+	Zsh:  template.Must(template.New("zsh").Funcs(functions).Parse(zshScript)),
+	Fish: template.Must(template.New("fish").Funcs(functions).Parse(fishScript)),
+}
+
+// Options are the options of a command.
+type Options struct {
+	Streams command.Streams
+	Shell   Shell
+	Tree    *ffcli.Command
+}
+
+// New returns the commands. The tree is the whole tool, with these commands; it
+// is called when a command runs.
+func New(s command.Streams, tree func() *ffcli.Command) *ffcli.Command {
+	shell := func(name Shell, load string) *ffcli.Command {
+		path := "completion " + string(name)
+		return command.Leaf(command.Spec{
+			Path: path, Short: fmt.Sprintf("Print the completion script of %s.", name),
+			Long:     "The script knows the commands and flags of this release. Load it again after an upgrade.",
+			Examples: []string{"peridotlb " + path, load},
+		}, command.FlagSet(path), func(context.Context, []string) error {
+			return Run(Options{Streams: s, Shell: name, Tree: tree()})
+		})
+	}
+	return command.Group(
+		"completion", "Print completion scripts for shells.",
+		shell(Bash, `source <(peridotlb completion bash)`),
+		shell(Zsh, `peridotlb completion zsh > "${fpath[1]}/_peridotlb"`),
+		shell(Fish, `peridotlb completion fish > ~/.config/fish/completions/peridotlb.fish`),
+	)
+}
+
+// Run prints the script.
+func Run(o Options) error {
+	script, ok := scripts[o.Shell]
+	if !ok {
+		return command.UsageError("no completion for the shell %q", o.Shell)
+	}
+	return script.Execute(o.Streams.Out, nodes(nil, o.Tree))
+}
+
+// node is one command of the tree.
+type node struct {
+	Path     string // words after the name of the tool
+	Commands []entry
+	Flags    []entry
+	Files    bool // takes files as operands
+}
+
+// entry is a subcommand or a flag.
+type entry struct {
+	Name, Help string
+	Value      bool // a flag with a value
+	Files      bool // the value is a file or a directory
+}
+
+// nodes lists a command and those below it.
+func nodes(path []string, c *ffcli.Command) []node {
+	n := node{Path: strings.Join(path, " "), Files: strings.Contains(c.ShortUsage, "FILE")}
+	c.FlagSet.VisitAll(func(f *flag.Flag) {
+		value, help := flag.UnquoteUsage(f)
+		n.Flags = append(n.Flags, entry{f.Name, help, value != "", value == "path" || value == "file"})
+	})
+	n.Flags = append(n.Flags, entry{Name: "help", Help: "print the help of the command"})
+	list := []node{}
+	for _, sub := range c.Subcommands {
+		n.Commands = append(n.Commands, entry{Name: sub.Name, Help: sub.ShortHelp})
+		list = append(list, nodes(append(slices.Clip(path), sub.Name), sub)...)
+	}
+	return append([]node{n}, list...)
+}
+
+// names joins the names of entries, each after a prefix.
+func names(prefix string, entries []entry) string {
+	words := make([]string, len(entries))
+	for i, e := range entries {
+		words[i] = prefix + e.Name
+	}
+	return strings.Join(words, " ")
+}
+
+// valued returns the flags that take a value.
+func valued(flags []entry) []entry {
+	return slices.DeleteFunc(slices.Clone(flags), func(e entry) bool { return !e.Value })
+}
+
+// quote quotes a word for bash and zsh.
+func quote(w string) string { return "'" + strings.ReplaceAll(w, "'", `'\''`) + "'" }
+
+// fishQuote quotes a word for fish, which has escapes within quotes.
+func fishQuote(w string) string {
+	return "'" + strings.NewReplacer(`\`, `\\`, "'", `\'`).Replace(w) + "'"
+}
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -10,6 +10,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/peridotlb/peridotlb/internal/command"
+	"github.com/peridotlb/peridotlb/internal/command/completion"
 	"github.com/peridotlb/peridotlb/internal/command/documentcheck"
 	"github.com/peridotlb/peridotlb/internal/command/documentdiff"
 	"github.com/peridotlb/peridotlb/internal/command/documenthistory"
@@ -40,6 +41,7 @@
 		timeline.New(s),
 		command.Group("keys", "Create certificates and keys.", keyscreate.New(s)),
 		version.New(s),
+		completion.New(s, func() *ffcli.Command { return New(s) }),
 	)
 }
 
