--- a/internal/command/connection.go
+++ b/internal/command/connection.go
@@ -131,11 +131,24 @@
 // UnreachableError says that no address answered.
 type UnreachableError struct {
 	Sent bool // a request may have arrived, its answer did not
-	Err  error
+	// Waited are the addresses that got the request, but did not answer before
+	// the time limit or the end of the tool.
+	Waited []string
+	Err    error // failures of the other addresses
 }
 
-// Error lists the failure of each address.
-func (e *UnreachableError) Error() string { return "no daemon answered: " + e.Err.Error() }
+// Error names the addresses that were waited for, or else lists the failure of
+// each address.
+func (e *UnreachableError) Error() string {
+	if len(e.Waited) == 0 {
+		return "no daemon answered: " + e.Err.Error()
+	}
+	text := strings.Join(e.Waited, ", ") + " got the request, but did not answer in time; the platform may be down or slow"
+	if e.Err != nil {
+		text += "; " + e.Err.Error()
+	}
+	return text
+}
 
 // Unwrap returns the failures.
 func (e *UnreachableError) Unwrap() error { return e.Err }
@@ -159,11 +172,11 @@
 		}
 		_ = r.Body.Close()
 	}
-	var wrote atomic.Bool
 	failed := &UnreachableError{}
 	first := int(f.preferred.Load())
 	for i := range f.addresses {
 		n := (first + i) % len(f.addresses)
+		var wrote atomic.Bool
 		trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}
 		again := r.Clone(httptrace.WithClientTrace(r.Context(), trace))
 		again.URL.Host, again.Host = f.addresses[n], ""
@@ -176,8 +189,13 @@
 			f.preferred.Store(uint32(n))
 			return resp, nil
 		}
-		failed.Sent = wrote.Load()
-		failed.Err = errors.Join(failed.Err, fmt.Errorf("%s: %w", f.addresses[n], errors.Unwrap(err)))
+		failed.Sent = failed.Sent || wrote.Load()
+		var limit net.Error
+		if wrote.Load() && (errors.Is(err, context.Canceled) || errors.As(err, &limit) && limit.Timeout()) {
+			failed.Waited = append(failed.Waited, f.addresses[n])
+		} else {
+			failed.Err = errors.Join(failed.Err, fmt.Errorf("%s: %w", f.addresses[n], errors.Unwrap(err)))
+		}
 		if r.Context().Err() != nil {
 			break
 		}
@@ -196,6 +214,8 @@
 		return Error{Code: Refused, Text: failed.Response.Error, Hint: failed.Response.Hint}
 	case errors.As(err, &failed):
 		return Error{Code: Unreachable, Text: failed.Response.Error, Hint: failed.Response.Hint}
+	case errors.As(err, &unreachable) && len(unreachable.Waited) > 0:
+		return Error{Code: Unreachable, Text: unreachable.Error(), Hint: "try again, with a longer --timeout if there is one, or with addresses of other daemons"}
 	case errors.As(err, &unreachable):
 		return Error{Code: Unreachable, Text: unreachable.Error(), Hint: "check --operator-address, or add addresses of other daemons"}
 	default:
--- a/internal/command/documentsubmit/documentsubmit.go
+++ b/internal/command/documentsubmit/documentsubmit.go
@@ -267,7 +267,7 @@
 	case errors.As(err, &unreachable) && !unreachable.Sent:
 		return command.Error{Code: command.Unreachable, Text: unreachable.Error(), Hint: "nothing was sent; " + r.repeat()}
 	default:
-		return r.unknown(err.Error())
+		return r.unknown(command.Explain(err).Error())
 	}
 }
 
--- a/internal/command/root/root_test.go
+++ b/internal/command/root/root_test.go
@@ -124,12 +124,14 @@
 	}
 }
 
-// control changes the fake: down, up, lose N, hold ZONE, release ZONE.
+// control changes the fake: down, up, slow, lose N, hold ZONE, release ZONE.
 func control(ts *testscript.TestScript, _ bool, args []string) {
 	b := ts.Value(backendKey{}).(*operatortest.Backend)
 	switch args[0] {
 	case "down", "up":
 		b.SetDown(args[0] == "down")
+	case "slow":
+		b.SetSlow(true)
 	case "lose":
 		n, err := strconv.Atoi(args[1])
 		ts.Check(err)
--- a/internal/daemon/meteredplatform.go
+++ b/internal/daemon/meteredplatform.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/peridotlb/peridotlb/internal/operator"
 	"github.com/peridotlb/peridotlb/internal/platform"
 )
 
@@ -44,50 +45,57 @@
 	return 0
 }
 
-// done records the end of a request. A request that its caller gave up says
-// nothing about the platform; one that ran into its time limit does.
-func done(err error, answered *atomic.Bool, failures *metrics.Counter) {
+// done records the end of a request and names the part of the platform in its
+// error. A request that its caller gave up says nothing about the platform; one
+// that ran into its time limit does.
+func done(err error, part operator.Part, answered *atomic.Bool, failures *metrics.Counter) error {
 	if errors.Is(err, context.Canceled) {
-		return
+		return err
 	}
 	answered.Store(err == nil)
-	if err != nil {
-		failures.Inc()
+	if err == nil {
+		return nil
 	}
+	failures.Inc()
+	return &operator.PlatformError{Part: part, Err: err}
+}
+
+func (m *meteredPlatform) tableDone(err error) error {
+	return done(err, operator.Table, &m.tableAnswered, m.tableErrors)
+}
+
+func (m *meteredPlatform) objectDone(err error) error {
+	return done(err, operator.ObjectStore, &m.objectAnswered, m.objectErrors)
 }
 
 // Get implements platform.Table.
 func (m *meteredPlatform) Get(ctx context.Context, keys ...platform.Key) ([]platform.Row, error) {
 	m.reads.Add(len(keys))
 	rows, err := m.service.Get(ctx, keys...)
-	done(err, &m.tableAnswered, m.tableErrors)
-	return rows, err
+	return rows, m.tableDone(err)
 }
 
 // Scan implements platform.Table.
 func (m *meteredPlatform) Scan(ctx context.Context, prefix, after platform.Key, limit int) ([]platform.Row, error) {
 	rows, err := m.service.Scan(ctx, prefix, after, limit)
 	m.reads.Add(max(1, len(rows)))
-	done(err, &m.tableAnswered, m.tableErrors)
-	return rows, err
+	return rows, m.tableDone(err)
 }
 
 // Commit implements platform.Table.
 func (m *meteredPlatform) Commit(ctx context.Context, writes ...platform.Write) (platform.Result, error) {
 	m.writes.Add(len(writes))
 	r, err := m.service.Commit(ctx, writes...)
-	if !errors.Is(err, platform.ErrInvalid) {
-		done(err, &m.tableAnswered, m.tableErrors)
+	if errors.Is(err, platform.ErrInvalid) {
+		return r, err
 	}
-	return r, err
+	return r, m.tableDone(err)
 }
 
 // PutObject implements platform.Objects.
 func (m *meteredPlatform) PutObject(ctx context.Context, name string, data []byte) error {
 	m.objectWrites.Inc()
-	err := m.service.PutObject(ctx, name, data)
-	done(err, &m.objectAnswered, m.objectErrors)
-	return err
+	return m.objectDone(m.service.PutObject(ctx, name, data))
 }
 
 // GetObject implements platform.Objects.
@@ -98,6 +106,5 @@
 		m.objectAnswered.Store(true)
 		return data, err
 	}
-	done(err, &m.objectAnswered, m.objectErrors)
-	return data, err
+	return data, m.objectDone(err)
 }
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -14,9 +14,32 @@
 // ErrNotFound is returned by a Backend for a version that does not exist.
 var ErrNotFound = errors.New("not found")
 
+// Part is a part of the platform.
+type Part string
+
+// Parts of the platform.
+const (
+	Table       Part = "table"
+	ObjectStore Part = "object store"
+)
+
+// PlatformError says that a request to the platform failed. Operators learn the
+// part; the text of the cause is for the log.
+type PlatformError struct {
+	Part Part
+	Err  error
+}
+
+// Error returns the part and the cause.
+func (e *PlatformError) Error() string { return string(e.Part) + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *PlatformError) Unwrap() error { return e.Err }
+
 // Backend is what the operator API serves. The daemon implements it. All
 // methods may be called concurrently. Errors other than ErrNotFound and
-// submission.ErrNoVersion are reported to operators as a temporary failure.
+// submission.ErrNoVersion are reported to operators as a temporary failure;
+// those of the platform have a PlatformError in their chain.
 type Backend interface {
 	// Submit runs the accept procedure until the context ends.
 	Submit(ctx context.Context, s submission.Submission) submission.Outcome
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -54,12 +54,21 @@
 		return refused(o), nil
 	case submission.Unknown:
 		log.Warn("outcome of submission unknown", zap.Error(o.Err))
-		return &api.Unknown{Error: fmt.Sprint(o.Err), Hint: "repeat the submission with the same id to learn the outcome"}, nil
+		return &api.Unknown{Error: h.unsettled(o.Err), Hint: "repeat the submission with the same id to learn the outcome"}, nil
 	default:
 		return nil, fmt.Errorf("unexpected outcome %T", o)
 	}
 }
 
+// unsettled returns the sentence for operators about an unknown outcome.
+func (h *handler) unsettled(err error) string {
+	var failed *PlatformError
+	if errors.As(err, &failed) {
+		return fmt.Sprintf("the platform's %s gave no usable answer within %v", failed.Part, h.SubmitTimeout)
+	}
+	return fmt.Sprintf("the submission was not settled within %v", h.SubmitTimeout)
+}
+
 // submission converts a request. The error may be document.Faults.
 func (h *handler) submission(ctx context.Context, team document.TeamName, req *api.Submission) (submission.Submission, error) {
 	s := submission.Submission{ID: version.SubmissionID(req.ID), Team: team, Base: version.Number(req.Base)}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -143,6 +143,7 @@
 	var tooLarge *http.MaxBytesError
 	var security *ogenerrors.SecurityError
 	var bad ogenerrors.Error
+	var failed *PlatformError
 	switch {
 	case errors.As(err, &p):
 		return p
@@ -154,6 +155,8 @@
 		return problem{ogenerrors.ErrorCode(err), err.Error(), "see api/operator.yaml for the form of requests"}
 	case errors.Is(err, ErrNotFound), errors.Is(err, submission.ErrNoVersion):
 		return problem{http.StatusNotFound, err.Error(), "list versions with GET /v1/versions"}
+	case errors.As(err, &failed):
+		return problem{http.StatusServiceUnavailable, fmt.Sprintf("the platform's %s gave no usable answer", failed.Part), "try again when it answers; the log of this daemon has the cause"}
 	default:
 		return problem{http.StatusServiceUnavailable, err.Error(), "try again, or ask another daemon"}
 	}
@@ -169,6 +172,10 @@
 // NewError implements api.Handler.
 func (h *handler) NewError(_ context.Context, err error) *api.FailedStatusCode {
 	p := problemOf(err)
-	h.Log.Debug("request failed", zap.Int("status", p.status), zap.Error(err))
+	log := h.Log.Debug
+	if p.status == http.StatusServiceUnavailable {
+		log = h.Log.Warn // operators get only a sentence about the platform
+	}
+	log("request failed", zap.Int("status", p.status), zap.Error(err))
 	return &api.FailedStatusCode{StatusCode: p.status, Response: api.Error{Error: p.text, Hint: p.hint}}
 }
--- a/internal/operator/operatortest/backend.go
+++ b/internal/operator/operatortest/backend.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -16,8 +17,9 @@
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
-// ErrDown is the error of a fake whose platform is down.
-var ErrDown = errors.New("platform table does not respond")
+// ErrDown is the error of a fake whose platform is down. Operators do not see the
+// text of its cause.
+var ErrDown = &operator.PlatformError{Part: operator.Table, Err: errors.New("https response error StatusCode: 0, RequestID: ,")}
 
 // Backend is a fake operator.Backend in memory. It accepts submissions like the
 // real one. Fields may be set before use; methods may be called concurrently.
@@ -40,6 +42,7 @@
 	records   map[version.SubmissionID]version.Snapshot
 	applied   map[host.AvailabilityZone]int // hosts that have the head version
 	down      bool
+	slow      bool
 	loseNext  int
 	heldZones map[host.AvailabilityZone]bool
 }
@@ -77,8 +80,22 @@
 	b.heldZones[z] = hold
 }
 
+// SetSlow makes submissions wait until their context ends.
+func (b *Backend) SetSlow(slow bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.slow = slow
+}
+
 // Submit implements operator.Backend.
-func (b *Backend) Submit(_ context.Context, s submission.Submission) submission.Outcome {
+func (b *Backend) Submit(ctx context.Context, s submission.Submission) submission.Outcome {
+	b.lock.Lock()
+	slow := b.slow
+	b.lock.Unlock()
+	if slow {
+		<-ctx.Done()
+		return submission.Unknown{Err: fmt.Errorf("read head: %w", ErrDown)}
+	}
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	if b.down {
@@ -103,7 +120,7 @@
 	}
 	if b.loseNext > 0 {
 		b.loseNext--
-		return submission.Unknown{Err: errors.New("response of the platform was lost")}
+		return submission.Unknown{Err: fmt.Errorf("commit: %w", ErrDown)}
 	}
 	return submission.Accepted{Snapshot: next}
 }
