--- /dev/null
+++ b/internal/connection/body.go
@@ -0,0 +1,116 @@
+package connection
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// BufferLimit is the size in bytes up to which the body of a request is read
+// before the request is handled.
+const BufferLimit = 64 << 10
+
+var errBodyTooLarge = errors.New("request body is too large")
+
+// wholeBody is a request body that was read before the request is handled.
+type wholeBody struct{ *bytes.Reader }
+
+func (wholeBody) Close() error { return nil }
+
+// streamedBody is a request body that the handler reads from the connection. No
+// other request can be read before its end.
+type streamedBody struct {
+	conn   *conn
+	buffer *bytes.Buffer // what was read before the request was handled
+	rest   io.Reader
+
+	mu      sync.Mutex // held during a read
+	stopped atomic.Bool
+	ended   bool
+	end     chan struct{} // closed when the body was read to its end
+}
+
+var errBodyAbandoned = errors.New("request body is read after the response")
+
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped.Load() {
+		return 0, errBodyAbandoned
+	}
+	if b.buffer.Len() > 0 {
+		return b.buffer.Read(p)
+	}
+	b.conn.setReadTimeout(b.conn.server.config.Limits().IdleTimeout)
+	n, err := b.rest.Read(p)
+	if err != nil && !b.ended {
+		b.ended = errors.Is(err, io.EOF)
+		if b.ended {
+			close(b.end)
+		} else {
+			b.conn.cancel()
+		}
+	}
+	return n, err
+}
+
+// Close implements io.Closer. The rest of the body stays unread.
+func (b *streamedBody) Close() error { return nil }
+
+// whole reports whether the body was read to its end.
+func (b *streamedBody) whole() bool {
+	select {
+	case <-b.end:
+		return true
+	default:
+		return false
+	}
+}
+
+// stop ends a read that is in progress and refuses further ones.
+func (b *streamedBody) stop() {
+	b.stopped.Store(true)
+	_ = b.conn.raw.SetReadDeadline(time.Now())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+}
+
+// takeBody reads the body of a request up to BufferLimit. A larger one is
+// returned as a stream.
+func (c *conn) takeBody(r *http.Request) (*streamedBody, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	limits := c.server.config.Limits()
+	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
+		return nil, errBodyTooLarge
+	}
+	c.setReadTimeout(limits.IdleTimeout)
+	if r.Header.Get("Expect") == "100-continue" && c.inFlight() == 0 {
+		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, fmt.Errorf("ask for the request body: %w", err)
+		}
+	}
+	size := int64(BufferLimit)
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength)
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, size))
+	n, err := buffer.ReadFrom(io.LimitReader(r.Body, BufferLimit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read the request body: %w", err)
+	}
+	if n <= BufferLimit {
+		r.Body = wholeBody{bytes.NewReader(buffer.Bytes())}
+		return nil, nil
+	}
+	stream := &streamedBody{conn: c, buffer: buffer, rest: r.Body, end: make(chan struct{})}
+	r.Body = stream
+	return stream, nil
+}
--- /dev/null
+++ b/internal/connection/client.go
@@ -0,0 +1,420 @@
+package connection
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Message is a request to send.
+type Message struct {
+	Method    string
+	Target    string // path and query as received
+	Authority string // Host header
+	Header    http.Header
+	Fields    []Field // further header fields; Header has none of their names
+	Body      []byte
+	// Rest follows Body; it can be read once. Nil when Body is the whole body.
+	Rest   io.Reader
+	Length int64 // of the whole body; -1 sends it in chunks
+	// Trailer is sent after a body in chunks.
+	Trailer http.Header
+}
+
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// SendError is the error of a request without a response.
+type SendError struct {
+	// Written says that a byte of the request may have reached the peer. Without,
+	// it is proved that the peer did not run it.
+	Written bool
+	// Reused says that the connection had carried an earlier request.
+	Reused bool
+	Err    error
+}
+
+// Error returns the text of the cause.
+func (e *SendError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Err }
+
+// ClientConfig holds the settings of a client. Dial is required.
+type ClientConfig struct {
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// Idle is the time after which an unused connection is not used again; a
+	// peer that announces a shorter one in a Keep-Alive header is believed.
+	Idle time.Duration
+	// MaxIdle bounds the unused connections to one address.
+	MaxIdle int
+	// Matches reports whether a response answers a request; nil accepts every
+	// response. A response that does not match is late and is passed over.
+	Matches func(m *Message, r *http.Response) bool
+}
+
+// Client sends requests over connections that it keeps open. It never sends a
+// request twice.
+type Client struct {
+	config ClientConfig
+
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*clientConn // the one used last comes last
+}
+
+// NewClient returns a client without connections.
+func NewClient(c ClientConfig) *Client {
+	if c.Matches == nil {
+		c.Matches = func(*Message, *http.Response) bool { return true }
+	}
+	return &Client{config: c, idle: make(map[netip.AddrPort][]*clientConn)}
+}
+
+// clientConn is a connection to a peer. One request uses it at a time.
+type clientConn struct {
+	raw    net.Conn
+	reader *bufio.Reader
+	addr   netip.AddrPort
+	used   bool
+	until  time.Time // from which on it must not be used again
+}
+
+const (
+	// maxStale bounds the late responses that are passed over before the one that
+	// answers a request.
+	maxStale = 4
+	// maxResponseHeader bounds the header of a response in bytes.
+	maxResponseHeader = 64 << 10
+	// writeAhead is the size in bytes up to which a request is written before its
+	// response is read. The socket takes as much without waiting for the peer.
+	writeAhead = 4 << 10
+	// idleMargin is kept from a peer's idle timeout, for the time that the next
+	// request takes to reach it.
+	idleMargin = 500 * time.Millisecond
+)
+
+// ErrNoResponse is wrapped when a peer closes the connection without a response.
+var ErrNoResponse = errors.New("the connection was closed without a response")
+
+// ErrStale says that too many late responses came instead of the right one.
+var ErrStale = errors.New("the response answers another request")
+
+// Options change how a request is sent.
+type Options struct {
+	// MaxIdle is the longest time for which the connection may have been unused;
+	// zero for no bound. A peer can forget an unused connection without notice,
+	// and what is sent on it then is lost.
+	MaxIdle time.Duration
+}
+
+// Send sends a request and returns the response, whose body must be closed. When
+// ctx ends, the connection is closed, until the body is closed too. An error is a
+// *SendError.
+func (c *Client) Send(ctx context.Context, addr netip.AddrPort, m *Message, o Options) (*http.Response, error) {
+	cc := c.take(addr, o)
+	if cc == nil {
+		var err error
+		if cc, err = c.dial(ctx, addr); err != nil {
+			return nil, &SendError{Err: err}
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		c.put(cc)
+		return nil, &SendError{Err: err}
+	}
+	x := &exchange{client: c, conn: cc, message: m, reused: cc.used}
+	cc.used = true
+	x.stop = context.AfterFunc(ctx, func() { _ = cc.raw.Close() })
+	r, err := x.run()
+	if err != nil {
+		x.stop()
+		_ = cc.raw.Close()
+		if cause := ctx.Err(); cause != nil {
+			err = cause
+		}
+		return nil, &SendError{Written: x.written, Reused: x.reused, Err: err}
+	}
+	return r, nil
+}
+
+func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*clientConn, error) {
+	raw, err := c.config.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), addr: addr}, nil
+}
+
+// take returns an unused connection, or nil.
+func (c *Client) take(addr netip.AddrPort, o Options) *clientConn {
+	for {
+		cc := c.pop(addr)
+		if cc == nil {
+			return nil
+		}
+		now := time.Now()
+		fresh := o.MaxIdle == 0 || now.Add(c.config.Idle-o.MaxIdle).Before(cc.until)
+		if now.Before(cc.until) && fresh && cc.alive() {
+			return cc
+		}
+		_ = cc.raw.Close()
+	}
+}
+
+func (c *Client) pop(addr netip.AddrPort) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	cc := list[len(list)-1]
+	list[len(list)-1] = nil
+	if list = list[:len(list)-1]; len(list) == 0 {
+		delete(c.idle, addr)
+	} else {
+		c.idle[addr] = list
+	}
+	return cc
+}
+
+// put keeps a connection for the next request.
+func (c *Client) put(cc *clientConn) {
+	c.mu.Lock()
+	var surplus *clientConn
+	list := append(c.idle[cc.addr], cc)
+	if len(list) > max(c.config.MaxIdle, 1) {
+		surplus, list = list[0], list[1:]
+	}
+	c.idle[cc.addr] = list
+	c.mu.Unlock()
+	if surplus != nil {
+		_ = surplus.raw.Close()
+	}
+}
+
+// Sweep closes the connections that were unused for too long.
+func (c *Client) Sweep() {
+	now := time.Now()
+	c.closeIdle(func(cc *clientConn) bool { return !now.Before(cc.until) })
+}
+
+// CloseIdle closes all connections that carry no request.
+func (c *Client) CloseIdle() {
+	c.closeIdle(func(*clientConn) bool { return true })
+}
+
+func (c *Client) closeIdle(old func(*clientConn) bool) {
+	var closed []*clientConn
+	c.mu.Lock()
+	for addr, list := range c.idle {
+		var kept []*clientConn
+		for _, cc := range list {
+			if old(cc) {
+				closed = append(closed, cc)
+			} else {
+				kept = append(kept, cc)
+			}
+		}
+		if len(kept) == 0 {
+			delete(c.idle, addr)
+		} else {
+			c.idle[addr] = kept
+		}
+	}
+	c.mu.Unlock()
+	for _, cc := range closed {
+		_ = cc.raw.Close()
+	}
+}
+
+// exchange is one request and its response on a connection.
+type exchange struct {
+	client  *Client
+	conn    *clientConn
+	message *Message
+	reused  bool
+	written bool
+	stop    func() bool // ends the watch of the context
+	writing chan error  // result of the writing goroutine; nil when all was written
+}
+
+func (x *exchange) run() (*http.Response, error) {
+	head := x.message.encode()
+	m := x.message
+	if m.Rest == nil && m.Length >= 0 && len(head)+len(m.Body) <= writeAhead {
+		if err := x.write(append(head, m.Body...)); err != nil {
+			return nil, fmt.Errorf("send the request: %w", err)
+		}
+	} else {
+		// The peer may answer before it has read the body.
+		x.written = true
+		x.writing = make(chan error, 1)
+		go func() {
+			err := x.writeAll(head)
+			if err != nil {
+				// The peer would wait for the rest, and its response is void.
+				_ = x.conn.raw.Close()
+			}
+			x.writing <- err
+		}()
+	}
+	return x.receive()
+}
+
+func (x *exchange) write(p []byte) error {
+	n, err := x.conn.raw.Write(p)
+	x.written = x.written || n > 0
+	return err
+}
+
+func (x *exchange) writeAll(head []byte) error {
+	m := x.message
+	if _, err := x.conn.raw.Write(head); err != nil {
+		return err
+	}
+	var out io.Writer = x.conn.raw
+	var chunks *chunkWriter
+	if m.Length < 0 {
+		chunks = &chunkWriter{to: x.conn.raw}
+		out = chunks
+	}
+	if len(m.Body) > 0 {
+		if _, err := out.Write(m.Body); err != nil {
+			return err
+		}
+	}
+	if m.Rest != nil {
+		n, err := io.Copy(out, m.Rest)
+		if err != nil {
+			return err
+		}
+		if m.Length >= 0 && int64(len(m.Body))+n != m.Length {
+			return io.ErrUnexpectedEOF
+		}
+	}
+	if chunks != nil {
+		return chunks.end(m.Trailer)
+	}
+	return nil
+}
+
+// receive reads the response that answers the request.
+func (x *exchange) receive() (*http.Response, error) {
+	request := &http.Request{Method: x.message.Method}
+	for range maxStale {
+		r, err := x.readResponse(request)
+		if err != nil {
+			return nil, err
+		}
+		if r.StatusCode < http.StatusOK && r.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		if x.client.config.Matches(x.message, r) {
+			x.conn.noteTimeout(x.client.config.Idle, r)
+			r.Body = &responseBody{exchange: x, ReadCloser: r.Body, last: r.Close, ended: r.Body == http.NoBody}
+			return r, nil
+		}
+		if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+			return nil, ErrStale
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return nil, fmt.Errorf("pass over a late response: %w", err)
+		}
+	}
+	return nil, ErrStale
+}
+
+func (x *exchange) readResponse(request *http.Request) (*http.Response, error) {
+	if _, err := x.conn.reader.Peek(1); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = ErrNoResponse
+		}
+		return nil, fmt.Errorf("wait for the response: %w", err)
+	}
+	r, err := http.ReadResponse(x.conn.reader, request)
+	if err != nil {
+		return nil, fmt.Errorf("read the response: %w", err)
+	}
+	return r, nil
+}
+
+// noteTimeout sets the time until which the connection may be used again.
+func (cc *clientConn) noteTimeout(idle time.Duration, r *http.Response) {
+	if announced, ok := keepAlive(r.Header); ok {
+		idle = min(idle, max(0, announced-idleMargin))
+	}
+	cc.until = time.Now().Add(idle)
+}
+
+// keepAlive returns the timeout of a Keep-Alive header.
+func keepAlive(h http.Header) (time.Duration, bool) {
+	for _, list := range h["Keep-Alive"] {
+		for item := range bytes.SplitSeq([]byte(list), []byte(",")) {
+			value, ok := bytes.CutPrefix(bytes.TrimSpace(item), []byte("timeout="))
+			if n, err := strconv.Atoi(string(value)); ok && err == nil && n >= 0 {
+				return time.Duration(n) * time.Second, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// responseBody gives the connection back when the body was read to its end.
+type responseBody struct {
+	io.ReadCloser
+	exchange *exchange
+	last     bool // the connection ends with the response
+	ended    bool
+	closed   bool
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
+// Close implements io.Closer. A body that was not read to its end closes the
+// connection.
+func (b *responseBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	x := b.exchange
+	if !x.stop() {
+		return x.conn.raw.Close()
+	}
+	if !b.ended || b.last || !x.clean() {
+		return x.conn.raw.Close()
+	}
+	x.client.put(x.conn)
+	return nil
+}
+
+// clean reports whether nothing of the request is left to be written and nothing
+// follows the response.
+func (x *exchange) clean() bool {
+	if x.writing != nil {
+		select {
+		case err := <-x.writing:
+			if err != nil {
+				return false
+			}
+		default:
+			return false
+		}
+	}
+	return x.conn.reader.Buffered() == 0
+}
--- /dev/null
+++ b/internal/connection/client_test.go
@@ -0,0 +1,291 @@
+package connection_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/connection"
+)
+
+// peer serves connections with a function that gets the number of the
+// connection, from 1.
+func peer(t *testing.T, serve func(n int64, in *bufio.Reader, c net.Conn)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	t.Cleanup(func() { _ = l.Close(); group.Wait() })
+	var count atomic.Int64
+	group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer c.Close()
+				_ = c.SetDeadline(time.Now().Add(30 * time.Second)) // ends a test that hangs
+				serve(count.Add(1), bufio.NewReader(c), c)
+			})
+		}
+	})
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func newClient(t *testing.T) *connection.Client {
+	c := connection.NewClient(connection.ClientConfig{
+		Dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", addr.String())
+		},
+		Idle: time.Minute, MaxIdle: 4,
+		Matches: func(m *connection.Message, r *http.Response) bool { return r.Header.Get("Id") == m.Header.Get("Id") },
+	})
+	t.Cleanup(c.CloseIdle)
+	return c
+}
+
+func message(id, body string) *connection.Message {
+	return &connection.Message{Method: "POST", Target: "/a?b=c", Authority: "x", Header: http.Header{"Id": {id}}, Body: []byte(body), Length: int64(len(body))}
+}
+
+func exchange(ctx context.Context, c *connection.Client, addr netip.AddrPort, m *connection.Message) (string, error) {
+	r, err := c.Send(ctx, addr, m, connection.Options{})
+	if err != nil {
+		return "", err
+	}
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	return string(body), err
+}
+
+// respond answers the next request of a connection with a text.
+func respond(in *bufio.Reader, c net.Conn, id, text string) bool {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return false
+	}
+	if id == "" {
+		id = r.Header.Get("Id")
+	}
+	body, _ := io.ReadAll(r.Body)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(text)+len(body), text+string(body))
+	return true
+}
+
+// Guards against a second use of a connection that carries bytes that no request
+// asked for, or that the peer has closed.
+func TestConnectionIsNotReused(t *testing.T) {
+	for name, after := range map[string]func(c net.Conn){
+		"closed":      func(c net.Conn) { _ = c.Close() },
+		"extra bytes": func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 5\r\n\r\nextra") },
+		"announced":   func(net.Conn) {},
+	} {
+		done := make(chan struct{}, 2)
+		addr := peer(t, func(n int64, in *bufio.Reader, c net.Conn) {
+			if name == "announced" {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\nContent-Length: 1\r\n\r\n%d", r.Header.Get("Id"), n)
+			} else if !respond(in, c, "", fmt.Sprint(n)) {
+				return
+			}
+			if n == 1 {
+				after(c)
+			}
+			done <- struct{}{}
+			_, _ = io.Copy(io.Discard, in)
+		})
+		c := newClient(t)
+		for i, want := range []string{"1", "2"} {
+			got, err := exchange(t.Context(), c, addr, message(fmt.Sprint(i+1), ""))
+			if err != nil || got != want {
+				t.Errorf("%s: got %q, error %v, want %q", name, got, err, want)
+			}
+			<-done
+			time.Sleep(time.Millisecond) // for what the peer did to arrive
+		}
+		c.CloseIdle()
+	}
+}
+
+// Guards against a late response that is taken for the one that is due.
+func TestLateResponseIsPassedOver(t *testing.T) {
+	addr := peer(t, func(_ int64, in *bufio.Reader, c net.Conn) {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 4\r\n\r\nlate")
+		respond(in, c, "", "due")
+	})
+	if got, err := exchange(t.Context(), newClient(t), addr, message("1", "")); err != nil || got != "due" {
+		t.Errorf("got %q, error %v, want due", got, err)
+	}
+	addr = peer(t, func(_ int64, in *bufio.Reader, c net.Conn) {
+		for range 9 {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 4\r\n\r\nlate")
+		}
+		respond(in, c, "", "due")
+	})
+	if got, err := exchange(t.Context(), newClient(t), addr, message("1", "")); !errors.Is(err, connection.ErrStale) {
+		t.Errorf("got %q, error %v, want %v", got, err, connection.ErrStale)
+	}
+}
+
+// Guards against a wrong proof that a request did not reach the peer, and
+// against a missing one.
+func TestProofThatNothingWasSent(t *testing.T) {
+	read := peer(t, func(_ int64, in *bufio.Reader, _ net.Conn) { _, _ = http.ReadRequest(in) })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := netip.MustParseAddrPort(l.Addr().String())
+	_ = l.Close()
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, c := range []struct {
+		name    string
+		ctx     context.Context
+		addr    netip.AddrPort
+		written bool
+	}{{"closed port", t.Context(), closed, false}, {"ended context", ended, read, false}, {"no response", t.Context(), read, true}} {
+		_, err := exchange(c.ctx, newClient(t), c.addr, message("1", ""))
+		var e *connection.SendError
+		if !errors.As(err, &e) || e.Written != c.written {
+			t.Errorf("%s: got %v, want written %t", c.name, err, c.written)
+		}
+	}
+}
+
+// Guards against a request that the peer goes on with after the caller has gone.
+func TestCancelClosesTheConnection(t *testing.T) {
+	gone := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	addr := peer(t, func(_ int64, in *bufio.Reader, _ net.Conn) {
+		_, _ = http.ReadRequest(in)
+		cancel()
+		_, _ = io.Copy(io.Discard, in)
+		close(gone)
+	})
+	if _, err := exchange(ctx, newClient(t), addr, message("1", "")); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want %v", err, context.Canceled)
+	}
+	<-gone
+}
+
+// Guards against a request that waits for a peer to read its body although the
+// peer has answered, and against other bytes where the rest of the body is due.
+func TestEarlyResponse(t *testing.T) {
+	var connections atomic.Int64
+	addr := peer(t, func(n int64, in *bufio.Reader, c net.Conn) {
+		connections.Store(n)
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: 5\r\n\r\nearly", r.Header.Get("Id"))
+		time.Sleep(10 * time.Millisecond)
+		body, _ := io.ReadAll(r.Body)
+		if strings.Trim(string(body), "x") != "" {
+			t.Errorf("got other bytes in the body of the request")
+		}
+	})
+	c := newClient(t)
+	for i := range 2 {
+		if got, err := exchange(t.Context(), c, addr, message(fmt.Sprint(i), strings.Repeat("x", 8<<20))); err != nil || got != "early" {
+			t.Errorf("got %q, error %v, want early", got, err)
+		}
+	}
+	if got := connections.Load(); got != 2 {
+		t.Errorf("got %d connections, want 2", got)
+	}
+}
+
+// Guards against a response without a length that is cut and taken for whole.
+func TestResponseThatEndsWithItsConnection(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		addr := peer(t, func(_ int64, in *bufio.Reader, c net.Conn) {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nwhole", r.Header.Get("Id"))
+			if reset {
+				time.Sleep(10 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		got, err := exchange(t.Context(), newClient(t), addr, message("1", ""))
+		if reset && err == nil || !reset && (err != nil || got != "whole") {
+			t.Errorf("reset %t: got %q, error %v", reset, got, err)
+		}
+	}
+}
+
+// Guards against a body with a length that is sent short, and against chunks
+// without their end.
+func TestStreamedBody(t *testing.T) {
+	addr := peer(t, func(_ int64, in *bufio.Reader, c net.Conn) {
+		for respond(in, c, "", "") {
+		}
+	})
+	c := newClient(t)
+	for _, length := range []int64{-1, 100_000} {
+		m := message("1", strings.Repeat("a", 60_000))
+		m.Length, m.Rest = length, strings.NewReader(strings.Repeat("b", 40_000))
+		if got, err := exchange(t.Context(), c, addr, m); err != nil || got != strings.Repeat("a", 60_000)+strings.Repeat("b", 40_000) {
+			t.Errorf("length %d: got %d bytes, error %v, want 100000", length, len(got), err)
+		}
+	}
+	m := message("1", strings.Repeat("a", 60_000))
+	m.Length, m.Rest = 100_000, strings.NewReader("short")
+	if got, err := exchange(t.Context(), c, addr, m); err == nil {
+		t.Errorf("short body: got %d bytes, want an error", len(got))
+	}
+}
+
+// Guards against reuse of a connection beyond the time that its peer or the
+// request allows.
+func TestIdleTime(t *testing.T) {
+	var connections atomic.Int64
+	addr := peer(t, func(n int64, in *bufio.Reader, c net.Conn) {
+		connections.Store(n)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"), r.Header.Get("Say"))
+		}
+	})
+	c := newClient(t)
+	for i, step := range []struct {
+		say         string
+		idle        time.Duration
+		connections int64
+	}{{"timeout=5, max=100", 0, 1}, {"timeout=0", 0, 1}, {"timeout=5", 0, 2}, {"timeout=5", time.Nanosecond, 3}} {
+		m := message(fmt.Sprint(i), "")
+		m.Header.Set("Say", step.say)
+		r, err := c.Send(t.Context(), addr, m, connection.Options{MaxIdle: step.idle})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_ = r.Body.Close()
+		if got := connections.Load(); got != step.connections {
+			t.Errorf("step %d: got %d connections, want %d", i, got, step.connections)
+		}
+	}
+}
--- /dev/null
+++ b/internal/connection/message.go
@@ -0,0 +1,67 @@
+package connection
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// encode encodes the request line and the header fields.
+func (m *Message) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(writeAhead)
+	b.WriteString(m.Method)
+	b.WriteByte(' ')
+	b.WriteString(m.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(m.Authority)
+	b.WriteString("\r\n")
+	_ = m.Header.Write(&b) // writing to a buffer does not fail
+	for _, f := range m.Fields {
+		b.WriteString(f.Name)
+		b.WriteString(": ")
+		b.WriteString(f.Value)
+		b.WriteString("\r\n")
+	}
+	switch {
+	case m.Length < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+		for name := range m.Trailer {
+			b.WriteString("Trailer: " + name + "\r\n")
+		}
+	case m.Length > 0 || m.Method != http.MethodGet && m.Method != http.MethodHead:
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.FormatInt(m.Length, 10))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// chunkWriter writes each piece as a chunk.
+type chunkWriter struct{ to io.Writer }
+
+// Write implements io.Writer.
+func (w *chunkWriter) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	chunk := strconv.AppendInt(nil, int64(len(p)), 16)
+	chunk = append(chunk, "\r\n"...)
+	chunk = append(chunk, p...)
+	if _, err := w.to.Write(append(chunk, "\r\n"...)); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// end writes the last chunk and the trailer.
+func (w *chunkWriter) end(trailer http.Header) error {
+	var b bytes.Buffer
+	b.WriteString("0\r\n")
+	_ = trailer.Write(&b) // writing to a buffer does not fail
+	b.WriteString("\r\n")
+	_, err := w.to.Write(b.Bytes())
+	return err
+}
--- /dev/null
+++ b/internal/connection/response.go
@@ -0,0 +1,254 @@
+package connection
+
+import (
+	"bytes"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// writeTimeout bounds one write to a client that does not read.
+const writeTimeout = 30 * time.Second
+
+// response writes the answer to one request, behind those of earlier requests
+// of its connection. A body up to BufferLimit is written at once.
+type response struct {
+	conn   *conn
+	header http.Header
+	status int // 0 until WriteHeader
+	body   bytes.Buffer
+
+	head      bool // the request's method was HEAD
+	old       bool // the client speaks HTTP/1.0
+	close     bool // the connection ends with this response
+	streaming bool // the header was written
+	chunked   bool
+	aborted   bool
+	unread    *streamedBody // of the request; nil when it was read before
+
+	before <-chan struct{} // closed when the earlier response was written
+	done   chan struct{}
+}
+
+var written = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+func newResponse(c *conn, r *http.Request, before *response) *response {
+	w := &response{
+		conn: c, header: make(http.Header), done: make(chan struct{}), before: written,
+		head: r.Method == http.MethodHead, old: !r.ProtoAtLeast(1, 1), close: r.Close,
+	}
+	if before != nil {
+		w.before = before.done
+	}
+	return w
+}
+
+// Header implements http.ResponseWriter.
+func (w *response) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter. Only the first call counts.
+func (w *response) WriteHeader(status int) {
+	if w.status == 0 {
+		w.status = status
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *response) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	if !w.hasBody() {
+		return 0, http.ErrBodyNotAllowed
+	}
+	if !w.streaming && w.body.Len()+len(p) <= BufferLimit {
+		return w.body.Write(p)
+	}
+	if !w.streaming {
+		if err := w.stream(); err != nil {
+			return 0, err
+		}
+	}
+	return len(p), w.send(p)
+}
+
+func (w *response) hasBody() bool {
+	return !w.head && w.status >= http.StatusOK && w.status != http.StatusNoContent && w.status != http.StatusNotModified
+}
+
+// stream writes the header and what is buffered, when the response's turn has
+// come.
+func (w *response) stream() error {
+	<-w.before
+	w.streaming = true
+	if _, known := w.header["Content-Length"]; !known {
+		w.chunked = !w.old
+		w.close = w.close || w.old
+	}
+	head := w.encodeHeader()
+	if err := w.write(head); err != nil {
+		return err
+	}
+	err := w.send(w.body.Bytes())
+	w.body.Reset()
+	return err
+}
+
+// send writes a part of the body.
+func (w *response) send(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	if !w.chunked {
+		return w.write(p)
+	}
+	chunk := make([]byte, 0, len(p)+16)
+	chunk = strconv.AppendInt(chunk, int64(len(p)), 16)
+	chunk = append(chunk, "\r\n"...)
+	chunk = append(chunk, p...)
+	return w.write(append(chunk, "\r\n"...))
+}
+
+func (w *response) write(p []byte) error {
+	_ = w.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := w.conn.raw.Write(p); err != nil {
+		w.conn.cancel()
+		return err
+	}
+	return nil
+}
+
+// encodeHeader encodes the status line and the header fields. It decides
+// whether the connection ends with this response.
+func (w *response) encodeHeader() []byte {
+	w.close = w.conn.endsWith(w)
+	var b bytes.Buffer
+	b.WriteString("HTTP/1.1 ")
+	b.WriteString(strconv.Itoa(w.status))
+	b.WriteByte(' ')
+	b.WriteString(http.StatusText(w.status))
+	b.WriteString("\r\n")
+	delete(w.header, "Connection")
+	delete(w.header, "Transfer-Encoding")
+	fields := w.header
+	if w.chunked || w.prefixed() {
+		fields = maps.Clone(w.header)
+		maps.DeleteFunc(fields, func(name string, _ []string) bool {
+			return strings.HasPrefix(name, http.TrailerPrefix) || slices.Contains(w.trailerNames(), name)
+		})
+	}
+	// Writing to a buffer does not fail.
+	_ = fields.Write(&b)
+	if w.chunked {
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	if w.close {
+		b.WriteString("Connection: close\r\n")
+	} else if w.old {
+		b.WriteString("Connection: keep-alive\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+func (w *response) prefixed() bool {
+	for name := range w.header {
+		if strings.HasPrefix(name, http.TrailerPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// trailerNames returns the fields that the handler announced as trailers.
+func (w *response) trailerNames() []string {
+	var names []string
+	for _, list := range w.header["Trailer"] {
+		for name := range strings.SplitSeq(list, ",") {
+			names = append(names, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return names
+}
+
+// finish writes what is left when the handler has returned, and lets the next
+// response be written.
+func (w *response) finish() {
+	defer w.conn.answered()
+	defer close(w.done)
+	<-w.before
+	if w.aborted {
+		w.conn.abort()
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	if err := w.complete(); err != nil {
+		w.conn.abort()
+		return
+	}
+	if w.close {
+		w.conn.finishWriting()
+	}
+}
+
+func (w *response) complete() error {
+	if w.streaming {
+		if w.chunked {
+			return w.write(w.lastChunk())
+		}
+		return nil
+	}
+	if w.hasBody() && (len(w.trailerNames()) > 0 || w.prefixed()) && !w.old {
+		if err := w.stream(); err != nil {
+			return err
+		}
+		return w.write(w.lastChunk())
+	}
+	if w.hasBody() {
+		w.header["Content-Length"] = []string{strconv.Itoa(w.body.Len())}
+	}
+	return w.write(append(w.encodeHeader(), w.body.Bytes()...))
+}
+
+// lastChunk encodes the end of a chunked body with its trailers.
+func (w *response) lastChunk() []byte {
+	trailer := make(http.Header)
+	for _, name := range w.trailerNames() {
+		if values, ok := w.header[name]; ok {
+			trailer[name] = values
+		}
+	}
+	for name, values := range w.header {
+		if name, ok := strings.CutPrefix(name, http.TrailerPrefix); ok {
+			trailer[http.CanonicalHeaderKey(name)] = values
+		}
+	}
+	var b bytes.Buffer
+	b.WriteString("0\r\n")
+	_ = trailer.Write(&b) // writing to a buffer does not fail
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// recoverAbort ends the connection after a panic of the handler, so that the
+// client does not take a partial response for complete.
+func (w *response) recoverAbort() {
+	switch p := recover(); p {
+	case nil:
+	case http.ErrAbortHandler:
+		w.aborted = true
+	default:
+		w.aborted = true
+		w.conn.server.config.Log.Error("A handler failed.", zap.Any("panic", p), zap.Stack("stack"))
+	}
+}
+
+var _ io.Writer = (*response)(nil)
--- /dev/null
+++ b/internal/connection/server_test.go
@@ -0,0 +1,286 @@
+package connection_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/connection"
+)
+
+// start serves a handler on loopback.
+func start(t *testing.T, h http.HandlerFunc, limits connection.Limits) (*connection.Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := connection.NewServer(connection.ServerConfig{Handler: h, Limits: func() connection.Limits { return limits }})
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-done; err != nil {
+			t.Errorf("serve: got %v, want no error", err)
+		}
+	})
+	return s, l.Addr().String()
+}
+
+// caller is a client that writes what it is told.
+type caller struct {
+	net.Conn
+	t  *testing.T
+	in *bufio.Reader
+}
+
+func call(t *testing.T, addr string) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(30 * time.Second)) // ends a test that hangs
+	return &caller{c, t, bufio.NewReader(c)}
+}
+
+func (c *caller) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// receive reads a response and returns its status and body.
+func (c *caller) receive() (*http.Response, string) {
+	c.t.Helper()
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		c.t.Fatalf("read a response: %v", err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		c.t.Fatalf("read a body: %v", err)
+	}
+	return r, string(body)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+
+// Guards against a server that reads a request only after it has answered the
+// one before, and against responses in another order than the requests.
+func TestPipelinedRequestsRunTogether(t *testing.T) {
+	arrived, release := make(chan string, 3), make(chan struct{})
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- r.URL.Path
+		if r.URL.Path == "/1" {
+			<-release
+		}
+		fmt.Fprint(w, r.URL.Path)
+	}, connection.DefaultLimits())
+	c := call(t, addr)
+	c.send(get("/1") + get("/2") + get("/3"))
+	for range 3 {
+		<-arrived
+	}
+	close(release)
+	for _, want := range []string{"/1", "/2", "/3"} {
+		if _, got := c.receive(); got != want {
+			t.Errorf("got response %q, want %q", got, want)
+		}
+	}
+}
+
+// Guards against a request that runs on for a client that has gone, also when
+// bytes of another request are buffered behind it.
+func TestClientLeaves(t *testing.T) {
+	for _, behind := range []string{"", get("/2"), "GET /2 HTTP/1.1\r\nHo"} {
+		running, cancelled := make(chan struct{}, 2), make(chan struct{}, 2)
+		_, addr := start(t, func(_ http.ResponseWriter, r *http.Request) {
+			running <- struct{}{}
+			<-r.Context().Done()
+			cancelled <- struct{}{}
+		}, connection.DefaultLimits())
+		c := call(t, addr)
+		c.send(get("/1") + behind)
+		<-running
+		_ = c.Close()
+		<-cancelled
+	}
+}
+
+// Guards against a stop that cuts requests: one that is running, one behind it
+// on its connection, and one on a connection that was accepted just before.
+func TestShutdownAnswersWhatWasRead(t *testing.T) {
+	running, release := make(chan struct{}, 3), make(chan struct{})
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		fmt.Fprint(w, r.URL.Path)
+	}, connection.DefaultLimits())
+	// Connections are accepted in order, so that the answer on idle shows that fresh
+	// was accepted.
+	fresh, busy, idle := call(t, addr), call(t, addr), call(t, addr)
+	idle.send(get("/idle"))
+	idle.receive()
+	busy.send(get("/slow") + get("/behind"))
+	for range 3 {
+		<-running
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	if _, err := idle.in.ReadByte(); err == nil {
+		t.Error("idle connection: got a byte, want its end")
+	}
+	fresh.send(get("/fresh"))
+	if r, got := fresh.receive(); got != "/fresh" || !r.Close {
+		t.Errorf("accepted connection: got %q, close %t, want /fresh and true", got, r.Close)
+	}
+	close(release)
+	if r, got := busy.receive(); got != "/slow" || r.Close {
+		t.Errorf("first request: got %q, close %t, want /slow and false", got, r.Close)
+	}
+	if r, got := busy.receive(); got != "/behind" || !r.Close {
+		t.Errorf("second request: got %q, close %t, want /behind and true", got, r.Close)
+	}
+	_, _ = busy.Close(), fresh.Close()
+	if err := <-stopped; err != nil {
+		t.Errorf("shutdown: got %v, want no error", err)
+	}
+}
+
+// Guards against a retiring server that runs a request behind a response that
+// closes the connection: a client repeats such a request.
+func TestRetiringServerTakesNothingBehindItsLastResponse(t *testing.T) {
+	var runs atomic.Int64
+	s, addr := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		fmt.Fprint(w, "ok")
+	}, connection.DefaultLimits())
+	s.Retire()
+	c := call(t, addr)
+	c.send(get("/1"))
+	if r, _ := c.receive(); !r.Close {
+		t.Error("got a response without Connection: close, want one with it")
+	}
+	c.send(get("/2"))
+	if n, err := io.Copy(io.Discard, c.in); n != 0 && err == nil {
+		t.Errorf("got %d bytes behind the last response, want none", n)
+	}
+	if got := runs.Load(); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
+// Guards against requests that exceed the limits and are served, or not
+// answered at all.
+func TestLimits(t *testing.T) {
+	limits := connection.Limits{HeaderBytes: 8 << 10, BodyBytes: 100, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
+	_, addr := start(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }, limits)
+	for _, c := range []struct {
+		request string
+		status  int
+	}{
+		{"GET / HTTP/1.1\r\nHost: x\r\nLong: " + strings.Repeat("x", 9<<10) + "\r\n\r\n", 431},
+		{"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n", 413},
+		{"GET / HTTP/1.1\r\nHost", 408},
+		{"nonsense\r\n\r\n", 400},
+		{"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", 200},
+	} {
+		client := call(t, addr)
+		client.send(c.request)
+		if r, _ := client.receive(); r.StatusCode != c.status {
+			t.Errorf("%.30q: got %d, want %d", c.request, r.StatusCode, c.status)
+		}
+	}
+	idle := call(t, addr)
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("idle connection: got %v, want its end", err)
+	}
+}
+
+// Guards against bodies that are cut, mixed with the next request or not framed
+// so that the client finds their end.
+func TestBodies(t *testing.T) {
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Errorf("read the body: %v", err)
+		}
+		for len(body) > 0 {
+			n, _ := w.Write(body[:min(len(body), 10_000)])
+			body = body[n:]
+		}
+	}, connection.DefaultLimits())
+	for _, size := range []int{0, 1, 4096, 64 << 10, 64<<10 + 1, 300_000} {
+		body := strings.Repeat("x", size)
+		c := call(t, addr)
+		for _, request := range []string{
+			fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", size, body),
+			fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n", chunk(body)),
+		} {
+			go c.send(request)
+			if r, got := c.receive(); r.StatusCode != 200 || got != body {
+				t.Errorf("%d bytes: got %d and %d bytes", size, r.StatusCode, len(got))
+			}
+		}
+	}
+}
+
+func chunk(body string) string {
+	if body == "" {
+		return ""
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+}
+
+// Guards against a connection that goes on with the unread rest of a body as if
+// it were a request.
+func TestUnreadBodyEndsTheConnection(t *testing.T) {
+	var runs atomic.Int64
+	_, addr := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		fmt.Fprint(w, "early")
+	}, connection.DefaultLimits())
+	c := call(t, addr)
+	c.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat(get("/smuggled"), 2000))
+	if r, got := c.receive(); got != "early" || !r.Close {
+		t.Errorf("got %q, close %t, want early and true", got, r.Close)
+	}
+	_, _ = io.Copy(io.Discard, c.in)
+	if got := runs.Load(); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
+// Guards against a partial response that looks complete after a handler failed.
+func TestAbortCutsTheConnection(t *testing.T) {
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(make([]byte, 100_000))
+		}
+		fmt.Fprint(w, "part")
+		panic(http.ErrAbortHandler)
+	}, connection.DefaultLimits())
+	for _, path := range []string{"/small", "/large"} {
+		c := call(t, addr)
+		c.send(get(path))
+		r, err := http.ReadResponse(c.in, nil)
+		if err == nil {
+			_, err = io.ReadAll(r.Body)
+		}
+		if err == nil {
+			t.Errorf("%s: got a whole response, want a cut one", path)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -13,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +25,7 @@
 	"github.com/peridotlb/peridotlb/internal/announcement"
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/claim"
+	"github.com/peridotlb/peridotlb/internal/connection"
 	"github.com/peridotlb/peridotlb/internal/fleet"
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/host"
@@ -40,15 +43,14 @@
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
-// leaveGrace is how long a leaving daemon keeps its connections open and
-// refuses or closes them response by response. In this time the others learn
-// that it leaves; closing idle connections at once would cut a call that a peer
-// is just sending.
-const leaveGrace = 2 * time.Second
+// leaveGrace is how long a leaving daemon takes calls and closes its connections
+// response by response. In this time the others learn that it leaves, and
+// callers, who ask for its readiness once a second and believe the second
+// refusal, stop coming.
+const leaveGrace = 3 * time.Second
 
-// firstRequestTime is the time that an accepted connection has to send its
-// request after the listener was closed.
-const firstRequestTime = 500 * time.Millisecond
+// stopMargin is what is left of the drain timeout for closing everything.
+const stopMargin = 200 * time.Millisecond
 
 // Config is what a daemon needs from its process.
 type Config struct {
@@ -116,13 +118,12 @@
 	serverTLS     *tls.Config
 }
 
-// server is one HTTP listener of the daemon.
+// server is one HTTP listener of the daemon: for calls, or for control.
 type server struct {
-	name         string
-	http         *http.Server
-	listener     net.Listener
-	carriesCalls bool // drained before it is closed
-	draining     atomic.Bool
+	name     string
+	calls    *connection.Server
+	control  *http.Server
+	listener net.Listener
 }
 
 // New returns a daemon that listens on all its addresses. Run serves.
@@ -224,7 +225,7 @@
 	if s.Open() {
 		gateTLS, clientTLS = nil, nil
 	}
-	d.transports = proxy.NewTransports(proxy.TransportConfig{TLS: clientTLS, Translate: d.nat.Outside, Source: s.GateAddress.Addr()})
+	d.transports = proxy.NewTransports(proxy.TransportConfig{TLS: clientTLS, Translate: d.nat.Outside, Source: s.GateAddress.Addr(), Dialect: d.environment.Dialect})
 	calls := proxy.Config{
 		Self: s.HostID, Routes: func() *route.Table { return d.calls.routes.Load() },
 		Pool: d.pool, Gate: d.gate, Claims: meteredClaims{d.claims, d.meters}, Transports: d.transports,
@@ -249,15 +250,15 @@
 		operatorServer.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: d.serverTLS.GetCertificate, Certificates: d.serverTLS.Certificates}
 	}
 	d.servers = []*server{
-		{name: "call-address", http: proxy.EntryServer(d.closeWhenLeaving(proxy.NewEntry(calls))), carriesCalls: true},
-		{name: "gate-address", http: proxy.GateServer(d.closeWhenLeaving(proxy.NewGate(calls)), gateTLS), carriesCalls: true},
-		{name: "announce-address", http: &http.Server{Handler: d.announcementHandler(), ReadHeaderTimeout: 5 * time.Second}},
-		{name: "operator-address", http: operatorServer},
-		{name: "metrics-address", http: &http.Server{Handler: d.metricsHandler(set), ReadHeaderTimeout: 5 * time.Second}},
+		{name: "call-address", calls: proxy.EntryServer(proxy.ServerConfig{Handler: proxy.NewEntry(calls), Limits: d.callerLimits, Log: d.log.Named("call")})},
+		{name: "gate-address", calls: proxy.GateServer(proxy.ServerConfig{Handler: proxy.NewGate(calls), Log: d.log.Named("gate")}, gateTLS)},
+		{name: "announce-address", control: &http.Server{Handler: d.announcementHandler(), ReadHeaderTimeout: 5 * time.Second}},
+		{name: "operator-address", control: operatorServer},
+		{name: "metrics-address", control: &http.Server{Handler: d.metricsHandler(set), ReadHeaderTimeout: 5 * time.Second}},
 	}
 	addresses := []netip.AddrPort{s.CallAddress, s.GateAddress, s.AnnounceAddress, s.OperatorAddress, s.MetricsAddress}
 	if s.ReadyAddress.IsValid() {
-		d.servers = append(d.servers, &server{name: "ready-address", http: &http.Server{Handler: d.readiness(), ReadHeaderTimeout: 5 * time.Second}})
+		d.servers = append(d.servers, &server{name: "ready-address", control: &http.Server{Handler: d.readiness(), ReadHeaderTimeout: 5 * time.Second}})
 		addresses = append(addresses, s.ReadyAddress)
 	}
 	for i, srv := range d.servers {
@@ -265,7 +266,10 @@
 			d.closeListeners()
 			return fmt.Errorf("open --%s: %w", srv.name, err)
 		}
-		srv.http.ErrorLog = stdlog.New(serverLog{d.log.Named("http")}, "", 0)
+		if srv.control == nil {
+			continue
+		}
+		srv.control.ErrorLog = stdlog.New(serverLog{d.log.Named("http")}, "", 0)
 	}
 	return nil
 }
@@ -295,14 +299,18 @@
 	_ = d.link.Close()
 }
 
-// closeWhenLeaving closes the connection after each response once the daemon leaves.
-func (d *Daemon) closeWhenLeaving(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
+// callerLimits returns what the version in force lets callers send.
+func (d *Daemon) callerLimits() connection.Limits {
+	limits := connection.DefaultLimits()
+	stated := d.calls.limits.Load()
+	if stated == nil {
+		return limits
+	}
+	limits.HeaderBytes = cmp.Or(int(stated.HeaderBytes), limits.HeaderBytes)
+	limits.BodyBytes = int64(stated.BodyBytes)
+	limits.HeaderTimeout = cmp.Or(stated.HeaderTimeout, limits.HeaderTimeout)
+	limits.IdleTimeout = cmp.Or(stated.IdleTimeout, limits.IdleTimeout)
+	return limits
 }
 
 // Run serves until ctx ends, and then stops without cutting a call: it leaves
@@ -313,6 +321,7 @@
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { d.loop.run(work); return nil })
 	group.Go(func() error { d.announcements.Run(work); return nil })
+	group.Go(func() error { d.transports.Run(work); return nil })
 	for _, srv := range d.servers {
 		group.Go(func() error { return srv.serve() })
 	}
@@ -336,36 +345,31 @@
 
 func (s *server) serve() error {
 	var err error
-	if s.http.TLSConfig != nil {
-		err = s.http.ServeTLS(s.listener, "", "")
-	} else {
-		err = s.http.Serve(s.listener)
+	switch {
+	case s.calls != nil:
+		err = s.calls.Serve(s.listener)
+	case s.control.TLSConfig != nil:
+		err = s.control.ServeTLS(s.listener, "", "")
+	default:
+		err = s.control.Serve(s.listener)
 	}
-	if errors.Is(err, http.ErrServerClosed) || (s.draining.Load() && errors.Is(err, net.ErrClosed)) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return fmt.Errorf("%s: %w", s.name, err)
 }
 
-// drain closes the listener, lets the connections that were accepted send their
-// first request, and waits for the calls in flight. Shutdown alone closes a new
-// connection without answering the request on it.
-func (s *server) drain(ctx context.Context) error {
-	s.draining.Store(true)
-	_ = s.listener.Close()
-	select {
-	case <-time.After(firstRequestTime):
-	case <-ctx.Done():
-	}
-	return s.http.Shutdown(ctx)
-}
-
 // drain leaves the fleet and waits for the calls in flight.
 func (d *Daemon) drain(ctx context.Context) {
 	d.log.Info("Leaving the fleet.", zap.Duration("drain-timeout", d.settings.DrainTimeout))
 	d.leaving.Store(true)
+	for _, srv := range d.servers {
+		if srv.calls != nil {
+			srv.calls.Retire()
+		}
+	}
 	d.loop.post(ctx, fleet.Leaving{})
-	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout-stopMargin)
 	defer cancel()
 	select {
 	case <-time.After(leaveGrace):
@@ -374,13 +378,18 @@
 	if err := d.gate.DrainAll(ctx); err != nil {
 		d.log.Warn("Calls were still in flight at the end of the drain timeout.", zap.Error(err))
 	}
+	var group sync.WaitGroup
 	for _, srv := range d.servers {
-		if srv.carriesCalls {
-			if err := srv.drain(ctx); err != nil {
+		if srv.calls == nil {
+			continue
+		}
+		group.Go(func() {
+			if err := srv.calls.Shutdown(ctx); err != nil {
 				d.log.Warn("Could not close a listener in time.", zap.String("listener", srv.name), zap.Error(err))
 			}
-		}
+		})
 	}
+	group.Wait()
 	if err := d.claims.Drain(ctx); err != nil {
 		d.log.Warn("Releases of claims were still pending.", zap.Error(err))
 	}
@@ -388,7 +397,11 @@
 
 func (d *Daemon) shutdown() {
 	for _, srv := range d.servers {
-		_ = srv.http.Close()
+		if srv.calls != nil {
+			srv.calls.Close()
+		} else {
+			_ = srv.control.Close()
+		}
 	}
 	d.transports.CloseIdle()
 }
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -28,6 +28,7 @@
 type callView struct {
 	routes   atomic.Pointer[route.Table]
 	snapshot atomic.Pointer[version.Snapshot]
+	limits   atomic.Pointer[document.Limits] // of callers; nil when none are stated
 
 	services  []document.Service // of the applied version
 	previous  map[backend.ServiceName]previousService
@@ -54,6 +55,7 @@
 		p.updateView(c)
 	}
 	v.routes.Store(route.New(s))
+	v.limits.Store(limitsOf(s.Document()))
 	v.snapshot.Store(&s)
 	p.meters.applied.Set(float64(s.Number()))
 	p.meters.delay.Set(time.Since(time.UnixMilli(s.Manifest().AcceptedMS)).Seconds())
@@ -113,6 +115,15 @@
 	return withMissing(services, announced)
 }
 
+func limitsOf(d document.Document) *document.Limits {
+	for _, s := range d.Sections {
+		if s.Limits != nil {
+			return s.Limits
+		}
+	}
+	return nil
+}
+
 func servicesOf(d document.Document) []document.Service {
 	var services []document.Service
 	for _, s := range d.Sections {
--- a/internal/pool/daemons.go
+++ b/internal/pool/daemons.go
@@ -35,7 +35,6 @@
 	tiers   [daemonTiers][]Daemon
 	applied map[host.ID]bool      // daemons that have answered a call
 	avoided map[host.ID]time.Time // end of the time for which a daemon is not chosen
-	budget  *budget
 }
 
 // update takes the rows of all hosts.
@@ -81,9 +80,6 @@
 	now := p.config.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(tried) == 0 {
-		d.budget.call()
-	}
 	usable := func(id host.ID) bool { return !slices.Contains(tried, id) && !now.Before(d.avoided[id]) }
 	for _, known := range []bool{true, false} {
 		if known && !applied {
@@ -119,7 +115,3 @@
 	delete(d.applied, id)
 	d.avoided[id] = p.config.Now().Add(avoidTime)
 }
-
-// RetryDaemon takes one retry of a passed call from the budget, which has the
-// size of that of a service.
-func (p *Pool) RetryDaemon() bool { return p.daemons.budget.take(p.config.Now()) }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -71,7 +71,7 @@
 	p := &Pool{config: c}
 	p.random.Rand = rand.New(c.Random)
 	p.view.Store(&view{})
-	p.daemons = daemons{applied: make(map[host.ID]bool), avoided: make(map[host.ID]time.Time), budget: newBudget(c.Now())}
+	p.daemons = daemons{applied: make(map[host.ID]bool), avoided: make(map[host.ID]time.Time)}
 	return p
 }
 
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
@@ -10,68 +9,55 @@
 	"maps"
 	"net/http"
 	"net/textproto"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/peridotlb/peridotlb/internal/connection"
 )
 
 // call is a request on its way through a daemon.
 type call struct {
 	id       string
 	method   string
-	url      *url.URL
+	target   string // path and query as received
 	host     string
 	header   http.Header // end-to-end headers
 	body     *body
 	deadline time.Time
-	shared   bool // a request of an earlier attempt uses header
 }
 
 // newCall takes the headers and the URL of a request; the body is read later.
 func newCall(r *http.Request, id string, deadline time.Time) *call {
-	c := &call{id: id, method: r.Method, url: r.URL, host: r.Host, deadline: deadline}
+	c := &call{id: id, method: r.Method, target: target(r), host: r.Host, deadline: deadline}
 	c.header = maps.Clone(r.Header)
 	stripHopByHop(c.header)
-	for _, name := range []string{HeaderNotRun, HeaderOutcome, HeaderLoad, HeaderServer, HeaderNoRetry, HeaderReplayed, HeaderReason, HeaderServerUS, HeaderForwarded} {
+	for _, name := range []string{HeaderTimeoutMS, HeaderNotRun, HeaderOutcome, HeaderLoad, HeaderServer, HeaderNoRetry, HeaderReplayed, HeaderReason, HeaderServerUS, HeaderForwarded} {
 		delete(c.header, name)
 	}
-	if _, ok := c.header["User-Agent"]; !ok {
-		c.header["User-Agent"] = nil // keeps net/http from adding its own
-	}
 	c.header[HeaderCallID] = []string{id}
-	// net/http repeats a request with an Idempotency-Key header when a reused
-	// connection breaks. It looks up the canonical key only.
-	for _, name := range []string{headerIdempotencyKey, "X-Idempotency-Key"} {
-		if values, ok := c.header[name]; ok {
-			delete(c.header, name)
-			c.header[strings.ToLower(name)] = values
-		}
-	}
 	return c
 }
 
-// request makes the request for one attempt. The headers of all but the first
-// are a copy, because a goroutine of an earlier attempt may still read them.
-func (c *call) request(ctx context.Context, scheme, addr string, remaining time.Duration) *http.Request {
-	header := c.header
-	if c.shared {
-		header = maps.Clone(c.header)
-		delete(header, HeaderServer) // of the earlier attempt
-	}
-	c.shared = true
-	u := *c.url
-	u.Scheme, u.Host, u.User = scheme, addr, nil
-	r := &http.Request{
-		Method: c.method, URL: &u, Host: c.host, Header: header,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+// target is the path and query as they were received. A request in absolute form
+// is sent on in origin form.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") || r.RequestURI == "*" {
+		return r.RequestURI
 	}
-	r.Header[HeaderTimeoutMS] = []string{strconv.FormatInt(max(1, remaining.Milliseconds()), 10)}
-	c.body.attach(r)
-	return r.WithContext(ctx)
+	return r.URL.RequestURI()
 }
 
+// message makes the request for one attempt with further header fields.
+func (c *call) message(fields ...connection.Field) *connection.Message {
+	m := &connection.Message{Method: c.method, Target: c.target, Authority: c.host, Header: c.header, Fields: fields}
+	c.body.attach(m)
+	return m
+}
+
+func milliseconds(d time.Duration) string { return strconv.FormatInt(max(1, d.Milliseconds()), 10) }
+
 // body is a request body that can be sent again as long as nothing was read
 // beyond its buffered part.
 type body struct {
@@ -122,41 +108,17 @@
 // resendable reports whether the body can be sent (again).
 func (b *body) resendable() bool { return !b.restRead.Load() }
 
-// attach sets the body of a request. The body never has GetBody and is never
-// nil for methods that net/http takes for idempotent, so that net/http does not
-// repeat the request on its own: retries are subject to the budget.
-func (b *body) attach(r *http.Request) {
-	r.ContentLength = b.length
-	switch {
-	case b.rest != nil:
-		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(b.buffered), restReader{b}))
-	case len(b.trailer) > 0:
-		r.Body = io.NopCloser(bytes.NewBuffer(b.buffered))
-		r.ContentLength = -1
-	case len(b.buffered) > 0:
-		r.Body = struct{ io.ReadCloser }{io.NopCloser(bytes.NewReader(b.buffered))}
-	case r.Method == http.MethodGet, r.Method == http.MethodHead, r.Method == http.MethodOptions, r.Method == http.MethodTrace:
-		// "identity" keeps net/http from looking for a body with a timer.
-		r.Body = emptyBody{}
-		r.TransferEncoding = []string{"identity"}
-	default:
-		r.Body = http.NoBody
+// attach sets the body of a message.
+func (b *body) attach(m *connection.Message) {
+	m.Body, m.Length = b.buffered, b.length
+	if b.rest != nil {
+		m.Rest = restReader{b}
 	}
 	if len(b.trailer) > 0 {
-		r.Trailer = b.trailer
+		m.Length, m.Trailer = -1, b.trailer
 	}
 }
 
-// emptyBody is a body without content that differs from http.NoBody.
-type emptyBody struct{}
-
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-func (emptyBody) Close() error             { return nil }
-
-// WriteTo writes nothing. Without it, net/http allocates a buffer of 32 KiB to
-// copy the empty body.
-func (emptyBody) WriteTo(io.Writer) (int64, error) { return 0, nil }
-
 type restReader struct{ body *body }
 
 func (r restReader) Read(p []byte) (int, error) {
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/peridotlb/peridotlb/internal/connection"
 )
 
 // Dialect names the headers that callers and backend servers use in place of the
@@ -33,23 +35,33 @@
 	return d.TimeoutMS
 }
 
-// address sets the headers of a request to a backend server.
-func (d Dialect) address(h http.Header, server string, remaining time.Duration) {
-	if d.TimeoutMS != "" {
-		h[d.TimeoutMS] = []string{strconv.FormatInt(max(1, remaining.Milliseconds()), 10)}
-	}
+// fields returns the header fields that a request to a backend server gets.
+func (d Dialect) fields(server string, remaining time.Duration) []connection.Field {
+	ms := strconv.FormatInt(max(1, remaining.Milliseconds()), 10)
+	fields := []connection.Field{{Name: d.timeoutHeader(), Value: ms}}
 	if d.Server != "" {
-		h[d.Server] = []string{server}
+		fields = append(fields, connection.Field{Name: d.Server, Value: server})
+	}
+	return fields
+}
+
+// callIDHeader is the header with the id of a call at backend servers.
+func (d Dialect) callIDHeader() string {
+	if d.CallID == "" {
+		return HeaderCallID
 	}
+	return d.CallID
 }
 
-// echoed returns the id of the call that a server's response answers, or nothing
-// when the server does not tell.
-func (d Dialect) echoed(h http.Header) string {
-	if d.CallID != "" {
-		return h.Get(d.CallID)
+// matches reports whether a response of a backend server answers a request. In
+// the product's own interface servers need not echo the id of a call; where the
+// dialect names a header for it, every success does.
+func (d Dialect) matches(m *connection.Message, r *http.Response) bool {
+	id := r.Header.Get(d.callIDHeader())
+	if id == "" {
+		return d.CallID == "" || r.StatusCode >= http.StatusMultipleChoices
 	}
-	return h.Get(HeaderCallID)
+	return id == m.Header.Get(d.callIDHeader())
 }
 
 // sheds reports whether a response says that the server did not run the call.
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/connection"
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/pool"
 	"github.com/peridotlb/peridotlb/internal/route"
@@ -333,23 +334,15 @@
 
 // remote sends the call to the gate of another host.
 func (x *exchange) remote(ctx context.Context, choice *pool.Choice) answer {
-	t, addr := x.entry.config.Transports, choice.Gate.String()
-	s := send(ctx, t.gates, func(ctx context.Context) *http.Request {
-		r := x.call.request(ctx, t.scheme, addr, x.call.deadline.Sub(x.entry.config.Now()))
-		r.Header[HeaderServer] = []string{string(choice.Server.ID)}
-		return r
-	})
+	m := x.call.message(
+		connection.Field{Name: HeaderTimeoutMS, Value: milliseconds(x.call.deadline.Sub(x.entry.config.Now()))},
+		connection.Field{Name: HeaderServer, Value: string(choice.Server.ID)},
+	)
+	s := send(ctx, x.entry.config.Transports.gates, choice.Gate, m, connection.Options{})
 	if s.err != nil {
 		return answer{failure: sendFailure(ctx, s, "gate-unreachable", "gate-broke")}
 	}
 	h := s.response.Header
-	if got := h.Get(HeaderCallID); got != x.call.id {
-		// The connection is out of step: the next response could be wrong too.
-		_ = s.conn.Close()
-		_ = s.response.Body.Close()
-		x.event(reasonCallID, choice.Server.ID, "gate answered call "+strconv.Quote(got))
-		return answer{failure: &failure{reason: reasonCallID}}
-	}
 	a := answer{load: parseLoad(h.Get(HeaderLoad))}
 	reason := h.Get(HeaderReason)
 	us, _ := strconv.ParseInt(h.Get(HeaderServerUS), 10, 64) // 0 when absent
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/peridotlb/peridotlb/internal/connection"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/pool"
 )
@@ -31,10 +31,7 @@
 type forwarding struct {
 	entry *entry
 	call  *call
-	// mayBePaid is set for a call with an Idempotency-Key. Only the other daemon
-	// knows the route, and it refuses paid calls without a key.
-	mayBePaid bool
-	tried     []host.ID
+	tried []host.ID
 }
 
 // forward passes a call of a caller to another daemon and relays its response.
@@ -49,7 +46,7 @@
 	keys := r.Header.Values(headerIdempotencyKey)
 	if len(keys) > 0 {
 		// The caller may have put the key on its list of hop-by-hop headers.
-		c.header["idempotency-key"] = keys
+		c.header[headerIdempotencyKey] = keys
 	}
 	c.header[HeaderForwarded] = []string{"true"}
 	if c.body, f = e.readBody(w, r, timeout); f != nil {
@@ -59,7 +56,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	e.meters.forwarded.Inc()
-	x := &forwarding{entry: e, call: c, mayBePaid: r.Header.Get(headerIdempotencyKey) != ""}
+	x := &forwarding{entry: e, call: c}
 	reply, f := x.run(ctx)
 	if f != nil {
 		e.fail(w, id, f)
@@ -69,7 +66,8 @@
 }
 
 // run passes the call to one daemon after another, until one has a version and
-// answers or the call may not be sent again.
+// answers. Only a call that was proved not to have run is sent again: the route,
+// which says whether it may run twice, is known to the other daemon only.
 func (x *forwarding) run(ctx context.Context) (*reply, *failure) {
 	p := x.entry.config.Pool
 	last, mayHaveRun, applied := noVersion(), false, false
@@ -79,17 +77,7 @@
 			break
 		}
 		x.tried = append(x.tried, d.ID)
-		attempt, stop := ctx, func() {}
-		if !x.mayBePaid && x.call.body.resendable() {
-			attempt, stop = attemptContext(ctx, x.call.deadline.Sub(x.entry.config.Now()), p.RetryDaemon)
-		}
-		reply, f := x.attempt(attempt, d)
-		stop()
-		if attemptEnded(attempt) && reply != nil && reply.rest != nil {
-			// The rest of the response can no longer be read.
-			reply.close()
-			f = &failure{reason: reasonAttempt}
-		}
+		reply, f := x.attempt(ctx, d)
 		if f == nil {
 			p.ReportDaemon(d.ID, true)
 			return reply, nil
@@ -102,7 +90,7 @@
 			last = f
 		}
 		mayHaveRun = mayHaveRun || !f.notRun
-		if ended(ctx) != "" || !x.call.body.resendable() || !f.notRun && (x.mayBePaid || !attemptEnded(attempt) && !p.RetryDaemon()) {
+		if ended(ctx) != "" || !x.call.body.resendable() || !f.notRun {
 			break
 		}
 	}
@@ -113,20 +101,12 @@
 
 // attempt passes the call to one daemon.
 func (x *forwarding) attempt(ctx context.Context, d pool.Daemon) (*reply, *failure) {
-	t, addr := x.entry.config.Transports, d.Gate.String()
-	s := send(ctx, t.gates, func(ctx context.Context) *http.Request {
-		return x.call.request(ctx, t.scheme, addr, x.call.deadline.Sub(x.entry.config.Now()))
-	})
+	m := x.call.message(connection.Field{Name: HeaderTimeoutMS, Value: milliseconds(x.call.deadline.Sub(x.entry.config.Now()))})
+	s := send(ctx, x.entry.config.Transports.gates, d.Gate, m, connection.Options{})
 	if s.err != nil {
 		return nil, sendFailure(ctx, s, "daemon-unreachable", "daemon-broke")
 	}
 	h := s.response.Header
-	if got := h.Get(HeaderCallID); got != x.call.id {
-		_ = s.conn.Close()
-		_ = s.response.Body.Close()
-		x.entry.config.Events(Event{Kind: reasonCallID, CallID: x.call.id, Detail: "daemon " + string(d.ID) + " answered call " + strconv.Quote(got)})
-		return nil, &failure{reason: reasonCallID}
-	}
 	reason := h.Get(HeaderReason)
 	reply, err := readReply(s.response, x.call.method)
 	switch {
--- a/internal/proxy/paid.go
+++ b/internal/proxy/paid.go
@@ -82,7 +82,7 @@
 }
 
 func (x *exchange) fingerprint() claim.Fingerprint {
-	return claim.FingerprintOf(x.call.method, x.call.url.RequestURI(), x.call.body.buffered)
+	return claim.FingerprintOf(x.call.method, x.call.target, x.call.body.buffered)
 }
 
 // runPaid runs a claimed call, and records or releases the claim before the
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -60,7 +60,6 @@
 	RetryRefused(service backend.ServiceName) bool
 	PickDaemon(tried []host.ID, applied bool) (pool.Daemon, error)
 	ReportDaemon(id host.ID, applied bool)
-	RetryDaemon() bool
 }
 
 // Config holds what the handlers work with. The entry and the gate of a daemon
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -3,34 +3,35 @@
 import (
 	"crypto/tls"
 	"net/http"
-	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotlb/peridotlb/internal/connection"
 )
 
-const readHeaderTimeout = 5 * time.Second
+// ServerConfig holds the settings of a listener of the call path.
+type ServerConfig struct {
+	Handler http.Handler
+	Limits  func() connection.Limits // nil takes the defaults
+	Log     *zap.Logger
+}
 
-// EntryServer returns a server for callers. The caller sets its address.
-func EntryServer(h http.Handler) *http.Server { return newServer(h) }
+// EntryServer returns a server for callers.
+func EntryServer(c ServerConfig) *connection.Server {
+	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: c.Limits, Log: c.Log})
+}
 
 // GateServer returns a server for the entries of other daemons. The TLS
 // configuration must require and verify client certificates; nil serves without.
-func GateServer(h http.Handler, c *tls.Config) *http.Server {
-	s := newServer(h)
-	if c == nil {
-		return s
+func GateServer(c ServerConfig, t *tls.Config) *connection.Server {
+	if t != nil {
+		t = t.Clone()
+		t.NextProtos = []string{"http/1.1"}
 	}
-	s.TLSConfig = c.Clone()
-	s.TLSConfig.NextProtos = []string{"http/1.1"}
-	return s
-}
-
-func newServer(h http.Handler) *http.Server {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       2 * gateIdle,
-		MaxHeaderBytes:    64 << 10,
-		Protocols:         protocols,
+	limits := func() connection.Limits {
+		l := connection.DefaultLimits()
+		l.IdleTimeout = 2 * gateIdle
+		return l
 	}
+	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: limits, TLS: t, Log: c.Log})
 }
