--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -229,7 +229,7 @@
 	calls := proxy.Config{
 		Self: s.HostID, Routes: func() *route.Table { return d.calls.routes.Load() },
 		Pool: d.pool, Gate: d.gate, Claims: meteredClaims{d.claims, d.meters}, Transports: d.transports,
-		Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, CallerService: s.CallerService,
+		Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService,
 	}
 	api, err := operator.New(operator.Config{
 		Backend: d, Host: d.fleetConfig().Self, Release: release.Number(), Tokens: s.OperatorTokens, Log: d.log.Named("operator"),
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -16,9 +16,25 @@
 	"github.com/peridotlb/peridotlb/internal/host"
 )
 
-// QueueWait bounds the time that a call waits for a slot.
+// QueueWait bounds the time that a call waits for a slot, unless it states a
+// bound of its own.
 const QueueWait = 50 * time.Millisecond
 
+// Call is what the gate needs to know of a call to order its queue. The zero
+// value is a call of the highest priority without a target.
+type Call struct {
+	Priority uint8 // 0 is the highest
+	// Target is the time until which a response is useful in full. A call that
+	// can't meet it any more comes after those that can. Zero means none.
+	Target time.Time
+	// Run is the time that the call is expected to take; zero takes the mean of the
+	// server.
+	Run time.Duration
+	// MaxWait bounds the wait for a slot; a call that is expected to wait longer
+	// is refused at once. Zero takes QueueWait and lets the call try.
+	MaxWait time.Duration
+}
+
 // Errors of Enter. Each of them proves that the call was not run.
 var (
 	ErrUnknownServer = errors.New("no such backend server on this host")
@@ -74,7 +90,7 @@
 		}
 		s := old[row.ID]
 		if s == nil {
-			s = &server{now: g.config.Now, idle: make(chan struct{})}
+			s = &server{now: g.config.Now, origin: g.config.Now(), idle: make(chan struct{})}
 		}
 		next[row.ID] = s
 		if g.closed {
@@ -90,14 +106,38 @@
 	}
 }
 
-// Enter admits a call to a backend server. It waits up to QueueWait for a
-// slot. An error proves that the call was not run.
+// Enter admits a call of the highest priority to a backend server. It waits up
+// to QueueWait for a slot. An error proves that the call was not run.
 func (g *Gate) Enter(ctx context.Context, id backend.ServerID) (*Pass, error) {
+	return g.Admit(ctx, id, Call{})
+}
+
+// Admit admits a call to a backend server, after a wait for a slot when none is
+// free. An error proves that the call was not run.
+func (g *Gate) Admit(ctx context.Context, id backend.ServerID, c Call) (*Pass, error) {
 	s := (*g.servers.Load())[id]
 	if s == nil {
 		return nil, ErrUnknownServer
 	}
-	return s.enter(ctx)
+	return s.enter(ctx, c)
+}
+
+// Forecast is what a call to a backend server can expect.
+type Forecast struct {
+	Wait time.Duration // until it gets a slot
+	Run  time.Duration // mean time for which recent calls held a slot; 0 when unknown
+}
+
+// Forecast returns what a call of the lowest priority can expect now. It is zero
+// for an unknown server.
+func (g *Gate) Forecast(id backend.ServerID) Forecast {
+	s := (*g.servers.Load())[id]
+	if s == nil {
+		return Forecast{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.forecast(len(s.queue))
 }
 
 // Load is the use of a backend server.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -238,3 +238,92 @@
 		})
 	})
 }
+
+// Guards against a forecast that is wrong when many calls are in flight, that
+// does not see calls that hang, or that counts calls of a lower rank as ahead.
+func TestForecast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots = 18
+		g := newGate(slots, nil)
+		if got := g.Forecast("s"); got != (Forecast{}) {
+			t.Errorf("idle: got %+v, want no wait", got)
+		}
+		var passes []*Pass
+		for range slots {
+			passes = append(passes, enter(t, g))
+		}
+		time.Sleep(180 * time.Millisecond)
+		if got := g.Forecast("s"); off(got.Run, 180*time.Millisecond) || off(got.Wait, 10*time.Millisecond) {
+			t.Errorf("full: got %+v, want 180ms and a slot in 10ms", got)
+		}
+		var queued sync.WaitGroup
+		for range slots {
+			queued.Go(func() {
+				p, err := g.Admit(context.Background(), "s", Call{Priority: 2, MaxWait: time.Second})
+				if err != nil {
+					t.Errorf("low priority: got %v", err)
+					return
+				}
+				p.Leave()
+			})
+		}
+		synctest.Wait()
+		if _, err := g.Admit(context.Background(), "s", Call{Priority: 2, MaxWait: 100 * time.Millisecond}); !errors.Is(err, ErrFull) {
+			t.Errorf("behind the queue: got %v, want %v", err, ErrFull)
+		}
+		queued.Go(func() {
+			p, err := g.Admit(context.Background(), "s", Call{Priority: 1, MaxWait: 100 * time.Millisecond})
+			if err != nil {
+				t.Errorf("ahead of the queue: got %v", err)
+				return
+			}
+			p.Leave()
+		})
+		synctest.Wait()
+		for _, p := range passes {
+			p.Leave()
+		}
+		queued.Wait()
+		if got := g.Load("s"); got.InFlight != 0 || got.Queued != 0 {
+			t.Errorf("got load %+v, want none", got)
+		}
+	})
+}
+
+func off(got, want time.Duration) bool { return got < want*9/10 || got > want*11/10 }
+
+// Guards against calls that wait behind others that can no longer meet their
+// target, and against late calls that never get a slot.
+func TestQueueOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, nil)
+		held := enter(t, g)
+		start := time.Now()
+		order := make(chan string, 5)
+		for _, c := range []struct {
+			name     string
+			priority uint8
+			target   time.Duration
+		}{{"late", 0, 50 * time.Millisecond}, {"low", 2, time.Hour}, {"second", 1, 2 * time.Hour}, {"first", 1, time.Hour}} {
+			go func() {
+				p, err := g.Admit(context.Background(), "s", Call{Priority: c.priority, Target: start.Add(c.target), MaxWait: time.Hour})
+				if err != nil {
+					t.Errorf("%s: got %v", c.name, err)
+					return
+				}
+				order <- c.name
+				time.Sleep(10 * time.Millisecond)
+				p.Leave()
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(100 * time.Millisecond)
+		held.Leave()
+		for _, want := range []string{"first", "second", "low", "late"} {
+			if got := <-order; got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		}
+		time.Sleep(time.Second) // the last call leaves
+	})
+}
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,38 +15,53 @@
 type server struct {
 	now func() time.Time
 
-	mu          sync.Mutex
-	row         backend.Server
-	slots       int
-	connections int
-	warmUp      time.Duration
-	readyAt     time.Time // start of the slow start; zero until ready
-	suspended   bool
-	drained     bool       // by Drain, whatever the row says
-	drainedAt   host.Stamp // stamp of the row when drained
-	inFlight    int
-	failing     bool // the last health probe failed
-	queue       []*waiter
-	idle        chan struct{} // closed and replaced when nothing is in flight
+	mu        sync.Mutex
+	row       backend.Server
+	slots     int // calls in flight; no more than connections
+	warmUp    time.Duration
+	readyAt   time.Time // start of the slow start; zero until ready
+	suspended bool
+	drained   bool       // by Drain, whatever the row says
+	drainedAt host.Stamp // stamp of the row when drained
+	inFlight  int
+	origin    time.Time // of start times
+	begun     float64   // sum of the start times of the calls in flight, seconds since origin
+	mean      float64   // time for which calls hold a slot, nanoseconds; moving average
+	failing   bool      // the last health probe failed
+	queue     []*waiter
+	idle      chan struct{} // closed and replaced when nothing is in flight
 }
 
+const (
+	// meanWeight is the weight of one call in the mean time for which calls hold a
+	// slot.
+	meanWeight = 0.1
+	// queueFactor is the greatest length of the queue, in slots, for calls that
+	// state how long they may wait.
+	queueFactor = 8
+	// waitSlack is how much longer than stated a queued call may wait, as a factor:
+	// the forecast that admitted it is a mean.
+	waitSlack = 2
+)
+
 // waiter is a queued call. Its result is sent once, while it leaves the queue.
-type waiter struct{ result chan error }
+type waiter struct {
+	call   Call
+	pass   *Pass // set before a nil result
+	result chan error
+}
 
 // Pass is the right to run one call. Leave gives the slot back.
 type Pass struct {
 	server *server
 	row    backend.Server
-	conns  int
+	start  time.Time
 	once   sync.Once
 }
 
 // Server returns the row of the backend server.
 func (p *Pass) Server() backend.Server { return p.row }
 
-// Connections returns the most connections that may be open to the server.
-func (p *Pass) Connections() int { return p.conns }
-
 // Load returns the use of the backend server, this call included until Leave.
 func (p *Pass) Load() Load {
 	p.server.mu.Lock()
@@ -53,15 +69,90 @@
 	return p.server.load()
 }
 
-// Leave gives the slot back. Further calls have no effect.
-func (p *Pass) Leave() {
+// Leave gives the slot back after a call that ended by itself. Further calls of
+// Leave and Abandon have no effect.
+func (p *Pass) Leave() { p.end(true) }
+
+// Abandon gives the slot back after a call that was broken off, whose time tells
+// less than that of others.
+func (p *Pass) Abandon() { p.end(false) }
+
+func (p *Pass) end(whole bool) {
 	p.once.Do(func() {
-		p.server.mu.Lock()
-		defer p.server.mu.Unlock()
-		p.server.leave()
+		s := p.server
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.measure(s.now().Sub(p.start), whole)
+		s.release(p)
 	})
 }
 
+// measure takes the time for which a call held its slot. A call that was broken
+// off would have held it for longer.
+func (s *server) measure(held time.Duration, whole bool) {
+	t := float64(max(held, 0))
+	switch {
+	case !whole && t <= s.mean:
+	case s.mean == 0:
+		s.mean = t
+	default:
+		s.mean += meanWeight * (t - s.mean)
+	}
+}
+
+// expected is the time for which a call is expected to hold a slot. Calls that
+// are still in flight count as soon as they take longer than the others did.
+func (s *server) expected() time.Duration {
+	mean := s.mean
+	if s.inFlight > 0 {
+		age := s.seconds(s.now()) - s.begun/float64(s.inFlight)
+		mean = max(mean, age*float64(time.Second))
+	}
+	return time.Duration(mean)
+}
+
+// seconds returns a time in seconds since the origin.
+func (s *server) seconds(t time.Time) float64 { return t.Sub(s.origin).Seconds() }
+
+// forecast returns what a call can expect with some others ahead of it.
+func (s *server) forecast(ahead int) Forecast {
+	f := Forecast{Run: s.expected()}
+	if limit := s.limit(); s.inFlight+ahead >= limit {
+		f.Wait = f.Run * time.Duration(s.inFlight+ahead-limit+1) / time.Duration(max(limit, 1))
+	}
+	return f
+}
+
+// before reports whether a call goes before another that came earlier.
+func (c Call) before(o Call, now time.Time, run time.Duration) bool {
+	if late := c.late(now, run); late != o.late(now, run) {
+		return !late
+	}
+	if c.Priority != o.Priority {
+		return c.Priority < o.Priority
+	}
+	return !c.Target.IsZero() && !o.Target.IsZero() && c.Target.Before(o.Target)
+}
+
+// late reports whether a call that begins now misses its target.
+func (c Call) late(now time.Time, run time.Duration) bool {
+	if c.Run > 0 {
+		run = c.Run
+	}
+	return !c.Target.IsZero() && now.Add(run).After(c.Target)
+}
+
+// ahead returns how many queued calls a new one has to wait for.
+func (s *server) ahead(c Call) int {
+	now, run, n := s.now(), s.expected(), 0
+	for _, w := range s.queue {
+		if !c.before(w.call, now, run) {
+			n++
+		}
+	}
+	return n
+}
+
 // set takes a new row and the settings of its service.
 func (s *server) set(row backend.Server, service document.Service, suspended bool) {
 	s.mu.Lock()
@@ -78,10 +169,13 @@
 		s.readyAt = s.now()
 	}
 	s.row, s.suspended, s.warmUp = row, suspended, service.WarmUp
-	s.slots, s.connections = int(service.Slots), int(service.Connections)
+	s.slots = int(service.Slots)
 	if row.Slots > 0 {
 		s.slots = int(row.Slots)
 	}
+	if service.Connections > 0 {
+		s.slots = min(s.slots, int(service.Connections))
+	}
 	if err := s.refusal(); err != nil {
 		s.refuseQueue(err)
 	}
@@ -116,7 +210,7 @@
 	return Load{InFlight: s.inFlight, Queued: len(s.queue), Slots: s.limit(), Failing: s.failing}
 }
 
-func (s *server) enter(ctx context.Context) (*Pass, error) {
+func (s *server) enter(ctx context.Context, c Call) (*Pass, error) {
 	s.mu.Lock()
 	if err := s.refusal(); err != nil {
 		s.mu.Unlock()
@@ -127,26 +221,37 @@
 		return nil, ErrDeadline
 	}
 	if len(s.queue) == 0 && s.inFlight < s.limit() {
-		s.inFlight++
-		pass := s.pass()
+		pass := s.begin()
 		s.mu.Unlock()
 		return pass, nil
 	}
-	if len(s.queue) >= s.slots {
+	if !s.mayQueue(c) {
 		s.mu.Unlock()
 		return nil, ErrFull
 	}
-	w := &waiter{result: make(chan error, 1)}
+	w := &waiter{call: c, result: make(chan error, 1)}
 	s.queue = append(s.queue, w)
 	s.grant()
 	s.mu.Unlock()
 	return s.await(ctx, w)
 }
 
+// mayQueue reports whether a call may wait for a slot.
+func (s *server) mayQueue(c Call) bool {
+	if c.MaxWait == 0 {
+		return len(s.queue) < s.slots
+	}
+	return len(s.queue) < queueFactor*s.slots && s.forecast(s.ahead(c)).Wait <= c.MaxWait
+}
+
 // await waits for the result of a queued call. The deadline is checked again
 // after the wait, because the process may have been paused.
 func (s *server) await(ctx context.Context, w *waiter) (*Pass, error) {
-	timer := time.NewTimer(QueueWait)
+	wait := QueueWait
+	if w.call.MaxWait > 0 {
+		wait = waitSlack * w.call.MaxWait
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	var err error
 	select {
@@ -162,10 +267,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil || s.expired(ctx) {
-		s.leave()
+		w.pass.once.Do(func() { s.release(w.pass) })
 		return nil, ErrDeadline
 	}
-	return s.pass(), nil
+	return w.pass, nil
+}
+
+// begin takes a slot.
+func (s *server) begin() *Pass {
+	s.inFlight++
+	p := &Pass{server: s, row: s.row, start: s.now()}
+	s.begun += s.seconds(p.start)
+	return p
 }
 
 // abandon removes a waiter from the queue and returns reason, or the result
@@ -187,26 +300,39 @@
 	return ok && !s.now().Before(deadline)
 }
 
-func (s *server) pass() *Pass {
-	return &Pass{server: s, row: s.row, conns: s.connections}
-}
-
-func (s *server) leave() {
+// release gives the slot of a pass to the next call.
+func (s *server) release(p *Pass) {
+	s.begun -= s.seconds(p.start)
 	s.inFlight--
 	s.grant()
 	if s.inFlight == 0 {
+		s.begun = 0 // without rounding errors
 		close(s.idle)
 		s.idle = make(chan struct{})
 	}
 }
 
-// grant gives free slots to queued calls in the order of arrival.
+// grant gives free slots to queued calls: to those that can still meet their
+// target, by priority and target, then to the others.
 func (s *server) grant() {
 	for len(s.queue) > 0 && s.inFlight < s.limit() {
-		s.inFlight++
-		s.queue[0].result <- nil
-		s.queue = s.queue[1:]
+		i := s.first()
+		w := s.queue[i]
+		s.queue = slices.Delete(s.queue, i, i+1)
+		w.pass = s.begin()
+		w.result <- nil
+	}
+}
+
+// first returns the index of the queued call that goes first.
+func (s *server) first() int {
+	now, run, best := s.now(), time.Duration(s.mean), 0
+	for i, w := range s.queue {
+		if w.call.before(s.queue[best].call, now, run) {
+			best = i
+		}
 	}
+	return best
 }
 
 func (s *server) refuseQueue(err error) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,6 +35,7 @@
 	Region host.Region
 	Now    func() time.Time // nil takes time.Now
 	Random rand.Source      // nil takes a random seed; the pool guards it
+	Budget BudgetConfig     // of each service; the zero value takes DefaultBudget
 	// Ejected is called when a server is ejected; nil for none.
 	Ejected func(server backend.ServerID, d time.Duration)
 }
@@ -57,6 +58,7 @@
 		*rand.Rand
 	}
 	unhealthy sync.Map // backend.ServerID of servers whose probe fails
+	runs      runTimes
 	daemons   daemons
 }
 
@@ -68,6 +70,9 @@
 	if c.Random == nil {
 		c.Random = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	}
+	if c.Budget == (BudgetConfig{}) {
+		c.Budget = DefaultBudget()
+	}
 	p := &Pool{config: c}
 	p.random.Rand = rand.New(c.Random)
 	p.view.Store(&view{})
@@ -80,7 +85,13 @@
 	Server backend.Server
 	Gate   netip.AddrPort // call address of the daemon on the server's host
 	Local  bool           // the server is on this host
+	// MaxWait is how long the call may wait for a slot there; zero when the call
+	// has no target.
+	MaxWait time.Duration
+	// Wait and Run are what is expected there: for a slot, and at the server.
+	Wait, Run time.Duration
 
+	call   Call
 	pool   *Pool
 	member *member
 	done   atomic.Bool
@@ -105,27 +116,54 @@
 	InFlight, Slots int
 	// Failing says that the gate reported a failed health probe.
 	Failing bool
+	// Wait is the wait for a slot that the gate forecast.
+	Wait time.Duration
+	// Hold is the mean time for which calls hold a slot there; zero when unknown.
+	Hold time.Duration
 	// Took is the time that the server took; zero when unknown.
 	Took time.Duration
+	// Bytes is the size of request and response.
+	Bytes int
 }
 
 // Pick chooses a server of a service that is not in tried. With nil tried, it
 // counts a new call for the retry budget.
 func (p *Pool) Pick(name backend.ServiceName, tried []backend.ServerID) (*Choice, error) {
-	s := p.view.Load().services[name]
+	return p.Choose(Call{Service: name, Tried: tried, Again: tried != nil})
+}
+
+// Choose chooses a server for a call. ErrNoRoom says that every server would
+// answer too late.
+func (p *Pool) Choose(call Call) (*Choice, error) {
+	s := p.view.Load().services[call.Service]
 	if s == nil {
 		return nil, ErrUnknownService
 	}
-	if tried == nil {
+	if !call.Again {
 		s.budget.call()
 		s.refused.call()
 	}
-	m := p.choose(s, tried)
-	if m == nil {
+	c, a := p.choose(s, call)
+	if c == nil {
 		return nil, ErrNoServer
 	}
+	if call.Target > 0 && c.wait+c.run > call.Left {
+		return nil, &NoRoomError{Wait: c.wait}
+	}
+	m := c.member
 	m.state.inFlight.Add(1)
-	return &Choice{Server: m.row, Gate: m.gate, Local: m.row.Host == p.config.Self, pool: p, member: m}, nil
+	return &Choice{
+		Server: m.row, Gate: m.gate, Local: m.row.Host == p.config.Self, MaxWait: a.patience(c),
+		Wait: c.wait, Run: c.run, call: call, pool: p, member: m,
+	}, nil
+}
+
+// NoRoomError says that every server of a service would answer too late.
+type NoRoomError struct{ Wait time.Duration } // for a slot of the best server
+
+// Error returns the wait.
+func (e *NoRoomError) Error() string {
+	return "no backend server has room in time; the shortest wait is " + e.Wait.String()
 }
 
 // Retry takes one retry from the budget of a service. It returns false when
@@ -170,15 +208,16 @@
 	switch {
 	case r.Outcome == Refused:
 		// A refusing server counts as full until the report expires.
-		st.report(now, max(r.Slots, int(c.member.slots)), max(r.Slots, 1))
+		slots := max(r.Slots, int(c.member.slots), 1)
+		st.report(now, max(slots, r.InFlight-int(own)), slots, r.Wait, r.Hold)
 	case r.Slots > 0:
-		st.report(now, max(0, r.InFlight-1-int(own)), r.Slots)
+		st.report(now, max(0, r.InFlight-1-int(own)), r.Slots, r.Wait, r.Hold)
 	}
 	switch r.Outcome {
 	case Succeeded:
 		st.succeed(now)
 		if r.Took > 0 {
-			st.answered(now, r.Took)
+			st.answered(now, c.pool.runs.add(c.call.Route, r.Took, r.Bytes))
 		}
 	case Failed:
 		c.pool.fail(c.member, now)
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,12 +32,14 @@
 	load struct {
 		sync.Mutex
 		others, slots int64
+		wait          time.Duration // that the gate forecast
+		hold          time.Duration // mean time for which calls hold a slot; 0 when unknown
 		at            time.Time
 	}
 	latency struct {
 		sync.Mutex
-		mean time.Duration // moving average over calls that succeeded
-		at   time.Time
+		factor float64 // of run times, in mean run times of the route
+		at     time.Time
 	}
 	failures struct {
 		sync.Mutex
@@ -62,42 +65,64 @@
 	return s.unhealthy.Load() || s.probeFailing.Load() > now.UnixNano()
 }
 
-// report takes the calls of other entries that the gate counted.
-func (s *state) report(now time.Time, others, slots int) {
+// report takes the calls of other entries that the gate counted, and the wait
+// that it forecast.
+func (s *state) report(now time.Time, others, slots int, wait, hold time.Duration) {
 	s.load.Lock()
 	defer s.load.Unlock()
-	s.load.others, s.load.slots, s.load.at = int64(others), int64(slots), now
+	s.load.others, s.load.slots, s.load.wait, s.load.at = int64(others), int64(slots), wait, now
+	if hold > 0 {
+		s.load.hold = hold
+	}
 }
 
-// reported returns the last report, or zeros when it is too old.
-func (s *state) reported(now time.Time) (others, slots int64) {
+// reported returns the last report, but for the mean hold zeros when it is too
+// old.
+func (s *state) reported(now time.Time) (others, slots int64, wait, hold time.Duration) {
 	s.load.Lock()
 	defer s.load.Unlock()
-	if now.Sub(s.load.at) >= reportLifetime {
-		return 0, 0
+	age := now.Sub(s.load.at)
+	if age >= reportLifetime {
+		return 0, 0, 0, s.load.hold
+	}
+	return s.load.others, s.load.slots, max(0, s.load.wait-age), s.load.hold
+}
+
+// wait returns the expected wait for a slot of the server and the use of its
+// slots.
+func (m *member) wait(now time.Time, run time.Duration) (time.Duration, float64) {
+	others, slots, wait, hold := m.state.reported(now)
+	if slots == 0 {
+		slots = int64(m.slots)
+	}
+	slots = max(slots, 1)
+	busy := m.state.inFlight.Load() + others
+	if busy >= slots {
+		wait = max(wait, cmp.Or(hold, run)*time.Duration(busy-slots+1)/time.Duration(slots))
 	}
-	return s.load.others, s.load.slots
+	return wait, float64(busy) / float64(slots)
 }
 
-// answered takes the time that the server took for a call.
-func (s *state) answered(now time.Time, took time.Duration) {
+// answered takes the time that the server took for a call, in mean run times of
+// the route.
+func (s *state) answered(now time.Time, factor float64) {
 	s.latency.Lock()
 	defer s.latency.Unlock()
 	if now.Sub(s.latency.at) >= latencyLifetime {
-		s.latency.mean = took
+		s.latency.factor = factor
 	}
-	s.latency.mean += time.Duration(shareWeight * float64(took-s.latency.mean))
+	s.latency.factor += shareWeight * (factor - s.latency.factor)
 	s.latency.at = now
 }
 
-// mean returns the mean time of recent calls, or 0 when there was none.
-func (s *state) mean(now time.Time) time.Duration {
+// run returns the expected run time of a call whose route has a mean run time.
+func (s *state) run(now time.Time, mean time.Duration) time.Duration {
 	s.latency.Lock()
 	defer s.latency.Unlock()
 	if now.Sub(s.latency.at) >= latencyLifetime {
-		return 0
+		return mean
 	}
-	return s.latency.mean
+	return time.Duration(s.latency.factor * float64(mean))
 }
 
 // succeed ends a run of failures. The result of a call that was sent before
@@ -170,49 +195,3 @@
 	}
 	return n
 }
-
-// budget limits the retries of a service, so that failures do not multiply the
-// load. Tokens are counted in thousandths of a retry.
-type budget struct {
-	sync.Mutex
-	tokens int64
-	at     time.Time
-}
-
-const (
-	token          = 1000
-	tokensPerCall  = token / 10
-	tokensPerSec   = 3 * token
-	tokensMax      = 10 * tokensPerSec // 10 s without a retry
-	tokensAtStart  = tokensPerSec
-	nanosPerToken  = int64(time.Second) / tokensPerSec
-	longestAccrual = 10 * time.Second
-)
-
-func newBudget(now time.Time) *budget { return &budget{tokens: tokensAtStart, at: now} }
-
-// call adds the share of a new call.
-func (b *budget) call() {
-	b.Lock()
-	defer b.Unlock()
-	b.tokens = min(b.tokens+tokensPerCall, tokensMax)
-}
-
-// take adds the share of the time that passed and takes one retry.
-func (b *budget) take(now time.Time) bool {
-	b.Lock()
-	defer b.Unlock()
-	if elapsed := min(now.Sub(b.at), longestAccrual); elapsed > 0 {
-		earned := int64(elapsed) / nanosPerToken
-		b.tokens = min(b.tokens+earned, tokensMax)
-		b.at = b.at.Add(time.Duration(earned * nanosPerToken))
-		if now.Sub(b.at) > time.Second {
-			b.at = now
-		}
-	}
-	if b.tokens < token {
-		return false
-	}
-	b.tokens -= token
-	return true
-}
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -25,6 +25,7 @@
 	tiers    [tierCount][]*member
 	subset   []*member // tierZone and tierSubset
 	suspect  []*member // servers on suspect hosts
+	size     int       // servers in all tiers
 	budget   *budget
 	refused  *budget     // of retries of calls that were not run
 	ejecting *sync.Mutex // serialises ejections of the service
@@ -37,8 +38,10 @@
 	zone   host.AvailabilityZone
 	region host.Region
 	slots  uint16
-	rank   uint64 // rendezvous hash of this host and the server
-	state  *state
+	// foreign says that the server is in another availability zone.
+	foreign bool
+	rank    uint64 // rendezvous hash of this host and the server
+	state   *state
 }
 
 // peers returns the group of a server within which at most half are ejected.
@@ -79,7 +82,7 @@
 
 // service builds a service and adds its members to next.
 func (p *Pool) service(d document.Service, rows []backend.Server, hosts map[host.ID]host.Row, old, next *view, now time.Time) *service {
-	s := &service{budget: newBudget(now), refused: newBudget(now), ejecting: new(sync.Mutex)}
+	s := &service{budget: newBudget(p.config.Budget, now), refused: newBudget(p.config.Budget, now), ejecting: new(sync.Mutex)}
 	if o := old.services[d.Name]; o != nil {
 		s.budget, s.refused, s.ejecting = o.budget, o.refused, o.ejecting
 	}
@@ -140,6 +143,8 @@
 		case d == 1:
 			tier = tierSubset
 		}
+		m.foreign = p.distance(m) > 0
+		s.size++
 		if tier <= tierSubset {
 			s.subset = append(s.subset, m)
 		}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -7,18 +7,9 @@
 	"strings"
 	"time"
 
-	"github.com/peridotlb/peridotlb/internal/backend"
-	"github.com/peridotlb/peridotlb/internal/connection"
-	"github.com/peridotlb/peridotlb/internal/gate"
-	"github.com/peridotlb/peridotlb/internal/pool"
 	"github.com/peridotlb/peridotlb/internal/route"
 )
 
-// refusedRetries is the number of retries after proof that a call was not run
-// that every route gets. Such a retry repeats nothing, and without it a server
-// that has just begun to drain would fail calls of routes without retries.
-const refusedRetries = 2
-
 type entry struct {
 	config Config
 	meters *meters
@@ -73,6 +64,9 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	x := &exchange{entry: e, call: c, match: match, start: start, shortened: shortened}
+	if match.Route.Target > 0 {
+		x.target = start.Add(match.Route.Target)
+	}
 	if match.Route.Paid {
 		x.servePaid(ctx, w, r)
 		return
@@ -154,250 +148,6 @@
 	f.write(w, id)
 }
 
-// exchange is one call at the entry with all its attempts.
-type exchange struct {
-	entry     *entry
-	call      *call
-	match     route.Match
-	start     time.Time
-	shortened bool // the caller's timeout is shorter than the route's
-	tried     []backend.ServerID
-	// mayHaveRun is set by every attempt without proof that it was not run.
-	mayHaveRun bool
-}
-
-// result is the end of an exchange. A reply comes with the choice that it
-// keeps busy until it was relayed.
-type result struct {
-	answer
-	choice  *pool.Choice
-	noRetry bool
-	waited  time.Duration // by the last attempt
-}
-
-// run attempts the call until it has a reply or may not be retried.
-func (x *exchange) run(ctx context.Context) result {
-	choice, err := x.pick(nil)
-	if err != nil {
-		return result{answer: answer{failure: &failure{reason: reasonNoServer, notRun: true, err: err}}}
-	}
-	for n := 0; ; n++ {
-		x.tried = append(x.tried, choice.Server.ID)
-		attempt, stop := ctx, func() {}
-		if x.match.Route.Idempotent() && n < int(x.match.Route.Retries) && x.call.body.resendable() {
-			attempt, stop = attemptContext(ctx, x.call.deadline.Sub(x.entry.config.Now()), x.mayEnd)
-		}
-		start := x.entry.config.Now()
-		r := result{answer: x.attempt(attempt, choice), choice: choice}
-		r.waited = x.entry.config.Now().Sub(start)
-		stop()
-		if attemptEnded(attempt) && r.reply != nil && r.reply.rest != nil {
-			// The rest of the response can no longer be read.
-			r.reply.close()
-			r.answer = answer{failure: &failure{reason: reasonAttempt}}
-		}
-		if r.failure == nil && (!r.reply.failing() || !x.match.Route.Idempotent()) {
-			return r
-		}
-		if r.failure == nil || !r.failure.notRun {
-			x.mayHaveRun = true
-		}
-		if !x.mayRetry(ctx, &r, n, attemptEnded(attempt)) {
-			return x.end(r)
-		}
-		x.report(r)
-		if choice, err = x.pick(r.failure); err != nil {
-			r.noRetry = n > 0
-			return x.end(r)
-		}
-		r.reply.close()
-		x.entry.meters.retries.Inc()
-	}
-}
-
-// pick chooses a server that was not tried, or any server when all were tried
-// and the last one failed without refusing the call.
-func (x *exchange) pick(last *failure) (*pool.Choice, error) {
-	p := x.entry.config.Pool
-	choice, err := p.Pick(x.match.Service.Name, x.tried)
-	if err != nil && last != nil && !last.refused {
-		choice, err = p.Pick(x.match.Service.Name, []backend.ServerID{})
-	}
-	return choice, err
-}
-
-// mayEnd reports whether an attempt that takes long may end for a retry, and
-// takes the retry from the budget. There must be another server to choose.
-func (x *exchange) mayEnd() bool {
-	other, err := x.entry.config.Pool.Pick(x.match.Service.Name, x.tried)
-	if err != nil {
-		return false
-	}
-	other.Done(pool.Result{Outcome: pool.Abandoned})
-	return x.takeRetry()
-}
-
-// takeRetry takes a retry of the call from the budget.
-func (x *exchange) takeRetry() bool { return x.entry.config.Pool.Retry(x.match.Service.Name) }
-
-// mayRetry applies the rules for retries. It notes in r that retries are
-// exhausted, so that callers up the chain do not multiply them. With taken, the
-// retry is already taken from the budget.
-func (x *exchange) mayRetry(ctx context.Context, r *result, n int, taken bool) bool {
-	proved := r.failure != nil && r.failure.notRun
-	switch {
-	case ctx.Err() != nil, !x.call.deadline.After(x.entry.config.Now()), !x.call.body.resendable():
-		return false
-	case r.failure != nil && r.failure.noRetry, r.reply != nil && r.reply.header[HeaderNoRetry] != nil:
-		r.noRetry = true
-		return false
-	case !x.match.Route.Idempotent() && !proved:
-		return false
-	}
-	limit := int(x.match.Route.Retries)
-	if proved {
-		limit = max(limit, refusedRetries)
-	}
-	if n >= limit {
-		r.noRetry = n > 0
-		return false
-	}
-	take := x.entry.config.Pool.Retry
-	if proved {
-		take = x.entry.config.Pool.RetryRefused
-	}
-	if !taken && !take(x.match.Service.Name) {
-		r.noRetry = true
-		x.entry.meters.retriesDenied.Inc()
-		x.event("retry-denied", r.choice.Server.ID, "retry budget of "+string(x.match.Service.Name)+" is used up")
-		return false
-	}
-	return true
-}
-
-// end completes the failure of an exchange. Proof that the last attempt was
-// not run is no proof for the call when an earlier attempt may have run.
-func (x *exchange) end(r result) result {
-	if r.failure != nil {
-		f := *r.failure
-		f.notRun = !x.mayHaveRun
-		f.noRetry = r.noRetry
-		r.failure = &f
-	}
-	return r
-}
-
-// finish ends the last attempt.
-func (x *exchange) finish(r result) {
-	r.reply.close()
-	x.report(r)
-}
-
-// report reports the end of an attempt to the pool.
-func (x *exchange) report(r result) {
-	if r.choice == nil {
-		return
-	}
-	outcome := pool.Succeeded
-	switch f := r.failure; {
-	case f == nil && r.reply.status >= http.StatusInternalServerError:
-		outcome = pool.Failed
-	case f == nil:
-	case f.reason == reasonCallerGone, f.reason == reasonDeadline && f.refused, x.cutShort(r):
-		outcome = pool.Abandoned
-	case f.refused:
-		outcome = pool.Refused
-	default:
-		outcome = pool.Failed
-	}
-	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots, Failing: r.load.Failing, Took: r.server})
-}
-
-// cutShort reports whether the caller's own timeout ended the attempt so early
-// that it says nothing about the server. Down a call chain every timeout is
-// shorter than that of the route, and a hung server must still be ejected.
-func (x *exchange) cutShort(r result) bool {
-	timedOut := r.failure.reason == reasonDeadline || r.failure.reason == reasonAttempt
-	return timedOut && x.shortened && r.waited < x.match.Route.Timeout/4
-}
-
-// attempt sends the call to one server.
-func (x *exchange) attempt(ctx context.Context, choice *pool.Choice) answer {
-	if x.call.deadline.Sub(x.entry.config.Now()) <= 0 {
-		return answer{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
-	}
-	if choice.Local {
-		return x.entry.gate.call(ctx, x.call, choice.Server.ID)
-	}
-	return x.remote(ctx, choice)
-}
-
-// remote sends the call to the gate of another host.
-func (x *exchange) remote(ctx context.Context, choice *pool.Choice) answer {
-	m := x.call.message(
-		connection.Field{Name: HeaderTimeoutMS, Value: milliseconds(x.call.deadline.Sub(x.entry.config.Now()))},
-		connection.Field{Name: HeaderServer, Value: string(choice.Server.ID)},
-	)
-	s := send(ctx, x.entry.config.Transports.gates, choice.Gate, m, connection.Options{})
-	if s.err != nil {
-		return answer{failure: sendFailure(ctx, s, "gate-unreachable", "gate-broke")}
-	}
-	h := s.response.Header
-	a := answer{load: parseLoad(h.Get(HeaderLoad))}
-	reason := h.Get(HeaderReason)
-	us, _ := strconv.ParseInt(h.Get(HeaderServerUS), 10, 64) // 0 when absent
-	a.server = time.Duration(us) * time.Microsecond
-	reply, err := readReply(s.response, x.call.method)
-	switch {
-	case reason != "":
-		a.failure = gateFailure(reason, h)
-		reply.close()
-	case err != nil:
-		a.failure = cut(ctx, err)
-	default:
-		for _, name := range []string{HeaderLoad, HeaderServerUS, HeaderCallID} {
-			delete(reply.header, name)
-		}
-		a.reply = reply
-	}
-	return a
-}
-
-// gateFailure is the failure that a gate reported.
-func gateFailure(reason string, h http.Header) *failure {
-	notRun := h.Get(HeaderNotRun) == "true"
-	return &failure{reason: reason, notRun: notRun, refused: notRun && reason != reasonDial, noRetry: h.Get(HeaderNoRetry) == "true"}
-}
-
-// parseLoad reads "<in-flight>/<slots>" with or without failingMark; anything
-// else is the zero load.
-func parseLoad(text string) gate.Load {
-	text, failing := strings.CutSuffix(text, failingMark)
-	a, b, _ := strings.Cut(text, "/")
-	inFlight, err1 := strconv.ParseUint(a, 10, 16)
-	slots, err2 := strconv.ParseUint(b, 10, 16)
-	if err1 != nil || err2 != nil {
-		return gate.Load{}
-	}
-	return gate.Load{InFlight: int(inFlight), Slots: int(slots), Failing: failing}
-}
-
-// answer writes the result to the caller.
-func (x *exchange) answer(w http.ResponseWriter, r *http.Request, res result) {
-	defer x.finish(res)
-	if res.failure != nil {
-		x.entry.fail(w, x.call.id, res.failure)
-		return
-	}
-	if res.noRetry {
-		res.reply.header[HeaderNoRetry] = []string{"true"}
-	}
-	if len(x.tried) == 1 && x.match.Route.Idempotent() {
-		x.entry.meters.latencyAdded.Update((x.entry.config.Now().Sub(x.start) - res.server).Seconds())
-	}
-	x.entry.relay(w, r, x.call.id, res.reply)
-}
-
 // relay writes a reply to the caller.
 func (e *entry) relay(w http.ResponseWriter, r *http.Request, id string, reply *reply) {
 	if reply.rest != nil && reply.length < 0 && !r.ProtoAtLeast(1, 1) {
@@ -408,7 +158,3 @@
 	reply.header[HeaderCallID] = []string{id}
 	reply.relay(w)
 }
-
-func (x *exchange) event(kind string, server backend.ServerID, detail string) {
-	x.entry.config.Events(Event{Kind: kind, CallID: x.call.id, Server: server, Detail: detail})
-}
--- /dev/null
+++ b/internal/proxy/exchange.go
@@ -0,0 +1,324 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/connection"
+	"github.com/peridotlb/peridotlb/internal/gate"
+	"github.com/peridotlb/peridotlb/internal/pool"
+	"github.com/peridotlb/peridotlb/internal/route"
+)
+
+const (
+	// refusedRetries is the number of retries after proof that a call was not run
+	// that every route gets. Such a retry repeats nothing, and without it a server
+	// that has just begun to drain would fail calls of routes without retries.
+	refusedRetries = 2
+	// maxAsked bounds the gates that refuse one call of a route with a target. Each
+	// refusal tells the wait there, so that the next choice is better.
+	maxAsked = 8
+)
+
+// exchange is one call at the entry with all its attempts.
+type exchange struct {
+	entry     *entry
+	call      *call
+	match     route.Match
+	start     time.Time
+	target    time.Time // until which a response is useful in full; zero when none is stated
+	shortened bool      // the caller's timeout is shorter than the route's
+	tried     []backend.ServerID
+	asked     int // gates that refused the call
+	steps     []step
+	// mayHaveRun is set by every attempt without proof that it was not run.
+	mayHaveRun bool
+}
+
+// result is the end of an exchange. A reply comes with the choice that it
+// keeps busy until it was relayed.
+type result struct {
+	answer
+	choice  *pool.Choice
+	noRetry bool
+	waited  time.Duration // by the last attempt
+}
+
+// run attempts the call until it has a reply or may not be retried.
+func (x *exchange) run(ctx context.Context) result {
+	choice, err := x.pick(nil)
+	if err != nil {
+		return result{answer: answer{failure: x.noServer(err)}}
+	}
+	for n := 0; ; n++ {
+		x.tried = append(x.tried, choice.Server.ID)
+		attempt, stop := x.attemptContext(ctx, n)
+		start := x.now()
+		r := result{answer: x.attempt(attempt, choice), choice: choice}
+		r.waited = x.now().Sub(start)
+		stop()
+		if attemptEnded(attempt) && r.reply != nil && r.reply.rest != nil {
+			// The rest of the response can no longer be read.
+			r.reply.close()
+			r.answer = answer{failure: &failure{reason: reasonAttempt}}
+		}
+		x.steps = append(x.steps, stepOf(r, start.Sub(x.start)))
+		x.note(r)
+		if r.failure == nil && (!r.reply.failing() || !x.match.Route.Idempotent()) {
+			return r
+		}
+		if !x.mayRetry(ctx, &r, n, attemptEnded(attempt)) {
+			return x.end(r)
+		}
+		x.report(r)
+		if choice, err = x.pick(r.failure); err != nil {
+			r.noRetry = n > 0
+			if r.failure != nil && r.failure.notRun {
+				r.failure = x.noServer(err)
+			}
+			return x.end(r)
+		}
+		r.reply.close()
+		x.entry.meters.retries.Inc()
+	}
+}
+
+func (x *exchange) now() time.Time { return x.entry.config.Now() }
+
+// left is the time until the deadline of the call.
+func (x *exchange) left() time.Duration { return x.call.deadline.Sub(x.now()) }
+
+// attemptContext bounds an attempt that can be followed by another one.
+func (x *exchange) attemptContext(ctx context.Context, n int) (context.Context, func()) {
+	if x.match.Route.Idempotent() && n < int(x.match.Route.Retries) && x.call.body.resendable() {
+		return attemptContext(ctx, x.left(), x.mayEnd)
+	}
+	return ctx, func() {}
+}
+
+// note takes note of what an attempt means for the next ones. A server that is
+// only full may be chosen again, when its wait has become the shortest.
+func (x *exchange) note(r result) {
+	busy := r.failure != nil && r.failure.busy && !x.target.IsZero()
+	if busy {
+		x.asked++
+		x.tried = x.tried[:len(x.tried)-1]
+		return
+	}
+	if r.failure == nil || !r.failure.notRun {
+		x.mayHaveRun = true
+	}
+}
+
+// noServer is the failure of a call for which no server can be chosen.
+func (x *exchange) noServer(err error) *failure {
+	f := &failure{reason: reasonNoServer, notRun: true, err: err}
+	var room *pool.NoRoomError
+	if errors.As(err, &room) {
+		f.reason, f.retryAfter = reasonNoRoom, room.Wait
+	}
+	return f
+}
+
+// pick chooses a server that was not tried, or any server when all were tried
+// and the last one failed without refusing the call.
+func (x *exchange) pick(last *failure) (*pool.Choice, error) {
+	p := x.entry.config.Pool
+	c := pool.Call{
+		Service: x.match.Service.Name, Route: x.match.Route.Name, Left: x.left(),
+		Once: !x.match.Route.Idempotent(), Tried: x.tried, Again: len(x.tried)+x.asked > 0,
+	}
+	if !x.target.IsZero() {
+		// A call that is late already is still of use until its deadline.
+		c.Target = max(x.target.Sub(x.now()), time.Millisecond)
+	}
+	choice, err := p.Choose(c)
+	if errors.Is(err, pool.ErrNoServer) && last != nil && !last.refused {
+		c.Tried, c.Again = nil, true
+		choice, err = p.Choose(c)
+	}
+	return choice, err
+}
+
+// mayEnd reports whether an attempt that takes long may end for a retry, and
+// takes the retry from the budget. There must be another server to choose.
+func (x *exchange) mayEnd() bool {
+	other, err := x.pick(&failure{refused: true})
+	if err != nil {
+		return false
+	}
+	other.Done(pool.Result{Outcome: pool.Abandoned})
+	return x.takeRetry()
+}
+
+// takeRetry takes a retry of the call from the budget.
+func (x *exchange) takeRetry() bool { return x.entry.config.Pool.Retry(x.match.Service.Name) }
+
+// mayRetry applies the rules for retries. It notes in r that retries are
+// exhausted, so that callers up the chain do not multiply them. With taken, the
+// retry is already taken from the budget.
+func (x *exchange) mayRetry(ctx context.Context, r *result, n int, taken bool) bool {
+	proved := r.failure != nil && r.failure.notRun
+	switch {
+	case ctx.Err() != nil, x.left() <= 0, !x.call.body.resendable():
+		return false
+	case r.failure != nil && r.failure.noRetry, r.reply != nil && r.reply.header[HeaderNoRetry] != nil:
+		r.noRetry = true
+		return false
+	case !x.match.Route.Idempotent() && !proved:
+		return false
+	case proved && r.failure.busy && !x.target.IsZero():
+		// Only gates were asked; no server has seen the call.
+		return x.asked < maxAsked
+	}
+	limit := int(x.match.Route.Retries)
+	if proved {
+		limit = max(limit, refusedRetries)
+	}
+	if n-x.asked >= limit {
+		r.noRetry = n > 0
+		return false
+	}
+	take := x.entry.config.Pool.Retry
+	if proved {
+		take = x.entry.config.Pool.RetryRefused
+	}
+	if !taken && !take(x.match.Service.Name) {
+		r.noRetry = true
+		x.entry.meters.retriesDenied.Inc()
+		x.event("retry-denied", r.choice.Server.ID, "retry budget of "+string(x.match.Service.Name)+" is used up")
+		return false
+	}
+	return true
+}
+
+// end completes the failure of an exchange. Proof that the last attempt was
+// not run is no proof for the call when an earlier attempt may have run.
+func (x *exchange) end(r result) result {
+	if r.failure != nil {
+		f := *r.failure
+		f.notRun = !x.mayHaveRun
+		f.noRetry = r.noRetry
+		r.failure = &f
+	}
+	return r
+}
+
+// finish ends the last attempt.
+func (x *exchange) finish(r result) {
+	r.reply.close()
+	x.report(r)
+}
+
+// report reports the end of an attempt to the pool.
+func (x *exchange) report(r result) {
+	if r.choice == nil {
+		return
+	}
+	outcome := pool.Succeeded
+	switch f := r.failure; {
+	case f == nil && r.reply.status >= http.StatusInternalServerError:
+		outcome = pool.Failed
+	case f == nil:
+	case f.reason == reasonCallerGone, f.reason == reasonDeadline && f.refused, x.cutShort(r):
+		outcome = pool.Abandoned
+	case f.refused:
+		outcome = pool.Refused
+	default:
+		outcome = pool.Failed
+	}
+	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots, Failing: r.load.Failing, Wait: r.expect.Wait, Hold: r.expect.Run, Took: r.server, Bytes: x.size(r)})
+}
+
+// headerBytes is the assumed size of the headers of a request and its response
+// between two hosts.
+const headerBytes = 600
+
+// size returns the bytes of the call between two hosts.
+func (x *exchange) size(r result) int {
+	n := headerBytes + len(x.call.body.buffered)
+	if r.reply != nil {
+		n += max(int(r.reply.length), len(r.reply.head))
+	}
+	return n
+}
+
+// cutShort reports whether the caller's own timeout ended the attempt so early
+// that it says nothing about the server. Down a call chain every timeout is
+// shorter than that of the route, and a hung server must still be ejected.
+func (x *exchange) cutShort(r result) bool {
+	timedOut := r.failure.reason == reasonDeadline || r.failure.reason == reasonAttempt
+	return timedOut && x.shortened && r.waited < x.match.Route.Timeout/4
+}
+
+// attempt sends the call to one server.
+func (x *exchange) attempt(ctx context.Context, choice *pool.Choice) answer {
+	if x.left() <= 0 {
+		return answer{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
+	}
+	q := gate.Call{Priority: x.match.Route.Priority, Target: x.target, Run: choice.Run, MaxWait: choice.MaxWait}
+	if choice.Local {
+		return x.entry.gate.call(ctx, x.call, choice.Server.ID, q)
+	}
+	return x.remote(ctx, choice, q)
+}
+
+// remote sends the call to the gate of another host.
+func (x *exchange) remote(ctx context.Context, choice *pool.Choice, q gate.Call) answer {
+	fields := []connection.Field{
+		{Name: HeaderTimeoutMS, Value: milliseconds(x.left())},
+		{Name: HeaderServer, Value: string(choice.Server.ID)},
+	}
+	if text := formatQueue(q, x.now()); text != "" {
+		fields = append(fields, connection.Field{Name: HeaderQueue, Value: text})
+	}
+	s := send(ctx, x.entry.config.Transports.gates, choice.Gate, x.call.message(fields...), connection.Options{})
+	if s.err != nil {
+		return answer{failure: sendFailure(ctx, s, "gate-unreachable", "gate-broke")}
+	}
+	h := s.response.Header
+	a := answer{}
+	a.load, a.expect = parseLoad(h.Get(HeaderLoad))
+	reason := h.Get(HeaderReason)
+	us, _ := strconv.ParseInt(h.Get(HeaderServerUS), 10, 64) // 0 when absent
+	a.server = time.Duration(us) * time.Microsecond
+	reply, err := readReply(s.response, x.call.method)
+	switch {
+	case reason != "":
+		a.failure = gateFailure(reason, h)
+		reply.close()
+	case err != nil:
+		a.failure = cut(ctx, err)
+	default:
+		for _, name := range []string{HeaderLoad, HeaderServerUS, HeaderCallID} {
+			delete(reply.header, name)
+		}
+		a.reply = reply
+	}
+	return a
+}
+
+// answer writes the result to the caller.
+func (x *exchange) answer(w http.ResponseWriter, r *http.Request, res result) {
+	defer x.finish(res)
+	x.log(res)
+	if res.failure != nil {
+		x.entry.fail(w, x.call.id, res.failure)
+		return
+	}
+	if res.noRetry {
+		res.reply.header[HeaderNoRetry] = []string{"true"}
+	}
+	if len(x.tried) == 1 && x.match.Route.Idempotent() {
+		x.entry.meters.latencyAdded.Update((x.entry.config.Now().Sub(x.start) - res.server).Seconds())
+	}
+	x.entry.relay(w, r, x.call.id, res.reply)
+}
+
+func (x *exchange) event(kind string, server backend.ServerID, detail string) {
+	x.entry.config.Events(Event{Kind: kind, CallID: x.call.id, Server: server, Detail: detail})
+}
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // failure says why a call got no response of a backend server.
@@ -12,13 +14,21 @@
 	status  int    // 0 derives it from notRun and reason
 	notRun  bool   // it is proved that nothing was run
 	refused bool   // the gate refused the call; says nothing bad of the server
+	busy    bool   // the gate refused the call because the server has no room for it
 	noRetry bool   // retries were exhausted here or deeper in the call chain
-	hint    string
-	err     error
+	// retryAfter is when there may be room; zero takes defaultRetryAfter.
+	retryAfter time.Duration
+	hint       string
+	err        error
 }
 
-// retryAfter is when a caller may send a refused call again, in seconds.
-const retryAfter = "0.1"
+const (
+	// defaultRetryAfter is when a caller may send a refused call again.
+	defaultRetryAfter = 100 * time.Millisecond
+	// maxRetryAfter bounds what a caller is told, since a forecast of a long wait is
+	// not worth much.
+	maxRetryAfter = time.Second
+)
 
 // Reasons that more than one place uses.
 const (
@@ -28,6 +38,9 @@
 	reasonCallID     = "call-id-mismatch"
 	reasonCut        = "response-cut"
 	reasonNoServer   = "no-server-available"
+	reasonNoRoom     = "no-room-in-time"
+	reasonFull       = "server-full"
+	reasonQueueWait  = "queue-timeout"
 	reasonNoVersion  = "no-version-applied"
 	reasonDial       = "server-unreachable"
 )
@@ -67,7 +80,8 @@
 		h.Set(HeaderOutcome, "unknown")
 	}
 	if f.code() == http.StatusServiceUnavailable {
-		h.Set("Retry-After", retryAfter)
+		after := min(cmp.Or(f.retryAfter, defaultRetryAfter), maxRetryAfter)
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	if f.noRetry {
 		h.Set(HeaderNoRetry, "true")
--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -25,6 +25,7 @@
 	reply   *reply
 	failure *failure
 	load    gate.Load
+	expect  gate.Forecast // for the next call
 	server  time.Duration // time that the backend server took
 }
 
@@ -53,8 +54,8 @@
 		g.refuse(w, id, &failure{reason: "request-cut", notRun: true, err: err})
 		return
 	}
-	a := g.call(ctx, c, server)
-	w.Header()[HeaderLoad] = []string{formatLoad(a.load)}
+	a := g.call(ctx, c, server, parseQueue(r.Header.Get(HeaderQueue), g.config.Now()))
+	w.Header()[HeaderLoad] = []string{formatLoad(a.load, a.expect)}
 	if a.failure != nil {
 		g.refuse(w, id, a.failure)
 		return
@@ -64,18 +65,6 @@
 	a.reply.relay(w)
 }
 
-// failingMark follows the load of a server whose last health probe failed. It
-// tells the entries without bytes between daemons.
-const failingMark = ";health=failing"
-
-func formatLoad(l gate.Load) string {
-	text := strconv.Itoa(l.InFlight) + "/" + strconv.Itoa(l.Slots)
-	if l.Failing {
-		text += failingMark
-	}
-	return text
-}
-
 func (g *gateway) refuse(w http.ResponseWriter, id string, f *failure) {
 	w.Header()[HeaderReason] = []string{f.reason}
 	f.write(w, id)
@@ -83,22 +72,25 @@
 
 // call admits a call, sends it to the backend server and buffers the response.
 // The slot is held until the response was read.
-func (g *gateway) call(ctx context.Context, c *call, id backend.ServerID) answer {
-	pass, err := g.config.Gate.Enter(ctx, id)
+func (g *gateway) call(ctx context.Context, c *call, id backend.ServerID, q gate.Call) answer {
+	pass, err := g.config.Gate.Admit(ctx, id, q)
 	if err != nil {
 		f := refusal(err)
 		g.meters.refused.inc(f.reason)
-		return answer{failure: f, load: g.config.Gate.Load(id)}
+		return answer{failure: f, load: g.config.Gate.Load(id), expect: g.config.Gate.Forecast(id)}
 	}
 	a := g.run(ctx, c, pass)
 	if a.failure != nil && a.failure.refused {
 		g.meters.refused.inc(a.failure.reason)
 	}
-	a.load = pass.Load()
-	if a.reply != nil && a.reply.rest != nil {
+	a.load, a.expect = pass.Load(), g.config.Gate.Forecast(id)
+	switch {
+	case a.reply != nil && a.reply.rest != nil:
 		a.reply.rest = &leavingBody{a.reply.rest, pass}
-	} else {
+	case a.reply != nil:
 		pass.Leave()
+	default:
+		pass.Abandon()
 	}
 	return a
 }
@@ -120,9 +112,9 @@
 	case errors.Is(err, gate.ErrDeadline), errors.Is(err, gate.ErrCancelled):
 		f.reason = reasonDeadline
 	case errors.Is(err, gate.ErrFull):
-		f.reason = "server-full"
+		f.reason, f.busy = reasonFull, true
 	case errors.Is(err, gate.ErrQueueWait):
-		f.reason = "queue-timeout"
+		f.reason, f.busy = reasonQueueWait, true
 	case errors.Is(err, gate.ErrDraining):
 		f.reason = "server-draining"
 	case errors.Is(err, gate.ErrSuspended):
--- a/internal/proxy/goodput_test.go
+++ b/internal/proxy/goodput_test.go
@@ -218,20 +218,22 @@
 	next func() int
 }
 
-func (f fixed) Pick(name backend.ServiceName, tried []backend.ServerID) (*pool.Choice, error) {
-	if tried == nil { // counts the call for the retry budget
-		if c, err := f.Pool.Pick(name, nil); err == nil {
+func (f fixed) Choose(call pool.Call) (*pool.Choice, error) {
+	if !call.Again { // counts the call for the retry budget
+		if c, err := f.Pool.Choose(call); err == nil {
 			c.Done(pool.Result{Outcome: pool.Abandoned})
 		}
 	}
 	id := f.ids[f.next()%len(f.ids)]
 	for range f.ids {
-		if !slices.Contains(tried, id) {
+		if !slices.Contains(call.Tried, id) {
 			break
 		}
 		id = f.ids[f.next()%len(f.ids)]
 	}
-	return f.Pool.Pick(name, slices.DeleteFunc(slices.Clone(f.ids), func(other backend.ServerID) bool { return other == id }))
+	call.Again = true
+	call.Tried = slices.DeleteFunc(slices.Clone(f.ids), func(other backend.ServerID) bool { return other == id })
+	return f.Pool.Choose(call)
 }
 
 var choosers = []struct {
--- /dev/null
+++ b/internal/proxy/hop.go
@@ -0,0 +1,109 @@
+package proxy
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/gate"
+)
+
+// formatQueue writes how a call queues at the gate of another host: its
+// priority, and in milliseconds the time until its target, the longest wait and
+// the expected run time. A call without a target queues by the defaults of the gate.
+func formatQueue(c gate.Call, now time.Time) string {
+	if c.Target.IsZero() {
+		return ""
+	}
+	text := strconv.AppendUint(nil, uint64(c.Priority), 10)
+	text = append(text, ',')
+	text = strconv.AppendInt(text, c.Target.Sub(now).Milliseconds(), 10)
+	text = append(text, ',')
+	text = strconv.AppendInt(text, max(1, c.MaxWait.Milliseconds()), 10)
+	text = append(text, ',')
+	text = strconv.AppendInt(text, max(1, c.Run.Milliseconds()), 10)
+	return string(text)
+}
+
+// parseQueue reads what formatQueue writes; anything else is the zero call.
+func parseQueue(text string, now time.Time) gate.Call {
+	var numbers [4]int64
+	for i := range numbers {
+		var number string
+		var more bool
+		number, text, more = strings.Cut(text, ",")
+		n, err := strconv.ParseInt(number, 10, 32)
+		if err != nil || more != (i < len(numbers)-1) {
+			return gate.Call{}
+		}
+		numbers[i] = n
+	}
+	priority, target, wait, run := numbers[0], numbers[1], numbers[2], numbers[3]
+	if priority < 0 || priority > math.MaxUint8 || wait < 0 || run < 0 {
+		return gate.Call{}
+	}
+	return gate.Call{
+		Priority: uint8(priority), Target: now.Add(time.Duration(target) * time.Millisecond),
+		MaxWait: time.Duration(wait) * time.Millisecond, Run: time.Duration(run) * time.Millisecond,
+	}
+}
+
+const (
+	// waitMark comes before the forecast wait in milliseconds in a load, and holdMark
+	// before the mean time for which calls hold a slot.
+	waitMark = ";wait="
+	holdMark = ";hold="
+	// failingMark follows the load of a server whose last health probe failed. It
+	// tells the entries without bytes between daemons.
+	failingMark = ";health=failing"
+)
+
+func formatLoad(l gate.Load, f gate.Forecast) string {
+	text := strconv.Itoa(l.InFlight) + "/" + strconv.Itoa(l.Slots)
+	if ms := f.Run.Milliseconds(); ms > 0 {
+		text += holdMark + strconv.FormatInt(ms, 10)
+	}
+	if ms := f.Wait.Milliseconds(); ms > 0 {
+		text += waitMark + strconv.FormatInt(ms, 10)
+	}
+	if l.Failing {
+		text += failingMark
+	}
+	return text
+}
+
+// parseLoad reads "<in-flight>/<slots>" with or without marks; anything else is
+// the zero load.
+func parseLoad(text string) (gate.Load, gate.Forecast) {
+	text, failing := strings.CutSuffix(text, failingMark)
+	text, wait, err1 := cutMark(text, waitMark)
+	text, hold, err2 := cutMark(text, holdMark)
+	a, b, _ := strings.Cut(text, "/")
+	inFlight, err3 := strconv.ParseUint(a, 10, 16)
+	slots, err4 := strconv.ParseUint(b, 10, 16)
+	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
+		return gate.Load{}, gate.Forecast{}
+	}
+	return gate.Load{InFlight: int(inFlight), Slots: int(slots), Failing: failing}, gate.Forecast{Wait: wait, Run: hold}
+}
+
+// cutMark cuts a mark and the milliseconds behind it off the end of a text.
+func cutMark(text, mark string) (before string, d time.Duration, err error) {
+	before, number, found := strings.Cut(text, mark)
+	if !found {
+		return text, 0, nil
+	}
+	ms, err := strconv.ParseUint(number, 10, 31)
+	return before, time.Duration(ms) * time.Millisecond, err
+}
+
+// gateFailure is the failure that a gate reported.
+func gateFailure(reason string, h http.Header) *failure {
+	notRun := h.Get(HeaderNotRun) == "true"
+	return &failure{
+		reason: reason, notRun: notRun, refused: notRun && reason != reasonDial, busy: reason == reasonFull || reason == reasonQueueWait,
+		noRetry: h.Get(HeaderNoRetry) == "true",
+	}
+}
--- /dev/null
+++ b/internal/proxy/log.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+)
+
+// step is one attempt of a call, with what decided it, for the log.
+type step struct {
+	server  backend.ServerID
+	at      time.Duration // since the call arrived
+	took    time.Duration
+	wait    time.Duration // expected for a slot
+	run     time.Duration // expected at the server
+	maxWait time.Duration
+	told    time.Duration // wait that the gate forecast
+	outcome string
+}
+
+func stepOf(r result, at time.Duration) step {
+	c := r.choice
+	s := step{server: c.Server.ID, at: at, took: r.waited, wait: c.Wait, run: c.Run, maxWait: c.MaxWait, told: r.expect.Wait, outcome: "answered"}
+	if r.failure != nil {
+		s.outcome = r.failure.reason
+	}
+	return s
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (s step) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddString("server", string(s.server))
+	e.AddInt64("at-ms", s.at.Milliseconds())
+	e.AddInt64("took-ms", s.took.Milliseconds())
+	e.AddInt64("expected-wait-ms", s.wait.Milliseconds())
+	e.AddInt64("expected-run-ms", s.run.Milliseconds())
+	e.AddInt64("max-wait-ms", s.maxWait.Milliseconds())
+	e.AddInt64("forecast-ms", s.told.Milliseconds())
+	e.AddString("outcome", s.outcome)
+	return nil
+}
+
+// log writes how a call without a response of a server ended.
+func (x *exchange) log(res result) {
+	if res.failure == nil {
+		return
+	}
+	x.entry.config.Log.Info("Call failed.",
+		zap.String("call", x.call.id), zap.String("route", string(x.match.Route.Name)), zap.String("service", string(x.match.Service.Name)),
+		zap.String("reason", res.failure.reason), zap.Bool("not-run", res.failure.notRun), zap.Int64("left-ms", x.left().Milliseconds()),
+		zap.Int64("after-ms", x.now().Sub(x.start).Milliseconds()), zap.Objects("attempts", x.steps), zap.Error(res.failure.err))
+}
--- a/internal/proxy/paid.go
+++ b/internal/proxy/paid.go
@@ -38,7 +38,7 @@
 		return
 	}
 	// The caller may have put the key on its list of hop-by-hop headers.
-	x.call.header["idempotency-key"] = keys
+	x.call.header[headerIdempotencyKey] = keys
 	ctx = context.WithoutCancel(ctx)
 	runCtx, cancel := context.WithDeadline(ctx, x.call.deadline)
 	defer cancel()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/gate"
@@ -23,6 +24,7 @@
 	HeaderOutcome   = "Peridotlb-Outcome"
 	HeaderLoad      = "Peridotlb-Load" // <in-flight>/<slots>, and ;health=failing
 	HeaderServer    = "Peridotlb-Server"
+	HeaderQueue     = "Peridotlb-Queue" // <priority>,<ms until the target>,<longest wait in ms>
 	HeaderNoRetry   = "Peridotlb-No-Retry"
 	HeaderReplayed  = "Peridotlb-Replayed"
 	// HeaderForwarded marks a call that an entry without a version passes to the
@@ -55,7 +57,7 @@
 
 // Pool chooses backend servers and other daemons; pool.Pool implements it.
 type Pool interface {
-	Pick(service backend.ServiceName, tried []backend.ServerID) (*pool.Choice, error)
+	Choose(call pool.Call) (*pool.Choice, error)
 	Retry(service backend.ServiceName) bool
 	RetryRefused(service backend.ServiceName) bool
 	PickDaemon(tried []host.ID, applied bool) (pool.Daemon, error)
@@ -75,6 +77,7 @@
 	Events     func(Event)      // nil for none
 	Metrics    *metrics.Set     // nil takes a new set
 	Dialect    Dialect
+	Log        *zap.Logger // of decisions; nil for none
 	// CallerService is the service of this host, whose backend server and callers
 	// reach the entry. It is told to the servers called, where the dialect has a
 	// header for it.
@@ -94,6 +97,9 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
 	if c.Transports == nil {
 		c.Transports = NewTransports(TransportConfig{})
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -220,13 +220,40 @@
 // Guards against loads that change on the way to the entry, and against a load
 // header that the entry does not understand and takes for a load.
 func TestLoadHeader(t *testing.T) {
-	for text, want := range map[string]gate.Load{
-		"3/9": {InFlight: 3, Slots: 9}, "3/9;health=failing": {InFlight: 3, Slots: 9, Failing: true},
-		"": {}, "3": {}, "-3/9": {}, "3/9;other": {},
+	type load struct {
+		gate.Load
+		gate.Forecast
+	}
+	for text, want := range map[string]load{
+		"3/9":                {Load: gate.Load{InFlight: 3, Slots: 9}},
+		"3/9;health=failing": {Load: gate.Load{InFlight: 3, Slots: 9, Failing: true}},
+		"9/9;wait=40":        {Load: gate.Load{InFlight: 9, Slots: 9}, Forecast: gate.Forecast{Wait: 40 * time.Millisecond}},
+		"9/9;hold=360;wait=40;health=failing": {
+			Load:     gate.Load{InFlight: 9, Slots: 9, Failing: true},
+			Forecast: gate.Forecast{Wait: 40 * time.Millisecond, Run: 360 * time.Millisecond},
+		},
+		"": {}, "3": {}, "-3/9": {}, "3/9;other": {}, "3/9;wait=-1": {}, "3/9;hold=": {},
 	} {
-		got := parseLoad(text)
-		if got != want || want.Slots > 0 && formatLoad(got) != text {
-			t.Errorf("%q: got %+v, written as %q, want %+v", text, got, formatLoad(got), want)
+		var got load
+		got.Load, got.Forecast = parseLoad(text)
+		if got != want || want.Slots > 0 && formatLoad(got.Load, got.Forecast) != text {
+			t.Errorf("%q: got %+v, written as %q, want %+v", text, got, formatLoad(got.Load, got.Forecast), want)
+		}
+	}
+}
+
+// Guards against a place in the queue that changes on the way to the gate, and
+// against a header that the gate does not understand and takes for one.
+func TestQueueHeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, want := range []gate.Call{{}, {Priority: 2, Target: now.Add(350 * time.Millisecond), MaxWait: 120 * time.Millisecond, Run: 55 * time.Millisecond}, {Target: now.Add(-time.Second), MaxWait: time.Millisecond, Run: time.Millisecond}} {
+		if got := parseQueue(formatQueue(want, now), now); got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+	for _, text := range []string{"", "1", "1,2", "1,2,3", "1,2,-3,4", "300,2,3,4", "1,x,3,4", "1,2,3,4,5"} {
+		if got := parseQueue(text, now); got != (gate.Call{}) {
+			t.Errorf("%q: got %+v, want none", text, got)
 		}
 	}
 }
