End an attempt early only when its server hangs

Cause: an attempt of a call that could be retried ended after half of its time. Ruled out: a lack of budget, which was never used up.

Change: the attempt ends after half of the time left or four expected run times, whichever is later, and only when another server has a free slot.

--- a/internal/proxy/broken_test.go
+++ b/internal/proxy/broken_test.go
@@ -286,7 +286,7 @@
 func TestAttemptContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for _, c := range []struct{ mayEnd, stopped, want bool }{{true, false, true}, {false, false, false}, {true, true, false}} {
-			ctx, stop := attemptContext(t.Context(), 2*time.Second, func() bool { return c.mayEnd })
+			ctx, stop := attemptContext(t.Context(), time.Second, func() bool { return c.mayEnd })
 			if c.stopped {
 				stop()
 			}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -22,6 +22,9 @@
 	// maxAsked bounds the gates that refuse one call of a route with a target. Each
 	// refusal tells the wait there, so that the next choice is better.
 	maxAsked = 8
+	// hangFactor is the time, in expected run times, after which a server is taken
+	// to hang.
+	hangFactor = 4
 )
 
 // exchange is one call at the entry with all its attempts.
@@ -56,7 +59,7 @@
 	}
 	for n := 0; ; n++ {
 		x.tried = append(x.tried, choice.Server.ID)
-		attempt, stop := x.attemptContext(ctx, n)
+		attempt, stop := x.attemptContext(ctx, n, choice)
 		start := x.now()
 		r := result{answer: x.attempt(attempt, choice), choice: choice}
 		r.waited = x.now().Sub(start)
@@ -92,12 +95,18 @@
 // left is the time until the deadline of the call.
 func (x *exchange) left() time.Duration { return x.call.deadline.Sub(x.now()) }
 
-// attemptContext bounds an attempt that can be followed by another one.
-func (x *exchange) attemptContext(ctx context.Context, n int) (context.Context, func()) {
-	if x.match.Route.Idempotent() && n < int(x.match.Route.Retries) && x.call.body.resendable() {
-		return attemptContext(ctx, x.left(), x.mayEnd)
+// attemptContext bounds an attempt that can be followed by another one: by half
+// of the time left, and for a call with a target also by a time that only a server
+// that hangs needs.
+func (x *exchange) attemptContext(ctx context.Context, n int, choice *pool.Choice) (context.Context, func()) {
+	if !x.match.Route.Idempotent() || n-x.asked >= int(x.match.Route.Retries) || !x.call.body.resendable() {
+		return ctx, func() {}
 	}
-	return ctx, func() {}
+	limit := x.left() / 2
+	if !x.target.IsZero() {
+		limit = max(limit, choice.Wait+hangFactor*choice.Run)
+	}
+	return attemptContext(ctx, limit, x.mayEnd)
 }
 
 // note takes note of what an attempt means for the next ones. A server that is
@@ -152,6 +161,9 @@
 		return false
 	}
 	other.Done(pool.Result{Outcome: pool.Abandoned})
+	if !x.target.IsZero() && other.Wait > 0 {
+		return false // the call would only wait elsewhere
+	}
 	return x.takeRetry()
 }
 
