Let priority go before lateness at the gate, and forecast waits by priority

Ruled out: a lack of slots; catalogue-read was served far more often.

Change: a gate goes by priority, then lateness; it forecasts the wait by band of priority; a queued call is refused while its refusal can still be delivered.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -24,8 +24,9 @@
 // value is a call of the highest priority without a target.
 type Call struct {
 	Priority uint8 // 0 is the highest
-	// Target is the time until which a response is useful in full. A call that
-	// can't meet it any more comes after those that can. Zero means none.
+	// Target is the time until which a response is useful in full. Of calls of the
+	// same priority, one that can't meet it any more comes after those that can.
+	// Zero means none.
 	Target time.Time
 	// Run is the time that the call is expected to take; zero takes the mean of the
 	// server.
@@ -122,13 +123,20 @@
 	return s.enter(ctx, c)
 }
 
+// Bands is the number of priorities whose waits a forecast tells apart. All
+// priorities from the last band on wait for each other.
+const Bands = 3
+
+// Band returns the band of a priority.
+func Band(priority uint8) int { return min(int(priority), Bands-1) }
+
 // Forecast is what a call to a backend server can expect.
 type Forecast struct {
-	Wait time.Duration // until it gets a slot
-	Run  time.Duration // mean time for which recent calls held a slot; 0 when unknown
+	Wait [Bands]time.Duration // until it gets a slot, by band of priority
+	Run  time.Duration        // mean time for which recent calls held a slot; 0 when unknown
 }
 
-// Forecast returns what a call of the lowest priority can expect now. It is zero
+// Forecast returns what the next call to a backend server can expect. It is zero
 // for an unknown server.
 func (g *Gate) Forecast(id backend.ServerID) Forecast {
 	s := (*g.servers.Load())[id]
@@ -137,7 +145,17 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.forecast(len(s.queue))
+	f := Forecast{Run: s.expected()}
+	ahead := 0
+	var queued [Bands]int
+	for _, w := range s.queue {
+		queued[Band(w.call.Priority)]++
+	}
+	for band := range f.Wait {
+		ahead += queued[band]
+		f.Wait[band] = s.waitBehind(ahead)
+	}
+	return f
 }
 
 // Load is the use of a backend server.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -253,7 +253,7 @@
 			passes = append(passes, enter(t, g))
 		}
 		time.Sleep(180 * time.Millisecond)
-		if got := g.Forecast("s"); off(got.Run, 180*time.Millisecond) || off(got.Wait, 10*time.Millisecond) {
+		if got := g.Forecast("s"); off(got.Run, 180*time.Millisecond) || off(got.Wait[0], 10*time.Millisecond) {
 			t.Errorf("full: got %+v, want 180ms and a slot in 10ms", got)
 		}
 		var queued sync.WaitGroup
@@ -280,6 +280,9 @@
 			p.Leave()
 		})
 		synctest.Wait()
+		if got := g.Forecast("s").Wait; off(got[0], 10*time.Millisecond) || off(got[1], 20*time.Millisecond) || off(got[2], 200*time.Millisecond) {
+			t.Errorf("queue of 1 and %d: got waits %v, want 10ms, 20ms and 200ms", slots, got)
+		}
 		for _, p := range passes {
 			p.Leave()
 		}
@@ -292,8 +295,9 @@
 
 func off(got, want time.Duration) bool { return got < want*9/10 || got > want*11/10 }
 
-// Guards against calls that wait behind others that can no longer meet their
-// target, and against late calls that never get a slot.
+// Guards against calls that wait behind others of a lower rank, or behind those
+// of their own that can no longer meet their target, and against late calls that
+// never get a slot.
 func TestQueueOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGate(1, nil)
@@ -304,7 +308,7 @@
 			name     string
 			priority uint8
 			target   time.Duration
-		}{{"late", 0, 50 * time.Millisecond}, {"low", 2, time.Hour}, {"second", 1, 2 * time.Hour}, {"first", 1, time.Hour}} {
+		}{{"late", 1, 50 * time.Millisecond}, {"low", 2, time.Hour}, {"second", 1, 2 * time.Hour}, {"first", 1, time.Hour}} {
 			go func() {
 				p, err := g.Admit(context.Background(), "s", Call{Priority: c.priority, Target: start.Add(c.target), MaxWait: time.Hour})
 				if err != nil {
@@ -319,7 +323,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 		held.Leave()
-		for _, want := range []string{"first", "second", "low", "late"} {
+		for _, want := range []string{"first", "second", "late", "low"} {
 			if got := <-order; got != want {
 				t.Errorf("got %s, want %s", got, want)
 			}
@@ -327,3 +331,22 @@
 		time.Sleep(time.Second) // the last call leaves
 	})
 }
+
+// Guards against a queued call whose refusal, which says that it was not run,
+// comes after its deadline.
+func TestRefusalComesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, nil)
+		defer enter(t, g).Leave()
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		call := Call{MaxWait: time.Second, Run: 100 * time.Millisecond}
+		if _, err := g.Admit(ctx, "s", call); !errors.Is(err, ErrQueueWait) || time.Since(start) != 200*time.Millisecond {
+			t.Errorf("got %v after %v, want %v after 200ms", err, time.Since(start), ErrQueueWait)
+		}
+		if _, err := g.Admit(ctx, "s", call); !errors.Is(err, ErrFull) {
+			t.Errorf("without time to wait: got %v, want %v", err, ErrFull)
+		}
+	})
+}
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -42,6 +42,8 @@
 	// waitSlack is how much longer than stated a queued call may wait, as a factor:
 	// the forecast that admitted it is a mean.
 	waitSlack = 2
+	// replyTime is the time that a refusal needs to reach the caller.
+	replyTime = 30 * time.Millisecond
 )
 
 // waiter is a queued call. Its result is sent once, while it leaves the queue.
@@ -114,23 +116,24 @@
 // seconds returns a time in seconds since the origin.
 func (s *server) seconds(t time.Time) float64 { return t.Sub(s.origin).Seconds() }
 
-// forecast returns what a call can expect with some others ahead of it.
-func (s *server) forecast(ahead int) Forecast {
-	f := Forecast{Run: s.expected()}
-	if limit := s.limit(); s.inFlight+ahead >= limit {
-		f.Wait = f.Run * time.Duration(s.inFlight+ahead-limit+1) / time.Duration(max(limit, 1))
+// waitBehind is the time that a call is expected to wait for a slot with some
+// others ahead of it.
+func (s *server) waitBehind(ahead int) time.Duration {
+	limit := s.limit()
+	if s.inFlight+ahead < limit {
+		return 0
 	}
-	return f
+	return s.expected() * time.Duration(s.inFlight+ahead-limit+1) / time.Duration(max(limit, 1))
 }
 
 // before reports whether a call goes before another that came earlier.
 func (c Call) before(o Call, now time.Time, run time.Duration) bool {
-	if late := c.late(now, run); late != o.late(now, run) {
-		return !late
-	}
 	if c.Priority != o.Priority {
 		return c.Priority < o.Priority
 	}
+	if late := c.late(now, run); late != o.late(now, run) {
+		return !late
+	}
 	return !c.Target.IsZero() && !o.Target.IsZero() && c.Target.Before(o.Target)
 }
 
@@ -225,7 +228,7 @@
 		s.mu.Unlock()
 		return pass, nil
 	}
-	if !s.mayQueue(c) {
+	if !s.mayQueue(c) || s.longest(ctx, c) <= 0 {
 		s.mu.Unlock()
 		return nil, ErrFull
 	}
@@ -241,17 +244,27 @@
 	if c.MaxWait == 0 {
 		return len(s.queue) < s.slots
 	}
-	return len(s.queue) < queueFactor*s.slots && s.forecast(s.ahead(c)).Wait <= c.MaxWait
+	return len(s.queue) < queueFactor*s.slots && s.waitBehind(s.ahead(c)) <= c.MaxWait
+}
+
+// longest is the longest wait of a call for a slot. One that states its run time
+// does not wait until nothing of its time is left: the refusal, which says that it
+// was not run, would come too late.
+func (s *server) longest(ctx context.Context, c Call) time.Duration {
+	if c.MaxWait == 0 {
+		return QueueWait
+	}
+	wait := waitSlack * c.MaxWait
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, deadline.Sub(s.now())-max(c.Run, replyTime))
+	}
+	return wait
 }
 
 // await waits for the result of a queued call. The deadline is checked again
 // after the wait, because the process may have been paused.
 func (s *server) await(ctx context.Context, w *waiter) (*Pass, error) {
-	wait := QueueWait
-	if w.call.MaxWait > 0 {
-		wait = waitSlack * w.call.MaxWait
-	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(s.longest(ctx, w.call))
 	defer timer.Stop()
 	var err error
 	select {
@@ -312,8 +325,8 @@
 	}
 }
 
-// grant gives free slots to queued calls: to those that can still meet their
-// target, by priority and target, then to the others.
+// grant gives free slots to queued calls by priority, then to those that can
+// still meet their target, by target, then to the others.
 func (s *server) grant() {
 	for len(s.queue) > 0 && s.inFlight < s.limit() {
 		i := s.first()
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/gate"
 )
 
 // Call is what the pool needs to know of a call.
@@ -16,6 +17,8 @@
 	// Target is the time left until a response is late, and Left the time left
 	// until it is useless. Zero means that none is stated.
 	Target, Left time.Duration
+	// Priority is that of the route; 0 is the highest.
+	Priority uint8
 	// Once says that the call may not be repeated, and that its loss weighs more.
 	Once bool
 	// Tried are servers that are not chosen again.
@@ -132,7 +135,7 @@
 		c := candidate{member: m, tier: tier, out: m.state.ejected(now)}
 		c.partly = c.out && m.state.partly()
 		c.run = max(m.state.run(now, known.mean), time.Millisecond)
-		c.wait, c.use = m.wait(now, c.run)
+		c.wait, c.use = m.wait(now, c.run, gate.Band(a.call.Priority))
 		c.fixed = a.toll(&c, known.kilobytes) + lossUnserved*m.state.failing()
 		if m.state.probeFailed(now) {
 			c.fixed += lossProbe
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/host"
 )
 
@@ -116,8 +117,8 @@
 	InFlight, Slots int
 	// Failing says that the gate reported a failed health probe.
 	Failing bool
-	// Wait is the wait for a slot that the gate forecast.
-	Wait time.Duration
+	// Wait is the wait for a slot that the gate forecast, by band of priority.
+	Wait [gate.Bands]time.Duration
 	// Hold is the mean time for which calls hold a slot there; zero when unknown.
 	Hold time.Duration
 	// Took is the time that the server took; zero when unknown.
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/peridotlb/peridotlb/internal/gate"
 )
 
 const (
@@ -32,8 +34,8 @@
 	load struct {
 		sync.Mutex
 		others, slots int64
-		wait          time.Duration // that the gate forecast
-		hold          time.Duration // mean time for which calls hold a slot; 0 when unknown
+		wait          [gate.Bands]time.Duration // that the gate forecast
+		hold          time.Duration             // mean time for which calls hold a slot; 0 when unknown
 		at            time.Time
 	}
 	latency struct {
@@ -67,7 +69,7 @@
 
 // report takes the calls of other entries that the gate counted, and the wait
 // that it forecast.
-func (s *state) report(now time.Time, others, slots int, wait, hold time.Duration) {
+func (s *state) report(now time.Time, others, slots int, wait [gate.Bands]time.Duration, hold time.Duration) {
 	s.load.Lock()
 	defer s.load.Unlock()
 	s.load.others, s.load.slots, s.load.wait, s.load.at = int64(others), int64(slots), wait, now
@@ -76,28 +78,28 @@
 	}
 }
 
-// reported returns the last report, but for the mean hold zeros when it is too
-// old.
-func (s *state) reported(now time.Time) (others, slots int64, wait, hold time.Duration) {
+// reported returns the last report with the wait of a band, but for the mean hold
+// zeros when it is too old.
+func (s *state) reported(now time.Time, band int) (others, slots int64, wait, hold time.Duration) {
 	s.load.Lock()
 	defer s.load.Unlock()
 	age := now.Sub(s.load.at)
 	if age >= reportLifetime {
 		return 0, 0, 0, s.load.hold
 	}
-	return s.load.others, s.load.slots, max(0, s.load.wait-age), s.load.hold
+	return s.load.others, s.load.slots, max(0, s.load.wait[band]-age), s.load.hold
 }
 
 // wait returns the expected wait for a slot of the server and the use of its
 // slots.
-func (m *member) wait(now time.Time, run time.Duration) (time.Duration, float64) {
-	others, slots, wait, hold := m.state.reported(now)
+func (m *member) wait(now time.Time, run time.Duration, band int) (time.Duration, float64) {
+	others, slots, wait, hold := m.state.reported(now, band)
 	if slots == 0 {
 		slots = int64(m.slots)
 	}
 	slots = max(slots, 1)
 	busy := m.state.inFlight.Load() + others
-	if busy >= slots {
+	if busy >= slots && wait == 0 {
 		wait = max(wait, cmp.Or(hold, run)*time.Duration(busy-slots+1)/time.Duration(slots))
 	}
 	return wait, float64(busy) / float64(slots)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -138,7 +138,7 @@
 func (x *exchange) pick(last *failure) (*pool.Choice, error) {
 	p := x.entry.config.Pool
 	c := pool.Call{
-		Service: x.match.Service.Name, Route: x.match.Route.Name, Left: x.left(),
+		Service: x.match.Service.Name, Route: x.match.Route.Name, Left: x.left(), Priority: x.match.Route.Priority,
 		Once: !x.match.Route.Idempotent(), Tried: x.tried, Again: len(x.tried)+x.asked > 0,
 	}
 	if !x.target.IsZero() {
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -51,8 +51,8 @@
 }
 
 const (
-	// waitMark comes before the forecast wait in milliseconds in a load, and holdMark
-	// before the mean time for which calls hold a slot.
+	// waitMark comes before the forecast waits in milliseconds in a load, by band of
+	// priority, and holdMark before the mean time for which calls hold a slot.
 	waitMark = ";wait="
 	holdMark = ";hold="
 	// failingMark follows the load of a server whose last health probe failed. It
@@ -65,8 +65,12 @@
 	if ms := f.Run.Milliseconds(); ms > 0 {
 		text += holdMark + strconv.FormatInt(ms, 10)
 	}
-	if ms := f.Wait.Milliseconds(); ms > 0 {
-		text += waitMark + strconv.FormatInt(ms, 10)
+	if f.Wait[gate.Bands-1] >= time.Millisecond {
+		separator := waitMark
+		for _, wait := range f.Wait {
+			text += separator + strconv.FormatInt(wait.Milliseconds(), 10)
+			separator = ","
+		}
 	}
 	if l.Failing {
 		text += failingMark
@@ -78,25 +82,44 @@
 // the zero load.
 func parseLoad(text string) (gate.Load, gate.Forecast) {
 	text, failing := strings.CutSuffix(text, failingMark)
-	text, wait, err1 := cutMark(text, waitMark)
-	text, hold, err2 := cutMark(text, holdMark)
+	text, waits, _ := strings.Cut(text, waitMark)
+	text, hold, _ := strings.Cut(text, holdMark)
 	a, b, _ := strings.Cut(text, "/")
-	inFlight, err3 := strconv.ParseUint(a, 10, 16)
-	slots, err4 := strconv.ParseUint(b, 10, 16)
+	inFlight, err1 := strconv.ParseUint(a, 10, 16)
+	slots, err2 := strconv.ParseUint(b, 10, 16)
+	f := gate.Forecast{}
+	var err3, err4 error
+	if hold != "" {
+		f.Run, err3 = parseMilliseconds(hold)
+	}
+	if waits != "" {
+		f.Wait, err4 = parseWaits(waits)
+	}
 	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
 		return gate.Load{}, gate.Forecast{}
 	}
-	return gate.Load{InFlight: int(inFlight), Slots: int(slots), Failing: failing}, gate.Forecast{Wait: wait, Run: hold}
+	return gate.Load{InFlight: int(inFlight), Slots: int(slots), Failing: failing}, f
+}
+
+func parseMilliseconds(text string) (time.Duration, error) {
+	ms, err := strconv.ParseUint(text, 10, 31)
+	return time.Duration(ms) * time.Millisecond, err
 }
 
-// cutMark cuts a mark and the milliseconds behind it off the end of a text.
-func cutMark(text, mark string) (before string, d time.Duration, err error) {
-	before, number, found := strings.Cut(text, mark)
-	if !found {
-		return text, 0, nil
+// parseWaits reads a wait for each band of priority. Bands that another release
+// does not tell wait like the last one that it tells.
+func parseWaits(text string) (waits [gate.Bands]time.Duration, err error) {
+	for band := range waits {
+		var number string
+		if number, text, _ = strings.Cut(text, ","); number == "" {
+			waits[band] = waits[max(band-1, 0)]
+			continue
+		}
+		if waits[band], err = parseMilliseconds(number); err != nil {
+			return waits, err
+		}
 	}
-	ms, err := strconv.ParseUint(number, 10, 31)
-	return before, time.Duration(ms) * time.Millisecond, err
+	return waits, nil
 }
 
 // gateFailure is the failure that a gate reported.
--- a/internal/proxy/log.go
+++ b/internal/proxy/log.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/gate"
 )
 
 // step is one attempt of a call, with what decided it, for the log.
@@ -17,13 +18,13 @@
 	wait    time.Duration // expected for a slot
 	run     time.Duration // expected at the server
 	maxWait time.Duration
-	told    time.Duration // wait that the gate forecast
+	told    time.Duration // wait that the gate forecast for the last priority
 	outcome string
 }
 
 func stepOf(r result, at time.Duration) step {
 	c := r.choice
-	s := step{server: c.Server.ID, at: at, took: r.waited, wait: c.Wait, run: c.Run, maxWait: c.MaxWait, told: r.expect.Wait, outcome: "answered"}
+	s := step{server: c.Server.ID, at: at, took: r.waited, wait: c.Wait, run: c.Run, maxWait: c.MaxWait, told: r.expect.Wait[gate.Bands-1], outcome: "answered"}
 	if r.failure != nil {
 		s.outcome = r.failure.reason
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -227,12 +227,12 @@
 	for text, want := range map[string]load{
 		"3/9":                {Load: gate.Load{InFlight: 3, Slots: 9}},
 		"3/9;health=failing": {Load: gate.Load{InFlight: 3, Slots: 9, Failing: true}},
-		"9/9;wait=40":        {Load: gate.Load{InFlight: 9, Slots: 9}, Forecast: gate.Forecast{Wait: 40 * time.Millisecond}},
-		"9/9;hold=360;wait=40;health=failing": {
+		"9/9;wait=0,40,120":  {Load: gate.Load{InFlight: 9, Slots: 9}, Forecast: gate.Forecast{Wait: waits(0, 40, 120)}},
+		"9/9;hold=360;wait=40,40,50;health=failing": {
 			Load:     gate.Load{InFlight: 9, Slots: 9, Failing: true},
-			Forecast: gate.Forecast{Wait: 40 * time.Millisecond, Run: 360 * time.Millisecond},
+			Forecast: gate.Forecast{Wait: waits(40, 40, 50), Run: 360 * time.Millisecond},
 		},
-		"": {}, "3": {}, "-3/9": {}, "3/9;other": {}, "3/9;wait=-1": {}, "3/9;hold=": {},
+		"": {}, "3": {}, "-3/9": {}, "3/9;other": {}, "3/9;wait=-1": {}, "3/9;hold=x": {}, "3/9;wait=1,x": {},
 	} {
 		var got load
 		got.Load, got.Forecast = parseLoad(text)
@@ -242,6 +242,13 @@
 	}
 }
 
+func waits(ms ...int) (w [gate.Bands]time.Duration) {
+	for i := range w {
+		w[i] = time.Duration(ms[i]) * time.Millisecond
+	}
+	return w
+}
+
 // Guards against a place in the queue that changes on the way to the gate, and
 // against a header that the gate does not understand and takes for one.
 func TestQueueHeader(t *testing.T) {
