--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -3,13 +3,11 @@
 package announcement
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -46,8 +44,10 @@
 
 // Config holds the settings of the API.
 type Config struct {
-	Lease    time.Duration // an announcement must be renewed within it; 0 takes 5 s
-	Announce func(backend.Server)
+	Lease time.Duration // an announcement must be renewed within it; 0 takes 5 s
+	// Announce passes the row of a backend server on. The channel is closed when
+	// the row is kept where it outlives this process; nil when nothing keeps it.
+	Announce func(backend.Server) <-chan struct{}
 	Health   func(backend.ServerID, bool)
 	Now      func() time.Time // nil takes time.Now
 }
@@ -64,17 +64,6 @@
 	left    map[backend.ServerID]mark // servers that were withdrawn for good
 }
 
-type entry struct {
-	row        backend.Server
-	healthPath string
-	renewed    time.Time
-	renewals   *rate.Limiter
-	// asked is the state last asked for by the server or an operator. It
-	// differs from the state of the row after the lease has ended.
-	asked backend.State
-	mark  mark // of the newest announcement
-}
-
 // announcement is the body of a PUT request.
 type announcement struct {
 	Service    backend.ServiceName `json:"service"`
@@ -153,93 +142,10 @@
 		fail(w, http.StatusBadRequest, err)
 		return
 	}
-	a.renew(Announcement{Server: row, HealthPath: healthPath})
+	a.Renew(r.Context(), Announcement{Server: row, HealthPath: healthPath})
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Announcement is what a backend server says of itself. Announcements of one
-// server are ordered by its start and then by sequence; an older one than the
-// newest known changes nothing. Servers that count neither leave both zero.
-type Announcement struct {
-	Server     backend.Server // without host and stamp
-	HealthPath string
-	Started    time.Time
-	Sequence   uint64
-}
-
-// mark is the position of an announcement in the order of its server.
-type mark struct {
-	started  int64 // Unix milliseconds
-	sequence uint64
-}
-
-func (m mark) compare(o mark) int {
-	return cmp.Or(cmp.Compare(m.started, o.started), cmp.Compare(m.sequence, o.sequence))
-}
-
-// Renew takes an announcement of a backend server on this host.
-func (a *API) Renew(n Announcement) { a.renew(n) }
-
-// Withdraw takes a backend server off for good: only a later start of it can
-// come back. A zero time withdraws the start that is known.
-func (a *API) Withdraw(id backend.ServerID, started time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	e := a.servers[id]
-	if e != nil && !started.IsZero() && started.UnixMilli() < e.mark.started {
-		return // a late message of an earlier start
-	}
-	left := mark{sequence: math.MaxUint64}
-	if !started.IsZero() {
-		left.started = started.UnixMilli()
-	}
-	if e != nil {
-		left.started = max(left.started, e.mark.started)
-		e.asked = backend.Gone
-		a.change(e, backend.Gone)
-	}
-	a.left[id] = left
-}
-
-func (a *API) renew(n Announcement) {
-	row, healthPath := n.Server, n.HealthPath
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	at := mark{sequence: n.Sequence}
-	if !n.Started.IsZero() {
-		at.started = n.Started.UnixMilli()
-	}
-	if left, ok := a.left[row.ID]; ok && at.started <= left.started {
-		return
-	}
-	e := a.servers[row.ID]
-	if e != nil && at.compare(e.mark) < 0 {
-		return
-	}
-	if e == nil {
-		e = &entry{asked: backend.Gone, row: backend.Server{State: backend.Gone}, renewals: rate.NewLimiter(renewalRate, renewalRate)}
-		a.servers[row.ID] = e
-	}
-	if at.started > e.mark.started {
-		e.asked = backend.Gone // another start: what the earlier one asked for is void
-	}
-	e.mark = at
-	if e.healthPath != "" && healthPath == "" {
-		a.forgetHealth(row.ID)
-	}
-	// A server that was asked to drain stays so when it renews as ready. A new
-	// address or the state starting is a restart. The end of a lease asks for
-	// nothing: the holder may have been paused.
-	if e.asked == backend.Draining && row.State == backend.Ready && e.row.Addr == row.Addr {
-		row.State = backend.Draining
-	}
-	e.renewed, e.healthPath, e.asked = a.config.Now(), healthPath, row.State
-	if e.row != row {
-		e.row = row
-		a.config.Announce(row)
-	}
-}
-
 func parse(id backend.ServerID, body io.Reader) (backend.Server, string, error) {
 	var m announcement
 	d := json.NewDecoder(body)
@@ -284,53 +190,23 @@
 }
 
 func (a *API) setState(w http.ResponseWriter, r *http.Request, s backend.State) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.limited(w, nil) {
-		return
-	}
 	id := backend.ServerID(r.PathValue("id"))
+	a.mu.Lock()
+	limited := a.limited(w, nil)
 	e := a.servers[id]
-	if e == nil {
-		fail(w, http.StatusNotFound, fmt.Errorf("no backend server %q is announced on this host", id))
-		return
-	}
-	e.asked = s
-	a.change(e, s)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-// change moves a server on to a later state, and forgets it when it is gone.
-func (a *API) change(e *entry, s backend.State) {
-	if e.row.State < s {
-		e.row.State = s
-		a.config.Announce(e.row)
-	}
-	if s == backend.Gone {
-		delete(a.servers, e.row.ID)
-		a.forgetHealth(e.row.ID)
+	var kept <-chan struct{}
+	if !limited && e != nil {
+		e.asked = s
+		kept = a.change(e, s)
 	}
-}
-
-// forgetHealth takes back an earlier result of a server that is probed no more.
-func (a *API) forgetHealth(id backend.ServerID) {
-	if a.config.Health != nil {
-		a.config.Health(id, true)
-	}
-}
-
-// expire drains servers whose lease has ended, and withdraws them later.
-func (a *API) expire() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.config.Now()
-	for _, e := range a.servers {
-		switch age := now.Sub(e.renewed); {
-		case age > goneAfter*a.config.Lease:
-			a.change(e, backend.Gone)
-		case age > a.config.Lease:
-			a.change(e, backend.Draining)
-		}
+	a.mu.Unlock()
+	switch {
+	case limited:
+	case e == nil:
+		fail(w, http.StatusNotFound, fmt.Errorf("no backend server %q is announced on this host", id))
+	default:
+		await(r.Context(), kept)
+		w.WriteHeader(http.StatusNoContent)
 	}
 }
 
--- a/internal/announcement/announcement_test.go
+++ b/internal/announcement/announcement_test.go
@@ -26,7 +26,10 @@
 	f := &fixture{now: time.Unix(1_800_000_000, 0)}
 	f.API = New(Config{
 		Lease:    3 * time.Second,
-		Announce: func(s backend.Server) { f.events = append(f.events, fmt.Sprintf("%s %s", s.Addr, s.State)) },
+		Announce: func(s backend.Server) <-chan struct{} {
+			f.events = append(f.events, fmt.Sprintf("%s %s", s.Addr, s.State))
+			return nil
+		},
 		Health:   func(id backend.ServerID, ok bool) { f.events = append(f.events, fmt.Sprintf("%s healthy=%v", id, ok)) },
 		Now:      func() time.Time { return f.now },
 	})
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -50,6 +50,12 @@
 	Addr    netip.AddrPort
 	Slots   uint16 // concurrent calls; 0 takes the document's
 	State   State
+	// Started and Sequence order what the server says of itself: the start of its
+	// process in Unix milliseconds, and a number that it raises with each
+	// announcement. They are those of the last change, and zero when the server
+	// counts neither.
+	Started  int64
+	Sequence uint64
 	// Stamp is the owner's incarnation and its sequence at the last change.
 	Stamp host.Stamp
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -196,7 +196,7 @@
 			ID: s.HostID, Zone: s.AvailabilityZone, Region: s.Region,
 			ControlAddr: s.ControlAddress, GateAddr: s.GateAddress,
 		},
-		Started: time.Now(), Peers: s.Peers, PlatformRegion: s.PlatformRegion,
+		Started: time.Now(), Peers: s.Peers, Watch: s.Watch,
 		Distribution: s.Distribution, Seed: rand.Uint64(),
 	}
 }
@@ -239,12 +239,13 @@
 	}
 	d.announcements = announcement.New(announcement.Config{
 		Lease:    s.AnnounceLease,
-		Announce: func(b backend.Server) { d.loop.post(ctx, fleet.ServerAnnounced{Server: b}) },
+		Announce: func(b backend.Server) <-chan struct{} { return d.loop.announce(ctx, b) },
 		Health: func(id backend.ServerID, healthy bool) {
 			d.pool.SetHealth(id, healthy)
 			d.gate.SetHealth(id, healthy)
 		},
 	})
+	d.loop.adopt = d.announcements.Adopt
 	operatorServer := &http.Server{Handler: api, ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 30 * time.Second}
 	if s.OperatorTLS {
 		operatorServer.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: d.serverTLS.GetCertificate, Certificates: d.serverTLS.Certificates}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/fleet"
 	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/submission"
@@ -19,8 +20,9 @@
 	// eventQueue bounds the messages that wait for the core; the core repairs
 	// the loss of what is above it.
 	eventQueue = 4096
-	// readTimeout bounds a read of the platform for the core.
-	readTimeout = 4 * time.Second
+	// readTimeout bounds a read of the platform for the core. A store that is slow
+	// takes a quarter of a second.
+	readTimeout = 1500 * time.Millisecond
 )
 
 // loop owns the core: it feeds it events and carries out its effects.
@@ -31,6 +33,9 @@
 	messages chan fleet.Event // may be dropped
 	inspect  chan func(*fleet.Core)
 	log      *zap.Logger
+	own      ownRow
+	tickets  tickets
+	adopt    func([]backend.Server) // set before run
 }
 
 func newLoop(p *parts, c fleet.Config) *loop {
@@ -128,25 +133,41 @@
 		go l.readHead(ctx, e)
 	case fleet.LoadVersion:
 		go l.loadVersion(ctx, e)
-	case fleet.ReadPeers:
-		go l.readPeers(ctx, e)
-	case fleet.PublishContacts:
-		go l.publishContacts(ctx, e.Contacts)
-	case fleet.Record:
+	case fleet.ReadRecords:
+		go l.readRecords(ctx, e)
+	case fleet.Publish:
+		go l.publish(ctx, e)
+	case fleet.Settled:
+		l.tickets.settle(e.Ticket)
+	case fleet.Adopt:
+		go l.adopt(e.Servers)
+	case fleet.Forget:
+		go l.forget(ctx, e)
+	case fleet.Note:
 		l.record(e)
 	}
 }
 
 func (l *loop) readHead(ctx context.Context, e fleet.ReadHead) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	limit, cancel := context.WithTimeout(ctx, e.Wait+readTimeout)
 	defer cancel()
 	if v := l.environment.Versions; v != nil {
-		s, err := v.Newest(ctx, 0)
-		l.platform.tableAnswered.Store(err == nil)
-		l.post(ctx, fleet.HeadRead{Read: e.Read, Manifest: s.Manifest(), Snapshot: s, Err: err})
+		start := time.Now()
+		s, err := v.Newest(limit, e.Wait)
+		l.platform.tableDone(err)
+		answer := fleet.HeadRead{Read: e.Read, Manifest: s.Manifest(), Snapshot: s, Err: err}
+		if e.Wait == 0 {
+			answer.Took = time.Since(start)
+		}
+		l.post(ctx, answer)
 		return
 	}
-	m, err := submission.ReadHead(ctx, l.platform)
+	// The table can't wait for a change.
+	select {
+	case <-time.After(e.Wait):
+	case <-ctx.Done():
+	}
+	m, err := submission.ReadHead(limit, l.platform)
 	l.post(ctx, fleet.HeadRead{Read: e.Read, Manifest: m, Err: err})
 }
 
@@ -157,7 +178,7 @@
 	l.post(ctx, fleet.VersionLoaded{Snapshot: s, Err: err})
 }
 
-func (l *loop) record(r fleet.Record) {
+func (l *loop) record(r fleet.Note) {
 	l.timeline.Add(timeline.Event{
 		Kind: timeline.Kind(r.Kind), Subject: r.Host, Version: r.Version, Server: r.Server, Detail: r.Detail,
 	})
@@ -179,21 +200,22 @@
 
 // sentences are the log lines of the events that operators ask about.
 var sentences = map[string]string{
-	"version-applied": "Applied a version.",
-	"version-fetched": "Fetched a version from a peer.",
-	"version-loaded":  "Loaded a version from the object store.",
-	"load-failed":     "Could not load a version from the object store.",
-	"delta-refused":   "Refused a delta.",
-	"host-started":    "Joining the fleet.",
-	"host-left":       "Left the fleet.",
-	"host-suspected":  "Suspected a host.",
-	"host-dead":       "Declared a host dead.",
-	"host-refuted":    "Refuted a report about this host.",
-	"unreachable":     "Lost contact with a zone or region.",
-	"server-starting": "A backend server of this host is starting.",
-	"server-ready":    "A backend server of this host is ready.",
-	"server-draining": "A backend server of this host is draining.",
-	"server-gone":     "A backend server of this host is gone.",
+	"version-applied":    "Applied a version.",
+	"version-fetched":    "Fetched a version from a peer.",
+	"version-loaded":     "Loaded a version from the object store.",
+	"load-failed":        "Could not load a version from the object store.",
+	"delta-refused":      "Refused a delta.",
+	"host-started":       "Joining the fleet.",
+	"host-left":          "Left the fleet.",
+	"host-suspected":     "Suspected a host.",
+	"host-dead":          "Declared a host dead.",
+	"host-refuted":       "Refuted a report about this host.",
+	"record-not-written": "Could not write the record of this host.",
+	"unreachable":        "Lost contact with a zone or region.",
+	"server-starting":    "A backend server of this host is starting.",
+	"server-ready":       "A backend server of this host is ready.",
+	"server-draining":    "A backend server of this host is draining.",
+	"server-gone":        "A backend server of this host is gone.",
 }
 
 func sentence(kind string) string {
--- /dev/null
+++ b/internal/daemon/records.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/codec"
+	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/platform"
+)
+
+// recordPrefix is the prefix of the rows with the records of hosts:
+// "host/<region>/<zone>/<host>".
+const recordPrefix = "host/"
+
+// recordPage is the number of records that are read at once.
+const recordPage = 500
+
+func zonePrefix(region host.Region, zone host.AvailabilityZone) platform.Key {
+	return platform.Key(fmt.Sprintf("%s%s/%s/", recordPrefix, region, zone))
+}
+
+func recordKey(h host.Row) platform.Key {
+	return zonePrefix(h.Region, h.Zone) + platform.Key(h.ID)
+}
+
+// record is the value of a host's row.
+type record struct {
+	Host    host.Row         `cbor:"1,keyasint"`
+	Servers []backend.Server `cbor:"2,keyasint"`
+}
+
+var decodingRecord = codec.Strict(codec.Limits{Levels: 4})
+
+// ownRow is the row of this host in the table.
+type ownRow struct {
+	mu       sync.Mutex
+	revision platform.Revision
+	known    bool
+}
+
+// readRecords reads the records of this zone or of all others.
+func (l *loop) readRecords(ctx context.Context, e fleet.ReadRecords) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	own := zonePrefix(l.settings.Region, l.settings.AvailabilityZone)
+	prefix := own
+	if e.Others {
+		prefix = recordPrefix
+	}
+	start := time.Now()
+	rows, err := l.scan(ctx, prefix)
+	answer := fleet.RecordsRead{Others: e.Others, Took: time.Since(start)}
+	if err != nil {
+		answer.Err = fmt.Errorf("read records of hosts: %w", err)
+	}
+	for _, r := range rows {
+		if r.Key == own+platform.Key(l.settings.HostID) {
+			l.own.note(r.Revision)
+		}
+		var v record
+		if err := decodingRecord.Unmarshal(r.Value, &v); err != nil {
+			l.log.Warn("Passed over the record of a host that can't be read.", zap.String("row", string(r.Key)), zap.Error(err))
+			continue
+		}
+		if other := v.Host.Zone != l.settings.AvailabilityZone; other == e.Others {
+			answer.Records = append(answer.Records, fleet.Record{Host: v.Host, Servers: v.Servers})
+		}
+	}
+	if err == nil && !e.Others {
+		l.own.noteAbsent()
+	}
+	l.post(ctx, answer)
+}
+
+func (l *loop) scan(ctx context.Context, prefix platform.Key) ([]platform.Row, error) {
+	var all []platform.Row
+	after := platform.Key("")
+	for {
+		rows, err := l.platform.Scan(ctx, prefix, after, recordPage)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+		if len(rows) < recordPage {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func (o *ownRow) note(r platform.Revision) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.revision, o.known = max(o.revision, r), true
+}
+
+// noteAbsent notes that the table has been read; without a row, the revision is
+// zero.
+func (o *ownRow) noteAbsent() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.known = true
+}
+
+// errOtherWriter says that the row of this host has another revision than
+// expected: an earlier write, whose answer was lost, has taken effect.
+var errOtherWriter = errors.New("the record was written in the meantime")
+
+// publish writes the record of this host. A write of an earlier run that arrives
+// late fails on the revision.
+func (l *loop) publish(ctx context.Context, e fleet.Publish) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	err := l.writeRecord(ctx, e.Record)
+	if err != nil {
+		err = fmt.Errorf("write the record of this host: %w", err)
+	}
+	l.post(ctx, fleet.Published{Record: e.Record, Ticket: e.Ticket, Err: err})
+}
+
+func (l *loop) writeRecord(ctx context.Context, r fleet.Record) error {
+	value, err := codec.Marshal(record{Host: r.Host, Servers: r.Servers})
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	key := recordKey(r.Host)
+	l.own.mu.Lock()
+	defer l.own.mu.Unlock()
+	if !l.own.known {
+		rows, err := l.platform.Get(ctx, key)
+		if err != nil {
+			return err
+		}
+		l.own.revision, l.own.known = rows[0].Revision, true
+	}
+	result, err := l.platform.Commit(ctx, platform.Write{Key: key, If: l.own.revision, Value: value})
+	if err != nil {
+		l.own.known = false
+		return err
+	}
+	if result.Outcome != platform.Applied {
+		l.own.known = false
+		return errOtherWriter
+	}
+	l.own.revision = result.Revision
+	return nil
+}
+
+// forget removes the record of a dead host. Another daemon may have done so.
+func (l *loop) forget(ctx context.Context, e fleet.Forget) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	key := recordKey(e.Host)
+	rows, err := l.platform.Get(ctx, key)
+	if err == nil && rows[0].Revision != 0 {
+		_, err = l.platform.Commit(ctx, platform.Write{Key: key, If: rows[0].Revision, Delete: true})
+	}
+	if err != nil {
+		l.log.Warn("Could not remove the record of a dead host.", zap.String("host", string(e.Host.ID)), zap.Error(err))
+	}
+}
+
+// tickets let announcements wait until the table has them.
+type tickets struct {
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan struct{}
+}
+
+// take returns the next ticket and a channel that is closed when the table has
+// the change.
+func (t *tickets) take() (uint64, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last++
+	if t.waiting == nil {
+		t.waiting = make(map[uint64]chan struct{})
+	}
+	done := make(chan struct{})
+	t.waiting[t.last] = done
+	return t.last, done
+}
+
+// settle ends the waits up to a ticket.
+func (t *tickets) settle(ticket uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n, done := range t.waiting {
+		if n <= ticket {
+			close(done)
+			delete(t.waiting, n)
+		}
+	}
+}
+
+// announce passes the row of a backend server on and returns a channel that is
+// closed when the table has it.
+func (l *loop) announce(ctx context.Context, s backend.Server) <-chan struct{} {
+	ticket, done := l.tickets.take()
+	l.post(ctx, fleet.ServerAnnounced{Server: s, Ticket: ticket})
+	return done
+}
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -52,7 +52,7 @@
 		})
 	}
 	for _, self := range b.hosts {
-		b.Core = New(Config{Self: self, Started: b.now, Peers: []netip.AddrPort{b.hosts[1].ControlAddr}, PlatformRegion: "region-0", Seed: 1})
+		b.Core = New(Config{Self: self, Started: b.now, Peers: []netip.AddrPort{b.hosts[1].ControlAddr}, Seed: 1})
 		b.step(Tick{})
 		b.step(HeadRead{})
 		b.step(Received{From: b.hosts[1].ControlAddr, Message: message.JoinAnswer{News: news}})
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -25,6 +25,7 @@
 	overlay overlay
 
 	join     joinState
+	record   recordState
 	floors   floorState
 	probes   probeState
 	news     newsState
@@ -72,6 +73,7 @@
 	case Received:
 		c.receive(e.From, e.Message)
 	case ServerAnnounced:
+		c.record.ticket = max(c.record.ticket, e.Ticket)
 		c.announceServer(e.Server)
 	case VersionAccepted:
 		c.take(e.Snapshot, netip.AddrPort{})
@@ -79,8 +81,10 @@
 		c.headRead(e)
 	case VersionLoaded:
 		c.versionLoaded(e)
-	case PeersRead:
-		c.peersRead(e)
+	case RecordsRead:
+		c.recordsRead(e)
+	case Published:
+		c.published(e)
 	case Leaving:
 		c.leave()
 	}
@@ -118,6 +122,8 @@
 		c.receiveFloorRequest(from, m)
 	case message.Floor:
 		c.receiveFloor(m)
+	case message.Confirm:
+		c.receiveConfirm(from, m)
 	case message.Report:
 		c.receiveReport(from, m)
 	}
@@ -133,6 +139,8 @@
 	c.runReader()
 	c.runFloors()
 	c.runReports()
+	c.runPublish()
+	c.runForget()
 	c.refreshOverlay()
 	c.flushNews()
 	c.runPurge()
@@ -144,7 +152,7 @@
 	c.emit(Send{To: to, Message: m})
 }
 
-func (c *Core) record(r Record) { c.emit(r) }
+func (c *Core) note(n Note) { c.emit(n) }
 
 // self returns the current row of this host.
 func (c *Core) self() host.Row { return c.hosts.get(c.config.Self.ID).row }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,8 +26,12 @@
 }
 
 // ServerAnnounced is an announcement or a state change of a backend server on
-// this host. The core sets host and stamp of the row.
-type ServerAnnounced struct{ Server backend.Server }
+// this host. The core sets host and stamp of the row. Settled tells when the
+// table has the change with the ticket; tickets increase.
+type ServerAnnounced struct {
+	Server backend.Server
+	Ticket uint64
+}
 
 // VersionAccepted says that this daemon committed a version.
 type VersionAccepted struct{ Snapshot version.Snapshot }
@@ -39,6 +43,7 @@
 	Manifest version.Manifest
 	// Snapshot is the version of the manifest when the read gave it whole.
 	Snapshot version.Snapshot
+	Took     time.Duration // of the read, without its wait for a change
 	Err      error
 }
 
@@ -48,19 +53,19 @@
 	Err      error
 }
 
-// Contacts are the control addresses of a few hosts of a zone, at which a
-// starting daemon finds the fleet.
-type Contacts struct {
-	Zone   host.AvailabilityZone
-	Region host.Region
-	Addrs  []netip.AddrPort
+// RecordsRead is the answer to ReadRecords.
+type RecordsRead struct {
+	Records []Record
+	Others  bool          // as asked
+	Took    time.Duration // of the read
+	Err     error
 }
 
-// PeersRead is the answer to ReadPeers.
-type PeersRead struct {
-	Zones    []Contacts
-	AllZones bool // as asked
-	Err      error
+// Published is the answer to Publish.
+type Published struct {
+	Record Record
+	Ticket uint64
+	Err    error
 }
 
 // Leaving starts a planned stop of this daemon.
@@ -86,7 +91,11 @@
 type ServersChanged struct{}
 
 // ReadHead asks for the head row; HeadRead answers with the number of the read.
-type ReadHead struct{ Read uint64 }
+// With a wait, the answer comes when the head row changes, or after the wait.
+type ReadHead struct {
+	Read uint64
+	Wait time.Duration
+}
 
 // LoadVersion asks for the version of a manifest from the object store;
 // VersionLoaded answers. Have holds the sections that need no reading.
@@ -95,15 +104,28 @@
 	Have     version.Snapshot
 }
 
-// ReadPeers asks for the published contacts of this host's zone, or of all
-// zones; PeersRead answers.
-type ReadPeers struct{ AllZones bool }
+// ReadRecords asks for the records of the hosts of this zone, or of all other
+// zones; RecordsRead answers.
+type ReadRecords struct{ Others bool }
+
+// Publish writes the record of this host; Published answers.
+type Publish struct {
+	Record Record
+	Ticket uint64
+}
+
+// Settled says that the table has all changes up to a ticket.
+type Settled struct{ Ticket uint64 }
+
+// Adopt takes over backend servers that announced themselves to an earlier run
+// of this daemon, or have left.
+type Adopt struct{ Servers []backend.Server }
 
-// PublishContacts publishes the contacts of this host's zone.
-type PublishContacts struct{ Contacts Contacts }
+// Forget removes the record of a host that is dead.
+type Forget struct{ Host host.Row }
 
-// Record adds an event to the time line.
-type Record struct {
+// Note adds an event to the time line.
+type Note struct {
 	Kind    string // kebab case, for example "version-applied"
 	Host    host.ID
 	Server  backend.ServerID
@@ -117,18 +139,22 @@
 func (VersionAccepted) isEvent() {}
 func (HeadRead) isEvent()        {}
 func (VersionLoaded) isEvent()   {}
-func (PeersRead) isEvent()       {}
+func (RecordsRead) isEvent()     {}
+func (Published) isEvent()       {}
 func (Leaving) isEvent()         {}
 
-func (Send) isEffect()            {}
-func (Hold) isEffect()            {}
-func (Apply) isEffect()           {}
-func (ServersChanged) isEffect()  {}
-func (ReadHead) isEffect()        {}
-func (LoadVersion) isEffect()     {}
-func (ReadPeers) isEffect()       {}
-func (PublishContacts) isEffect() {}
-func (Record) isEffect()          {}
+func (Send) isEffect()           {}
+func (Hold) isEffect()           {}
+func (Apply) isEffect()          {}
+func (ServersChanged) isEffect() {}
+func (ReadHead) isEffect()       {}
+func (LoadVersion) isEffect()    {}
+func (ReadRecords) isEffect()    {}
+func (Publish) isEffect()        {}
+func (Settled) isEffect()        {}
+func (Adopt) isEffect()          {}
+func (Forget) isEffect()         {}
+func (Note) isEffect()           {}
 
 // Distribution selects how a version spreads.
 type Distribution uint8
@@ -141,10 +167,13 @@
 
 // Config holds the settings of a core.
 type Config struct {
-	Self           host.Row         // stamp and state are set by the core
-	Started        time.Time        // start of the process; sets the incarnation
-	Peers          []netip.AddrPort // first contacts; empty reads the table
-	PlatformRegion host.Region
-	Distribution   Distribution
-	Seed           uint64 // seeds jitter and choices
+	Self         host.Row         // stamp and state are set by the core
+	Started      time.Time        // start of the process; sets the incarnation
+	Peers        []netip.AddrPort // first contacts, besides the records of the zone
+	Distribution Distribution
+	// Watch is the longest wait of one read of the head row for a change; zero
+	// takes 2 s. A version is in force about twice as long after the failure of the
+	// reader.
+	Watch time.Duration
+	Seed  uint64 // seeds jitter and choices
 }
--- a/internal/fleet/floors.go
+++ b/internal/fleet/floors.go
@@ -10,9 +10,8 @@
 
 const (
 	// floorInterval is the least time between reads of the head row for other
-	// hosts. 14 zones make at most 56 reads a second. It is half of
-	// joinInterval, after which a host reads the row itself.
-	floorInterval = 250 * time.Millisecond
+	// hosts. 14 zones make at most 280 reads a second.
+	floorInterval = 50 * time.Millisecond
 	// maxFloorRequests bounds the requests that wait. In a mass restart the 171
 	// hosts of a zone ask within joinJitter.
 	maxFloorRequests = 256
@@ -37,21 +36,22 @@
 
 // readHead begins a read of the head row. The number tells its answer from
 // those of reads that began before.
-func (c *Core) readHead() {
+func (c *Core) readHead(wait time.Duration) {
 	c.floors.reads++
-	c.emit(ReadHead{Read: c.floors.reads})
+	r := &c.reader
+	r.waiting, r.askedAt, r.askedWait = true, c.now, wait
+	c.emit(ReadHead{Read: c.floors.reads, Wait: wait})
 }
 
-// askFloor asks the first contact of this host's zone, so that requests of the
-// zone meet at one host. The own read follows after joinInterval unless the
-// answer arrives before.
-func (c *Core) askFloor(contacts []netip.AddrPort) {
+// askFloor asks another host for the floor. The own read follows after floorWait
+// unless the answer arrives before.
+func (c *Core) askFloor(to netip.AddrPort) {
 	f := &c.floors
-	if c.join.headAsked || f.nonce != 0 || len(contacts) == 0 || contacts[0] == c.config.Self.ControlAddr {
+	if c.join.headAsked || f.nonce != 0 {
 		return
 	}
 	f.nonce = c.random.Uint64() | 1 // not zero
-	c.send(contacts[0], message.FloorRequest{Nonce: f.nonce})
+	c.send(to, message.FloorRequest{Nonce: f.nonce})
 }
 
 func (c *Core) receiveFloorRequest(from netip.AddrPort, m message.FloorRequest) {
@@ -69,7 +69,7 @@
 		return
 	}
 	f.nextAt = c.now.Add(floorInterval)
-	c.readHead()
+	c.readHead(0)
 }
 
 // answerFloors answers the requests that had arrived before a read began.
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -21,6 +21,7 @@
 	row       host.Row
 	weight    uint64    // rendezvous order within the zone
 	changedAt time.Time // local time of the last change of state or incarnation
+	forgotten bool      // the record of the dead host was removed
 }
 
 func (e *hostEntry) live() bool {
@@ -32,6 +33,7 @@
 	entries  map[host.ID]*hostEntry
 	byAddr   map[netip.AddrPort]*hostEntry
 	suspects map[host.ID]*hostEntry
+	dead     map[host.ID]*hostEntry
 	// order holds the live hosts of each zone in zone order. A change replaces
 	// the slice, since overlays keep the former one.
 	order   map[host.AvailabilityZone][]*hostEntry
@@ -43,6 +45,7 @@
 	t.entries = make(map[host.ID]*hostEntry)
 	t.byAddr = make(map[netip.AddrPort]*hostEntry)
 	t.suspects = make(map[host.ID]*hostEntry)
+	t.dead = make(map[host.ID]*hostEntry)
 	t.order = make(map[host.AvailabilityZone][]*hostEntry)
 	t.touched = make(map[host.ID]bool)
 }
@@ -72,6 +75,12 @@
 	} else {
 		delete(t.suspects, row.ID)
 	}
+	if row.State == host.Dead {
+		t.dead[row.ID] = e
+	} else {
+		delete(t.dead, row.ID)
+		e.forgotten = false
+	}
 	t.touched[row.ID] = true
 }
 
@@ -104,6 +113,7 @@
 	t.leaveOrder(e)
 	delete(t.entries, e.row.ID)
 	delete(t.suspects, e.row.ID)
+	delete(t.dead, e.row.ID)
 	if t.byAddr[e.row.ControlAddr] == e {
 		delete(t.byAddr, e.row.ControlAddr)
 	}
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -11,67 +11,58 @@
 )
 
 const (
-	// joinJitter spreads the table reads of daemons that start at once: 1,200
-	// starts read their contacts 340 times a second, of a budget of 500. The head
-	// row is mostly read by one host for a zone, see floorState.
-	joinJitter = 3500 * time.Millisecond
-	// joinInterval is the wait for an answer before the next peer is asked. One
-	// at a time, since each costs a handshake and all rows.
-	joinInterval = 500 * time.Millisecond
-	// Time between reads of the zone's first contacts while there is no peer.
-	minAloneInterval = 500 * time.Millisecond
-	maxAloneInterval = 5 * time.Second
+	// joinJitter spreads the reads of daemons that start at once.
+	joinJitter = 50 * time.Millisecond
+	// joinInterval is the wait for an answer before the next peer is asked.
+	joinInterval = 300 * time.Millisecond
+	// floorWait is the wait for a floor from a peer before the head row is read.
+	floorWait = 200 * time.Millisecond
+	// Time between reads of the zone's records while there is no peer, or while
+	// the table does not answer.
+	minAloneInterval = 200 * time.Millisecond
+	maxAloneInterval = 3 * time.Second
+	// freshFor is the time after its first start during which a host reads the
+	// records of its zone again: hosts that start at the same time do not find each
+	// other in the first read.
+	freshFor = 2 * time.Second
 	// Time between searches of a zone root for hosts that it does not know. It
-	// doubles up to checkInterval, since each search costs about 2 kB, over the
-	// region link in regions without the table. A search that finds unknown
-	// hosts is repeated soon, because a join can be lost, but only a few times,
-	// because the table may name hosts that are gone.
-	minSearchInterval = time.Second
+	// doubles up to checkInterval. A search that finds unknown hosts is repeated
+	// soon, because a join can be lost, but only a few times, because the table may
+	// name hosts that are gone.
+	minSearchInterval = 2 * time.Second
 	repeatInterval    = 2 * time.Second
-	maxRepeats        = 30
-	firstSearch       = 2 * time.Second
-	// publishInterval is the least time between changes of the zone's contacts,
-	// and checkInterval the time after which they are checked in any case, and
-	// zones are searched for although all seems known.
-	publishInterval = time.Minute
-	// firstPublish lets a host that found contacts learn the hosts of its zone. It
-	// takes itself for the root until then: in a mass restart each host replaced
-	// the contacts of its zone with a list of its own.
-	firstPublish  = 2 * time.Second
-	checkInterval = 30 * time.Minute
-	// contactsCheck is the time between looks at this host's own table.
-	contactsCheck = time.Second
-	// maxContacts is the number of first contacts that a zone publishes.
-	maxContacts = 8
+	maxRepeats        = 5
+	checkInterval     = 30 * time.Minute
 	// joinAnswersPerSecond limits the snapshots of rows that one daemon sends
 	// in a mass restart; joiners ask another peer.
 	joinAnswersPerSecond = 8
 )
 
+// noPeer is the source of rows that came from no other daemon.
+var noPeer netip.AddrPort
+
 // joinState is the progress of the start of this daemon.
 type joinState struct {
-	started      bool
-	contacts     []netip.AddrPort // peers to ask
-	next         int              // position in contacts
-	readPeersAt  time.Time
-	aloneFor     time.Duration // next interval between reads while alone
-	readHeadAt   time.Time
-	headAsked    bool
-	joinAt       time.Time
-	joined       bool // rows have arrived from a peer
-	contactsRead bool // the zone's first contacts were read
-	searchAt     time.Time
-	searchEvery  time.Duration
-	repeats      int // searches in a row that found unknown hosts
-	publishAt    time.Time
-	published    []netip.AddrPort
-	checkAt      time.Time
-	settled      bool // the head row was read, so that the floor is final
-	served       int  // join answers in the current second
-	servedFrom   time.Time
+	started     bool
+	contacts    []netip.AddrPort // peers to ask
+	next        int              // position in contacts
+	readAt      time.Time        // next read of the zone's records
+	reading     bool
+	aloneFor    time.Duration // next interval between reads while alone
+	freshUntil  time.Time     // zero when the table knew this host
+	readHeadAt  time.Time
+	headAsked   bool
+	joinAt      time.Time
+	joined      bool // rows have arrived from a peer
+	searchAt    time.Time
+	searchEvery time.Duration
+	repeats     int  // searches in a row that found unknown hosts
+	settled     bool // the head row was read, so that the floor is final
+	served      int  // join answers in the current second
+	servedFrom  time.Time
 }
 
-// runJoin reads the head row once, finds peers and asks them for rows.
+// runJoin finds peers, asks them for rows and reads the head row once.
 func (c *Core) runJoin() {
 	j := &c.join
 	if !j.started {
@@ -80,33 +71,29 @@
 	if !j.headAsked && !c.now.Before(j.readHeadAt) {
 		j.headAsked = true
 		if !j.settled {
-			c.readHead()
+			c.readHead(0)
 		}
 	}
-	if (len(j.contacts) == 0 || c.alone()) && !c.now.Before(j.readPeersAt) {
-		j.aloneFor = min(max(2*j.aloneFor, minAloneInterval), maxAloneInterval)
-		j.readPeersAt = c.now.Add(j.aloneFor + c.jitter(j.aloneFor))
-		c.emit(ReadPeers{})
+	wanted := !c.record.read || c.alone() || c.now.Before(j.freshUntil)
+	if wanted && !j.reading && !c.now.Before(j.readAt) {
+		j.reading = true
+		c.emit(ReadRecords{})
 	}
 	if (!j.joined || c.alone()) && len(j.contacts) > 0 && !c.now.Before(j.joinAt) {
 		c.askPeer()
 	}
 	c.runSearch()
-	c.runPublish()
 }
 
 func (c *Core) startJoin() {
 	j := &c.join
 	j.started = true
-	// The contacts come first, so that the newest version mostly comes from a
-	// peer before the head row is known.
-	j.readPeersAt = c.now.Add(c.jitter(joinJitter))
-	j.readHeadAt = j.readPeersAt.Add(joinInterval)
-	// A host that has just started takes itself for the root. It joins its own
-	// zone first; a search would cost a join of every other zone.
-	j.searchAt = j.readPeersAt.Add(firstSearch + c.jitter(firstSearch))
+	j.readAt = c.now.Add(c.jitter(joinJitter))
+	// The records tell whom to ask for the floor. Without an answer of the table
+	// the head row is tried all the same.
+	j.readHeadAt = j.readAt.Add(floorWait)
 	j.setContacts(c.config.Peers, c.config.Self.ControlAddr)
-	c.record(Record{Kind: "host-started", Host: c.config.Self.ID})
+	c.note(Note{Kind: "host-started", Host: c.config.Self.ID})
 }
 
 func (j *joinState) setContacts(peers []netip.AddrPort, own netip.AddrPort) {
@@ -116,43 +103,29 @@
 func (c *Core) askPeer() {
 	j := &c.join
 	j.joinAt = c.now.Add(joinInterval)
-	c.send(j.contacts[j.next%len(j.contacts)], message.Join{Row: c.self()})
+	c.send(j.contacts[j.next%len(j.contacts)], c.joinMessage())
 	j.next++
 }
 
-// runSearch lets zone roots look for zones that they do not know. Other hosts
-// join their own zone only, which saves the bytes of a handshake and of all
-// rows between zones.
+func (c *Core) joinMessage() message.Join {
+	m := message.Join{Row: c.self()}
+	for _, id := range slices.Sorted(slices.Values(c.servers.byHost[c.config.Self.ID])) {
+		m.Servers = append(m.Servers, c.servers.rows[id])
+	}
+	return m
+}
+
+// runSearch lets zone roots look for hosts that they do not know. Other hosts
+// learn of those from their root.
 func (c *Core) runSearch() {
 	j := &c.join
 	c.refreshOverlay()
-	if !c.overlay.isRoot() || c.now.Before(j.searchAt) {
+	if !c.record.read || !c.overlay.isRoot() || c.now.Before(j.searchAt) {
 		return
 	}
 	j.searchEvery = min(max(2*j.searchEvery, minSearchInterval), checkInterval)
 	j.searchAt = c.now.Add(j.searchEvery/2 + c.jitter(j.searchEvery))
-	c.emit(ReadPeers{AllZones: true})
-}
-
-// runPublish lets the zone root publish first contacts of the zone.
-func (c *Core) runPublish() {
-	j := &c.join
-	if !c.overlay.isRoot() || !(j.contactsRead || j.joined) || c.now.Before(j.publishAt) {
-		return
-	}
-	order := c.overlay.zones[c.config.Self.Zone]
-	contacts := Contacts{Zone: c.config.Self.Zone, Region: c.config.Self.Region}
-	for _, e := range order[:min(len(order), maxContacts)] {
-		contacts.Addrs = append(contacts.Addrs, e.row.ControlAddr)
-	}
-	if slices.Equal(contacts.Addrs, j.published) && c.now.Before(j.checkAt) {
-		j.publishAt = c.now.Add(contactsCheck)
-		return
-	}
-	j.published = contacts.Addrs
-	j.publishAt = c.now.Add(publishInterval)
-	j.checkAt = c.now.Add(checkInterval)
-	c.emit(PublishContacts{Contacts: contacts})
+	c.emit(ReadRecords{Others: true})
 }
 
 // alone reports whether no other live host is known.
@@ -161,74 +134,101 @@
 	return c.overlay.liveOthers == 0
 }
 
-func (c *Core) peersRead(e PeersRead) {
-	if e.Err != nil {
+func (c *Core) recordsRead(e RecordsRead) {
+	if e.Others {
+		c.othersRead(e)
 		return
 	}
-	if e.AllZones {
-		c.joinUnknownZones(e.Zones)
+	j := &c.join
+	j.reading = false
+	if e.Err != nil {
+		j.aloneFor = min(max(2*j.aloneFor, minAloneInterval), maxAloneInterval)
+		j.readAt = c.now.Add(j.aloneFor/2 + c.jitter(j.aloneFor))
 		return
 	}
+	first := !c.record.read
+	c.noteTook(e.Took)
+	found := false
+	for _, r := range e.Records {
+		if r.Host.ID == c.config.Self.ID {
+			found = true
+			if first {
+				c.takeOwnRecord(r, true)
+			}
+		} else {
+			c.takeRecord(r)
+		}
+	}
+	if first && !found {
+		c.takeOwnRecord(Record{}, false)
+		j.freshUntil = c.now.Add(freshFor)
+	}
+	j.aloneFor = min(max(2*j.aloneFor, minAloneInterval), maxAloneInterval)
+	j.readAt = c.now.Add(j.aloneFor/2 + c.jitter(j.aloneFor))
+	c.emit(ServersChanged{})
+	if first {
+		c.meetZone()
+	}
+}
+
+// meetZone asks the hosts of the zone for their rows, and the first of them for
+// the floor, so that the requests of hosts that start together meet at one host.
+func (c *Core) meetZone() {
 	j := &c.join
-	j.contactsRead = true
+	c.refreshOverlay()
 	peers := slices.Clone(c.config.Peers)
-	for _, z := range e.Zones {
-		c.askFloor(z.Addrs)
-		c.random.Shuffle(len(z.Addrs), func(i, k int) { z.Addrs[i], z.Addrs[k] = z.Addrs[k], z.Addrs[i] })
-		peers = append(peers, z.Addrs...)
+	order := c.overlay.zones[c.config.Self.Zone]
+	for _, e := range order {
+		peers = append(peers, e.row.ControlAddr)
 	}
 	j.setContacts(peers, c.config.Self.ControlAddr)
-	if len(j.contacts) > 0 && j.publishAt.IsZero() {
-		j.publishAt = c.now.Add(firstPublish)
+	c.random.Shuffle(len(j.contacts), func(a, b int) { j.contacts[a], j.contacts[b] = j.contacts[b], j.contacts[a] })
+	j.readHeadAt = c.now
+	if len(order) > 0 && order[0].row.ID != c.config.Self.ID {
+		c.askFloor(order[0].row.ControlAddr)
+		j.readHeadAt = c.now.Add(floorWait)
 	}
+	j.searchAt = c.now
 }
 
-// joinUnknownZones asks a host of each zone of this region whose contacts name
-// an unknown one, and of another region when this host is the region root and
-// knows nobody there. Hosts that start at the same time can form parts of the
-// fleet that do not know each other; this joins them.
-func (c *Core) joinUnknownZones(zones []Contacts) {
-	j := &c.join
-	found := false
-	regions := c.overlay.otherRegions(c.config.Self.Region)
-	for _, z := range zones {
-		if z.Region == c.config.Self.Region {
-			found = c.joinUnknown(z.Addrs) || found
-		} else if c.isRegionRoot() && !slices.Contains(regions, z.Region) {
-			regions = append(regions, z.Region)
-			found = c.joinUnknown(z.Addrs) || found
+// othersRead takes the hosts of other zones and joins one of each zone that has
+// unknown ones.
+func (c *Core) othersRead(e RecordsRead) {
+	if e.Err != nil {
+		return
+	}
+	c.noteTook(e.Took)
+	joined := make(map[host.AvailabilityZone]bool)
+	for _, r := range e.Records {
+		if c.takeRecord(r) && !joined[r.Host.Zone] && r.Host.Region == c.config.Self.Region {
+			joined[r.Host.Zone] = true
+			c.send(r.Host.ControlAddr, c.joinMessage())
 		}
 	}
-	if !found {
+	j := &c.join
+	if len(joined) == 0 {
 		j.repeats = 0
 		return
 	}
+	c.emit(ServersChanged{})
 	if j.repeats++; j.repeats <= maxRepeats {
 		j.searchAt = c.now.Add(repeatInterval/2 + c.jitter(repeatInterval))
 	}
 }
 
-// joinUnknown asks one of the hosts that this daemon does not know, and
-// reports whether there is one.
-func (c *Core) joinUnknown(addrs []netip.AddrPort) bool {
-	unknown := slices.DeleteFunc(slices.Clone(addrs), func(a netip.AddrPort) bool { return c.hosts.byAddr[a] != nil })
-	if len(unknown) == 0 {
-		return false
-	}
-	c.send(unknown[c.random.IntN(len(unknown))], message.Join{Row: c.self()})
-	return true
-}
-
 func (c *Core) receiveJoin(from netip.AddrPort, m message.Join) {
 	j := &c.join
 	if c.now.Sub(j.servedFrom) >= time.Second {
 		j.servedFrom, j.served = c.now, 0
 	}
-	if j.served >= joinAnswersPerSecond || c.self().State == host.Left {
+	if c.self().State == host.Left {
+		return
+	}
+	c.mergeNews(message.News{Hosts: []host.Row{m.Row}, Servers: m.Servers}, from)
+	if j.served >= joinAnswersPerSecond {
 		return
 	}
 	j.served++
-	c.mergeNews(message.News{Hosts: []host.Row{m.Row}}, from)
 	all := func(host.AvailabilityZone) bool { return true }
 	c.send(from, message.JoinAnswer{News: c.rowsOf(all), Head: c.head()})
 }
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -239,8 +239,12 @@
 	})
 }
 
-// TestMassRestartReadsTable guards against restarts that overload the table:
-// when half of 1,200 daemons start at once, they may read 500 rows a second.
+// callsPerHost is what the table gives a fleet of 1,200 hosts: 2,000 reading and
+// 400 writing calls a second.
+func callsPerHost(hosts int) (reads, writes int) { return 2000 * hosts / 1200, 400 * hosts / 1200 }
+
+// TestMassRestartReadsTable guards against restarts that overload the table
+// when half of the daemons start at once.
 func TestMassRestartReadsTable(t *testing.T) {
 	n := newNetwork(t, 16, 30, nil)
 	n.run(60 * time.Second)
@@ -251,20 +255,20 @@
 	for _, nd := range n.nodes[:60] {
 		n.start(nd)
 	}
-	budget := 500 * 60 / 600
+	reads, _ := callsPerHost(len(n.nodes))
 	for second := range 20 {
 		before := n.reads
 		n.run(time.Second)
-		if got := n.reads - before; got > budget {
-			t.Errorf("second %d: got %d rows read, want at most %d", second, got, budget)
+		if got := n.reads - before; got > reads {
+			t.Errorf("second %d: got %d reads, want at most %d", second, got, reads)
 		}
 	}
 	n.wantApplied()
 }
 
-// TestAllStartReadsTable guards against the same when all 1,200 start at once,
-// and against hosts that wait for their floor longer than for a read of their
-// own. Scaled to 600 hosts; zones have about as many hosts as at the target.
+// TestAllStartReadsTable guards against the same when all daemons start at once,
+// and against hosts that wait for their floor for long. Scaled to 600 hosts; zones
+// have about as many hosts as at the target.
 func TestAllStartReadsTable(t *testing.T) {
 	for seed := range uint64(1) {
 		n := newNetwork(t, 30+seed, 150, nil)
@@ -278,19 +282,19 @@
 		for _, nd := range n.nodes {
 			n.start(nd)
 		}
-		reads, writes := 500*600/1200, 75*600/1200
+		reads, writes := callsPerHost(len(n.nodes))
 		for second := range 10 {
 			read, written := n.reads, n.writes
 			n.run(time.Second)
 			if got := n.reads - read; got > reads {
-				t.Errorf("seed %d, second %d: got %d rows read, want at most %d", seed, second, got, reads)
+				t.Errorf("seed %d, second %d: got %d reads, want at most %d", seed, second, got, reads)
 			}
 			if got := n.writes - written; got > writes {
-				t.Errorf("seed %d, second %d: got %d rows written, want at most %d", seed, second, got, writes)
+				t.Errorf("seed %d, second %d: got %d writes, want at most %d", seed, second, got, writes)
 			}
 			for _, nd := range n.nodes {
-				if limit := 4; second > limit && !nd.core.join.settled {
-					t.Errorf("seed %d, second %d: %s has no floor, want one after %d s", seed, second, nd.row.ID, limit)
+				if !nd.core.join.settled {
+					t.Errorf("seed %d, second %d: %s has no floor, want one after a second", seed, second, nd.row.ID)
 				}
 			}
 		}
@@ -306,7 +310,7 @@
 	asker := netip.MustParseAddrPort("10.0.0.1:7000")
 	c := New(Config{Self: host.Row{ID: "self", Zone: "a", Region: "r", ControlAddr: netip.MustParseAddrPort("10.0.0.2:7000")}, Started: now})
 	c.Step(now, Tick{})
-	now = now.Add(joinJitter + joinInterval)
+	now = now.Add(joinJitter + floorWait)
 	var reads []uint64
 	var floors []message.Floor
 	step := func(e Event) {
@@ -337,8 +341,13 @@
 	if want := []message.Floor{{Nonce: 7, Number: 5}}; !slices.Equal(floors, want) {
 		t.Errorf("got %+v, want %+v", floors, want)
 	}
+	// A host of the zone that comes before this one in its order.
+	first := host.ID("a")
+	for hashOf("a", string(first)) > hashOf("a", "self") {
+		first += "a"
+	}
 	fresh := New(Config{Self: c.config.Self, Started: now})
-	fresh.Step(now, PeersRead{Zones: []Contacts{{Zone: "a", Region: "r", Addrs: []netip.AddrPort{asker}}}})
+	fresh.Step(now, RecordsRead{Records: []Record{{Host: host.Row{ID: first, Zone: "a", Region: "r", ControlAddr: asker}}}})
 	for _, nonce := range []uint64{0, 7} {
 		fresh.Step(now, Received{From: asker, Message: message.Floor{Nonce: nonce, Number: 5}})
 		if fresh.join.settled {
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -35,10 +35,10 @@
 	cut       func(a, b host.Row) bool
 	config    func(*Config)
 	sent      int
-	reads     int // rows read from the table
+	reads     int // calls that read the table
 	searches  int // searches of all zones
 	writes    int // rows written to the table by the fleet
-	contacts  map[host.AvailabilityZone]Contacts
+	records   map[host.ID]Record
 }
 
 // failer is the part of testing.T and rapid.T that the checks need.
@@ -55,6 +55,7 @@
 	paused  bool
 	highest version.Number // highest version that any run of the core applied
 	current version.Number
+	seen    version.Number // in the head row
 	runs    int
 }
 
@@ -91,7 +92,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
 		byAddr: make(map[netip.AddrPort]*node), cut: func(_, _ host.Row) bool { return false }, config: config,
 		cutTable: func(host.Row) bool { return false },
-		contacts: make(map[host.AvailabilityZone]Contacts),
+		records:  make(map[host.ID]Record),
 	}
 	for z, zone := range []host.AvailabilityZone{"pwani-a", "pwani-b", "kaskazini-a", "kaskazini-b"} {
 		region := host.Region(zone[:len(zone)-2])
@@ -113,7 +114,7 @@
 
 func (n *network) start(nd *node) {
 	nd.runs++
-	c := Config{Self: nd.row, Started: n.now, PlatformRegion: "pwani", Seed: n.random.Uint64()}
+	c := Config{Self: nd.row, Started: n.now, Seed: n.random.Uint64()}
 	if n.config != nil {
 		n.config(&c)
 	}
@@ -147,8 +148,12 @@
 		n.schedule(d.to, tickInterval, d.event)
 		return
 	}
-	if _, ok := d.event.(Tick); ok {
+	switch e := d.event.(type) {
+	case Tick:
 		n.schedule(d.to, tickInterval, Tick{})
+	case headChange:
+		n.readHead(d.to, e.read, e.until)
+		return
 	}
 	for _, e := range d.to.core.Step(n.now, d.event) {
 		n.carryOut(d.to, e)
@@ -158,7 +163,7 @@
 var errTableDown = errors.New("table is down")
 
 func (n *network) carryOut(nd *node, effect Effect) {
-	tableDelay := 5 * time.Millisecond
+	tableDelay := n.tableTook(nd)
 	tableDown := n.tableDown || n.cutTable(nd.row)
 	switch e := effect.(type) {
 	case Send:
@@ -167,45 +172,81 @@
 		n.checkApply(nd, e.Snapshot)
 	case ReadHead:
 		n.reads++
-		answer := HeadRead{Read: e.Read, Manifest: n.head.Manifest()}
-		if tableDown {
-			answer = HeadRead{Read: e.Read, Err: errTableDown}
-		}
-		n.schedule(nd, tableDelay, answer)
+		n.readHead(nd, e, n.now.Add(e.Wait))
 	case LoadVersion:
 		answer := VersionLoaded{Snapshot: n.head}
 		if tableDown {
 			answer = VersionLoaded{Err: errTableDown}
 		}
 		n.schedule(nd, tableDelay, answer)
-	case ReadPeers:
-		answer := PeersRead{Err: errTableDown}
+	case ReadRecords:
+		answer := RecordsRead{Err: errTableDown, Others: e.Others}
 		if !tableDown {
-			answer = PeersRead{Zones: n.published(nd, e.AllZones), AllZones: e.AllZones}
+			answer = RecordsRead{Records: n.recordsFor(nd, e.Others), Others: e.Others, Took: n.tableTook(nd)}
 		}
-		n.schedule(nd, tableDelay, answer)
-	case PublishContacts:
+		n.schedule(nd, n.tableTook(nd), answer)
+	case Publish:
+		answer := Published{Record: e.Record, Ticket: e.Ticket}
+		if tableDown {
+			answer.Err = errTableDown
+		} else {
+			n.writes++
+			n.records[nd.row.ID] = e.Record
+		}
+		n.schedule(nd, n.tableTook(nd), answer)
+	case Forget:
 		if !tableDown {
 			n.writes++
-			n.contacts[nd.row.Zone] = e.Contacts
+			delete(n.records, e.Host.ID)
 		}
 	}
 }
 
-func (n *network) published(nd *node, all bool) []Contacts {
-	var zones []Contacts
-	for _, zone := range slices.Sorted(maps.Keys(n.contacts)) {
-		if all || zone == nd.row.Zone {
-			z := n.contacts[zone]
-			z.Addrs = slices.Clone(z.Addrs)
-			zones = append(zones, z)
+// tableTook is the time of a call: the table is in the region pwani.
+func (n *network) tableTook(nd *node) time.Duration {
+	if nd.row.Region == "pwani" {
+		return 5 * time.Millisecond
+	}
+	return 29 * time.Millisecond
+}
+
+// headChange is the event of a read that waits for a change.
+type headChange struct {
+	Tick
+	read  ReadHead
+	until time.Time
+}
+
+// readHead answers a read at once, when the head row changes, or at a time.
+func (n *network) readHead(nd *node, e ReadHead, until time.Time) {
+	if n.tableDown || n.cutTable(nd.row) {
+		n.schedule(nd, n.tableTook(nd), HeadRead{Read: e.Read, Err: errTableDown})
+		return
+	}
+	if e.Wait > 0 && n.now.Before(until) && n.head.Number() <= nd.seen {
+		n.schedule(nd, 10*time.Millisecond, headChange{read: e, until: until})
+		return
+	}
+	nd.seen = n.head.Number()
+	n.schedule(nd, n.tableTook(nd), HeadRead{Read: e.Read, Manifest: n.head.Manifest(), Took: n.tableTook(nd)})
+}
+
+// recordsFor returns the records of the host's zone, or of all others. Each zone
+// takes a call.
+func (n *network) recordsFor(nd *node, others bool) []Record {
+	var records []Record
+	zones := make(map[host.AvailabilityZone]bool)
+	for _, id := range slices.Sorted(maps.Keys(n.records)) {
+		if r := n.records[id]; (r.Host.Zone == nd.row.Zone) != others {
+			records = append(records, r)
+			zones[r.Host.Zone] = true
 		}
 	}
 	n.reads += max(1, len(zones))
-	if all {
+	if others {
 		n.searches++
 	}
-	return zones
+	return records
 }
 
 func (n *network) transmit(from *node, s Send) {
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -49,9 +49,10 @@
 	s.Host = c.config.Self.ID
 	s.Stamp = c.nextStamp()
 	c.servers.put(s)
+	c.dropDepartures(s.Host)
 	c.news.addServer(s.ID, netip.AddrPort{})
 	c.emit(ServersChanged{})
-	c.record(Record{Kind: "server-" + s.State.String(), Server: s.ID, Host: s.Host})
+	c.note(Note{Kind: "server-" + s.State.String(), Server: s.ID, Host: s.Host})
 }
 
 // leave publishes that this host stops in a planned way.
@@ -71,7 +72,7 @@
 	c.news.flushAt = c.now
 	// The edges are needed once more, so the overlay keeps this host in it.
 	c.flushNews()
-	c.record(Record{Kind: "host-left", Host: row.ID})
+	c.note(Note{Kind: "host-left", Host: row.ID})
 }
 
 // mergeNews takes over the rows that are newer than the present ones.
@@ -129,6 +130,7 @@
 		return false
 	}
 	c.servers.put(s)
+	c.dropDepartures(s.Host)
 	c.news.addServer(s.ID, from)
 	return true
 }
@@ -142,10 +144,13 @@
 	}
 	own.State = host.Alive
 	own.Stamp = host.Stamp{Incarnation: row.Stamp.Incarnation + 1}
+	if row.State == host.Dead {
+		c.record.absent = true // its record may have been removed
+	}
 	c.news.sequence = 0
 	c.hosts.put(own, c.now)
 	c.news.addHost(own.ID, netip.AddrPort{})
-	c.record(Record{Kind: "host-refuted", Host: own.ID, Detail: row.State.String()})
+	c.note(Note{Kind: "host-refuted", Host: own.ID, Detail: row.State.String()})
 	for _, id := range slices.Sorted(maps.Keys(c.servers.rows)) {
 		s := c.servers.rows[id]
 		if s.Host == own.ID {
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -241,7 +241,7 @@
 		g.attempt++
 		if g.attempt%len(c.groupCandidates(t.group)) == 0 && !g.unreachable {
 			g.unreachable = true
-			c.record(Record{Kind: "unreachable", Detail: string(cmp.Or(string(t.group.zone), string(t.group.region)))})
+			c.note(Note{Kind: "unreachable", Detail: string(cmp.Or(string(t.group.zone), string(t.group.region)))})
 		}
 		return true
 	}
@@ -283,7 +283,7 @@
 		return
 	}
 	c.setState(e, host.Suspect)
-	c.record(Record{Kind: "host-suspected", Host: id})
+	c.note(Note{Kind: "host-suspected", Host: id})
 }
 
 func (c *Core) setState(e *hostEntry, s host.State) {
@@ -304,7 +304,7 @@
 		}
 		if c.now.Sub(e.changedAt) >= limit {
 			c.setState(e, host.Dead)
-			c.record(Record{Kind: "host-dead", Host: id})
+			c.note(Note{Kind: "host-dead", Host: id})
 		}
 	}
 }
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -1,126 +1,190 @@
 package fleet
 
 import (
+	"cmp"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
 const (
-	readers            = 2
-	readInterval       = time.Second
-	remoteReadInterval = 5 * time.Second
-	remoteReadAfter    = 10 * time.Second // without contact over the region link
-	maxReadBackoff     = 10 * time.Second
-	// maxStartBackoff bounds the backoff of a host that has no floor yet. With 10 s
-	// it could miss the 7 s after the table is reachable again; with 3 s all 1,200
-	// hosts together ask 340 times a second, of a budget of 500.
-	maxStartBackoff = 3 * time.Second
+	// defaultWatch is the longest wait of one read of the head row for a change.
+	defaultWatch = 2 * time.Second
+	// staleFactor is the age of the last confirmed head row, in waits, from which
+	// on other hosts than the reader read it.
+	staleFactor = 1.6
+	// rankStep puts the reads of hosts off by their rank, so that the first one
+	// confirms the head row for the others, up to maxRankDelay.
+	rankStep     = 120 * time.Millisecond
+	maxRankDelay = 500 * time.Millisecond
+	// changeSpacing is the least time between reads that bring a change. Several
+	// changes within it cost one version.
+	changeSpacing = 400 * time.Millisecond
+	// firstBackoff and maxBackoff bound the time between reads that fail. Those of
+	// the first hosts in order stay short, since they tell the others.
+	firstBackoff  = 500 * time.Millisecond
+	shortBackoff  = time.Second
+	maxBackoff    = 5 * time.Second
+	shortBackoffs = 2 // hosts with short ones
 	// acceptedGrace is the time for the accepting daemon to announce its version,
 	// and for a starting daemon to get the newest version from a peer.
-	acceptedGrace       = 900 * time.Millisecond
-	readAnswerTimeout   = 5 * time.Second
-	readJitterDivisor   = 5
-	loadAnswerTimeout   = 10 * time.Second
-	readersPerRegionKey = "reader"
+	acceptedGrace     = 900 * time.Millisecond
+	readAnswerTimeout = 2 * time.Second
+	loadAnswerTimeout = 10 * time.Second
+	readersOrder      = "reader"
+	// confirmSpacing is the least difference between confirmations that are passed
+	// on.
+	confirmSpacing = 200 * time.Millisecond
+	// floorMargin covers the errors of the age of a confirmation.
+	floorMargin = 100 * time.Millisecond
+	// behindFor is the time for which a host knows of a newer version, and no peer
+	// gives it, before it reads the head row.
+	behindFor  = 500 * time.Millisecond
+	behindStep = 50 * time.Millisecond // for each rank
+	// nearTook is the time of a read of the table below which a host is near it.
+	nearTook = 12 * time.Millisecond
 )
 
 // readerState is the watch on the head row.
 type readerState struct {
-	nextAt    time.Time
-	askedAt   time.Time
-	waiting   bool
-	backoff   time.Duration
-	seen      version.Number // newer version in the head row
-	seenAt    time.Time
-	loading   version.Number
-	loadingAt time.Time
+	nextAt      time.Time
+	askedAt     time.Time
+	askedWait   time.Duration
+	waiting     bool
+	failed      bool // the last read failed
+	backoff     time.Duration
+	seen        version.Number // newer version in the head row
+	seenAt      time.Time
+	loading     version.Number
+	loadingAt   time.Time
+	confirmedAt time.Time     // when the head row was last known to name no newer version
+	passedOn    time.Time     // the last confirmation that was passed on
+	behindSince time.Time     // since when a newer version is known than is held; zero when none
+	took        time.Duration // shortest read; 0 before the first
 }
 
-// runReader polls the head row when this daemon is a reader of its region.
+// runReader reads the head row when this host is the reader, or when nobody has
+// confirmed it for too long.
 func (c *Core) runReader() {
 	r := &c.reader
-	if r.waiting && c.now.Sub(r.askedAt) > readAnswerTimeout {
+	if r.waiting && c.now.Sub(r.askedAt) > r.askedWait+readAnswerTimeout {
 		r.waiting = false
+		c.readFailed()
 	}
 	if r.waiting || c.now.Before(r.nextAt) || !c.join.headAsked {
 		return
 	}
-	interval, reads := c.readInterval()
-	if !reads {
-		r.nextAt = c.now.Add(readInterval)
+	rank := c.readerRank()
+	if rank > 0 && c.now.Sub(r.confirmedAt) < c.staleAfter(rank) {
+		if c.isBehind(rank) {
+			c.readHead(0)
+			r.behindSince = c.now // the next one comes after the same time
+		}
+		return
+	}
+	if rank > 0 || r.failed {
+		c.readHead(0)
 		return
 	}
-	interval = max(interval, r.backoff)
-	r.nextAt = c.now.Add(interval - interval/(2*readJitterDivisor) + c.jitter(interval/readJitterDivisor))
-	r.waiting = true
-	r.askedAt = c.now
-	c.readHead()
+	c.readHead(c.watch())
 }
 
-// readInterval returns how often this daemon reads the head row, if it does.
-func (c *Core) readInterval() (time.Duration, bool) {
-	home := c.config.PlatformRegion
-	if home == "" || home == c.config.Self.Region {
-		return readInterval, c.isReader()
-	}
-	if !c.isRegionRoot() {
-		return 0, false
+// isBehind reports whether a newer version has been known for a while without
+// arriving. The time grows with the rank, so that a fleet that starts without any
+// version does not read it as often as it has hosts.
+func (c *Core) isBehind(rank int) bool {
+	r := &c.reader
+	if c.versions.known <= c.versions.newest {
+		r.behindSince = time.Time{}
+		return false
 	}
-	lost := false
-	for _, region := range c.overlay.otherRegions(c.config.Self.Region) {
-		lost = lost || c.probes.group(probeGroup{region: region}).unreachable
+	if r.behindSince.IsZero() {
+		r.behindSince = c.now
 	}
-	known := slices.Contains(c.overlay.otherRegions(c.config.Self.Region), home)
-	return remoteReadInterval, lost || !known
+	return c.now.Sub(r.behindSince) >= behindFor+time.Duration(rank)*behindStep
+}
+
+func (c *Core) watch() time.Duration { return cmp.Or(c.config.Watch, defaultWatch) }
+
+// staleAfter is the age of a confirmation from which on a host of some rank
+// reads the head row itself.
+func (c *Core) staleAfter(rank int) time.Duration {
+	return time.Duration(staleFactor*float64(c.watch())) + min(time.Duration(rank)*rankStep, maxRankDelay)
 }
 
-// isReader reports whether this host is among the first of its region in the
-// rendezvous order of readers.
-func (c *Core) isReader() bool {
-	own := hashOf(readersPerRegionKey, string(c.config.Self.ID))
-	before := 0
+// readerRank is the number of live hosts that are to read the head row before
+// this one: those near the table come first.
+func (c *Core) readerRank() int {
+	self := c.self()
+	own := hashOf(readersOrder, string(self.ID))
+	rank := 0
 	for zone, order := range c.overlay.zones {
-		if c.overlay.regionOf[zone] != c.config.Self.Region || c.probes.unreachable(zone) {
+		if zone != self.Zone && c.probes.unreachable(zone) {
 			continue
 		}
 		for _, e := range order {
-			if e.row.State == host.Alive && hashOf(readersPerRegionKey, string(e.row.ID)) < own {
-				if before++; before >= readers {
-					return false
-				}
+			if e.row.State != host.Alive || e.row.ID == self.ID {
+				continue
+			}
+			before := hashOf(readersOrder, string(e.row.ID)) < own
+			if e.row.NearTable != self.NearTable {
+				before = e.row.NearTable
+			}
+			if before {
+				rank++
 			}
 		}
 	}
-	return true
+	return rank
+}
+
+// noteTook takes the time of a read. A host that finds that it is near the table
+// publishes that.
+func (c *Core) noteTook(took time.Duration) {
+	r := &c.reader
+	if took <= 0 || r.took != 0 && took >= r.took {
+		return
+	}
+	r.took = took
+	own := c.self()
+	if near := took < nearTook; near && !own.NearTable && own.State != host.Left {
+		own.NearTable = true
+		own.Stamp = c.nextStamp()
+		c.config.Self.NearTable = true
+		c.hosts.put(own, c.now)
+		c.news.addHost(own.ID, noPeer)
+	}
 }
 
 func (c *Core) headRead(e HeadRead) {
 	r := &c.reader
 	r.waiting = false
 	if e.Err != nil {
-		c.floors.waiting = nil // they read the row themselves
-		r.backoff = min(max(2*r.backoff, readInterval), maxReadBackoff)
-		if !c.join.settled {
-			c.join.headAsked = false
-			c.join.readHeadAt = c.now.Add(min(r.backoff, maxStartBackoff) + c.jitter(readInterval))
-		}
+		c.readFailed()
 		return
 	}
-	r.backoff = 0
+	if e.Took > 0 && r.askedWait == 0 {
+		c.noteTook(e.Took)
+	}
+	r.backoff, r.failed = 0, false
+	r.nextAt = c.now
 	n := e.Manifest.Number
+	if n > c.versions.known {
+		r.nextAt = c.now.Add(changeSpacing)
+	}
 	// Status compares with this version, also while no object store gives it.
 	c.versions.known = max(c.versions.known, n)
 	c.settle(n)
 	c.answerFloors(e.Read, n)
+	c.confirm(c.now, n, noPeer)
 	if n <= c.versions.newest {
 		return
 	}
 	if e.Snapshot.Number() == n {
-		c.take(e.Snapshot, netip.AddrPort{})
+		c.take(e.Snapshot, noPeer)
 		return
 	}
 	if r.seen != n {
@@ -132,6 +196,86 @@
 	c.loadVersion(e)
 }
 
+// readFailed puts the next read off.
+func (c *Core) readFailed() {
+	r := &c.reader
+	c.floors.waiting = nil // they read the row themselves
+	longest := maxBackoff
+	if c.readerRank() < shortBackoffs {
+		longest = shortBackoff
+	}
+	r.failed = true
+	r.backoff = min(max(2*r.backoff, firstBackoff), longest)
+	r.nextAt = c.now.Add(r.backoff/2 + c.jitter(r.backoff))
+}
+
+// confirm notes that the head row named version n at a time, and passes that on
+// along the tree.
+func (c *Core) confirm(at time.Time, n version.Number, from netip.AddrPort) {
+	r := &c.reader
+	if at.After(r.confirmedAt) {
+		r.confirmedAt = at
+	}
+	c.versions.known = max(c.versions.known, n)
+	if at.Sub(r.passedOn) < confirmSpacing {
+		return
+	}
+	r.passedOn = at
+	age := uint32(max(0, c.now.Sub(at).Milliseconds()))
+	sender := c.hosts.byAddr[from]
+	for _, e := range c.edges() {
+		if e.push && e.addr != from && c.needsConfirm(e, sender) {
+			c.send(e.addr, message.Confirm{Number: n, AgeMS: age})
+		}
+	}
+}
+
+// needsConfirm reports whether a neighbour gets a confirmation from this host. One
+// that came from another zone goes on within the own zone, and over the region
+// link when it came from the own region; the other zones got it from the sender.
+func (c *Core) needsConfirm(to edge, sender *hostEntry) bool {
+	if sender == nil || sender.row.Zone == c.config.Self.Zone {
+		return true
+	}
+	e := c.hosts.byAddr[to.addr]
+	switch {
+	case e == nil:
+		return false
+	case to.link:
+		return sender.row.Region == c.config.Self.Region
+	case sender.row.Region != c.config.Self.Region:
+		return true
+	default:
+		return e.row.Zone == c.config.Self.Zone
+	}
+}
+
+// receiveConfirm takes the confirmation of another host. One of a read that began
+// after this daemon did is a floor as well.
+func (c *Core) receiveConfirm(from netip.AddrPort, m message.Confirm) {
+	at := c.now.Add(-time.Duration(m.AgeMS)*time.Millisecond - c.transit(from))
+	if at.After(c.config.Started.Add(floorMargin)) {
+		c.settle(m.Number)
+	}
+	if at.After(c.reader.confirmedAt) {
+		c.confirm(at, m.Number, from)
+	}
+}
+
+// linkTransit and zoneTransit are the assumed times that a message takes from
+// another region and from another host of the region.
+const (
+	linkTransit = 15 * time.Millisecond
+	zoneTransit = 2 * time.Millisecond
+)
+
+func (c *Core) transit(from netip.AddrPort) time.Duration {
+	if e := c.hosts.byAddr[from]; e != nil && e.row.Region != c.config.Self.Region {
+		return linkTransit
+	}
+	return zoneTransit
+}
+
 // loadVersion takes over a version whose accepting daemon did not announce it.
 func (c *Core) loadVersion(e HeadRead) {
 	r := &c.reader
@@ -146,9 +290,9 @@
 func (c *Core) versionLoaded(e VersionLoaded) {
 	c.reader.loading = 0
 	if e.Err != nil {
-		c.record(Record{Kind: "load-failed", Detail: e.Err.Error()})
+		c.note(Note{Kind: "load-failed", Detail: e.Err.Error()})
 		return
 	}
-	c.record(Record{Kind: "version-loaded", Version: e.Snapshot.Number()})
-	c.take(e.Snapshot, netip.AddrPort{})
+	c.note(Note{Kind: "version-loaded", Version: e.Snapshot.Number()})
+	c.take(e.Snapshot, noPeer)
 }
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -85,7 +85,7 @@
 	}
 	v.applied = s
 	c.emit(Apply{Snapshot: s})
-	c.record(Record{Kind: "version-applied", Version: s.Number()})
+	c.note(Note{Kind: "version-applied", Version: s.Number()})
 }
 
 // announce passes the newest version on to all neighbours but the one it came
@@ -254,10 +254,10 @@
 	}
 	s, err := c.assemble(d, base)
 	if err != nil {
-		c.record(Record{Kind: "delta-refused", Version: n, Detail: err.Error()})
+		c.note(Note{Kind: "delta-refused", Version: n, Detail: err.Error()})
 		return
 	}
-	c.record(Record{Kind: "version-fetched", Version: n})
+	c.note(Note{Kind: "version-fetched", Version: n})
 	c.take(s, from)
 	if e := c.hosts.byAddr[from]; e != nil && e.row.Region != c.config.Self.Region {
 		c.send(from, message.Announce{Number: n})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -75,6 +75,9 @@
 	GateAddr    netip.AddrPort // calls from entry daemons
 	Stamp       Stamp
 	State       State
+	// NearTable says that the host reads the platform's table without crossing the
+	// region link.
+	NearTable bool
 }
 
 // Supersedes reports whether r replaces o in the member table.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -23,7 +23,7 @@
 )
 
 // protocol is the ALPN name.
-const protocol = "peridotlb/1"
+const protocol = "peridotlb/2"
 
 // Limits of the transport.
 const (
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -13,7 +13,7 @@
 )
 
 // ProtocolVersion is the first byte of every encoded message.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 // MaxSize is the largest encoded message and the largest decompressed body, in
 // bytes. A document is limited to 4 MiB, so a full delta fits.
@@ -60,6 +60,7 @@
 	KindReport
 	KindFloorRequest
 	KindFloor
+	KindConfirm
 )
 
 // kinds lists the type and the name of every kind.
@@ -82,6 +83,7 @@
 	KindReport:         {"report", Report{}},
 	KindFloorRequest:   {"floor-request", FloorRequest{}},
 	KindFloor:          {"floor", Floor{}},
+	KindConfirm:        {"confirm", Confirm{}},
 }
 
 var kindOfType = func() map[reflect.Type]Kind {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -114,7 +114,8 @@
 type Join struct {
 	_ struct{} `cbor:",toarray"`
 
-	Row host.Row
+	Row     host.Row
+	Servers []backend.Server // on the host
 }
 
 // JoinAnswer brings the rows of the fleet. A joiner applies nothing older than
@@ -142,6 +143,14 @@
 	Number version.Number
 }
 
+// Confirm says that the head row named version Number a while ago.
+type Confirm struct {
+	_ struct{} `cbor:",toarray"`
+
+	Number version.Number
+	AgeMS  uint32 // milliseconds since the row was read
+}
+
 // Count is the number of hosts of a subtree that applied a version.
 type Count struct {
 	_ struct{} `cbor:",toarray"`
@@ -174,6 +183,7 @@
 func (Report) isMessage()         {}
 func (FloorRequest) isMessage()   {}
 func (Floor) isMessage()          {}
+func (Confirm) isMessage()        {}
 
 // Changed returns the sections of next whose content base does not have.
 func Changed(base, next version.Manifest) []version.SectionRef {
--- a/internal/platform/memory.go
+++ b/internal/platform/memory.go
@@ -96,7 +96,7 @@
 	for _, w := range writes {
 		m.apply(w)
 	}
-	return Result{Outcome: Applied}, nil
+	return applied(writes), nil
 }
 
 // PutObject implements Objects.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -84,6 +84,17 @@
 type Result struct {
 	Outcome Outcome
 	Failed  []int
+	// Revision is that of the rows written, when all of them have the same.
+	Revision Revision
+}
+
+// applied is the result of writes that applied.
+func applied(writes []Write) Result {
+	r := Result{Outcome: Applied}
+	if len(writes) == 1 {
+		r.Revision = writes[0].Next()
+	}
+	return r
 }
 
 // ErrNotFound is returned for an absent object.
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -185,7 +185,7 @@
 	})
 	_, err := r.table.TransactWriteItems(ctx, in, func(o *dynamodb.Options) { o.Retryer = aws.NopRetryer{} })
 	if err == nil {
-		return Result{Outcome: Applied}, nil
+		return applied(writes), nil
 	}
 	if result, ok := cancelled(err); ok {
 		return result, nil
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -134,16 +134,13 @@
 	}
 }
 
-// platform checks what the platform needs, and sets the platform region.
+// platform checks what the platform needs.
 func (c *check) platform() {
 	d := &c.daemon
 	if d.Platform == Store && !d.StoreAddress.IsValid() && !c.bad["store-address"] {
 		c.fault("store-address", "missing; needed with --platform=store")
 	}
 	if d.Platform != AWS {
-		if d.PlatformRegion == "" {
-			d.PlatformRegion = d.Region
-		}
 		return
 	}
 	for _, need := range []struct {
@@ -157,7 +154,6 @@
 		{"platform-access-key", d.PlatformAccessKey != ""},
 		{"platform-secret-key", d.PlatformSecretKey != ""},
 		{"platform-signing-region", d.PlatformSigningRegion != ""},
-		{"platform-region", d.PlatformRegion != ""},
 	} {
 		if !need.given && !c.bad[need.setting] {
 			c.fault(need.setting, "missing; needed with --platform=aws")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -81,7 +81,7 @@
 	NAT             []NAT
 
 	Platform              Platform
-	PlatformRegion        host.Region
+	Watch                 time.Duration
 	TableEndpoint         *url.URL // may be nil with Memory, as the next one
 	ObjectEndpoint        *url.URL
 	TableName             string
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -64,9 +64,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got := fmt.Sprintln(d.HostID, d.AvailabilityZone, d.Region, d.PlatformRegion, d.Distribution == fleet.Fast, d.LogLevel, d.Peers, d.NAT, d.AnnounceLease, d.Check, d.TimelineSize, d.OperatorTokens,
+	got := fmt.Sprintln(d.HostID, d.AvailabilityZone, d.Region, d.Distribution == fleet.Fast, d.LogLevel, d.Peers, d.NAT, d.AnnounceLease, d.Check, d.TimelineSize, d.OperatorTokens,
 		d.ControlAddress.Port(), d.GateAddress.Port(), d.CallAddress.Port(), d.AnnounceAddress.Port(), d.OperatorAddress.Port(), d.MetricsAddress.Port())
-	want := "pwani-a-1 pwani-a pwani pwani true warn [10.0.0.2:7401 10.0.0.3:7401] [{127.2.0.0/16 127.102.0.0/16} {127.3.0.0/16 127.103.0.0/16}] 4s true 16384 [{stock-team [hidden]} {road-team [hidden]}] 7401 7402 7403 7404 7405 7406\n"
+	want := "pwani-a-1 pwani-a pwani true warn [10.0.0.2:7401 10.0.0.3:7401] [{127.2.0.0/16 127.102.0.0/16} {127.3.0.0/16 127.103.0.0/16}] 4s true 16384 [{stock-team [hidden]} {road-team [hidden]}] 7401 7402 7403 7404 7405 7406\n"
 	if got != want {
 		t.Errorf("settings:\ngot  %s\nwant %s", got, want)
 	}
@@ -81,7 +81,7 @@
 	good := base(t, dir)
 	aws := []string{
 		"--platform=aws", "--table-endpoint=http://10.0.0.9:8000", "--table-name=t", "--object-endpoint=http://10.0.0.9:9000", "--bucket=b",
-		"--platform-access-key=k", "--platform-secret-key=s", "--platform-signing-region=r", "--platform-region=pwani",
+		"--platform-access-key=k", "--platform-secret-key=s", "--platform-signing-region=r",
 	}
 	for _, c := range []struct {
 		name string
@@ -107,8 +107,8 @@
 		{"ranges", []string{"--announce-lease=500ms", "--drain-timeout=11m", "--timeline-size=255"}, []string{"500ms is out of range 1s to 1m", "11m is out of range 1s to 10m", "255 is out of range 256 to 262144"}},
 		{"not a number", []string{"--timeline-size=many"}, []string{`"many" is not a whole number`}},
 		{"boolean", []string{"--check=perhaps"}, []string{`--check: "perhaps" is neither true nor false`}},
-		{"aws needs", append(aws[:4:4], "--table-endpoint=table:8000"), []string{"--table-endpoint: not a URL", "--bucket: missing", "--platform-access-key: missing", "--platform-secret-key: missing", "--platform-signing-region: missing", "--platform-region: missing; needed with --platform=aws"}},
-		{"endpoint name", append(aws[:9:9], "--object-endpoint=http://storage:9000"), []string{`--object-endpoint: "storage:9000" is not a numeric IP`}},
+		{"aws needs", append(aws[:4:4], "--table-endpoint=table:8000"), []string{"--table-endpoint: not a URL", "--bucket: missing", "--platform-access-key: missing", "--platform-secret-key: missing", "--platform-signing-region: missing; needed with --platform=aws"}},
+		{"endpoint name", append(aws[:8:8], "--object-endpoint=http://storage:9000"), []string{`--object-endpoint: "storage:9000" is not a numeric IP`}},
 		{"no file", []string{"--ca-file=" + dir + "/none.pem"}, []string{"--ca-file: open " + dir + "/none.pem: no such file"}},
 		{"no certificate in file", []string{"--ca-file=" + dir + "/key.pem", "--certificate-file=" + dir + "/key.pem"}, []string{"--ca-file: " + dir + "/key.pem holds no PEM", "--certificate-file: " + dir + "/key.pem holds no PEM"}},
 		{"key of another", []string{"--key-file=" + dir + "/other-key.pem"}, []string{"--key-file: " + dir + "/other-key.pem does not match"}},
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -90,11 +90,7 @@
 			apply: func(d *Daemon, s string) error { d.PlatformSecretKey = Secret(s); return nil },
 		},
 		text("platform-signing-region", "Region name that requests to the platform are signed for. Needed with --platform=aws.", func(d *Daemon) *string { return &d.PlatformSigningRegion }),
-		{
-			Name: "platform-region", Unit: "name", Range: nameRange,
-			Help:  "Mesh region in which the platform runs. Needed with --platform=aws; otherwise the region of this host.",
-			apply: func(d *Daemon, s string) error { d.PlatformRegion = host.Region(s); return checkName(s) },
-		},
+		duration("watch", "2s", 100*time.Millisecond, time.Minute, "Longest wait of one read for a new version. Without the reader, a version is in force about twice as long later.", func(d *Daemon) *time.Duration { return &d.Watch }),
 	}
 }
 
--- a/test/mesh/mesh.go
+++ b/test/mesh/mesh.go
@@ -299,7 +299,7 @@
 		"--call-address", h.port(callPort), "--announce-address", h.port(announcePort),
 		"--operator-address", h.port(operatorPort), "--metrics-address", h.port(metricsPort),
 		"--ca-file", k.CA, "--certificate-file", k.Certificate, "--key-file", k.Key,
-		"--platform", "aws", "--platform-region", string(m.Deployment.Regions[0]),
+		"--platform", "aws",
 		"--table-endpoint", "http://" + m.platformAddr(h.zone), "--object-endpoint", "http://" + m.platformAddr(h.zone),
 		"--table-name", "peridotlb", "--bucket", "peridotlb",
 		"--platform-access-key", "test", "--platform-secret-key", "test", "--platform-signing-region", "local",
