Bound the late calls that wait at a gate

Cause: in a lasting overload, calls that can't meet their target fill the queue, and each call in time is served when it is about to be late as well.

Change: a call counts as late when less than two run times are left until its target, and at most four times the slots of such calls wait.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -148,8 +148,12 @@
 	f := Forecast{Run: s.expected()}
 	ahead := 0
 	var queued [Bands]int
+	now := s.now()
 	for _, w := range s.queue {
-		queued[Band(w.call.Priority)]++
+		// A new call goes before late ones.
+		if !w.call.late(now, f.Run) {
+			queued[Band(w.call.Priority)]++
+		}
 	}
 	for band := range f.Wait {
 		ahead += queued[band]
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -42,6 +42,11 @@
 	// waitSlack is how much longer than stated a queued call may wait, as a factor:
 	// the forecast that admitted it is a mean.
 	waitSlack = 2
+	// lateMargin is the time, in expected run times, that a call needs to meet its
+	// target: about one in eight takes longer than twice the mean.
+	lateMargin = 2
+	// lateQueue is the number of late calls, in slots, that may wait.
+	lateQueue = 4
 	// replyTime is the time that a refusal needs to reach the caller.
 	replyTime = 30 * time.Millisecond
 )
@@ -137,12 +142,12 @@
 	return !c.Target.IsZero() && !o.Target.IsZero() && c.Target.Before(o.Target)
 }
 
-// late reports whether a call that begins now misses its target.
+// late reports whether a call that begins now is likely to miss its target.
 func (c Call) late(now time.Time, run time.Duration) bool {
 	if c.Run > 0 {
 		run = c.Run
 	}
-	return !c.Target.IsZero() && now.Add(run).After(c.Target)
+	return !c.Target.IsZero() && now.Add(lateMargin*run).After(c.Target)
 }
 
 // ahead returns how many queued calls a new one has to wait for.
@@ -335,6 +340,28 @@
 		w.pass = s.begin()
 		w.result <- nil
 	}
+	s.evict()
+}
+
+// evict refuses calls that can no longer meet their target, when more of them
+// wait than the server has slots: the last by priority, and of those the oldest.
+// As long as calls in time keep coming, late ones get no slot.
+func (s *server) evict() {
+	now, run, late := s.now(), time.Duration(s.mean), 0
+	worst := -1
+	for i, w := range s.queue {
+		if !w.call.late(now, run) {
+			continue
+		}
+		late++
+		if worst < 0 || w.call.Priority > s.queue[worst].call.Priority {
+			worst = i
+		}
+	}
+	if late > lateQueue*s.slots {
+		s.queue[worst].result <- ErrQueueWait
+		s.queue = slices.Delete(s.queue, worst, worst+1)
+	}
 }
 
 // first returns the index of the queued call that goes first.
