Ask a full server once, and keep the gate open while callers leave

Stock servers stood idle while every daemon beside one was leaving: a daemon took 5 s to stop, and told the fleet at the start of it.

Change: a server that was full is not asked again until all were asked; then the call waits where the wait is shortest. A leaving daemon serves for 2.2 s, until its callers have seen two refusals of readiness, and only then leaves the fleet.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,11 +43,17 @@
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
-// leaveGrace is how long a leaving daemon takes calls and closes its connections
-// response by response. In this time the others learn that it leaves, and
-// callers, who ask for its readiness once a second and believe the second
-// refusal, stop coming.
-const leaveGrace = 3 * time.Second
+// A leaving daemon first lets its callers go, and then leaves the fleet, so that
+// its backend server is without a gate for as short as possible.
+const (
+	// callerGrace is how long a leaving daemon serves on, while it closes its
+	// connections response by response. Callers ask for its readiness once a second
+	// and believe the second refusal.
+	callerGrace = 2200 * time.Millisecond
+	// newsGrace is the time in which the others learn that it leaves the fleet, and
+	// stop sending calls to its gate.
+	newsGrace = 300 * time.Millisecond
+)
 
 // stopMargin is what is left of the drain timeout for closing everything.
 const stopMargin = 200 * time.Millisecond
@@ -369,13 +375,11 @@
 			srv.calls.Retire()
 		}
 	}
-	d.loop.post(ctx, fleet.Leaving{})
 	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout-stopMargin)
 	defer cancel()
-	select {
-	case <-time.After(leaveGrace):
-	case <-ctx.Done():
-	}
+	sleep(ctx, callerGrace)
+	d.loop.post(ctx, fleet.Leaving{})
+	sleep(ctx, newsGrace)
 	if err := d.gate.DrainAll(ctx); err != nil {
 		d.log.Warn("Calls were still in flight at the end of the drain timeout.", zap.Error(err))
 	}
@@ -396,6 +400,13 @@
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (d *Daemon) shutdown() {
 	for _, srv := range d.servers {
 		if srv.calls != nil {
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -23,6 +23,9 @@
 	Once bool
 	// Tried are servers that are not chosen again.
 	Tried []backend.ServerID
+	// Patient lets the call wait for a slot for as long as it can, since no server
+	// has room.
+	Patient bool
 	// Again marks a further choice for a call that was counted for the budgets.
 	Again bool
 }
@@ -247,6 +250,9 @@
 		return 0
 	}
 	least := math.Inf(1)
+	if a.call.Patient {
+		return max(a.left-chosen.run, minPatience)
+	}
 	for i := range a.all {
 		if c := &a.all[i]; c.member != chosen.member && !c.out {
 			least = min(least, c.cost)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -36,7 +37,8 @@
 	target    time.Time // until which a response is useful in full; zero when none is stated
 	shortened bool      // the caller's timeout is shorter than the route's
 	tried     []backend.ServerID
-	asked     int // gates that refused the call
+	full      []backend.ServerID // servers whose gates had no room, since the last time that all had none
+	asked     int                // gates that refused the call for lack of room
 	steps     []step
 	// mayHaveRun is set by every attempt without proof that it was not run.
 	mayHaveRun bool
@@ -110,12 +112,13 @@
 }
 
 // note takes note of what an attempt means for the next ones. A server that is
-// only full may be chosen again, when its wait has become the shortest.
+// only full may be chosen again when all others are full too.
 func (x *exchange) note(r result) {
 	busy := r.failure != nil && r.failure.busy && !x.target.IsZero()
 	if busy {
 		x.asked++
 		x.tried = x.tried[:len(x.tried)-1]
+		x.full = append(x.full, r.choice.Server.ID)
 		return
 	}
 	if r.failure == nil || !r.failure.notRun {
@@ -139,13 +142,20 @@
 	p := x.entry.config.Pool
 	c := pool.Call{
 		Service: x.match.Service.Name, Route: x.match.Route.Name, Left: x.left(), Priority: x.match.Route.Priority,
-		Once: !x.match.Route.Idempotent(), Tried: x.tried, Again: len(x.tried)+x.asked > 0,
+		Once: !x.match.Route.Idempotent(), Again: len(x.tried)+x.asked > 0,
 	}
 	if !x.target.IsZero() {
 		// A call that is late already is still of use until its deadline.
 		c.Target = max(x.target.Sub(x.now()), time.Millisecond)
 	}
+	c.Tried = slices.Concat(x.tried, x.full)
 	choice, err := p.Choose(c)
+	if errors.Is(err, pool.ErrNoServer) && len(x.full) > 0 {
+		// All are full: the call waits where the wait is shortest, as long as it can.
+		x.full = nil
+		c.Tried, c.Again, c.Patient = x.tried, true, true
+		choice, err = p.Choose(c)
+	}
 	if errors.Is(err, pool.ErrNoServer) && last != nil && !last.refused {
 		c.Tried, c.Again = nil, true
 		choice, err = p.Choose(c)
