Keep the servers of restarted daemons known

A leaving daemon announced its backend servers as draining; the record kept that, and the next run of the daemon took it over as the server's own wish. Found with it: the row of a server was passed on without that of its host, so that others dropped it as one of an earlier run, and a host whose probe showed a newer run was not asked for its rows. Ruled out: lost messages, by a test on a virtual clock without loss, which failed for both reasons.

Change: leaving is a state of the host only; news of a server carry the row of its host; a restarted host is asked for its rows; news over the region link are checked by a probe soon after.

--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -210,12 +210,27 @@
 		j.repeats = 0
 		return
 	}
+	c.joinRegions()
 	c.emit(ServersChanged{})
 	if j.repeats++; j.repeats <= maxRepeats {
 		j.searchAt = c.now.Add(repeatInterval/2 + c.jitter(repeatInterval))
 	}
 }
 
+// joinRegions lets the root of a region tell the other regions that this host is
+// there, whose rows they would otherwise get with the second probe over the link.
+func (c *Core) joinRegions() {
+	c.refreshOverlay()
+	if !c.isRegionRoot() {
+		return
+	}
+	for _, region := range c.overlay.otherRegions(c.config.Self.Region) {
+		if candidates := c.overlay.linkCandidates(region); len(candidates) > 0 {
+			c.send(candidates[0].row.ControlAddr, c.joinMessage())
+		}
+	}
+}
+
 func (c *Core) receiveJoin(from netip.AddrPort, m message.Join) {
 	j := &c.join
 	if c.now.Sub(j.servedFrom) >= time.Second {
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -416,3 +416,42 @@
 		}
 	}
 }
+
+// TestServerSurvivesRestarts guards against a backend server that others lose
+// when the daemon beside it is restarted, planned or not, and against one that
+// comes back after it has left. All daemons are restarted in turn.
+func TestServerSurvivesRestarts(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		n := newNetwork(t, 19, 3, nil)
+		n.run(5 * time.Second)
+		for i, nd := range n.nodes {
+			s := backend.Server{ID: backend.ServerID(nd.row.ID), Service: "bead-stock", State: backend.Ready, Started: 1}
+			if i == 0 {
+				s.State = backend.Gone
+			}
+			n.schedule(nd, 0, ServerAnnounced{Server: s})
+		}
+		n.run(5 * time.Second)
+		for _, nd := range n.nodes {
+			if planned {
+				n.schedule(nd, 0, Leaving{})
+				n.run(time.Second)
+			}
+			n.stop(nd)
+			n.run(600 * time.Millisecond)
+			n.start(nd)
+			n.run(time.Second)
+			for _, other := range n.nodes {
+				ready := 0
+				for _, s := range other.core.Servers() {
+					if s.State == backend.Ready {
+						ready++
+					}
+				}
+				if want := len(n.nodes) - 1; ready != want {
+					t.Errorf("planned %t, 1 s after %s was restarted: %s knows %d ready servers, want %d", planned, nd.row.ID, other.row.ID, ready, want)
+				}
+			}
+		}
+	}
+}
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -194,6 +194,10 @@
 			n.records[nd.row.ID] = e.Record
 		}
 		n.schedule(nd, n.tableTook(nd), answer)
+	case Adopt:
+		for _, s := range e.Servers {
+			n.schedule(nd, time.Millisecond, ServerAnnounced{Server: s})
+		}
 	case Forget:
 		if !tableDown {
 			n.writes++
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -55,15 +55,9 @@
 	c.note(Note{Kind: "server-" + s.State.String(), Server: s.ID, Host: s.Host})
 }
 
-// leave publishes that this host stops in a planned way.
+// leave publishes that this host stops in a planned way. That takes its backend
+// servers out of use until its daemon is back; they are not leaving themselves.
 func (c *Core) leave() {
-	for _, id := range slices.Sorted(maps.Keys(c.servers.rows)) {
-		s := c.servers.rows[id]
-		if s.Host == c.config.Self.ID && s.State < backend.Draining {
-			s.State = backend.Draining
-			c.announceServer(s)
-		}
-	}
 	row := c.self()
 	row.State = host.Left
 	row.Stamp = c.nextStamp()
@@ -172,12 +166,25 @@
 	for _, e := range c.edges() {
 		if news := c.newsFor(e.addr); len(news.Hosts)+len(news.Servers) > 0 {
 			c.send(e.addr, news)
+			if e.link {
+				c.checkNews(e.addr)
+			}
 		}
 	}
 	clear(n.hosts)
 	clear(n.servers)
 }
 
+// checkNews brings the next probe over the region link forward, which finds out
+// whether news arrived.
+func (c *Core) checkNews(addr netip.AddrPort) {
+	for _, t := range c.probes.targets {
+		if t.addr == addr && t.group.region != "" && !t.waiting && !t.news {
+			t.nextAt, t.news = c.now.Add(pushCheck), true
+		}
+	}
+}
+
 func (c *Core) newsFor(addr netip.AddrPort) message.News {
 	var news message.News
 	for _, id := range slices.Sorted(maps.Keys(c.news.hosts)) {
@@ -186,8 +193,16 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.news.servers)) {
-		if s, ok := c.servers.rows[id]; ok && c.news.servers[id] != addr {
-			news.Servers = append(news.Servers, s)
+		s, ok := c.servers.rows[id]
+		if !ok || c.news.servers[id] == addr {
+			continue
+		}
+		news.Servers = append(news.Servers, s)
+		// The row of a server counts with that run of the host's daemon only which
+		// published it.
+		same := func(r host.Row) bool { return r.ID == s.Host }
+		if e := c.hosts.get(s.Host); e != nil && !slices.ContainsFunc(news.Hosts, same) {
+			news.Hosts = append(news.Hosts, e.row)
 		}
 	}
 	return news
@@ -203,6 +218,8 @@
 	c.probes.mismatches[from]++
 	if c.probes.mismatches[from] >= mismatchesForSync {
 		c.requestSync(from)
+	} else {
+		c.checkNews(from)
 	}
 }
 
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -57,6 +57,7 @@
 	misses  int
 	passive bool           // the other side probes, so this side does not
 	checks  version.Number // pushed version whose arrival the next probe checks
+	news    bool           // the next probe checks whether news arrived
 }
 
 // groupState is the progress through the candidates of a group.
@@ -197,7 +198,7 @@
 		}
 		// A pushed version is checked although the other side probes: it may have
 		// failed since its last probe.
-		checking := t.checks != 0 || t.waiting || t.misses > 0
+		checking := t.checks != 0 || t.news || t.waiting || t.misses > 0
 		t.passive = t.group != ringGroup && !checking && c.visitedBy(t.group)
 		if t.passive {
 			t.waiting, t.misses, t.nextAt = false, 0, c.now
@@ -225,7 +226,7 @@
 	t.waiting = true
 	t.sentAt = c.now
 	t.nextAt = c.now.Add(t.group.interval())
-	t.checks = 0
+	t.checks, t.news = 0, false
 	c.send(t.addr, message.Probe{Nonce: t.nonce, Stamp: c.self().Stamp, Head: c.head()})
 }
 
@@ -375,11 +376,11 @@
 	}
 }
 
-// checkSender tells a living host that it was declared suspect or dead, so
-// that it refutes.
+// checkSender tells a living host that it was declared suspect or dead, so that
+// it refutes, and asks one that is unknown or was restarted for its rows.
 func (c *Core) checkSender(from netip.AddrPort, stamp host.Stamp) {
 	e := c.hosts.byAddr[from]
-	if e == nil {
+	if e == nil || stamp.Incarnation > e.row.Stamp.Incarnation {
 		c.requestSync(from)
 		return
 	}
