Share one retry budget among all daemons

Change: settings give ratio, extra retries and window of the fleet; a daemon gets its share by the number of live hosts. What a server refuses takes from the same budget as what fails there.

--- a/internal/announcement/announcement_test.go
+++ b/internal/announcement/announcement_test.go
@@ -25,13 +25,13 @@
 func newFixture() *fixture {
 	f := &fixture{now: time.Unix(1_800_000_000, 0)}
 	f.API = New(Config{
-		Lease:    3 * time.Second,
+		Lease: 3 * time.Second,
 		Announce: func(s backend.Server) <-chan struct{} {
 			f.events = append(f.events, fmt.Sprintf("%s %s", s.Addr, s.State))
 			return nil
 		},
-		Health:   func(id backend.ServerID, ok bool) { f.events = append(f.events, fmt.Sprintf("%s healthy=%v", id, ok)) },
-		Now:      func() time.Time { return f.now },
+		Health: func(id backend.ServerID, ok bool) { f.events = append(f.events, fmt.Sprintf("%s healthy=%v", id, ok)) },
+		Now:    func() time.Time { return f.now },
 	})
 	return f
 }
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -17,6 +17,29 @@
 // the calls and 3 a second, saved for up to 10 s.
 func DefaultBudget() BudgetConfig { return BudgetConfig{PerCall: 0.1, PerSecond: 3, Burst: 30} }
 
+// FleetBudget bounds the retries that all daemons together send to a service
+// within any window.
+type FleetBudget struct {
+	Ratio  float64 // of the calls of the service
+	Extra  float64 // retries besides, in each window
+	Window time.Duration
+}
+
+const (
+	// ratioShare and extraShare are the parts of a fleet's budget that are used: a
+	// call that is repeated repeats the calls that its server makes, which count at
+	// their services without passing through this budget.
+	ratioShare = 0.7
+	extraShare = 0.5
+)
+
+// Share returns the budget of one of some daemons. Half of the extra retries can
+// be made at once, since a window can begin with a full budget and refill it.
+func (f FleetBudget) Share(daemons int) BudgetConfig {
+	extra := extraShare * f.Extra / float64(max(daemons, 1))
+	return BudgetConfig{PerCall: ratioShare * f.Ratio, PerSecond: extra / 2 / f.Window.Seconds(), Burst: max(extra/2, 1)}
+}
+
 // startSeconds is the time for which a new budget has saved.
 const startSeconds = 1
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -37,6 +37,7 @@
 	Now    func() time.Time // nil takes time.Now
 	Random rand.Source      // nil takes a random seed; the pool guards it
 	Budget BudgetConfig     // of each service; the zero value takes DefaultBudget
+	Fleet  FleetBudget      // shared by all daemons; with a window, it replaces Budget
 	// Ejected is called when a server is ejected; nil for none.
 	Ejected func(server backend.ServerID, d time.Duration)
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -437,3 +437,39 @@
 		})
 	}
 }
+
+// Guards against daemons that together repeat more calls to a service in a
+// window than their fleet may, whatever the number of daemons, and against shares
+// that stay as they were when the fleet changes.
+func TestFleetBudget(t *testing.T) {
+	fleet := FleetBudget{Ratio: 0.2, Extra: 62, Window: 10 * time.Second}
+	for _, daemons := range []int{1, 13, 89, 1200} {
+		c := &clock{time.Unix(1000, 0)}
+		p := New(Config{Self: "self", Zone: "a", Region: "r1", Now: c.now, Random: rand.NewPCG(1, 1), Fleet: fleet})
+		p.Update(viewOf(9, 1, 0, 0))
+		p.Update(viewOf(9, daemons, 0, 0))
+		var at []time.Time
+		for range 40_000 { // 20 s with 10 calls a second
+			if c.Time = c.Add(500 * time.Microsecond); c.Nanosecond()%int(100*time.Millisecond) == 0 {
+				pick(t, p).Done(Result{})
+			}
+			if p.Retry("stock") {
+				at = append(at, c.Time)
+			}
+		}
+		most := 0
+		for i := range at {
+			n := 0
+			for _, o := range at[i:] {
+				if o.Sub(at[i]) < fleet.Window {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		// The least burst of one retry is above the share of a daemon in a large fleet.
+		if want := 0.2*100 + max(62/float64(daemons), 1); float64(most) > want {
+			t.Errorf("%d daemons: got %d retries in a window, want at most %.1f", daemons, most, want)
+		}
+	}
+}
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -77,9 +77,28 @@
 		next.services[s.Name] = p.service(s, rows[s.Name], hosts, old, next, now)
 	}
 	p.view.Store(next)
+	p.share(v.Hosts, next, now)
 	p.daemons.update(p.config, v.Hosts)
 }
 
+// share sets the budgets to this daemon's share of the fleet's.
+func (p *Pool) share(rows []host.Row, v *view, now time.Time) {
+	if p.config.Fleet.Window == 0 {
+		return
+	}
+	daemons := 0
+	for _, h := range rows {
+		if h.State <= host.Suspect {
+			daemons++
+		}
+	}
+	b := p.config.Fleet.Share(daemons)
+	for _, s := range v.services {
+		s.budget.set(b, now)
+		s.refused.set(b, now)
+	}
+}
+
 // service builds a service and adds its members to next.
 func (p *Pool) service(d document.Service, rows []backend.Server, hosts map[host.ID]host.Row, old, next *view, now time.Time) *service {
 	s := &service{budget: newBudget(p.config.Budget, now), refused: newBudget(p.config.Budget, now), ejecting: new(sync.Mutex)}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -206,7 +206,8 @@
 		return false
 	}
 	take := x.entry.config.Pool.Retry
-	if proved {
+	if proved && r.failure.reason != reasonServerRefused {
+		// No server has seen the call.
 		take = x.entry.config.Pool.RetryRefused
 	}
 	if !taken && !take(x.match.Service.Name) {
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -40,9 +40,11 @@
 	reasonNoServer   = "no-server-available"
 	reasonNoRoom     = "no-room-in-time"
 	reasonFull       = "server-full"
-	reasonQueueWait  = "queue-timeout"
-	reasonNoVersion  = "no-version-applied"
-	reasonDial       = "server-unreachable"
+	// reasonServerRefused says that the server itself did not run the call.
+	reasonServerRefused = "server-refused"
+	reasonQueueWait     = "queue-timeout"
+	reasonNoVersion     = "no-version-applied"
+	reasonDial          = "server-unreachable"
 )
 
 func (f *failure) code() int {
--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -143,7 +143,7 @@
 	reply, err := readReply(s.response, c.method)
 	if shed {
 		reply.close()
-		return answer{failure: &failure{reason: "server-refused", notRun: true, refused: true}}
+		return answer{failure: &failure{reason: reasonServerRefused, notRun: true, refused: true}}
 	}
 	if err != nil {
 		return answer{failure: cut(ctx, err)}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,6 +98,9 @@
 	OperatorTokens  []OperatorToken // none: the operator API refuses every request
 	OperatorTLS     bool
 
+	RetryRatio       float64       // of the calls of a service
+	RetryExtra       float64       // retries besides, of all daemons in a window
+	RetryWindow      time.Duration // 0: each daemon has a budget of its own
 	AnnounceLease    time.Duration
 	OutcomeRetention time.Duration
 	TimelineSize     int // events
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"slices"
@@ -112,6 +113,9 @@
 func behaviourSettings() []Setting {
 	return []Setting{
 		choice("distribution", "economical", "How versions spread: economical takes the fewest bytes, fast the fewest delays.", map[string]fleet.Distribution{"economical": fleet.Economical, "fast": fleet.Fast}, func(d *Daemon) *fleet.Distribution { return &d.Distribution }),
+		number("retry-ratio", "0.1", 0, 1, "Retries that all daemons together may send to a service, as a share of its calls, when --retry-window is set.", func(d *Daemon) *float64 { return &d.RetryRatio }),
+		number("retry-extra", "30", 0, 1e6, "Retries besides in each window.", func(d *Daemon) *float64 { return &d.RetryExtra }),
+		duration("retry-window", "0s", 0, time.Hour, "Window over which the retries of all daemons are bounded. Without it, each daemon retries 10% of its calls and 3 a second.", func(d *Daemon) *time.Duration { return &d.RetryWindow }),
 		duration("announce-lease", "3s", time.Second, time.Minute, "A backend server that does not renew its announcement for this long gets no new work.", func(d *Daemon) *time.Duration { return &d.AnnounceLease }),
 		// Clients repeat within minutes; a queue that is stopped over a long
 		// weekend repeats after days. 37 paid actions a second fill 22 million
@@ -274,6 +278,23 @@
 	}
 }
 
+func number(name, def string, low, high float64, help string, field func(*Daemon) *float64) Setting {
+	return Setting{
+		Name: name, Default: def, Unit: "number", Range: fmt.Sprintf("%g to %g", low, high), Help: help,
+		apply: func(d *Daemon, s string) error {
+			v, err := strconv.ParseFloat(s, 64)
+			if err != nil || math.IsNaN(v) {
+				return fmt.Errorf("%q is not a number", s)
+			}
+			*field(d) = v
+			if v < low || v > high {
+				return fmt.Errorf("%s is out of range %g to %g", s, low, high)
+			}
+			return nil
+		},
+	}
+}
+
 func choice[T any](name, def, help string, values map[string]T, field func(*Daemon) *T) Setting {
 	names := make([]string, 0, len(values))
 	for n := range values {
