Run a second attempt beside one that hangs

Cause: an attempt that took long was cancelled for another one. Ruled out: the gate; its connection ended with the cancelled request.

Change: the first attempt goes on, the first reply counts, and the other attempt is given up then.

--- a/internal/proxy/broken_test.go
+++ b/internal/proxy/broken_test.go
@@ -13,7 +13,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
@@ -267,9 +266,7 @@
 		waited    time.Duration
 		want      bool
 	}{
-		{reasonAttempt, true, time.Second, false},
 		{reasonDeadline, true, time.Second, false},
-		{reasonAttempt, true, time.Second - 1, true},
 		{reasonDeadline, true, time.Second - 1, true},
 		{reasonDeadline, false, time.Second - 1, false},
 		{reasonCut, true, time.Second - 1, false},
@@ -281,24 +278,37 @@
 	}
 }
 
-// Guards against an attempt that ends without a retry, too late to leave time
-// for one, or while its response is read.
-func TestAttemptContext(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		for _, c := range []struct{ mayEnd, stopped, want bool }{{true, false, true}, {false, false, false}, {true, true, false}} {
-			ctx, stop := attemptContext(t.Context(), time.Second, func() bool { return c.mayEnd })
-			if c.stopped {
-				stop()
+// Guards against an attempt that is broken off although its server is at work and
+// answers first, and against one that is waited for although another answered.
+func TestSecondAttemptRunsBesideTheFirst(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		first, second time.Duration // that the servers take, after which the second attempt may begin at 200 ms
+		want          string
+	}{{"first answers", 300 * time.Millisecond, 10 * time.Second, "first"}, {"second answers", 10 * time.Second, 50 * time.Millisecond, "second"}} {
+		var runs, broken atomic.Int64
+		m := newMesh(t)
+		m.routes[0].Timeout = 400 * time.Millisecond
+		serve := func(w http.ResponseWriter, r *http.Request) {
+			took, name := c.first, "first"
+			if runs.Add(1) == 2 {
+				took, name = c.second, "second"
 			}
-			time.Sleep(time.Second - 1)
-			early := attemptEnded(ctx)
-			time.Sleep(1)
-			synctest.Wait()
-			if early || attemptEnded(ctx) != c.want || (ended(ctx) == reasonAttempt) != c.want {
-				t.Errorf("%+v: got ended before half of the time %v, after it %v", c, early, attemptEnded(ctx))
+			select {
+			case <-time.After(took):
+				fmt.Fprint(w, name)
+			case <-r.Context().Done():
+				broken.Add(1)
 			}
 		}
-	})
+		m.start(http.HandlerFunc(serve), http.HandlerFunc(serve))
+		if got := m.do("GET", "/stock", ""); got.StatusCode != 200 || got.body != c.want || runs.Load() != 2 {
+			t.Errorf("%s: got %d %q after %d runs, want 200 %s after 2", c.name, got.StatusCode, got.body, runs.Load(), c.want)
+		}
+		for broken.Load() == 0 {
+			time.Sleep(time.Millisecond) // the other attempt is given up
+		}
+	}
 }
 
 // Guards against retries that multiply the load on failing servers.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -23,9 +23,6 @@
 	// maxAsked bounds the gates that refuse one call of a route with a target. Each
 	// refusal tells the wait there, so that the next choice is better.
 	maxAsked = 8
-	// hangFactor is the time, in expected run times, after which a server is taken
-	// to hang.
-	hangFactor = 4
 )
 
 // exchange is one call at the entry with all its attempts.
@@ -42,54 +39,19 @@
 	steps     []step
 	// mayHaveRun is set by every attempt without proof that it was not run.
 	mayHaveRun bool
+
+	started int         // attempts
+	running []*attempt  // attempts without a result
+	results chan result // of attempts
 }
 
 // result is the end of an exchange. A reply comes with the choice that it
 // keeps busy until it was relayed.
 type result struct {
 	answer
-	choice  *pool.Choice
+	*attempt
 	noRetry bool
-	waited  time.Duration // by the last attempt
-}
-
-// run attempts the call until it has a reply or may not be retried.
-func (x *exchange) run(ctx context.Context) result {
-	choice, err := x.pick(nil)
-	if err != nil {
-		return result{answer: answer{failure: x.noServer(err)}}
-	}
-	for n := 0; ; n++ {
-		x.tried = append(x.tried, choice.Server.ID)
-		attempt, stop := x.attemptContext(ctx, n, choice)
-		start := x.now()
-		r := result{answer: x.attempt(attempt, choice), choice: choice}
-		r.waited = x.now().Sub(start)
-		stop()
-		if attemptEnded(attempt) && r.reply != nil && r.reply.rest != nil {
-			// The rest of the response can no longer be read.
-			r.reply.close()
-			r.answer = answer{failure: &failure{reason: reasonAttempt}}
-		}
-		x.steps = append(x.steps, stepOf(r, start.Sub(x.start)))
-		x.note(r)
-		if r.failure == nil && (!r.reply.failing() || !x.match.Route.Idempotent()) {
-			return r
-		}
-		if !x.mayRetry(ctx, &r, n, attemptEnded(attempt)) {
-			return x.end(r)
-		}
-		x.report(r)
-		if choice, err = x.pick(r.failure); err != nil {
-			r.noRetry = n > 0
-			if r.failure != nil && r.failure.notRun {
-				r.failure = x.noServer(err)
-			}
-			return x.end(r)
-		}
-		r.reply.close()
-		x.entry.meters.retries.Inc()
-	}
+	waited  time.Duration // by the attempt
 }
 
 func (x *exchange) now() time.Time { return x.entry.config.Now() }
@@ -97,20 +59,6 @@
 // left is the time until the deadline of the call.
 func (x *exchange) left() time.Duration { return x.call.deadline.Sub(x.now()) }
 
-// attemptContext bounds an attempt that can be followed by another one: by half
-// of the time left, and for a call with a target also by a time that only a server
-// that hangs needs.
-func (x *exchange) attemptContext(ctx context.Context, n int, choice *pool.Choice) (context.Context, func()) {
-	if !x.match.Route.Idempotent() || n-x.asked >= int(x.match.Route.Retries) || !x.call.body.resendable() {
-		return ctx, func() {}
-	}
-	limit := x.left() / 2
-	if !x.target.IsZero() {
-		limit = max(limit, choice.Wait+hangFactor*choice.Run)
-	}
-	return attemptContext(ctx, limit, x.mayEnd)
-}
-
 // note takes note of what an attempt means for the next ones. A server that is
 // only full may be chosen again when all others are full too.
 func (x *exchange) note(r result) {
@@ -163,27 +111,9 @@
 	return choice, err
 }
 
-// mayEnd reports whether an attempt that takes long may end for a retry, and
-// takes the retry from the budget. There must be another server to choose.
-func (x *exchange) mayEnd() bool {
-	other, err := x.pick(&failure{refused: true})
-	if err != nil {
-		return false
-	}
-	other.Done(pool.Result{Outcome: pool.Abandoned})
-	if !x.target.IsZero() && other.Wait > 0 {
-		return false // the call would only wait elsewhere
-	}
-	return x.takeRetry()
-}
-
-// takeRetry takes a retry of the call from the budget.
-func (x *exchange) takeRetry() bool { return x.entry.config.Pool.Retry(x.match.Service.Name) }
-
 // mayRetry applies the rules for retries. It notes in r that retries are
-// exhausted, so that callers up the chain do not multiply them. With taken, the
-// retry is already taken from the budget.
-func (x *exchange) mayRetry(ctx context.Context, r *result, n int, taken bool) bool {
+// exhausted, so that callers up the chain do not multiply them.
+func (x *exchange) mayRetry(ctx context.Context, r *result) bool {
 	proved := r.failure != nil && r.failure.notRun
 	switch {
 	case ctx.Err() != nil, x.left() <= 0, !x.call.body.resendable():
@@ -201,8 +131,8 @@
 	if proved {
 		limit = max(limit, refusedRetries)
 	}
-	if n-x.asked >= limit {
-		r.noRetry = n > 0
+	if retries := x.retries(); retries >= limit {
+		r.noRetry = retries > 0
 		return false
 	}
 	take := x.entry.config.Pool.Retry
@@ -210,7 +140,7 @@
 		// No server has seen the call.
 		take = x.entry.config.Pool.RetryRefused
 	}
-	if !taken && !take(x.match.Service.Name) {
+	if !take(x.match.Service.Name) {
 		r.noRetry = true
 		x.entry.meters.retriesDenied.Inc()
 		x.event("retry-denied", r.choice.Server.ID, "retry budget of "+string(x.match.Service.Name)+" is used up")
@@ -239,7 +169,7 @@
 
 // report reports the end of an attempt to the pool.
 func (x *exchange) report(r result) {
-	if r.choice == nil {
+	if r.attempt == nil {
 		return
 	}
 	outcome := pool.Succeeded
@@ -274,12 +204,12 @@
 // that it says nothing about the server. Down a call chain every timeout is
 // shorter than that of the route, and a hung server must still be ejected.
 func (x *exchange) cutShort(r result) bool {
-	timedOut := r.failure.reason == reasonDeadline || r.failure.reason == reasonAttempt
+	timedOut := r.failure.reason == reasonDeadline
 	return timedOut && x.shortened && r.waited < x.match.Route.Timeout/4
 }
 
-// attempt sends the call to one server.
-func (x *exchange) attempt(ctx context.Context, choice *pool.Choice) answer {
+// send sends the call to one server.
+func (x *exchange) send(ctx context.Context, choice *pool.Choice) answer {
 	if x.left() <= 0 {
 		return answer{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
 	}
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -33,7 +33,6 @@
 // Reasons that more than one place uses.
 const (
 	reasonDeadline   = "deadline-passed"
-	reasonAttempt    = "attempt-timeout"
 	reasonCallerGone = "caller-gone"
 	reasonCallID     = "call-id-mismatch"
 	reasonCut        = "response-cut"
--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -186,8 +186,6 @@
 // ended returns the reason for the end of a context, or "".
 func ended(ctx context.Context) string {
 	switch err := ctx.Err(); {
-	case err != nil && attemptEnded(ctx):
-		return reasonAttempt
 	case errors.Is(err, context.DeadlineExceeded):
 		return reasonDeadline
 	case err != nil:
