--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -98,14 +98,16 @@
 	c.cancel()
 }
 
-// closeIfIdle makes the reader close the connection, unless a request is in
-// flight or arriving. The server is closed already.
-func (c *conn) closeIfIdle() {
+// retire makes the connection end with the requests that are in flight. The
+// server is closed already.
+func (c *conn) retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 {
-		c.setReadTimeout(c.patience())
+	if c.pending > 0 {
+		c.closing = true
+		return
 	}
+	c.setReadTimeout(c.patience())
 }
 
 // patience is the longest time that the reader waits for a request. The lock is
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -164,8 +164,8 @@
 	return all
 }
 
-// Shutdown stops accepting, closes connections without a request and waits for
-// the others, until ctx ends.
+// Shutdown stops accepting, closes connections without a request, takes no more
+// requests from the others and waits for those in flight, until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.retiring, s.closed = true, true
@@ -182,7 +182,7 @@
 	idle := s.idle
 	s.mu.Unlock()
 	for _, c := range s.all() {
-		c.closeIfIdle()
+		c.retire()
 	}
 	select {
 	case <-idle:
--- a/internal/connection/server_test.go
+++ b/internal/connection/server_test.go
@@ -159,6 +159,39 @@
 	}
 }
 
+// Guards against a stopping server that goes on taking requests from a connection
+// with a long one in flight: the stop would cut them.
+func TestShutdownTakesNothingBehindRunningRequests(t *testing.T) {
+	running, release := make(chan string, 3), make(chan struct{})
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		running <- r.URL.Path
+		<-release
+		fmt.Fprint(w, r.URL.Path)
+	}, connection.DefaultLimits())
+	c := call(t, addr)
+	c.send(get("/1"))
+	<-running
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	for _, err := net.Dial("tcp", addr); err == nil; _, err = net.Dial("tcp", addr) {
+		time.Sleep(time.Millisecond) // until the listener is closed
+	}
+	time.Sleep(10 * time.Millisecond) // connections follow the listener
+	c.send(get("/2"))
+	time.Sleep(10 * time.Millisecond)
+	close(release)
+	if r, got := c.receive(); got != "/1" || !r.Close {
+		t.Errorf("got %q, close %t, want /1 and true", got, r.Close)
+	}
+	_ = c.Close()
+	if err := <-stopped; err != nil {
+		t.Errorf("shutdown: got %v, want no error", err)
+	}
+	if len(running) != 0 {
+		t.Errorf("got a run of %s after the stop, want none", <-running)
+	}
+}
+
 // Guards against a retiring server that runs a request behind a response that
 // closes the connection: a client repeats such a request.
 func TestRetiringServerTakesNothingBehindItsLastResponse(t *testing.T) {
