Keep a server out that left while its daemon did not know it

Cause: a daemon that had just been restarted got the departure of its server before anything else of it. Ruled out: a late heartbeat; none came.

Change: such a departure covers every start before its arrival.

--- a/internal/announcement/registry.go
+++ b/internal/announcement/registry.go
@@ -143,6 +143,11 @@
 		return nil // a late message of an earlier start
 	}
 	if e == nil {
+		// Unknown so far, as after a restart of this daemon. Its announcements that
+		// are still to come, and the record of an earlier run, are from before now.
+		if started == 0 {
+			started = a.config.Now().UnixMilli()
+		}
 		a.left[id] = departed(max(started, a.left[id].started))
 		return nil
 	}
