Avoid servers that take no work, and hosts whose address was given away

Change: such a server is not chosen for a second; two hosts with one address can't both be alive; a late call that has waited in vain is refused; callers are told to come back after 0.3 to 2 s.

--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -209,6 +209,7 @@
 	"host-left":          "Left the fleet.",
 	"host-suspected":     "Suspected a host.",
 	"host-dead":          "Declared a host dead.",
+	"host-replaced":      "Declared a host dead whose address another host has.",
 	"host-refuted":       "Refuted a report about this host.",
 	"record-not-written": "Could not write the record of this host.",
 	"unreachable":        "Lost contact with a zone or region.",
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -455,3 +455,42 @@
 		}
 	}
 }
+
+// TestAddressOfAnotherHost guards against a host that stays alive in the tables
+// although another one has its address: it was replaced, or its record is stale.
+func TestAddressOfAnotherHost(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	addr := netip.MustParseAddrPort("10.0.0.9:7000")
+	self := host.Row{ID: "self", Zone: "a", Region: "r", ControlAddr: netip.MustParseAddrPort("10.0.0.1:7000")}
+	old := host.Row{ID: "old", Zone: "a", Region: "r", ControlAddr: addr, Stamp: host.Stamp{Incarnation: 5}}
+	next := host.Row{ID: "next", Zone: "a", Region: "r", ControlAddr: addr, Stamp: host.Stamp{Incarnation: 9}}
+	live := func(c *Core) (ids []host.ID) {
+		for _, h := range c.Hosts() {
+			if h.State <= host.Suspect {
+				ids = append(ids, h.ID)
+			}
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	want := []host.ID{"next", "self"}
+	replaced := New(Config{Self: self, Started: now})
+	for _, row := range []host.Row{old, next} {
+		replaced.Step(now, Received{From: addr, Message: message.News{Hosts: []host.Row{row}}})
+	}
+	if got := live(replaced); !slices.Equal(got, want) {
+		t.Errorf("replaced: got live hosts %v, want %v", got, want)
+	}
+	stale := New(Config{Self: self, Started: now})
+	stale.Step(now, Received{From: addr, Message: message.News{Hosts: []host.Row{next}}})
+	stale.Step(now, RecordsRead{Records: []Record{{Host: old}, {Host: host.Row{ID: "mine", Zone: "a", Region: "r", ControlAddr: self.ControlAddr}}}})
+	if got := live(stale); !slices.Equal(got, want) {
+		t.Errorf("stale records: got live hosts %v, want %v", got, want)
+	}
+	late := New(Config{Self: self, Started: now})
+	late.Step(now, RecordsRead{Records: []Record{{Host: old}}})
+	late.Step(now, Received{From: addr, Message: message.News{Hosts: []host.Row{next}}})
+	if got := live(late); !slices.Equal(got, want) {
+		t.Errorf("record read first: got live hosts %v, want %v", got, want)
+	}
+}
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -98,11 +98,22 @@
 	if e != nil && row.Stamp.Incarnation > e.row.Stamp.Incarnation {
 		c.removeServersBefore(row.ID, row.Stamp.Incarnation)
 	}
+	c.replaceAt(row)
 	c.hosts.put(row, c.now)
 	c.news.addHost(row.ID, from)
 	return true
 }
 
+// replaceAt declares the host dead that had the address of another one before.
+func (c *Core) replaceAt(row host.Row) {
+	e := c.hosts.byAddr[row.ControlAddr]
+	if e == nil || e.row.ID == row.ID || !e.live() || row.State > host.Suspect || e.row.Stamp.Incarnation >= row.Stamp.Incarnation {
+		return
+	}
+	c.setState(e, host.Dead)
+	c.note(Note{Kind: "host-replaced", Host: e.row.ID, Detail: string(row.ID)})
+}
+
 // removeServersBefore removes the server rows that an earlier run of a host's
 // daemon published.
 func (c *Core) removeServersBefore(id host.ID, inc host.Incarnation) {
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -124,6 +124,9 @@
 	if row.ID == "" || row.Zone == "" || !row.ControlAddr.IsValid() || c.hosts.get(row.ID) != nil {
 		return false
 	}
+	if c.hosts.byAddr[row.ControlAddr] != nil || row.ControlAddr == c.config.Self.ControlAddr {
+		return false // its address belongs to another host now
+	}
 	row.State, row.Stamp = host.Alive, host.Stamp{}
 	c.hosts.put(row, c.now)
 	c.news.addHost(row.ID, noPeer)
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -137,6 +137,9 @@
 		}
 		c := candidate{member: m, tier: tier, out: m.state.ejected(now)}
 		c.partly = c.out && m.state.partly()
+		if m.state.unusable.Load() > now.UnixNano() {
+			c.out, c.partly = true, false
+		}
 		c.run = max(m.state.run(now, known.mean), time.Millisecond)
 		c.wait, c.use = m.wait(now, c.run, gate.Band(a.call.Priority))
 		c.fixed = a.toll(&c, known.kilobytes) + lossUnserved*m.state.failing()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -106,7 +106,8 @@
 const (
 	Succeeded Outcome = iota
 	Failed            // failure or refused connection; counts towards ejection
-	Refused           // the gate refused it: the server is full or draining
+	Refused           // the gate refused it: the server is full
+	Unusable          // the gate refused it: it knows no such server, or one that takes no work
 	Abandoned         // the caller went away; says nothing about the server
 )
 
@@ -223,6 +224,8 @@
 		}
 	case Failed:
 		c.pool.fail(c.member, now)
+	case Unusable:
+		st.unusable.Store(now.Add(unusableTime).UnixNano())
 	case Refused, Abandoned:
 	}
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -473,3 +473,20 @@
 		}
 	}
 }
+
+// Guards against a server that is chosen again and again although its gate knows
+// no such server, and against one that stays out for good.
+func TestUnusableServer(t *testing.T) {
+	p, c := newPool(1)
+	p.Update(viewOf(9, 1, 1, 0))
+	pick(t, p).Done(Result{Outcome: Unusable})
+	for range 20 {
+		if got := pick(t, p).Server.ID; got != "b-0" {
+			t.Fatalf("got %s, want b-0", got)
+		}
+	}
+	c.Time = c.Add(unusableTime)
+	if got := pick(t, p).Server.ID; got != "a-0" {
+		t.Errorf("after %v: got %s, want a-0", unusableTime, got)
+	}
+}
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -30,6 +30,7 @@
 	unhealthy    atomic.Bool  // a probe of this host failed
 	probeFailing atomic.Int64 // end of the time for which a gate's report of a failed probe counts, Unix nanoseconds
 	until        atomic.Int64 // end of the ejection, Unix nanoseconds; 0 for none
+	unusable     atomic.Int64 // end of the time for which a gate's report that the server takes no work counts, Unix nanoseconds
 
 	load struct {
 		sync.Mutex
@@ -51,6 +52,10 @@
 	}
 }
 
+// unusableTime is the time for which a server is not chosen after its gate has
+// said that it takes no work. Its row, which says otherwise, is late or stale.
+const unusableTime = time.Second
+
 func (s *state) ejected(now time.Time) bool { return s.until.Load() > now.UnixNano() }
 
 // reportHealth takes the result of a health probe that the gate reported.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -124,8 +124,9 @@
 	case !x.match.Route.Idempotent() && !proved:
 		return false
 	case proved && r.failure.busy && !x.target.IsZero():
-		// Only gates were asked; no server has seen the call.
-		return x.asked < maxAsked
+		// Only gates were asked; no server has seen the call. One that has waited in
+		// vain until it is late would only wait elsewhere.
+		return x.asked < maxAsked && (r.failure.reason != reasonQueueWait || x.now().Before(x.target))
 	}
 	limit := int(x.match.Route.Retries)
 	if proved {
@@ -179,6 +180,8 @@
 	case f == nil:
 	case f.reason == reasonCallerGone, f.reason == reasonDeadline && f.refused, x.cutShort(r):
 		outcome = pool.Abandoned
+	case f.refused && f.unusable:
+		outcome = pool.Unusable
 	case f.refused:
 		outcome = pool.Refused
 	default:
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -15,7 +14,9 @@
 	notRun  bool   // it is proved that nothing was run
 	refused bool   // the gate refused the call; says nothing bad of the server
 	busy    bool   // the gate refused the call because the server has no room for it
-	noRetry bool   // retries were exhausted here or deeper in the call chain
+	// unusable says that the gate refused the call because the server takes none.
+	unusable bool
+	noRetry  bool // retries were exhausted here or deeper in the call chain
 	// retryAfter is when there may be room; zero takes defaultRetryAfter.
 	retryAfter time.Duration
 	hint       string
@@ -24,10 +25,10 @@
 
 const (
 	// defaultRetryAfter is when a caller may send a refused call again.
-	defaultRetryAfter = 100 * time.Millisecond
+	defaultRetryAfter = 300 * time.Millisecond
 	// maxRetryAfter bounds what a caller is told, since a forecast of a long wait is
 	// not worth much.
-	maxRetryAfter = time.Second
+	maxRetryAfter = 2 * time.Second
 )
 
 // Reasons that more than one place uses.
@@ -39,6 +40,9 @@
 	reasonNoServer   = "no-server-available"
 	reasonNoRoom     = "no-room-in-time"
 	reasonFull       = "server-full"
+	reasonDraining   = "server-draining"
+	reasonSuspended  = "host-suspended"
+	reasonNotReady   = "server-not-ready"
 	// reasonServerRefused says that the server itself did not run the call.
 	reasonServerRefused = "server-refused"
 	reasonQueueWait     = "queue-timeout"
@@ -81,7 +85,7 @@
 		h.Set(HeaderOutcome, "unknown")
 	}
 	if f.code() == http.StatusServiceUnavailable {
-		after := min(cmp.Or(f.retryAfter, defaultRetryAfter), maxRetryAfter)
+		after := min(max(f.retryAfter, defaultRetryAfter), maxRetryAfter)
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	if f.noRetry {
--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -116,11 +116,11 @@
 	case errors.Is(err, gate.ErrQueueWait):
 		f.reason, f.busy = reasonQueueWait, true
 	case errors.Is(err, gate.ErrDraining):
-		f.reason = "server-draining"
+		f.reason, f.unusable = reasonDraining, true
 	case errors.Is(err, gate.ErrSuspended):
-		f.reason = "host-suspended"
+		f.reason, f.unusable = reasonSuspended, true
 	default:
-		f.reason = "server-not-ready"
+		f.reason, f.unusable = reasonNotReady, true
 	}
 	return f
 }
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -127,6 +127,7 @@
 	notRun := h.Get(HeaderNotRun) == "true"
 	return &failure{
 		reason: reason, notRun: notRun, refused: notRun && reason != reasonDial, busy: reason == reasonFull || reason == reasonQueueWait,
-		noRetry: h.Get(HeaderNoRetry) == "true",
+		unusable: reason == reasonDraining || reason == reasonSuspended || reason == reasonNotReady,
+		noRetry:  h.Get(HeaderNoRetry) == "true",
 	}
 }
