Ask each full gate twice at most, and let late calls with the most time left go first

Slots went to late calls with the least time left, which then ended at their deadline. Ruled out: the choice of servers; there was one.

Change: a gate that was full is asked once more when all are full, and then the call waits as long as it can. Of late calls the one with the most time left goes first; the one that would go last is refused.

--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -131,15 +131,25 @@
 	return s.expected() * time.Duration(s.inFlight+ahead-limit+1) / time.Duration(max(limit, 1))
 }
 
-// before reports whether a call goes before another that came earlier.
+// before reports whether a call goes before another that came earlier. Of the
+// calls in time the one whose target comes first goes first; of the late ones the
+// one with the most time left, because those with the least would not end before
+// their deadline.
 func (c Call) before(o Call, now time.Time, run time.Duration) bool {
 	if c.Priority != o.Priority {
 		return c.Priority < o.Priority
 	}
-	if late := c.late(now, run); late != o.late(now, run) {
+	late := c.late(now, run)
+	if late != o.late(now, run) {
 		return !late
 	}
-	return !c.Target.IsZero() && !o.Target.IsZero() && c.Target.Before(o.Target)
+	if c.Target.IsZero() || o.Target.IsZero() {
+		return false
+	}
+	if late {
+		return c.Target.After(o.Target)
+	}
+	return c.Target.Before(o.Target)
 }
 
 // late reports whether a call that begins now is likely to miss its target.
@@ -330,8 +340,7 @@
 	}
 }
 
-// grant gives free slots to queued calls by priority, then to those that can
-// still meet their target, by target, then to the others.
+// grant gives free slots to queued calls in their order.
 func (s *server) grant() {
 	for len(s.queue) > 0 && s.inFlight < s.limit() {
 		i := s.first()
@@ -344,8 +353,8 @@
 }
 
 // evict refuses calls that can no longer meet their target, when more of them
-// wait than the server has slots: the last by priority, and of those the oldest.
-// As long as calls in time keep coming, late ones get no slot.
+// wait than the server has slots: the one that would go last. As long as calls in
+// time keep coming, late ones get no slot.
 func (s *server) evict() {
 	now, run, late := s.now(), time.Duration(s.mean), 0
 	worst := -1
@@ -354,7 +363,7 @@
 			continue
 		}
 		late++
-		if worst < 0 || w.call.Priority > s.queue[worst].call.Priority {
+		if worst < 0 || s.queue[worst].call.before(w.call, now, run) {
 			worst = i
 		}
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -34,7 +34,8 @@
 	target    time.Time // until which a response is useful in full; zero when none is stated
 	shortened bool      // the caller's timeout is shorter than the route's
 	tried     []backend.ServerID
-	full      []backend.ServerID // servers whose gates had no room, since the last time that all had none
+	full      []backend.ServerID // servers whose gates had no room
+	patient   bool               // all had none: the call waits wherever it can
 	asked     int                // gates that refused the call for lack of room
 	steps     []step
 	// mayHaveRun is set by every attempt without proof that it was not run.
@@ -60,13 +61,15 @@
 func (x *exchange) left() time.Duration { return x.call.deadline.Sub(x.now()) }
 
 // note takes note of what an attempt means for the next ones. A server that is
-// only full may be chosen again when all others are full too.
+// only full may be chosen once more when all others are full too.
 func (x *exchange) note(r result) {
 	busy := r.failure != nil && r.failure.busy && !x.target.IsZero()
 	if busy {
 		x.asked++
-		x.tried = x.tried[:len(x.tried)-1]
-		x.full = append(x.full, r.choice.Server.ID)
+		if !x.patient {
+			x.tried = slices.DeleteFunc(x.tried, func(id backend.ServerID) bool { return id == r.choice.Server.ID })
+			x.full = append(x.full, r.choice.Server.ID)
+		}
 		return
 	}
 	if r.failure == nil || !r.failure.notRun {
@@ -91,6 +94,7 @@
 	c := pool.Call{
 		Service: x.match.Service.Name, Route: x.match.Route.Name, Left: x.left(), Priority: x.match.Route.Priority,
 		Once: !x.match.Route.Idempotent(), Again: len(x.tried)+x.asked > 0,
+		Patient: x.patient,
 	}
 	if !x.target.IsZero() {
 		// A call that is late already is still of use until its deadline.
@@ -100,7 +104,7 @@
 	choice, err := p.Choose(c)
 	if errors.Is(err, pool.ErrNoServer) && len(x.full) > 0 {
 		// All are full: the call waits where the wait is shortest, as long as it can.
-		x.full = nil
+		x.full, x.patient = nil, true
 		c.Tried, c.Again, c.Patient = x.tried, true, true
 		choice, err = p.Choose(c)
 	}
