Use one wait for all calls of a daemon while the table fails

Since daemons also read records of hosts and write their own, each of the three purposes had a wait of its own while the table was down. Hosts with a long wait noticed up to 7.5 s late that it was back.

Change: a failed call puts off all calls of the daemon; one call at a time tries the table. A confirmation of another host, which says that the table answers, ends the wait.

Figures: TestOutageSpacesCalls failed before (records not read 2 s after the return).

--- a/internal/daemon/records.go
+++ b/internal/daemon/records.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -110,10 +109,6 @@
 	o.known = true
 }
 
-// errOtherWriter says that the row of this host has another revision than
-// expected: an earlier write, whose answer was lost, has taken effect.
-var errOtherWriter = errors.New("the record was written in the meantime")
-
 // publish writes the record of this host. A write of an earlier run that arrives
 // late fails on the revision.
 func (l *loop) publish(ctx context.Context, e fleet.Publish) {
@@ -148,7 +143,8 @@
 	}
 	if result.Outcome != platform.Applied {
 		l.own.known = false
-		return errOtherWriter
+		// An earlier write, whose answer was lost, has taken effect.
+		return fleet.ErrConflict
 	}
 	l.own.revision = result.Revision
 	return nil
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -31,6 +31,7 @@
 	news     newsState
 	versions versionState
 	reader   readerState
+	outage   outage
 	reports  reportState
 }
 
--- a/internal/fleet/floors.go
+++ b/internal/fleet/floors.go
@@ -38,6 +38,7 @@
 // those of reads that began before.
 func (c *Core) readHead(wait time.Duration) {
 	c.floors.reads++
+	c.beginCall()
 	r := &c.reader
 	r.waiting, r.askedAt, r.askedWait = true, c.now, wait
 	c.emit(ReadHead{Read: c.floors.reads, Wait: wait})
@@ -65,7 +66,7 @@
 // answers.
 func (c *Core) runFloors() {
 	f := &c.floors
-	if len(f.waiting) == 0 || c.now.Before(f.nextAt) || f.waiting[len(f.waiting)-1].after < f.reads {
+	if len(f.waiting) == 0 || c.now.Before(f.nextAt) || !c.mayCall() || f.waiting[len(f.waiting)-1].after < f.reads {
 		return
 	}
 	f.nextAt = c.now.Add(floorInterval)
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -17,8 +17,7 @@
 	joinInterval = 300 * time.Millisecond
 	// floorWait is the wait for a floor from a peer before the head row is read.
 	floorWait = 200 * time.Millisecond
-	// Time between reads of the zone's records while there is no peer, or while
-	// the table does not answer.
+	// Time between reads of the zone's records while there is no peer.
 	minAloneInterval = 200 * time.Millisecond
 	maxAloneInterval = 3 * time.Second
 	// freshFor is the time after its first start during which a host reads the
@@ -68,15 +67,16 @@
 	if !j.started {
 		c.startJoin()
 	}
-	if !j.headAsked && !c.now.Before(j.readHeadAt) {
+	if !j.headAsked && !c.now.Before(j.readHeadAt) && (j.settled || c.mayCall()) {
 		j.headAsked = true
 		if !j.settled {
 			c.readHead(0)
 		}
 	}
 	wanted := !c.record.read || c.alone() || c.now.Before(j.freshUntil)
-	if wanted && !j.reading && !c.now.Before(j.readAt) {
+	if wanted && !j.reading && !c.now.Before(j.readAt) && c.mayCall() {
 		j.reading = true
+		c.beginCall()
 		c.emit(ReadRecords{})
 	}
 	if (!j.joined || c.alone()) && len(j.contacts) > 0 && !c.now.Before(j.joinAt) {
@@ -120,9 +120,10 @@
 func (c *Core) runSearch() {
 	j := &c.join
 	c.refreshOverlay()
-	if !c.record.read || !c.overlay.isRoot() || c.now.Before(j.searchAt) {
+	if !c.record.read || !c.overlay.isRoot() || c.now.Before(j.searchAt) || !c.mayCall() {
 		return
 	}
+	c.beginCall()
 	j.searchEvery = min(max(2*j.searchEvery, minSearchInterval), checkInterval)
 	j.searchAt = c.now.Add(j.searchEvery/2 + c.jitter(j.searchEvery))
 	c.emit(ReadRecords{Others: true})
@@ -135,6 +136,7 @@
 }
 
 func (c *Core) recordsRead(e RecordsRead) {
+	c.callDone(e.Err)
 	if e.Others {
 		c.othersRead(e)
 		return
@@ -142,8 +144,6 @@
 	j := &c.join
 	j.reading = false
 	if e.Err != nil {
-		j.aloneFor = min(max(2*j.aloneFor, minAloneInterval), maxAloneInterval)
-		j.readAt = c.now.Add(j.aloneFor/2 + c.jitter(j.aloneFor))
 		return
 	}
 	first := !c.record.read
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -36,6 +36,7 @@
 	config    func(*Config)
 	sent      int
 	reads     int // calls that read the table
+	calls     int // calls of any kind, also while it is down
 	searches  int // searches of all zones
 	writes    int // rows written to the table by the fleet
 	records   map[host.ID]Record
@@ -172,6 +173,7 @@
 		n.checkApply(nd, e.Snapshot)
 	case ReadHead:
 		n.reads++
+		n.calls++
 		n.readHead(nd, e, n.now.Add(e.Wait))
 	case LoadVersion:
 		answer := VersionLoaded{Snapshot: n.head}
@@ -180,12 +182,14 @@
 		}
 		n.schedule(nd, tableDelay, answer)
 	case ReadRecords:
+		n.calls++
 		answer := RecordsRead{Err: errTableDown, Others: e.Others}
 		if !tableDown {
 			answer = RecordsRead{Records: n.recordsFor(nd, e.Others), Others: e.Others, Took: n.tableTook(nd)}
 		}
 		n.schedule(nd, n.tableTook(nd), answer)
 	case Publish:
+		n.calls++
 		answer := Published{Record: e.Record, Ticket: e.Ticket}
 		if tableDown {
 			answer.Err = errTableDown
--- /dev/null
+++ b/internal/fleet/outage_test.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+// outageCalls is the most calls to the table in a second by some hosts: the share
+// of 500 for 1,200 hosts, and 7 that do not depend on their number.
+func outageCalls(hosts int) int { return 500*hosts/1200 + 7 }
+
+// Guards against hosts that each call the table for several purposes while it is
+// down, and against hosts that notice late that it is back.
+func TestOutageSpacesCalls(t *testing.T) {
+	for seed := range uint64(5) {
+		n := newNetwork(t, 70+seed, 3, nil)
+		n.run(30 * time.Second)
+		n.tableDown = true
+		n.run(time.Second)
+		restarted := n.nodes[:6]
+		for _, nd := range restarted {
+			n.stop(nd)
+		}
+		n.run(3 * time.Second)
+		for _, nd := range restarted {
+			n.start(nd)
+		}
+		for range 3 {
+			before := n.calls
+			n.run(10 * time.Second)
+			if got, want := n.calls-before, 10*outageCalls(len(n.nodes)); got > want {
+				t.Errorf("seed %d: got %d calls in 10 s, want at most %d", seed, got, want)
+			}
+		}
+		n.tableDown = false
+		n.run(2 * time.Second)
+		for _, nd := range n.nodes {
+			if !nd.core.record.read || !nd.core.join.settled {
+				t.Errorf("seed %d: %s has not read its record or the head row 2 s after the table is back", seed, nd.row.ID)
+			}
+		}
+		n.wantApplied()
+	}
+}
+
+// Guards against a host that calls the table as often as the others confirm that
+// it answers them, and against one that notices late that it is served again.
+func TestHostWithoutTableWaits(t *testing.T) {
+	n := newNetwork(t, 80, 3, nil)
+	n.run(30 * time.Second)
+	alone := n.nodes[0]
+	before := n.calls
+	n.run(20 * time.Second)
+	others := n.calls - before
+	n.cutTable = func(h host.Row) bool { return h.ID == alone.row.ID }
+	n.stop(alone)
+	n.run(time.Second)
+	n.start(alone)
+	n.run(time.Second)
+	before = n.calls
+	n.run(20 * time.Second)
+	// One call in 2 s, and half as many more for the jitter.
+	if got, want := n.calls-before-others, 15; got > want {
+		t.Errorf("got %d calls in 20 s beside those of the others, want at most %d", got, want)
+	}
+	n.cutTable = func(host.Row) bool { return false }
+	n.run(2500 * time.Millisecond)
+	if !alone.core.record.read {
+		t.Error("got no record 2.5 s after the table answers the host again")
+	}
+}
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -23,12 +24,6 @@
 	// changeSpacing is the least time between reads that bring a change. Several
 	// changes within it cost one version.
 	changeSpacing = 400 * time.Millisecond
-	// firstBackoff and maxBackoff bound the time between reads that fail. Those of
-	// the first hosts in order stay short, since they tell the others.
-	firstBackoff  = 500 * time.Millisecond
-	shortBackoff  = time.Second
-	maxBackoff    = 5 * time.Second
-	shortBackoffs = 2 // hosts with short ones
 	// acceptedGrace is the time for the accepting daemon to announce its version,
 	// and for a starting daemon to get the newest version from a peer.
 	acceptedGrace     = 900 * time.Millisecond
@@ -54,8 +49,7 @@
 	askedAt     time.Time
 	askedWait   time.Duration
 	waiting     bool
-	failed      bool // the last read failed
-	backoff     time.Duration
+	failed      bool           // the last read failed
 	seen        version.Number // newer version in the head row
 	seenAt      time.Time
 	loading     version.Number
@@ -71,10 +65,9 @@
 func (c *Core) runReader() {
 	r := &c.reader
 	if r.waiting && c.now.Sub(r.askedAt) > r.askedWait+readAnswerTimeout {
-		r.waiting = false
-		c.readFailed()
+		c.readFailed(errReadTimeout)
 	}
-	if r.waiting || c.now.Before(r.nextAt) || !c.join.headAsked {
+	if r.waiting || c.now.Before(r.nextAt) || !c.join.headAsked || !c.mayCall() {
 		return
 	}
 	rank := c.readerRank()
@@ -161,15 +154,16 @@
 
 func (c *Core) headRead(e HeadRead) {
 	r := &c.reader
-	r.waiting = false
 	if e.Err != nil {
-		c.readFailed()
+		c.readFailed(e.Err)
 		return
 	}
+	r.waiting = false
+	c.callDone(nil)
 	if e.Took > 0 && r.askedWait == 0 {
 		c.noteTook(e.Took)
 	}
-	r.backoff, r.failed = 0, false
+	r.failed = false
 	r.nextAt = c.now
 	n := e.Manifest.Number
 	if n > c.versions.known {
@@ -196,17 +190,14 @@
 	c.loadVersion(e)
 }
 
-// readFailed puts the next read off.
-func (c *Core) readFailed() {
-	r := &c.reader
+// errReadTimeout says that a read of the head row has no result.
+var errReadTimeout = errors.New("the read of the head row has no result")
+
+// readFailed ends a read without a result.
+func (c *Core) readFailed(err error) {
 	c.floors.waiting = nil // they read the row themselves
-	longest := maxBackoff
-	if c.readerRank() < shortBackoffs {
-		longest = shortBackoff
-	}
-	r.failed = true
-	r.backoff = min(max(2*r.backoff, firstBackoff), longest)
-	r.nextAt = c.now.Add(r.backoff/2 + c.jitter(r.backoff))
+	c.reader.waiting, c.reader.failed = false, true
+	c.callDone(err)
 }
 
 // confirm notes that the head row named version n at a time, and passes that on
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -22,10 +22,9 @@
 	// keptDepartures is the number of backend servers that have left which a host
 	// remembers. A late announcement of one of them must not bring it back.
 	keptDepartures = 8
-	// publishRetry and maxPublishRetry are the first and the longest time between
-	// tries to write the record.
-	publishRetry    = 300 * time.Millisecond
-	maxPublishRetry = 5 * time.Second
+	// publishRetry is the time after which the record is written again when the
+	// table had another one than expected.
+	publishRetry = 300 * time.Millisecond
 	// forgetAfter is the time for which a host is dead before the root of its zone
 	// removes its record, so that starting daemons do not look for it. A host that
 	// was only cut off writes it again.
@@ -39,7 +38,6 @@
 	absent  bool   // the table has none
 	writing bool
 	retryAt time.Time
-	retryIn time.Duration
 	ticket  uint64 // of the last change that the record must contain
 	settled uint64 // of the last change that the table has
 	adopted bool   // backend servers of an earlier run were taken over
@@ -62,7 +60,7 @@
 // runPublish writes the record when it differs from that in the table.
 func (c *Core) runPublish() {
 	r := &c.record
-	if !r.read || r.writing || c.now.Before(r.retryAt) {
+	if !r.read || r.writing || c.now.Before(r.retryAt) || !c.mayCall() {
 		return
 	}
 	own := c.ownRecord()
@@ -71,6 +69,7 @@
 		return
 	}
 	r.writing = true
+	c.beginCall()
 	c.emit(Publish{Record: own, Ticket: r.ticket})
 }
 
@@ -86,13 +85,13 @@
 func (c *Core) published(e Published) {
 	r := &c.record
 	r.writing = false
+	c.callDone(e.Err)
 	if e.Err != nil {
-		r.retryIn = min(max(2*r.retryIn, publishRetry), maxPublishRetry)
-		r.retryAt = c.now.Add(r.retryIn/2 + c.jitter(r.retryIn))
+		r.retryAt = c.now.Add(publishRetry/2 + c.jitter(publishRetry))
 		c.note(Note{Kind: "record-not-written", Detail: e.Err.Error()})
 		return
 	}
-	r.retryIn, r.retryAt = 0, time.Time{}
+	r.retryAt = time.Time{}
 	r.written, r.absent = e.Record, false
 	r.settled = max(r.settled, e.Ticket)
 	c.emit(Settled{Ticket: e.Ticket})
@@ -161,7 +160,7 @@
 
 // runForget lets the root of a zone remove the records of its dead hosts.
 func (c *Core) runForget() {
-	if !c.overlay.isRoot() || !c.record.read {
+	if !c.overlay.isRoot() || !c.record.read || !c.mayCall() {
 		return
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.hosts.dead)) {
