Refuse calls that a stopping daemon might not end

Cause: a daemon takes calls until no call is in flight at its gate, which can take until shortly before the end of the drain timeout. Ruled out: the gate; the call ran at another host. Closing the listener earlier was ruled out too, because a backend server that still runs a call makes calls of its own.

Change: in the second half of the drain timeout, a call is refused unless six expected run times are left. The refusal says when to come back.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,6 +109,7 @@
 	regions  regionTable
 	meters   *meters
 	leaving  atomic.Bool
+	endsAt   atomic.Pointer[time.Time] // see proxy.Config; nil until half of the drain timeout is over
 
 	environment Environment
 }
@@ -236,7 +237,7 @@
 	calls := proxy.Config{
 		Self: s.HostID, Routes: func() *route.Table { return d.calls.routes.Load() },
 		Pool: d.pool, Gate: d.gate, Claims: meteredClaims{d.claims, d.meters}, Transports: d.transports,
-		Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService,
+		EndsAt: d.callsEndAt, Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService,
 	}
 	api, err := operator.New(operator.Config{
 		Backend: d, Host: d.fleetConfig().Self, Release: release.Number(), Tokens: s.OperatorTokens, Log: d.log.Named("operator"),
@@ -376,8 +377,10 @@
 			srv.calls.Retire()
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout-stopMargin)
+	end := time.Now().Add(d.settings.DrainTimeout - stopMargin)
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	time.AfterFunc(d.settings.DrainTimeout/2, func() { d.endsAt.Store(&end) })
 	sleep(ctx, callerGrace)
 	d.loop.post(ctx, fleet.Leaving{})
 	sleep(ctx, newsGrace)
@@ -401,6 +404,13 @@
 	}
 }
 
+func (d *Daemon) callsEndAt() time.Time {
+	if end := d.endsAt.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -12,6 +12,10 @@
 // with a target is taken to hang.
 const hangFactor = 4
 
+// endFactor is the time, in expected run times, in which a call ends almost
+// certainly: one in 500 takes longer.
+const endFactor = 6
+
 // attempt is one try of a call at one server.
 type attempt struct {
 	choice *pool.Choice
@@ -29,6 +33,10 @@
 	if err != nil {
 		return result{answer: answer{failure: x.noServer(err)}}
 	}
+	if f := x.endsTooSoon(choice); f != nil {
+		choice.Done(pool.Result{Outcome: pool.Abandoned})
+		return result{answer: answer{failure: f}}
+	}
 	defer x.abandon()
 	hedge := time.NewTimer(x.hedgeAfter(choice))
 	defer hedge.Stop()
@@ -45,6 +53,19 @@
 	}
 }
 
+// endsTooSoon refuses a call that might not end before this daemon does.
+func (x *exchange) endsTooSoon(choice *pool.Choice) *failure {
+	end := x.entry.config.EndsAt()
+	if end.IsZero() {
+		return nil
+	}
+	left := end.Sub(x.now())
+	if choice.Wait+endFactor*choice.Run <= left {
+		return nil
+	}
+	return &failure{reason: reasonStopping, notRun: true, retryAfter: left}
+}
+
 // hedgeAfter is the time after which a second attempt may run beside the first:
 // half of the time left, and for a call with a target also what only a server that
 // hangs needs.
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -48,6 +48,7 @@
 	reasonQueueWait     = "queue-timeout"
 	reasonNoVersion     = "no-version-applied"
 	reasonDial          = "server-unreachable"
+	reasonStopping      = "daemon-stopping"
 )
 
 func (f *failure) code() int {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -82,6 +82,10 @@
 	// reach the entry. It is told to the servers called, where the dialect has a
 	// header for it.
 	CallerService string
+	// EndsAt tells when this daemon cuts the calls in flight, once it is so near to
+	// its end that it takes only calls that are likely to end before. It returns the
+	// zero time otherwise; nil for a daemon that does not stop.
+	EndsAt func() time.Time
 }
 
 func (c Config) complete() Config {
@@ -94,6 +98,9 @@
 	if c.Routes == nil {
 		c.Routes = func() *route.Table { return nil }
 	}
+	if c.EndsAt == nil {
+		c.EndsAt = func() time.Time { return time.Time{} }
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
