Let a far region read the head row in an order of its own

What is sent over the region link is held up for seconds there, and each host waits for its rank before it reads the head row itself. All 45 hosts near the table came first, so that the others waited longest, and then read all at once. Ruled out: the reader, which had the version after 1 s.

Change: for a host of another region, all hosts near the table count as one.

--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -30,6 +30,8 @@
 	head      version.Snapshot
 	tableDown bool
 	cutTable  func(host.Row) bool // hosts that cannot reach the table
+	wholeHead bool                // a read of the head row gives the version whole
+	hold      func(Send) bool     // messages that the link between regions holds up
 	loss      float64
 	duplicate float64
 	cut       func(a, b host.Row) bool
@@ -236,7 +238,11 @@
 		return
 	}
 	nd.seen = n.head.Number()
-	n.schedule(nd, n.tableTook(nd), HeadRead{Read: e.Read, Manifest: n.head.Manifest(), Took: n.tableTook(nd)})
+	answer := HeadRead{Read: e.Read, Manifest: n.head.Manifest(), Took: n.tableTook(nd)}
+	if n.wholeHead {
+		answer.Snapshot = n.head
+	}
+	n.schedule(nd, n.tableTook(nd), answer)
 }
 
 // recordsFor returns the records of the host's zone, or of all others. Each zone
@@ -259,7 +265,8 @@
 
 func (n *network) transmit(from *node, s Send) {
 	to := n.byAddr[s.To]
-	if to == nil || n.cut(from.row, to.row) || n.random.Float64() < n.loss {
+	held := n.hold != nil && to != nil && from.row.Region != to.row.Region && n.hold(s)
+	if to == nil || held || n.cut(from.row, to.row) || n.random.Float64() < n.loss {
 		return
 	}
 	n.sent++
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/message"
 )
 
 // outageCalls is the most calls to the table in a second by some hosts: the share
@@ -71,3 +72,26 @@
 		t.Error("got no record 2.5 s after the table answers the host again")
 	}
 }
+
+// Guards against a region that waits for a version which is held up on the link,
+// although its hosts know of it and reach the table.
+func TestRegionReadsVersionHeldUpOnLink(t *testing.T) {
+	n := newNetwork(t, 90, 40, func(c *Config) { c.Watch = 700 * time.Millisecond })
+	n.wholeHead = true
+	n.run(60 * time.Second)
+	n.accept(n.nodes[0], false)
+	n.runUntilApplied(7 * time.Second)
+	n.hold = func(s Send) bool {
+		_, ok := s.Message.(message.Delta)
+		return ok
+	}
+	before := n.calls
+	n.accept(n.nodes[0], false)
+	if got, want := n.runUntilApplied(7*time.Second), 2*time.Second; got > want {
+		t.Errorf("got the version everywhere after %v, want at most %v", got, want)
+	}
+	// The reader makes 3 in this time, and a few hosts of the region one each.
+	if got, want := n.calls-before, 10; got > want {
+		t.Errorf("got %d calls to the table, want at most %d", got, want)
+	}
+}
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -109,11 +109,12 @@
 }
 
 // readerRank is the number of live hosts that are to read the head row before
-// this one: those near the table come first.
+// this one: those near the table come first. In another region than theirs they
+// count as one, because what they send may be held up on the way here.
 func (c *Core) readerRank() int {
 	self := c.self()
 	own := hashOf(readersOrder, string(self.ID))
-	rank := 0
+	rank, elsewhere := 0, 0
 	for zone, order := range c.overlay.zones {
 		if zone != self.Zone && c.probes.unreachable(zone) {
 			continue
@@ -126,12 +127,16 @@
 			if e.row.NearTable != self.NearTable {
 				before = e.row.NearTable
 			}
-			if before {
+			switch {
+			case !before:
+			case e.row.NearTable && e.row.Region != self.Region:
+				elsewhere = 1
+			default:
 				rank++
 			}
 		}
 	}
-	return rank
+	return rank + elsewhere
 }
 
 // noteTook takes the time of a read. A host that finds that it is near the table
