Give duties to hosts with a strong processor and link

A read of the configuration took 0.24 s there, and what was sent to such a host over the region link arrived up to 8 s late. Ruled out: streams that are not read to their end, which would use up the connection's limit.

Change: settings give cores and link rate; a host publishes its capacity as a power of two; hosts of more capacity come first as roots of zones and as readers.

TestStrongHostsGetDuties fails without the order.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -203,6 +203,7 @@
 		Self: host.Row{
 			ID: s.HostID, Zone: s.AvailabilityZone, Region: s.Region,
 			ControlAddr: s.ControlAddress, GateAddr: s.GateAddress,
+			Capacity: host.CapacityOf(s.Cores, s.LinkMbps),
 		},
 		Started: time.Now(), Peers: s.Peers, Watch: s.Watch,
 		Distribution: s.Distribution, Seed: rand.Uint64(),
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -86,7 +86,7 @@
 
 // sameOverlay reports whether the overlay is the same with either row.
 func sameOverlay(a, b host.Row) bool {
-	return a.ID == b.ID && a.Zone == b.Zone && a.Region == b.Region && a.State == b.State && a.ControlAddr == b.ControlAddr
+	return a.ID == b.ID && a.Zone == b.Zone && a.Region == b.Region && a.State == b.State && a.ControlAddr == b.ControlAddr && a.Capacity == b.Capacity
 }
 
 func (t *hostTable) leaveOrder(e *hostEntry) {
@@ -265,7 +265,7 @@
 }
 
 func compareOrder(a, b *hostEntry) int {
-	return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.row.ID, b.row.ID))
+	return cmp.Or(cmp.Compare(b.row.Capacity, a.row.Capacity), cmp.Compare(a.weight, b.weight), cmp.Compare(a.row.ID, b.row.ID))
 }
 
 // runPurge removes tombstones.
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +96,24 @@
 		t.Errorf("got %d calls to the table, want at most %d", got, want)
 	}
 }
+
+// Guards against hosts with a slow processor or link that read the table for
+// others or connect the zones, while there are stronger ones.
+func TestStrongHostsGetDuties(t *testing.T) {
+	const strong = 4
+	n := newNetwork(t, 95, 5, func(c *Config) {
+		if strings.HasSuffix(string(c.Self.ID), "-4") {
+			c.Self.Capacity = strong
+		}
+	})
+	n.run(30 * time.Second)
+	for _, nd := range n.nodes {
+		isStrong := nd.core.self().Capacity == strong
+		if got := nd.core.overlay.isRoot(); got != isStrong {
+			t.Errorf("%s: got root %v, want %v", nd.row.ID, got, isStrong)
+		}
+		if nd.core.readerRank() == 0 && !isStrong {
+			t.Errorf("%s is the reader, want a strong host", nd.row.ID)
+		}
+	}
+}
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -113,7 +113,6 @@
 // count as one, because what they send may be held up on the way here.
 func (c *Core) readerRank() int {
 	self := c.self()
-	own := hashOf(readersOrder, string(self.ID))
 	rank, elsewhere := 0, 0
 	for zone, order := range c.overlay.zones {
 		if zone != self.Zone && c.probes.unreachable(zone) {
@@ -123,12 +122,8 @@
 			if e.row.State != host.Alive || e.row.ID == self.ID {
 				continue
 			}
-			before := hashOf(readersOrder, string(e.row.ID)) < own
-			if e.row.NearTable != self.NearTable {
-				before = e.row.NearTable
-			}
 			switch {
-			case !before:
+			case !readsBefore(e.row, self):
 			case e.row.NearTable && e.row.Region != self.Region:
 				elsewhere = 1
 			default:
@@ -139,6 +134,18 @@
 	return rank + elsewhere
 }
 
+// readsBefore reports whether host a comes before host b in the order of readers.
+func readsBefore(a, b host.Row) bool {
+	switch {
+	case a.NearTable != b.NearTable:
+		return a.NearTable
+	case a.Capacity != b.Capacity:
+		return a.Capacity > b.Capacity
+	default:
+		return hashOf(readersOrder, string(a.ID)) < hashOf(readersOrder, string(b.ID))
+	}
+}
+
 // noteTook takes the time of a read. A host that finds that it is near the table
 // publishes that.
 func (c *Core) noteTook(took time.Duration) {
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -46,7 +46,7 @@
 // ownRecord returns the record that the table should have.
 func (c *Core) ownRecord() Record {
 	self := c.self()
-	r := Record{Host: host.Row{ID: self.ID, Zone: self.Zone, Region: self.Region, ControlAddr: self.ControlAddr, GateAddr: self.GateAddr}}
+	r := Record{Host: host.Row{ID: self.ID, Zone: self.Zone, Region: self.Region, ControlAddr: self.ControlAddr, GateAddr: self.GateAddr, Capacity: self.Capacity}}
 	for _, id := range slices.Sorted(slices.Values(c.servers.byHost[self.ID])) {
 		s := c.servers.rows[id]
 		s.Stamp = host.Stamp{}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 )
 
@@ -78,6 +79,20 @@
 	// NearTable says that the host reads the platform's table without crossing the
 	// region link.
 	NearTable bool
+	Capacity  Capacity
+}
+
+// Capacity is the order of magnitude, in powers of two, of what a host can do for
+// others. Hosts of little capacity get no duties while there are stronger ones.
+type Capacity uint8
+
+// coreMbps is the rate of a link, in Mbit/s, that is worth as much as a core.
+const coreMbps = 100
+
+// CapacityOf returns the capacity of a host that may use some processor cores and
+// has a link of some Mbit/s. The scarcer of both counts.
+func CapacityOf(cores, mbps float64) Capacity {
+	return Capacity(max(0, math.Floor(math.Log2(min(cores*coreMbps, mbps)))))
 }
 
 // Supersedes reports whether r replaces o in the member table.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,8 @@
 	Region           host.Region
 	CallerService    string // service whose calls this daemon takes; may be empty
 	SettingsFile     string
+	Cores            float64 // that the daemon may use
+	LinkMbps         float64 // rate of the host's link, Mbit/s
 
 	ControlAddress  netip.AddrPort // QUIC between daemons
 	GateAddress     netip.AddrPort // TLS, calls from other daemons
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -50,6 +50,8 @@
 		name("availability-zone", "Availability zone of this host, unique in the fleet.", func(d *Daemon, s string) { d.AvailabilityZone = host.AvailabilityZone(s) }),
 		name("region", "Region of this host.", func(d *Daemon, s string) { d.Region = host.Region(s) }),
 		text("caller-service", "Service whose backend server makes calls through this daemon. Backend servers are told it.", func(d *Daemon) *string { return &d.CallerService }),
+		number("cores", "1", 0.01, 1024, "Processor cores that this daemon may use. Duties for others go to strong hosts first.", func(d *Daemon) *float64 { return &d.Cores }),
+		number("link-mbps", "1000", 0.1, 1e6, "Rate of this host's link in Mbit/s.", func(d *Daemon) *float64 { return &d.LinkMbps }),
 		text("settings-file", "File with further settings, a line each: name and value. Flags and environment take precedence.", func(d *Daemon) *string { return &d.SettingsFile }),
 	}
 }
