Confirm the head row to all zones of another region

Cause: the edge between two zone roots of one region counted as a region link, because its probe group names no region. A confirmation that came over the region link was therefore not passed on to the other zones of the region: their hosts read the head row themselves, and noticed late that the table was back after an outage.

Change: an edge is a region link when the regions of its ends differ.

--- a/internal/fleet/overlay.go
+++ b/internal/fleet/overlay.go
@@ -153,7 +153,7 @@
 // edges returns the neighbours that announcements and news flow to.
 func (c *Core) edges() []edge {
 	var list []edge
-	add := func(e *hostEntry, push, link bool) {
+	add := func(e *hostEntry, push bool) {
 		if e == nil || e.row.ID == c.config.Self.ID {
 			return
 		}
@@ -163,26 +163,24 @@
 				return
 			}
 		}
-		list = append(list, edge{addr: e.row.ControlAddr, push: push, link: link})
+		list = append(list, edge{addr: e.row.ControlAddr, push: push, link: e.row.Region != c.config.Self.Region})
 	}
 	o := &c.overlay
-	add(o.parent, true, false)
+	add(o.parent, true)
 	for _, e := range o.children {
-		add(e, true, false)
+		add(e, true)
 	}
 	for _, t := range c.probes.targets {
 		if t.group != ringGroup {
-			add(c.hosts.get(t.id), true, t.group.region != c.config.Self.Region)
+			add(c.hosts.get(t.id), true)
 		}
 	}
 	for _, addr := range c.probes.sortedVisitors() {
-		if e := c.hosts.byAddr[addr]; e != nil {
-			add(e, true, e.row.Region != c.config.Self.Region)
-		}
+		add(c.hosts.byAddr[addr], true)
 	}
 	if len(o.next) > 0 {
-		add(o.next[0], false, false)
+		add(o.next[0], false)
 	}
-	add(o.previous, false, false)
+	add(o.previous, false)
 	return list
 }
