Begin a second attempt of a slow call in time for its target

Ruled out: queues; no server was full.

Change: a call that may run twice gets the second attempt after two expected run times, or one and a half before the target, if a server has a free slot, the budget grants it and the bytes are worth it.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -85,6 +85,7 @@
 	wait   time.Duration // expected for a slot
 	run    time.Duration // expected at the server
 	use    float64       // of the server's slots
+	toll   float64       // cost of the bytes
 	fixed  float64       // cost that does not depend on the wait
 	cost   float64
 	out    bool // ejected
@@ -142,7 +143,8 @@
 		}
 		c.run = max(m.state.run(now, known.mean), time.Millisecond)
 		c.wait, c.use = m.wait(now, c.run, gate.Band(a.call.Priority))
-		c.fixed = a.toll(&c, known.kilobytes) + lossUnserved*m.state.failing()
+		c.toll = a.toll(&c, known.kilobytes)
+		c.fixed = c.toll + lossUnserved*m.state.failing()
 		if m.state.probeFailed(now) {
 			c.fixed += lossProbe
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -92,6 +92,8 @@
 	MaxWait time.Duration
 	// Wait and Run are what is expected there: for a slot, and at the server.
 	Wait, Run time.Duration
+	// Toll is the cost of the bytes of the call between here and there, in calls.
+	Toll float64
 
 	call   Call
 	pool   *Pool
@@ -157,7 +159,7 @@
 	m.state.inFlight.Add(1)
 	return &Choice{
 		Server: m.row, Gate: m.gate, Local: m.row.Host == p.config.Self, MaxWait: a.patience(c),
-		Wait: c.wait, Run: c.run, call: call, pool: p, member: m,
+		Wait: c.wait, Run: c.run, Toll: c.toll, call: call, pool: p, member: m,
 	}, nil
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -8,9 +8,19 @@
 	"github.com/peridotlb/peridotlb/internal/pool"
 )
 
-// hangFactor is the time, in expected run times, after which the server of a call
-// with a target is taken to hang.
-const hangFactor = 4
+const (
+	// hangFactor is the time, in expected run times, after which the server of a call
+	// with a target is taken to hang.
+	hangFactor = 4
+	// slowFactor is the time, in expected run times, after which a call with a target
+	// may run a second time because the first is slow: about one call in nine.
+	slowFactor = 2
+	// secondFactor is the time, in expected run times, that the second one needs:
+	// four in five end within it.
+	secondFactor = 1.5
+	// maxHedgeToll is the cost of the bytes, in calls, up to which that pays.
+	maxHedgeToll = 0.3
+)
 
 // endFactor is the time, in expected run times, in which a call ends almost
 // certainly: one in 500 takes longer.
@@ -38,7 +48,8 @@
 		return result{answer: answer{failure: f}}
 	}
 	defer x.abandon()
-	hedge := time.NewTimer(x.hedgeAfter(choice))
+	slow, hang := x.hedgeAfter(choice)
+	hedge := time.NewTimer(slow)
 	defer hedge.Stop()
 	x.begin(ctx, choice)
 	for {
@@ -48,7 +59,12 @@
 				return end
 			}
 		case <-hedge.C:
-			x.hedge(ctx)
+			early := slow < hang
+			if x.hedge(ctx, early) || !early {
+				continue
+			}
+			hedge.Reset(hang - slow)
+			slow = hang
 		}
 	}
 }
@@ -66,15 +82,18 @@
 	return &failure{reason: reasonStopping, notRun: true, retryAfter: left}
 }
 
-// hedgeAfter is the time after which a second attempt may run beside the first:
-// half of the time left, and for a call with a target also what only a server that
-// hangs needs.
-func (x *exchange) hedgeAfter(choice *pool.Choice) time.Duration {
-	limit := x.left() / 2
-	if !x.target.IsZero() {
-		limit = max(limit, choice.Wait+hangFactor*choice.Run)
+// hedgeAfter is the time after which a second attempt may run beside the first: half
+// of the time left, and for a call with a target also what only a server that hangs
+// needs. A call with a target is slow before that, when the second attempt must begin
+// to meet the target.
+func (x *exchange) hedgeAfter(choice *pool.Choice) (slow, hang time.Duration) {
+	hang = x.left() / 2
+	if x.target.IsZero() {
+		return hang, hang
 	}
-	return limit
+	hang = max(hang, choice.Wait+hangFactor*choice.Run)
+	slow = max(choice.Wait+slowFactor*choice.Run, x.target.Sub(x.now())-time.Duration(secondFactor*float64(choice.Run)))
+	return min(slow, hang), hang
 }
 
 // begin starts an attempt.
@@ -139,22 +158,25 @@
 }
 
 // hedge begins a second attempt beside one that takes long, if the call may run
-// twice, a server has a free slot and the budget grants the retry.
-func (x *exchange) hedge(ctx context.Context) {
+// twice, a server has a free slot and the budget grants the retry. An early one must
+// also be worth its bytes. It reports whether it began one.
+func (x *exchange) hedge(ctx context.Context, early bool) bool {
 	if !x.match.Route.Idempotent() || x.retries() >= int(x.match.Route.Retries) || !x.call.body.resendable() || len(x.running) != 1 {
-		return
+		return false
 	}
 	choice, err := x.pick(&failure{refused: true})
 	if err != nil {
-		return
+		return false
 	}
-	if !x.target.IsZero() && choice.Wait > 0 || !x.entry.config.Pool.Retry(x.match.Service.Name) {
+	if !x.target.IsZero() && choice.Wait > 0 || early && choice.Toll > maxHedgeToll || !x.entry.config.Pool.Retry(x.match.Service.Name) {
 		choice.Done(pool.Result{Outcome: pool.Abandoned})
-		return
+		return false
 	}
-	x.running[0].overtaken = true
+	// A server that is only slow with one call is not to blame.
+	x.running[0].overtaken = !early
 	x.entry.meters.retries.Inc()
 	x.begin(ctx, choice)
+	return true
 }
 
 // abandon ends the attempts that still run when the exchange has its result.
