Test the platform's adapter against a stand-in of its store

The first test found that an operator's row that can't be read was read again and again, and counted as an outage of the store.

An unreadable row is logged once and passed over.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,10 +89,24 @@
 // Versions is a source of versions that are accepted elsewhere.
 type Versions interface {
 	// Newest returns the newest version, or version zero when there is none. When
-	// there is none newer than that of the last call, it waits for one.
+	// there is none newer than that of the last call, it waits for one. An
+	// UnreadableError goes with the newest version that can be read.
 	Newest(ctx context.Context, wait time.Duration) (version.Snapshot, error)
 }
 
+// UnreadableError says that a source of versions has answered with one that can't
+// be read. The versions before it stay in force.
+type UnreadableError struct {
+	Row string // where the version is
+	Err error
+}
+
+// Error returns the place and the cause.
+func (e *UnreadableError) Error() string { return "version in row " + e.Row + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Err }
+
 // parts are the adapters that the loop and the servers share.
 type parts struct {
 	settings settings.Daemon
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -154,6 +155,11 @@
 	if v := l.environment.Versions; v != nil {
 		start := time.Now()
 		s, err := v.Newest(limit, e.Wait)
+		var unreadable *UnreadableError
+		if errors.As(err, &unreadable) {
+			l.log.Error("Passed over a version that can't be read; the last one stays in force.", zap.Error(err))
+			err = nil
+		}
 		l.platform.tableDone(err)
 		answer := fleet.HeadRead{Read: e.Read, Manifest: s.Manifest(), Snapshot: s, Err: err}
 		if e.Wait == 0 {
--- /dev/null
+++ b/test/platform/store/store.go
@@ -0,0 +1,330 @@
+// Package store is a stand-in for the prepared platform's metadata store. It
+// speaks the store's protocol over rows in memory, with switchable faults.
+package store
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Limits of the protocol.
+const (
+	maxEntries  = 100
+	maxRequest  = 1 << 20 // bytes
+	maxRows     = 500     // in a response
+	maxRowBytes = 65536
+	maxWait     = 30 * time.Second
+)
+
+// reserved are the tables that only the platform writes.
+var reserved = []string{"op", "servers"}
+
+// Config holds the settings of a Store. The zero value is valid.
+type Config struct {
+	Seed uint64 // seeds the choice of calls that fail
+}
+
+// Faults are the faults in effect. The zero value means none.
+type Faults struct {
+	Status int           // answer every call with this status, and do nothing
+	Reset  bool          // close the connection of every call, and do nothing
+	Silent bool          // answer no call until it is given up
+	Slow   time.Duration // delay of every call
+	Lose   float64       // share of the calls that are performed without an answer
+	// Only limits the faults to some callers; empty means all.
+	Only []netip.Addr
+}
+
+// Store is an http.Handler.
+type Store struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	rows    map[place]row
+	history []row // changes in order; a dropped row is marked
+	dropped uint64
+	version uint64
+	changed chan struct{} // closed at the next change
+	faults  Faults
+	calls   int
+	start   time.Time
+	mux     *http.ServeMux
+}
+
+type place struct{ table, part, key string }
+
+type row struct {
+	Table   string `json:"table_name"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"schema_version,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+func (r row) place() place { return place{r.Table, r.Part, r.Key} }
+
+type page struct {
+	Rows    []row   `json:"rows"`
+	More    bool    `json:"has_more"`
+	Version uint64  `json:"schema_version"`
+	Now     float64 `json:"now_s"`
+}
+
+type transaction struct {
+	Conditions []row `json:"expected_revision"`
+	Writes     []row `json:"set_keys"`
+	Deletes    []row `json:"delete_keys"`
+	Across     bool  `json:"across"`
+}
+
+// New returns an empty store.
+func New(c Config) *Store {
+	s := &Store{
+		random: rand.New(rand.NewPCG(c.Seed, 0)), rows: make(map[place]row),
+		changed: make(chan struct{}), start: time.Now(), mux: http.NewServeMux(),
+	}
+	s.mux.HandleFunc("POST /v1/rows-tx", s.commit)
+	s.mux.HandleFunc("GET /v1/rows-get", s.get)
+	s.mux.HandleFunc("GET /v1/rows-parts", s.parts)
+	s.mux.HandleFunc("GET /v1/rows-feed", s.feed)
+	return s
+}
+
+// SetFaults replaces the faults in effect.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns the number of calls so far, failed ones included.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a row as the platform does.
+func (s *Store) Put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(transaction{Writes: []row{{Table: table, Key: key, Value: value}}})
+}
+
+// DropHistory forgets all changes so far.
+func (s *Store) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.dropped = nil, s.version
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// A caller that leaves is noticed only after its whole request was read.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.calls++
+	f := s.faults
+	if len(f.Only) > 0 && !slices.Contains(f.Only, caller(r)) {
+		f = Faults{}
+	}
+	lost := s.random.Float64() < f.Lose
+	s.mu.Unlock()
+	select {
+	case <-time.After(f.Slow):
+	case <-r.Context().Done():
+	}
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+	case f.Reset:
+		panic(http.ErrAbortHandler)
+	case f.Status != 0:
+		w.WriteHeader(f.Status)
+	case lost:
+		s.serve(discard{make(http.Header)}, r, body)
+		panic(http.ErrAbortHandler)
+	default:
+		s.serve(w, r, body)
+	}
+}
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request, body []byte) {
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	s.mux.ServeHTTP(w, r)
+}
+
+// discard is the writer of a lost answer.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
+
+func caller(r *http.Request) netip.Addr {
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	addr, _ := netip.ParseAddr(host)
+	return addr
+}
+
+func (s *Store) commit(w http.ResponseWriter, r *http.Request) {
+	var t transaction
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if status := check(t); status != http.StatusOK {
+		w.WriteHeader(status)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, holds := []row{}, true
+	for _, c := range t.Conditions {
+		now, ok := s.rows[c.place()]
+		if ok {
+			current = append(current, now)
+		}
+		holds = holds && now.Version == c.Version
+	}
+	if !holds {
+		s.answer(w, http.StatusPreconditionFailed, page{Rows: current})
+		return
+	}
+	s.apply(t)
+	s.answer(w, http.StatusOK, page{Rows: []row{}})
+}
+
+func check(t transaction) int {
+	all := slices.Concat(t.Conditions, t.Writes, t.Deletes)
+	if len(all) == 0 || len(all) > maxEntries {
+		return http.StatusBadRequest
+	}
+	for _, r := range all {
+		if r.Part != all[0].Part && !t.Across || len(r.Key) > 200 || len(r.Value) > maxRowBytes {
+			return http.StatusBadRequest
+		}
+	}
+	for _, r := range slices.Concat(t.Writes, t.Deletes) {
+		if slices.Contains(reserved, r.Table) {
+			return http.StatusForbidden
+		}
+	}
+	return http.StatusOK
+}
+
+// apply performs a transaction. The caller holds the lock.
+func (s *Store) apply(t transaction) {
+	s.version++
+	for _, r := range t.Writes {
+		r.Version = s.version
+		s.rows[r.place()] = r
+		s.history = append(s.history, r)
+	}
+	for _, r := range t.Deletes {
+		r.Version, r.Value, r.Deleted = s.version, nil, true
+		delete(s.rows, r.place())
+		s.history = append(s.history, r)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit := maxRows
+	if text := q.Get("limit"); text != "" {
+		if json.Unmarshal([]byte(text), &limit) != nil || limit <= 0 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := page{Rows: []row{}}
+	for at, found := range s.rows {
+		if at.table == q.Get("table_name") && at.part == q.Get("part") && at.key >= q.Get("from") &&
+			(q.Get("target") == "" || at.key < q.Get("target")) {
+			p.Rows = append(p.Rows, found)
+		}
+	}
+	slices.SortFunc(p.Rows, func(a, b row) int { return strings.Compare(a.Key, b.Key) })
+	if limit = min(limit, maxRows); len(p.Rows) > limit {
+		p.Rows, p.More = p.Rows[:limit], true
+	}
+	s.answer(w, http.StatusOK, p)
+}
+
+func (s *Store) parts(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	parts := []string{}
+	for at := range s.rows {
+		if at.table == q.Get("table_name") && at.part > q.Get("after") && !slices.Contains(parts, at.part) {
+			parts = append(parts, at.part)
+		}
+	}
+	slices.Sort(parts)
+	_ = json.NewEncoder(w).Encode(map[string]any{"parts": parts, "has_more": false})
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	var after uint64
+	var wait int64
+	if json.Unmarshal([]byte(q.Get("after")), &after) != nil || json.Unmarshal([]byte(q.Get("wait_ms")), &wait) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	deadline := time.After(min(time.Duration(wait)*time.Millisecond, maxWait))
+	for {
+		s.mu.Lock()
+		p, gone, changed := page{Rows: []row{}}, after < s.dropped, s.changed
+		for _, h := range s.history {
+			if h.Table == q.Get("table_name") && h.Version > after {
+				p.Rows = append(p.Rows, h)
+			}
+		}
+		if gone {
+			w.WriteHeader(http.StatusGone)
+		} else if len(p.Rows) > 0 {
+			s.answer(w, http.StatusOK, p)
+		}
+		s.mu.Unlock()
+		if gone || len(p.Rows) > 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			s.mu.Lock()
+			s.answer(w, http.StatusOK, p)
+			s.mu.Unlock()
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// answer writes a page with the newest version. The caller holds the lock.
+func (s *Store) answer(w http.ResponseWriter, status int, p page) {
+	p.Version, p.Now = s.version, time.Since(s.start).Seconds()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(p)
+}
