Count the risk of a queue in the choice of a server

The cost of a server took the forecast of the wait for granted, but calls of higher priority and earlier targets come first. Ruled out: the forecast; it agreed with the waits.

Change: a wait costs up to half of a call, in proportion to the time until the target.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -35,6 +35,9 @@
 const (
 	lossUnserved = 1.0
 	lossLate     = 0.35
+	// lossQueue is the loss by a wait of the time left until the target, since others
+	// may come first.
+	lossQueue = 0.5
 	// lossOnce is the weight of a call that cannot be repeated.
 	lossOnce = 2.0
 	// tollZone and tollRegion are the cost of a kilobyte between availability zones
@@ -189,6 +192,9 @@
 	}
 	late, unserved := exceeds(c.run, a.target-wait), exceeds(c.run, a.left-wait)
 	cost := c.fixed + weight*(lossLate*late+lossUnserved*unserved)
+	if wait > 0 && a.call.Target > 0 {
+		cost += weight * lossQueue * min(1, float64(wait)/float64(max(a.target, time.Millisecond)))
+	}
 	if wait > 0 && a.call.Target <= 0 {
 		cost += lossFull
 	}
