--- a/internal/daemon/meters.go
+++ b/internal/daemon/meters.go
@@ -18,7 +18,7 @@
 	"github.com/peridotlb/peridotlb/internal/settings"
 )
 
-// meters are the metrics of the control side. docs/operations.md lists them.
+// meters are the metrics of the control side. docs/OPERATIONS.md lists them.
 type meters struct {
 	applied   *metrics.Gauge   // number of the version in force
 	delay     *metrics.Gauge   // seconds from acceptance to the present version in force here
