Weigh late responses and waits by what they lose

Cause: with the risk of a queue counted, a late response still cost a third of a call in the choice of a server, although most of its use is lost.

Change: a late response costs half of a call, a wait until the target 0.7.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -34,10 +34,10 @@
 // be repeated gets no response is worth one.
 const (
 	lossUnserved = 1.0
-	lossLate     = 0.35
+	lossLate     = 0.5
 	// lossQueue is the loss by a wait of the time left until the target, since others
 	// may come first.
-	lossQueue = 0.5
+	lossQueue = 0.7
 	// lossOnce is the weight of a call that cannot be repeated.
 	lossOnce = 2.0
 	// tollZone and tollRegion are the cost of a kilobyte between availability zones
