Answer calls that have not ended at the end of a stop

Responses of a connection go out in order; a request that does not end before the stop holds back those that are ready behind it, and the connection was closed with all of them.

Change: at the end of the drain timeout the contexts of the calls in flight end, so that they are answered as failed and the responses behind them go out.

--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -179,11 +179,21 @@
 	if s.idle == nil {
 		s.idle = make(chan struct{})
 	}
-	idle := s.idle
 	s.mu.Unlock()
 	for _, c := range s.all() {
 		c.retire()
 	}
+	return s.wait(ctx)
+}
+
+// wait waits until no connection is left.
+func (s *Server) wait(ctx context.Context) error {
+	s.mu.Lock()
+	idle := s.idle
+	s.mu.Unlock()
+	if idle == nil {
+		return nil
+	}
 	select {
 	case <-idle:
 		return nil
@@ -192,6 +202,16 @@
 	}
 }
 
+// GiveUp follows a Shutdown that has timed out. It ends the contexts of the requests
+// in flight, so that their handlers answer, and with them the responses that are
+// ready behind theirs. It waits until ctx ends.
+func (s *Server) GiveUp(ctx context.Context) error {
+	for _, c := range s.all() {
+		c.cancel()
+	}
+	return s.wait(ctx)
+}
+
 // Close closes all listeners and connections at once.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/internal/connection/server_test.go
+++ b/internal/connection/server_test.go
@@ -75,6 +75,47 @@
 
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
 
+// Guards against a response that is ready and not delivered because a request before
+// it on the connection does not end before the server stops.
+func TestGiveUpDeliversWhatIsReady(t *testing.T) {
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-r.Context().Done()
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		fmt.Fprint(w, "ready")
+	}, connection.DefaultLimits())
+	c := call(t, addr)
+	c.send("GET /slow HTTP/1.1\r\nHost: a\r\n\r\nGET /fast HTTP/1.1\r\nHost: a\r\n\r\n")
+	for s.InFlight() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	over, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if err := s.Shutdown(over); err == nil {
+		t.Fatal("got no error, want that a request is in flight")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	answered := make(chan error, 1)
+	go func() { answered <- s.GiveUp(ctx) }()
+	for _, want := range []string{"502", "200"} {
+		r, err := http.ReadResponse(c.in, nil)
+		if err != nil {
+			t.Fatalf("want status %s: %v", want, err)
+		}
+		if got := r.Status[:3]; got != want {
+			t.Errorf("got status %s, want %s", got, want)
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	_ = c.Close()
+	if err := <-answered; err != nil {
+		t.Errorf("give up: %v", err)
+	}
+}
+
 // Guards against a server that reads a request only after it has answered the
 // one before, and against responses in another order than the requests.
 func TestPipelinedRequestsRunTogether(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,8 +55,12 @@
 	newsGrace = 300 * time.Millisecond
 )
 
-// stopMargin is what is left of the drain timeout for closing everything.
-const stopMargin = 200 * time.Millisecond
+const (
+	// stopMargin is what is left of the drain timeout for closing everything.
+	stopMargin = 350 * time.Millisecond
+	// giveUpTime is the part of it in which calls that have not ended are answered.
+	giveUpTime = 200 * time.Millisecond
+)
 
 // Config is what a daemon needs from its process.
 type Config struct {
@@ -408,9 +412,7 @@
 			continue
 		}
 		group.Go(func() {
-			if err := srv.calls.Shutdown(ctx); err != nil {
-				d.log.Warn("Could not close a listener in time.", zap.String("listener", srv.name), zap.Error(err))
-			}
+			d.shutdownCalls(ctx, srv)
 		})
 	}
 	group.Wait()
@@ -419,6 +421,21 @@
 	}
 }
 
+// shutdownCalls waits for the calls of a listener. Those that have not ended in time
+// are answered as failed.
+func (d *Daemon) shutdownCalls(ctx context.Context, srv *server) {
+	err := srv.calls.Shutdown(ctx)
+	if err == nil {
+		return
+	}
+	d.log.Warn("Gave up calls at the end of the drain timeout.", zap.String("listener", srv.name), zap.Int("calls", srv.calls.InFlight()), zap.Error(err))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), giveUpTime)
+	defer cancel()
+	if err := srv.calls.GiveUp(ctx); err != nil {
+		d.log.Warn("Could not answer all calls that were given up.", zap.String("listener", srv.name), zap.Error(err))
+	}
+}
+
 func (d *Daemon) callsEndAt() time.Time {
 	if end := d.endsAt.Load(); end != nil {
 		return *end
