--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -13,7 +13,7 @@
 	ran := 0
 	m := newMesh(t)
 	m.routes[0].Target = time.Second
-	m.start(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	m.start(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		ran++
 		time.Sleep(run)
 	}))
