--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -67,7 +67,7 @@
 		address("metrics-address", "127.0.0.1:7406", anyIP, "Metrics, /healthz and /readyz, HTTP.", func(d *Daemon) *netip.AddrPort { return &d.MetricsAddress }),
 		{
 			Name: "peers", Unit: "IP:port,...", Range: published.String(), Repeated: true,
-			Help:  "Control addresses of first contacts. Without them, the contacts of the zone in the table are read.",
+			Help:  "Control addresses of first contacts. Without them, the records of the hosts of the zone in the table are read.",
 			apply: func(d *Daemon, s string) (err error) { d.Peers, err = parseEach(s, published.parse); return err },
 		},
 		{
