Let a far region ask across the link when it hears no confirmation

The far end notices after two probes of 5 s. Ruled out: the outage wait; the table had not failed before. The zones of the region that got no confirmation by mistake had hidden this, since they read the row all the time.

Change: the first three hosts of each zone far from the table send a fetch for a newer version over the link, to another host each time, after 1.3 waits without a confirmation.

TestRegionAsksAcrossLink failed before (2.1 s of 2).

--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -117,3 +117,25 @@
 		}
 	}
 }
+
+// Guards against a region that waits for seconds for a version when the host that
+// connects it has died and its reads of the table get no answer.
+func TestRegionAsksAcrossLink(t *testing.T) {
+	for seed := range uint64(3) {
+		n := newNetwork(t, 110+seed, 4, func(c *Config) { c.Watch = 700 * time.Millisecond })
+		n.run(60 * time.Second)
+		n.accept(n.nodes[0], false)
+		n.runUntilApplied(7 * time.Second)
+		n.cutTable = func(h host.Row) bool { return h.Region == "kaskazini" }
+		for _, nd := range n.nodes {
+			if nd.row.Region == "kaskazini" && nd.core.isRegionRoot() {
+				n.stop(nd)
+			}
+		}
+		n.run(100 * time.Millisecond)
+		n.accept(n.nodes[0], false)
+		if got, want := n.runUntilApplied(7*time.Second), 2*time.Second; got > want {
+			t.Errorf("seed %d: got the version everywhere after %v, want at most %v", seed, got, want)
+		}
+	}
+}
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -39,6 +39,12 @@
 	// gives it, before it reads the head row.
 	behindFor  = 500 * time.Millisecond
 	behindStep = 50 * time.Millisecond // for each rank
+	// quietFactor is the age of the last confirmation, in waits, from which on hosts far
+	// from the table ask another region, at linkAskInterval. linkAskers is their number
+	// in a zone, and that of the hosts that they ask in turn.
+	quietFactor     = 1.3
+	linkAskInterval = 400 * time.Millisecond
+	linkAskers      = 3
 	// nearTook is the time of a read of the table below which a host is near it.
 	nearTook = 12 * time.Millisecond
 )
@@ -58,12 +64,15 @@
 	passedOn    time.Time     // the last confirmation that was passed on
 	behindSince time.Time     // since when a newer version is known than is held; zero when none
 	took        time.Duration // shortest read; 0 before the first
+	linkAskedAt time.Time
+	linkAsks    int
 }
 
 // runReader reads the head row when this host is the reader, or when nobody has
 // confirmed it for too long.
 func (c *Core) runReader() {
 	r := &c.reader
+	c.askAcrossLink()
 	if r.waiting && c.now.Sub(r.askedAt) > r.askedWait+readAnswerTimeout {
 		c.readFailed(errReadTimeout)
 	}
@@ -85,6 +94,33 @@
 	c.readHead(c.watch())
 }
 
+// askAcrossLink asks another region for a newer version when nothing has confirmed the
+// head row for a while: the host that connects this region may be dead, and a read of
+// the table from here can take seconds. The first hosts of each zone ask, because a
+// dead root cuts its zone off as well, each another host in turn; without a newer
+// version they get no answer.
+func (c *Core) askAcrossLink() {
+	r, v := &c.reader, &c.versions
+	if c.self().NearTable || v.newest == 0 || c.now.Sub(r.linkAskedAt) < linkAskInterval {
+		return
+	}
+	rank := c.overlay.rank
+	quiet := time.Duration(quietFactor*float64(c.watch())) + time.Duration(rank)*rankStep
+	if rank < 0 || rank >= linkAskers || c.now.Sub(r.confirmedAt) < quiet {
+		return
+	}
+	r.linkAskedAt = c.now
+	for _, region := range c.overlay.otherRegions(c.config.Self.Region) {
+		candidates := c.overlay.linkCandidates(region)
+		if len(candidates) == 0 {
+			continue
+		}
+		to := candidates[r.linkAsks%min(len(candidates), linkAskers)].row.ControlAddr
+		c.send(to, message.Fetch{Number: v.newest + 1, Base: v.newest})
+	}
+	r.linkAsks++
+}
+
 // isBehind reports whether a newer version has been known for a while without
 // arriving. The time grows with the rank, so that a fleet that starts without any
 // version does not read it as often as it has hosts.
