--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -16,6 +16,7 @@
 	"github.com/peridotlb/peridotlb/internal/command/documenthistory"
 	"github.com/peridotlb/peridotlb/internal/command/documentshow"
 	"github.com/peridotlb/peridotlb/internal/command/documentsubmit"
+	"github.com/peridotlb/peridotlb/internal/command/explain"
 	"github.com/peridotlb/peridotlb/internal/command/keyscreate"
 	"github.com/peridotlb/peridotlb/internal/command/routelist"
 	"github.com/peridotlb/peridotlb/internal/command/sectionlist"
@@ -39,6 +40,7 @@
 		command.Group("server", "List backend servers.", serverlist.New(s)),
 		command.Group("route", "List routes.", routelist.New(s)),
 		timeline.New(s),
+		explain.New(s),
 		command.Group("keys", "Create certificates and keys.", keyscreate.New(s)),
 		version.New(s),
 		completion.New(s, func() *ffcli.Command { return New(s) }),
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -49,8 +49,11 @@
 		_, _ = fmt.Fprintln(out, "The settings are valid.")
 		return exitDone
 	}
-	log, dropped := newLog(s, errs)
-	defer func() { _ = log.Sync() }()
+	lines := newLogQueue(out)
+	defer lines.Close()
+	log, dropped := newLog(s, lines)
+	lines.dropped = dropped
+	log = log.With(zap.String("daemon", string(s.HostID)))
 	c := Config{Settings: s, Log: log, LinesDropped: dropped}
 	if s.Platform == settings.Store && adapt != nil {
 		c.Platform, c.Environment = adapt(s)
--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -77,13 +77,18 @@
 	if err != nil {
 		f := refusal(err)
 		g.meters.refused.inc(f.reason)
-		return answer{failure: f, load: g.config.Gate.Load(id), expect: g.config.Gate.Forecast(id)}
+		a := answer{failure: f, load: g.config.Gate.Load(id), expect: g.config.Gate.Forecast(id)}
+		g.log("Refused a call.", c, id, q, a)
+		return a
 	}
 	a := g.run(ctx, c, pass)
 	if a.failure != nil && a.failure.refused {
 		g.meters.refused.inc(a.failure.reason)
 	}
 	a.load, a.expect = pass.Load(), g.config.Gate.Forecast(id)
+	if a.failure != nil {
+		g.log("A call failed at its backend server.", c, id, q, a)
+	}
 	switch {
 	case a.reply != nil && a.reply.rest != nil:
 		a.reply.rest = &leavingBody{a.reply.rest, pass}
--- a/internal/proxy/log.go
+++ b/internal/proxy/log.go
@@ -54,3 +54,11 @@
 		zap.String("reason", res.failure.reason), zap.Bool("not-run", res.failure.notRun), zap.Int64("left-ms", x.left().Milliseconds()),
 		zap.Int64("after-ms", x.now().Sub(x.start).Milliseconds()), zap.Objects("attempts", x.steps), zap.Error(res.failure.err))
 }
+
+// log writes how a call ended at this gate without a response of its server.
+func (g *gateway) log(text string, c *call, id backend.ServerID, q gate.Call, a answer) {
+	g.config.Log.Info(text,
+		zap.String("call", c.id), zap.String("server", string(id)), zap.String("reason", a.failure.reason), zap.Bool("not-run", a.failure.notRun),
+		zap.Int("in-flight", a.load.InFlight), zap.Int("queued", a.load.Queued), zap.Int("slots", a.load.Slots), zap.Uint8("priority", q.Priority),
+		zap.Int64("max-wait-ms", q.MaxWait.Milliseconds()), zap.Int64("left-ms", c.deadline.Sub(g.config.Now()).Milliseconds()), zap.Error(a.failure.err))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -24,7 +24,7 @@
 	HeaderOutcome   = "Peridotlb-Outcome"
 	HeaderLoad      = "Peridotlb-Load" // <in-flight>/<slots>, and ;health=failing
 	HeaderServer    = "Peridotlb-Server"
-	HeaderQueue     = "Peridotlb-Queue" // <priority>,<ms until the target>,<longest wait in ms>
+	HeaderQueue     = "Peridotlb-Queue" // <priority>,<ms until the target>,<longest wait in ms>,<expected run in ms>
 	HeaderNoRetry   = "Peridotlb-No-Retry"
 	HeaderReplayed  = "Peridotlb-Replayed"
 	// HeaderForwarded marks a call that an entry without a version passes to the
