Sign the records of hosts

Ruled out: counting a host as alive only once it was heard, since after an outage of all daemons the records are what calls are routed by until then. Change: a record carries the signature of its host and the certificates that lead to the fleet's authority; others are passed over with a log line. Fleets without keys are as before. LoadTLS returns an Identity with the signer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -118,6 +118,7 @@
 	platform *meteredPlatform
 	link     *link.Link
 	nat      link.NAT
+	signer   *link.Signer
 	held     heldVersions
 	timeline *timeline.Ring
 	pool     *pool.Pool
@@ -190,23 +191,23 @@
 	if d.nat, err = parseNAT(s.NAT); err != nil {
 		return fmt.Errorf("setting nat: %w", err)
 	}
-	serverTLS, clientTLS, err := d.loadTLS()
+	identity, err := d.loadTLS()
 	if err != nil {
 		return fmt.Errorf("load keys: %w", err)
 	}
-	d.serverTLS = serverTLS
+	d.serverTLS, d.signer = identity.Server, identity.Signer
 	if err := message.Prepare(); err != nil {
 		return fmt.Errorf("prepare the encoder: %w", err)
 	}
 	d.loop = newLoop(d.parts, d.fleetConfig())
-	if err := d.openLink(ctx, serverTLS, clientTLS); err != nil {
+	if err := d.openLink(ctx, identity); err != nil {
 		return err
 	}
-	return d.openServers(ctx, set, clientTLS)
+	return d.openServers(ctx, set, identity.Client)
 }
 
 // loadTLS loads the keys of the settings. Without any, daemons trust the network.
-func (d *Daemon) loadTLS() (server, client *tls.Config, err error) {
+func (d *Daemon) loadTLS() (link.Identity, error) {
 	s := d.settings
 	if s.Open() {
 		d.log.Named("link").Warn("No keys are set: calls between daemons are not encrypted, and daemons do not verify each other.")
@@ -228,12 +229,12 @@
 	}
 }
 
-func (d *Daemon) openLink(ctx context.Context, serverTLS, clientTLS *tls.Config) error {
+func (d *Daemon) openLink(ctx context.Context, identity link.Identity) error {
 	s := d.settings
 	// The link outlives ctx, since a planned stop still tells the others; Run
 	// closes it.
 	l, err := link.Listen(context.WithoutCancel(ctx), link.Config{
-		Addr: s.ControlAddress, Server: serverTLS, Client: clientTLS, Open: s.Open(), NAT: d.nat,
+		Addr: s.ControlAddress, Server: identity.Server, Client: identity.Client, Open: s.Open(), NAT: d.nat,
 		Codec:   message.Codec{Held: d.heldVersion, Deltas: new(message.DeltaCache)},
 		Receive: d.loop.receive, Answer: d.answerQuery,
 		Stamp: d.timeline.Stamp, Observe: d.timeline.Observe,
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -74,7 +74,7 @@
 	if s.Open() {
 		return nil
 	}
-	_, _, err := link.LoadTLS(link.TLSConfig{CA: s.CAFile, Certificate: s.CertificateFile, Key: s.KeyFile})
+	_, err := link.LoadTLS(link.TLSConfig{CA: s.CAFile, Certificate: s.CertificateFile, Key: s.KeyFile})
 	return err
 }
 
--- a/internal/daemon/records.go
+++ b/internal/daemon/records.go
@@ -12,6 +12,7 @@
 	"github.com/peridotlb/peridotlb/internal/codec"
 	"github.com/peridotlb/peridotlb/internal/fleet"
 	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/link"
 	"github.com/peridotlb/peridotlb/internal/platform"
 )
 
@@ -30,14 +31,48 @@
 	return zonePrefix(h.Region, h.Zone) + platform.Key(h.ID)
 }
 
-// record is the value of a host's row.
+// record is what a host's row says.
 type record struct {
 	Host    host.Row         `cbor:"1,keyasint"`
 	Servers []backend.Server `cbor:"2,keyasint"`
 }
 
+// signedRecord is the value of a host's row: an encoded record with the signature
+// of its host, because the table can be written by others than the fleet's hosts.
+type signedRecord struct {
+	Record    []byte         `cbor:"1,keyasint"`
+	Signature link.Signature `cbor:"2,keyasint"`
+}
+
 var decodingRecord = codec.Strict(codec.Limits{Levels: 4})
 
+func encodeRecord(s *link.Signer, r fleet.Record) ([]byte, error) {
+	value, err := codec.Marshal(record{Host: r.Host, Servers: r.Servers})
+	if err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	signature, err := s.Sign(value)
+	if err != nil {
+		return nil, err
+	}
+	return codec.Marshal(signedRecord{Record: value, Signature: signature})
+}
+
+func decodeRecord(s *link.Signer, value []byte) (fleet.Record, error) {
+	var signed signedRecord
+	if err := decodingRecord.Unmarshal(value, &signed); err != nil {
+		return fleet.Record{}, fmt.Errorf("decode: %w", err)
+	}
+	if err := s.Check(signed.Record, signed.Signature); err != nil {
+		return fleet.Record{}, err
+	}
+	var v record
+	if err := decodingRecord.Unmarshal(signed.Record, &v); err != nil {
+		return fleet.Record{}, fmt.Errorf("decode: %w", err)
+	}
+	return fleet.Record{Host: v.Host, Servers: v.Servers}, nil
+}
+
 // ownRow is the row of this host in the table.
 type ownRow struct {
 	mu       sync.Mutex
@@ -64,13 +99,13 @@
 		if r.Key == own+platform.Key(l.settings.HostID) {
 			l.own.note(r.Revision)
 		}
-		var v record
-		if err := decodingRecord.Unmarshal(r.Value, &v); err != nil {
-			l.log.Warn("Passed over the record of a host that can't be read.", zap.String("row", string(r.Key)), zap.Error(err))
+		v, err := decodeRecord(l.signer, r.Value)
+		if err != nil {
+			l.log.Warn("Passed over the record of a host that can't be used.", zap.String("row", string(r.Key)), zap.Error(err))
 			continue
 		}
 		if other := v.Host.Zone != l.settings.AvailabilityZone; other == e.Others {
-			answer.Records = append(answer.Records, fleet.Record{Host: v.Host, Servers: v.Servers})
+			answer.Records = append(answer.Records, v)
 		}
 	}
 	if err == nil && !e.Others {
@@ -122,9 +157,9 @@
 }
 
 func (l *loop) writeRecord(ctx context.Context, r fleet.Record) error {
-	value, err := codec.Marshal(record{Host: r.Host, Servers: r.Servers})
+	value, err := encodeRecord(l.signer, r)
 	if err != nil {
-		return fmt.Errorf("encode: %w", err)
+		return err
 	}
 	key := recordKey(r.Host)
 	l.own.mu.Lock()
--- /dev/null
+++ b/internal/daemon/records_test.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/peridotlb/peridotlb/internal/fleet"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/link"
+	"github.com/peridotlb/peridotlb/internal/platform"
+)
+
+// signerOf returns the signer of a host whose keys an authority has issued.
+func signerOf(t *testing.T, ca link.Keys, id string) *link.Signer {
+	t.Helper()
+	var files link.TLSConfig
+	for _, flag := range keyFiles(t, ca, id) {
+		for prefix, file := range map[string]*string{"--ca-file=": &files.CA, "--certificate-file=": &files.Certificate, "--key-file=": &files.Key} {
+			if len(flag) > len(prefix) && flag[:len(prefix)] == prefix {
+				*file = flag[len(prefix):]
+			}
+		}
+	}
+	identity, err := link.LoadTLS(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return identity.Signer
+}
+
+// Guards against hosts that count as alive because somebody outside the fleet, who
+// can write to the table, has put their records there.
+func TestRecordOfStrangerIsPassedOver(t *testing.T) {
+	ca, table := newCA(t), platform.NewMemory()
+	for i, signer := range []*link.Signer{signerOf(t, ca, "friend-1"), signerOf(t, newCA(t), "stranger-1")} {
+		id := []host.ID{"friend-1", "stranger-1"}[i]
+		row := host.Row{ID: id, Zone: "pwani-a", Region: "pwani", ControlAddr: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 9+i))}
+		value, err := encodeRecord(signer, fleet.Record{Host: row})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := table.Commit(t.Context(), platform.Write{Key: recordKey(row), Value: value}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d := start(t, table, flags(t, ca, "pwani-a-1", "pwani-a"))
+	t.Cleanup(d.stop)
+	known := func(id host.ID) (found bool) {
+		err := d.loop.view(t.Context(), func(c *fleet.Core) {
+			for _, h := range c.Hosts() {
+				found = found || h.ID == id
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return found
+	}
+	eventually(t, promise, "the host with keys of the fleet is known", func() bool { return known("friend-1") })
+	if known("stranger-1") {
+		t.Error("got the host with foreign keys among the hosts, want it passed over")
+	}
+}
+
+// Guards against records that are read as others than were written.
+func TestDecodeRecord(t *testing.T) {
+	signer := signerOf(t, newCA(t), "pwani-a-1")
+	want := fleet.Record{Host: host.Row{ID: "pwani-a-1", Zone: "pwani-a", Region: "pwani", ControlAddr: netip.MustParseAddrPort("127.0.0.1:9"), GateAddr: netip.MustParseAddrPort("127.0.0.1:10")}}
+	value, err := encodeRecord(signer, want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeRecord(signer, value)
+	if err != nil || got.Host != want.Host {
+		t.Errorf("got %+v (%v), want %+v", got, err, want)
+	}
+	if _, err := decodeRecord(signer, value[:len(value)-1]); err == nil {
+		t.Error("a record that is cut short: got no error")
+	}
+	unsigned, err := encodeRecord(nil, want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decodeRecord(signer, unsigned); !errors.Is(err, link.ErrUnsigned) {
+		t.Errorf("record without a signature: got error %v, want %v", err, link.ErrUnsigned)
+	}
+}
--- a/internal/link/fixture_test.go
+++ b/internal/link/fixture_test.go
@@ -76,14 +76,14 @@
 
 func (f fleet) listenTLS(files TLSConfig, change func(*Config)) node {
 	f.t.Helper()
-	server, client, err := LoadTLS(files)
+	identity, err := LoadTLS(files)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	core, logs := observer.New(zapcore.DebugLevel)
 	n := node{received: make(chan received, 1024), logs: logs}
 	config := Config{
-		Addr: netip.MustParseAddrPort("127.0.0.1:0"), Server: server, Client: client, Log: zap.New(core),
+		Addr: netip.MustParseAddrPort("127.0.0.1:0"), Server: identity.Server, Client: identity.Client, Log: zap.New(core),
 		Receive: func(from netip.AddrPort, m message.Message) { n.received <- received{from, m} },
 	}
 	if change != nil {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -78,13 +78,13 @@
 			g := fleet{t, f.ca}
 			good := g.listen(g.host(), nil)
 			files := fleet{t, c.signer.ca}.files(c.signer.host())
-			server, client, err := LoadTLS(files)
+			identity, err := LoadTLS(files)
 			if err != nil {
 				t.Fatal(err)
 			}
 			presented := f.pair(c.keys)
-			present(server, client, presented)
-			bad := fleet{t, c.signer.ca}.listen(c.signer.host(), func(config *Config) { config.Server, config.Client = server, client })
+			present(identity, presented)
+			bad := fleet{t, c.signer.ca}.listen(c.signer.host(), func(config *Config) { config.Server, config.Client = identity.Server, identity.Client })
 
 			ctx := t.Context()
 			if _, err := good.Ask(ctx, bad.Addr(), nil); err == nil || !strings.Contains(err.Error(), c.want) {
--- a/internal/link/open.go
+++ b/internal/link/open.go
@@ -10,25 +10,25 @@
 // openValid is the validity of a certificate that nobody verifies.
 const openValid = 10 * 365 * 24 * time.Hour
 
-// OpenTLS returns configurations for a fleet without keys: connections are
+// OpenTLS returns the identity in a fleet without keys: connections are
 // encrypted with a certificate made for this process, and no daemon verifies
 // another. It is for networks that only the fleet's hosts can reach.
-func OpenTLS() (server, client *tls.Config, err error) {
+func OpenTLS() (Identity, error) {
 	keys, err := NewCA(PeerName, time.Now().Add(-openValid/2), openValid)
 	if err != nil {
-		return nil, nil, fmt.Errorf("create certificate: %w", err)
+		return Identity{}, fmt.Errorf("create certificate: %w", err)
 	}
 	certificate, err := tls.X509KeyPair(keys.Certificate, keys.Key)
 	if err != nil {
-		return nil, nil, fmt.Errorf("load certificate: %w", err)
+		return Identity{}, fmt.Errorf("load certificate: %w", err)
 	}
-	server = &tls.Config{
+	server := &tls.Config{
 		MinVersion:       tls.VersionTLS13,
 		VerifyConnection: func(tls.ConnectionState) error { return nil },
 		GetCertificate:   func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &certificate, nil },
 	}
-	client = &tls.Config{MinVersion: tls.VersionTLS13, ServerName: PeerName, InsecureSkipVerify: true}
-	return server, client, nil
+	client := &tls.Config{MinVersion: tls.VersionTLS13, ServerName: PeerName, InsecureSkipVerify: true}
+	return Identity{Server: server, Client: client}, nil
 }
 
 // openResetKey is the secret from which a fleet without keys derives stateless
--- a/internal/link/time_test.go
+++ b/internal/link/time_test.go
@@ -159,17 +159,17 @@
 func TestRefusedCertificate(t *testing.T) { // guards against a handshake for every message to a peer that refuses this host
 	inBubble(t, func(t *testing.T, f fleet, m *memoryNet, a, _ node) {
 		foreign := fleet{t, newFleet(t).ca}
-		server, client, err := LoadTLS(foreign.files(foreign.host()))
+		identity, err := LoadTLS(foreign.files(foreign.host()))
 		if err != nil {
 			t.Fatal(err)
 		}
 		// It accepts the fleet's certificates, so that only its own is refused.
-		_, trusting, err := LoadTLS(f.files(f.host()))
+		trusting, err := LoadTLS(f.files(f.host()))
 		if err != nil {
 			t.Fatal(err)
 		}
-		client.VerifyConnection = trusting.VerifyConnection
-		bad := foreign.listen(foreign.host(), func(c *Config) { c.open, c.Server, c.Client = m.open, server, client })
+		identity.Client.VerifyConnection = trusting.Client.VerifyConnection
+		bad := foreign.listen(foreign.host(), func(c *Config) { c.open, c.Server, c.Client = m.open, identity.Server, identity.Client })
 		defer func() { _ = bad.Close() }()
 		p := bad.peer(a.Addr())
 		for failures := 1; failures < 8; failures++ {
--- a/internal/link/tls.go
+++ b/internal/link/tls.go
@@ -27,12 +27,18 @@
 	Log *zap.Logger
 }
 
-// LoadTLS reads the files and returns configurations for accepting and for
-// making connections. Both require TLS 1.3 and a certificate of the fleet's
-// authority with the name PeerName from the peer. Changed files are loaded
-// during later handshakes, at most every 10 s; when that fails, the previous
+// Identity is what a daemon proves itself with and checks others by.
+type Identity struct {
+	// Server and Client are for accepting and for making connections.
+	Server, Client *tls.Config
+	Signer         *Signer // nil in a fleet without keys
+}
+
+// LoadTLS reads the files. Connections require TLS 1.3 and a certificate of the
+// fleet's authority with the name PeerName from the peer. Changed files are loaded
+// when they are used later, at most every 10 s; when that fails, the previous
 // content stays in use. Errors name the file and the fault.
-func LoadTLS(config TLSConfig) (server, client *tls.Config, err error) {
+func LoadTLS(config TLSConfig) (Identity, error) {
 	if config.Now == nil {
 		config.Now = time.Now
 	}
@@ -40,11 +46,12 @@
 		config.Log = zap.NewNop()
 	}
 	s := &tlsStore{config: config}
+	var err error
 	if s.current, err = config.load(); err != nil {
-		return nil, nil, err
+		return Identity{}, err
 	}
 	s.checked = config.Now()
-	server = &tls.Config{
+	server := &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		Time:       config.Now,
 		// The chain is checked in VerifyConnection, where reloaded authorities
@@ -53,7 +60,7 @@
 		VerifyConnection: s.verify(x509.ExtKeyUsageClientAuth),
 		GetCertificate:   func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.get().certificate, nil },
 	}
-	client = &tls.Config{
+	client := &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		Time:       config.Now,
 		ServerName: PeerName,
@@ -64,7 +71,7 @@
 			return s.get().certificate, nil
 		},
 	}
-	return server, client, nil
+	return Identity{Server: server, Client: client, Signer: &Signer{s}}, nil
 }
 
 // tlsFiles is the parsed content of the files and what they looked like.
@@ -121,23 +128,28 @@
 		if len(state.PeerCertificates) == 0 {
 			return errors.New("peer presented no certificate")
 		}
-		intermediates := x509.NewCertPool()
-		for _, c := range state.PeerCertificates[1:] {
-			intermediates.AddCert(c)
-		}
-		leaf := state.PeerCertificates[0]
-		_, err := leaf.Verify(x509.VerifyOptions{
-			DNSName:       PeerName,
-			Roots:         s.get().pool,
-			Intermediates: intermediates,
-			CurrentTime:   s.config.Now(),
-			KeyUsages:     []x509.ExtKeyUsage{usage},
-		})
-		if err != nil {
-			return fmt.Errorf("certificate of %q refused: %w", leaf.Subject.CommonName, err)
-		}
-		return nil
+		return s.verifyChain(state.PeerCertificates, usage)
+	}
+}
+
+// verifyChain checks a certificate of a host, which comes first, and those that
+// lead to the authority.
+func (s *tlsStore) verifyChain(chain []*x509.Certificate, usage x509.ExtKeyUsage) error {
+	intermediates := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		intermediates.AddCert(c)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		DNSName:       PeerName,
+		Roots:         s.get().pool,
+		Intermediates: intermediates,
+		CurrentTime:   s.config.Now(),
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	if err != nil {
+		return fmt.Errorf("certificate of %q refused: %w", chain[0].Subject.CommonName, err)
 	}
+	return nil
 }
 
 func (c TLSConfig) stamps() (stamps [3]fileStamp, err error) {
--- a/internal/link/tls_test.go
+++ b/internal/link/tls_test.go
@@ -29,9 +29,9 @@
 }
 
 // present replaces the certificate of loaded configurations.
-func present(server, client *tls.Config, c *tls.Certificate) {
-	server.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c, nil }
-	client.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return c, nil }
+func present(i Identity, c *tls.Certificate) {
+	i.Server.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c, nil }
+	i.Client.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return c, nil }
 }
 
 func TestLoadTLSErrors(t *testing.T) { // guards against faults without a file name
@@ -55,7 +55,7 @@
 			if c.change != nil {
 				c.change(&files)
 			}
-			_, _, err := LoadTLS(files)
+			_, err := LoadTLS(files)
 			for _, want := range c.want {
 				if err == nil || !strings.Contains(err.Error(), want) {
 					t.Errorf("got error %v, want %q in it", err, want)
@@ -70,12 +70,12 @@
 	files := f.files(f.host())
 	now := time.Now()
 	files.Now = func() time.Time { return now }
-	server, _, err := LoadTLS(files)
+	identity, err := LoadTLS(files)
 	if err != nil {
 		t.Fatal(err)
 	}
 	serial := func() string {
-		c, err := server.GetCertificate(nil)
+		c, err := identity.Server.GetCertificate(nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/test/relay/relay/relay_test.go
+++ b/test/relay/relay/relay_test.go
@@ -302,7 +302,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server, client, err := link.LoadTLS(files)
+		identity, err := link.LoadTLS(files)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -312,7 +312,7 @@
 		}
 		in := make(chan received, 10)
 		l, err := link.Listen(context.Background(), link.Config{
-			Addr: addr, Server: server, Client: client, NAT: nat,
+			Addr: addr, Server: identity.Server, Client: identity.Client, NAT: nat,
 			Remote:  func(p netip.Addr) bool { return p.As4()[1] != zone },
 			Receive: func(from netip.AddrPort, m message.Message) { in <- received{from, m} },
 		})
