Deliver responses without a length

Cause: the gate refused a response that has neither a length nor chunks, because a cut could not be noticed; on the prepared platform such a response ends with its connection and a broken one with a reset. Ruled out: taking it in the product's own interface as well, where a server that dies may end the connection in the same way. Change: the dialect says whether a response may end with its connection. TestUnframedResponse failed before (502 in place of the body).

--- a/internal/proxy/broken_test.go
+++ b/internal/proxy/broken_test.go
@@ -173,6 +173,39 @@
 	}
 }
 
+// Guards against a ready response that is not delivered because it has no length,
+// and against one that broke off and is taken for complete.
+func TestUnframedResponse(t *testing.T) {
+	for _, size := range []int{20, 3 * bufferLimit} {
+		for _, local := range []bool{false, true} {
+			body := strings.Repeat("b", size)
+			var reset atomic.Bool
+			m := newMesh(t)
+			m.routes[0].Retries, m.local, m.dialect.Unframed = 0, local, true
+			addr := rawServer(t, func(_ int64, r *http.Request, conn net.Conn) bool {
+				text := "HTTP/1.1 200 OK\r\n" + HeaderCallID + ": " + r.Header.Get(HeaderCallID) + "\r\n\r\n" + body
+				if reset.Load() {
+					_, _ = io.WriteString(conn, text[:len(text)-1])
+					// The reset would overtake what the peer has not read yet.
+					time.Sleep(50 * time.Millisecond)
+					_ = conn.(*net.TCPConn).SetLinger(0)
+					return false
+				}
+				_, _ = io.WriteString(conn, text)
+				return false
+			})
+			m.startRows([]backend.Server{{ID: "stock-0", Service: "stock", Host: "host-0", Addr: addr, State: backend.Ready, Stamp: host.Stamp{Sequence: 1}}}, nil)
+			if got := m.do("GET", "/stock", ""); got.StatusCode != 200 || got.err != nil || got.body != body {
+				t.Errorf("%d bytes, local %v: got %d, %d bytes, error %v, want the whole body", size, local, got.StatusCode, len(got.body), got.err)
+			}
+			reset.Store(true)
+			if got := m.do("GET", "/stock", ""); got.StatusCode != 502 && got.err == nil {
+				t.Errorf("%d bytes, local %v, reset: got %d, %d bytes, want 502 or an error", size, local, got.StatusCode, len(got.body))
+			}
+		}
+	}
+}
+
 // Guards against a response that belongs to another call, when a gate or a
 // server sends late responses before the one that is due, and against losing
 // the one that is due. Too many late ones end the call as unknown.
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -17,6 +17,10 @@
 	NotRun    string // in a response of a server: it did not run the call
 	Server    string // id of the server that may run the call
 	Caller    string // service of the host at which the call began
+	// Unframed says that a response of a server may have no length and end with its
+	// connection, and that one which breaks off ends with a reset. In the product's
+	// own interface such a response is refused, since a cut could not be noticed.
+	Unframed bool
 }
 
 // callID returns the id that the caller gave its attempt, or nothing.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -246,7 +246,7 @@
 	reason := h.Get(HeaderReason)
 	us, _ := strconv.ParseInt(h.Get(HeaderServerUS), 10, 64) // 0 when absent
 	a.server = time.Duration(us) * time.Microsecond
-	reply, err := readReply(s.response, x.call.method)
+	reply, err := readReply(s.response, x.call.method, false)
 	switch {
 	case reason != "":
 		a.failure = gateFailure(reason, h)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -108,7 +108,7 @@
 	}
 	h := s.response.Header
 	reason := h.Get(HeaderReason)
-	reply, err := readReply(s.response, x.call.method)
+	reply, err := readReply(s.response, x.call.method, false)
 	switch {
 	case reason == reasonNoVersion:
 		reply.close()
--- a/internal/proxy/gateway.go
+++ b/internal/proxy/gateway.go
@@ -145,7 +145,7 @@
 		return answer{failure: sendFailure(ctx, s, reasonDial, "server-broke")}
 	}
 	shed := g.config.Dialect.sheds(s.response)
-	reply, err := readReply(s.response, c.method)
+	reply, err := readReply(s.response, c.method, g.config.Dialect.Unframed)
 	if shed {
 		reply.close()
 		return answer{failure: &failure{reason: reasonServerRefused, notRun: true, refused: true}}
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -25,27 +25,28 @@
 }
 
 // readReply buffers the start of a response. It closes the response on an
-// error and when the whole body is buffered.
-func readReply(resp *http.Response, method string) (*reply, error) {
+// error and when the whole body is buffered. With unframed, a response may end
+// with its connection.
+func readReply(resp *http.Response, method string, unframed bool) (*reply, error) {
 	r := &reply{
 		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, trailer: &resp.Trailer,
 		hasBody: method != http.MethodHead && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified,
 	}
 	stripHopByHop(r.header)
-	err := r.fill(resp)
+	err := r.fill(resp, unframed)
 	if err != nil || r.rest == nil {
 		_ = resp.Body.Close()
 	}
 	return r, err
 }
 
-func (r *reply) fill(resp *http.Response) error {
+func (r *reply) fill(resp *http.Response, unframed bool) error {
 	switch {
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return errUpgrade
 	case !r.hasBody:
 		return nil
-	case r.length < 0 && len(resp.TransferEncoding) == 0:
+	case r.length < 0 && len(resp.TransferEncoding) == 0 && !unframed:
 		return errNoLength
 	}
 	head, whole, err := readHead(resp.Body, r.length)
