Let a reader that the table does not answer give up its role

The reader was cut off from the store for 7 s and stayed the reader: the other hosts waited 1.6 waits for it after each of their own reads, then all read at once, and each read took 0.5 to 1.7 s. From 12.7 to 15.6 s no host had a new version. Ruled out: messages between the hosts (a version reached all of them 0.1 to 0.4 s after the first). Change: a reader that hears a confirmation from a time at which its own read was overdue or had failed says that it is not near the table any more, so that the next host reads, and tries again after 30 s. TestCutReaderGivesUpItsRole failed before.

--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -217,6 +217,7 @@
 	"host-dead":          "Declared a host dead.",
 	"host-replaced":      "Declared a host dead whose address another host has.",
 	"host-refuted":       "Refuted a report about this host.",
+	"reading-yielded":    "Gave up reading the head row for others, since the table answers them and not this host.",
 	"record-not-written": "Could not write the record of this host.",
 	"unreachable":        "Lost contact with a zone or region.",
 	"server-starting":    "A backend server of this host is starting.",
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -30,6 +30,7 @@
 	head      version.Snapshot
 	tableDown bool
 	cutTable  func(host.Row) bool // hosts that cannot reach the table
+	silence   time.Duration       // after which a call without an answer is given up
 	wholeHead bool                // a read of the head row gives the version whole
 	hold      func(Send) bool     // messages that the link between regions holds up
 	loss      float64
@@ -230,7 +231,7 @@
 // readHead answers a read at once, when the head row changes, or at a time.
 func (n *network) readHead(nd *node, e ReadHead, until time.Time) {
 	if n.tableDown || n.cutTable(nd.row) {
-		n.schedule(nd, n.tableTook(nd), HeadRead{Read: e.Read, Err: errTableDown})
+		n.schedule(nd, n.silence+n.tableTook(nd), HeadRead{Read: e.Read, Err: errTableDown})
 		return
 	}
 	if e.Wait > 0 && n.now.Before(until) && n.head.Number() <= nd.seen {
@@ -299,6 +300,19 @@
 // accept commits the next version and tells the accepting daemon, which may
 // crash right after the commit.
 func (n *network) accept(nd *node, crash bool) version.Number {
+	n.t.Helper()
+	n.commit()
+	if crash {
+		n.stop(nd)
+	} else {
+		n.schedule(nd, 0, VersionAccepted{Snapshot: n.head})
+	}
+	return n.head.Number()
+}
+
+// commit puts the next version into the head row, as an operator does who calls
+// no daemon.
+func (n *network) commit() {
 	n.t.Helper()
 	number := n.head.Number() + 1
 	doc := document.Document{Sections: []document.Section{
@@ -311,12 +325,6 @@
 		n.t.Fatalf("make version %d: %v", number, err)
 	}
 	n.head = s
-	if crash {
-		n.stop(nd)
-	} else {
-		n.schedule(nd, 0, VersionAccepted{Snapshot: s})
-	}
-	return number
 }
 
 // wantApplied fails unless every running host applied the head.
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/version"
 )
 
 // outageCalls is the most calls to the table in a second by some hosts: the share
@@ -74,6 +75,48 @@
 	}
 }
 
+// Guards against versions that come late, again and again, while the host that
+// reads the head row for all others is cut off from the table.
+func TestCutReaderGivesUpItsRole(t *testing.T) {
+	for seed := range uint64(5) {
+		n := newNetwork(t, 120+seed, 3, func(c *Config) { c.Watch = 700 * time.Millisecond })
+		n.wholeHead = true
+		n.run(30 * time.Second)
+		n.silence = 1500 * time.Millisecond
+		var reader *node
+		for _, nd := range n.nodes {
+			if nd.core.readerRank() == 0 {
+				reader = nd
+			}
+		}
+		n.cutTable = func(h host.Row) bool { return h.ID == reader.row.ID }
+		committed := make(map[version.Number]time.Time)
+		before := n.calls
+		const cut = 10 * time.Second
+		for start := n.now; n.now.Sub(start) < cut; {
+			if len(committed) == 0 || n.now.Sub(committed[n.head.Number()]) >= 300*time.Millisecond {
+				n.commit()
+				committed[n.head.Number()] = n.now
+			}
+			n.run(20 * time.Millisecond)
+			// The others notice in the first seconds that they have no reader.
+			limit := 2 * time.Second
+			if n.now.Sub(start) > 4*time.Second {
+				limit = changeSpacing + 500*time.Millisecond
+			}
+			for _, nd := range n.nodes {
+				if at, ok := committed[nd.current+1]; ok && n.now.Sub(at) > limit {
+					t.Fatalf("seed %d: %s has version %d %v after the next one was accepted, want at most %v", seed, nd.row.ID, nd.current, n.now.Sub(at), limit)
+				}
+			}
+		}
+		// The new reader makes one call for each change, at most one in 0.4 s.
+		if got, want := n.calls-before, int(cut/changeSpacing)+outageCalls(len(n.nodes)); got > want {
+			t.Errorf("seed %d: got %d calls, want at most %d", seed, got, want)
+		}
+	}
+}
+
 // Guards against a region that waits for a version which is held up on the link,
 // although its hosts know of it and reach the table.
 func TestRegionReadsVersionHeldUpOnLink(t *testing.T) {
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -47,6 +47,11 @@
 	linkAskers      = 3
 	// nearTook is the time of a read of the table below which a host is near it.
 	nearTook = 12 * time.Millisecond
+	// overdueAfter is how much longer than asked a read may take before the reader
+	// gives up its role to a host that the table answers. It tries again after
+	// yieldTime.
+	overdueAfter = 400 * time.Millisecond
+	yieldTime    = 30 * time.Second
 )
 
 // readerState is the watch on the head row.
@@ -66,6 +71,7 @@
 	took        time.Duration // shortest read; 0 before the first
 	linkAskedAt time.Time
 	linkAsks    int
+	yieldedAt   time.Time // when this host gave up the role of the reader; zero when it has not
 }
 
 // runReader reads the head row when this host is the reader, or when nobody has
@@ -80,6 +86,11 @@
 		return
 	}
 	rank := c.readerRank()
+	if !r.yieldedAt.IsZero() && c.now.Sub(r.yieldedAt) >= yieldTime {
+		r.yieldedAt = c.now
+		c.readHead(0)
+		return
+	}
 	if rank > 0 && c.now.Sub(r.confirmedAt) < c.staleAfter(rank) {
 		if c.isBehind(rank) {
 			c.readHead(0)
@@ -190,14 +201,38 @@
 		return
 	}
 	r.took = took
+	if took < nearTook {
+		c.setNear(true)
+	}
+}
+
+// setNear publishes whether this host is near the table.
+func (c *Core) setNear(near bool) {
 	own := c.self()
-	if near := took < nearTook; near && !own.NearTable && own.State != host.Left {
-		own.NearTable = true
-		own.Stamp = c.nextStamp()
-		c.config.Self.NearTable = true
-		c.hosts.put(own, c.now)
-		c.news.addHost(own.ID, noPeer)
+	if own.NearTable == near || own.State == host.Left {
+		return
+	}
+	own.NearTable = near
+	own.Stamp = c.nextStamp()
+	c.config.Self.NearTable = near
+	c.hosts.put(own, c.now)
+	c.news.addHost(own.ID, noPeer)
+}
+
+// yieldReading gives up the role of the reader when the table has answered another
+// host at a time at which this one was without an answer. Without it, the others
+// would wait for this host again after each of their reads.
+func (c *Core) yieldReading(answered time.Time) {
+	r := &c.reader
+	due := r.askedAt.Add(r.askedWait)
+	overdue := r.waiting && c.now.Sub(due) > overdueAfter && answered.After(due)
+	failed := !c.outage.failedAt.IsZero() && answered.After(c.outage.failedAt)
+	if !overdue && !failed || !c.self().NearTable || c.readerRank() > 0 {
+		return
 	}
+	r.took, r.yieldedAt = 0, c.now
+	c.setNear(false)
+	c.note(Note{Kind: "reading-yielded", Host: c.config.Self.ID})
 }
 
 func (c *Core) headRead(e HeadRead) {
@@ -211,7 +246,7 @@
 	if e.Took > 0 && r.askedWait == 0 {
 		c.noteTook(e.Took)
 	}
-	r.failed = false
+	r.failed, r.yieldedAt = false, time.Time{}
 	r.nextAt = c.now
 	n := e.Manifest.Number
 	if n > c.versions.known {
@@ -296,6 +331,7 @@
 	if at.After(c.config.Started.Add(floorMargin)) {
 		c.settle(m.Number)
 	}
+	c.yieldReading(at)
 	if at.After(c.reader.confirmedAt) {
 		c.confirm(at, m.Number, from)
 	}
