Count a confirmation from the beginning of its read

Change: a confirmation counts from the beginning of its read, or from the end of a wait that brought nothing. The reader waits shorter after a read that brought a change, so that confirmations are at most 1.4 waits apart. Result: TestConfirmationIsAsOldAsItsRead failed before (0 s old, want 1.55 s).

--- a/internal/fleet/floors.go
+++ b/internal/fleet/floors.go
@@ -41,6 +41,10 @@
 	c.beginCall()
 	r := &c.reader
 	r.waiting, r.askedAt, r.askedWait = true, c.now, wait
+	if r.began == nil {
+		r.began = make(map[uint64]beganRead)
+	}
+	r.began[c.floors.reads] = beganRead{at: c.now, wait: wait}
 	c.emit(ReadHead{Read: c.floors.reads, Wait: wait})
 }
 
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -117,6 +117,33 @@
 	}
 }
 
+// Guards against a slow read that passes for news of the moment at which it ends:
+// the others would wait on although the head row has changed since.
+func TestConfirmationIsAsOldAsItsRead(t *testing.T) {
+	n := newNetwork(t, 130, 3, nil)
+	n.run(30 * time.Second)
+	core := n.nodes[0].core
+	core.readHead(0)
+	read, began := core.floors.reads, core.now
+	core.readHead(0) // for other hosts; its answer comes later
+	n.now = n.now.Add(1500 * time.Millisecond)
+	core.reader.passedOn = time.Time{}
+	sent := 0
+	for _, e := range core.Step(n.now, HeadRead{Read: read, Manifest: n.head.Manifest()}) {
+		if s, ok := e.(Send); ok {
+			if m, ok := s.Message.(message.Confirm); ok {
+				sent++
+				if got, want := time.Duration(m.AgeMS)*time.Millisecond, n.now.Sub(began).Truncate(time.Millisecond); got < want {
+					t.Errorf("got a confirmation %v old, want %v", got, want)
+				}
+			}
+		}
+	}
+	if sent == 0 {
+		t.Error("got no confirmation")
+	}
+}
+
 // Guards against a region that waits for a version which is held up on the link,
 // although its hosts know of it and reach the table.
 func TestRegionReadsVersionHeldUpOnLink(t *testing.T) {
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -17,6 +17,9 @@
 	// staleFactor is the age of the last confirmed head row, in waits, from which
 	// on other hosts than the reader read it.
 	staleFactor = 1.6
+	// confirmFactor is the greatest age of a confirmation, in waits, at the time of
+	// the next one. What is left until staleFactor is for the way to the others.
+	confirmFactor = 1.4
 	// rankStep puts the reads of hosts off by their rank, so that the first one
 	// confirms the head row for the others, up to maxRankDelay.
 	rankStep     = 120 * time.Millisecond
@@ -60,8 +63,9 @@
 	askedAt     time.Time
 	askedWait   time.Duration
 	waiting     bool
-	failed      bool           // the last read failed
-	seen        version.Number // newer version in the head row
+	began       map[uint64]beganRead // reads without an answer, by their number
+	failed      bool                 // the last read failed
+	seen        version.Number       // newer version in the head row
 	seenAt      time.Time
 	loading     version.Number
 	loadingAt   time.Time
@@ -74,6 +78,25 @@
 	yieldedAt   time.Time // when this host gave up the role of the reader; zero when it has not
 }
 
+// beganRead is a read of the head row in progress.
+type beganRead struct {
+	at   time.Time
+	wait time.Duration
+}
+
+// asOf is the time at which the head row was as the answer says, at least. A read
+// that has waited in vain was answered at the end of its wait.
+func (b beganRead) asOf(now time.Time, changed bool) time.Time {
+	at := b.at
+	if !changed {
+		at = at.Add(b.wait)
+	}
+	if at.After(now) {
+		return now
+	}
+	return at
+}
+
 // runReader reads the head row when this host is the reader, or when nobody has
 // confirmed it for too long.
 func (c *Core) runReader() {
@@ -102,7 +125,14 @@
 		c.readHead(0)
 		return
 	}
-	c.readHead(c.watch())
+	c.readHead(c.nextWait())
+}
+
+// nextWait is the wait of the reader's next read. It is shorter after a read that
+// brought a change, whose confirmation counts from its beginning.
+func (c *Core) nextWait() time.Duration {
+	due := c.reader.confirmedAt.Add(time.Duration(confirmFactor * float64(c.watch())))
+	return min(max(due.Sub(c.now), 0), c.watch())
 }
 
 // askAcrossLink asks another region for a newer version when nothing has confirmed the
@@ -237,6 +267,8 @@
 
 func (c *Core) headRead(e HeadRead) {
 	r := &c.reader
+	began := r.began[e.Read]
+	delete(r.began, e.Read)
 	if e.Err != nil {
 		c.readFailed(e.Err)
 		return
@@ -249,6 +281,7 @@
 	r.failed, r.yieldedAt = false, time.Time{}
 	r.nextAt = c.now
 	n := e.Manifest.Number
+	asOf := began.asOf(c.now, n > c.versions.known)
 	if n > c.versions.known {
 		r.nextAt = c.now.Add(changeSpacing)
 	}
@@ -256,7 +289,7 @@
 	c.versions.known = max(c.versions.known, n)
 	c.settle(n)
 	c.answerFloors(e.Read, n)
-	c.confirm(c.now, n, noPeer)
+	c.confirm(asOf, n, noPeer)
 	if n <= c.versions.newest {
 		return
 	}
