Let reads of the head row ask for what changed since the last confirmation

Cause: the store's feed returns every state of the operator's row after a position, and each host kept the position of its own last read. Ruled out: reading the row each time (60 KB over the region link also when nothing has changed). Change: confirmations carry the position up to which the row is known, a read asks for later changes only, and for the row itself when the host lacks the version of that position. TestReadsAskForLaterChanges failed before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,10 +92,11 @@
 
 // Versions is a source of versions that are accepted elsewhere.
 type Versions interface {
-	// Newest returns the newest version, or version zero when there is none. When
-	// there is none newer than that of the last call, it waits for one. An
-	// UnreadableError goes with the newest version that can be read.
-	Newest(ctx context.Context, wait time.Duration) (version.Snapshot, error)
+	// Newest returns the newest version after a position, with the position up to
+	// which there is no other. Position zero asks for the newest of all. Version zero
+	// means that there is none, after a wait for one. An UnreadableError goes with
+	// the newest version that can be read.
+	Newest(ctx context.Context, after version.Position, wait time.Duration) (version.Snapshot, version.Position, error)
 }
 
 // UnreadableError says that a source of versions has answered with one that can't
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -154,14 +154,14 @@
 	defer cancel()
 	if v := l.environment.Versions; v != nil {
 		start := time.Now()
-		s, err := v.Newest(limit, e.Wait)
+		s, position, err := v.Newest(limit, e.After, e.Wait)
 		var unreadable *UnreadableError
 		if errors.As(err, &unreadable) {
 			l.log.Error("Passed over a version that can't be read; the last one stays in force.", zap.Error(err))
 			err = nil
 		}
 		l.platform.tableDone(err)
-		answer := fleet.HeadRead{Read: e.Read, Manifest: s.Manifest(), Snapshot: s, Err: err}
+		answer := fleet.HeadRead{Read: e.Read, Manifest: s.Manifest(), Snapshot: s, Position: position, Err: err}
 		if e.Wait == 0 {
 			answer.Took = time.Since(start)
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,13 +37,15 @@
 type VersionAccepted struct{ Snapshot version.Snapshot }
 
 // HeadRead is the answer to ReadHead. Err is not nil when the table did not
-// answer; Number zero means that there is no version yet.
+// answer; Number zero means that there is no version yet, or none after the
+// position that was asked for.
 type HeadRead struct {
 	Read     uint64 // of ReadHead
 	Manifest version.Manifest
 	// Snapshot is the version of the manifest when the read gave it whole.
 	Snapshot version.Snapshot
-	Took     time.Duration // of the read, without its wait for a change
+	Position version.Position // up to which the changes are known
+	Took     time.Duration    // of the read, without its wait for a change
 	Err      error
 }
 
@@ -93,8 +95,9 @@
 // ReadHead asks for the head row; HeadRead answers with the number of the read.
 // With a wait, the answer comes when the head row changes, or after the wait.
 type ReadHead struct {
-	Read uint64
-	Wait time.Duration
+	Read  uint64
+	Wait  time.Duration
+	After version.Position // only later changes are asked for; zero asks for the row
 }
 
 // LoadVersion asks for the version of a manifest from the object store;
--- a/internal/fleet/floors.go
+++ b/internal/fleet/floors.go
@@ -44,8 +44,9 @@
 	if r.began == nil {
 		r.began = make(map[uint64]beganRead)
 	}
-	r.began[c.floors.reads] = beganRead{at: c.now, wait: wait}
-	c.emit(ReadHead{Read: c.floors.reads, Wait: wait})
+	known := c.readAfter()
+	r.began[c.floors.reads] = beganRead{at: c.now, wait: wait, known: known}
+	c.emit(ReadHead{Read: c.floors.reads, Wait: wait, After: known.position})
 }
 
 // askFloor asks another host for the floor. The own read follows after floorWait
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -33,6 +33,7 @@
 	silence   time.Duration       // after which a call without an answer is given up
 	wholeHead bool                // a read of the head row gives the version whole
 	hold      func(Send) bool     // messages that the link between regions holds up
+	reading   func(ReadHead)      // sees all reads of the head row
 	loss      float64
 	duplicate float64
 	cut       func(a, b host.Row) bool
@@ -177,6 +178,9 @@
 	case ReadHead:
 		n.reads++
 		n.calls++
+		if n.reading != nil {
+			n.reading(e)
+		}
 		n.readHead(nd, e, n.now.Add(e.Wait))
 	case LoadVersion:
 		answer := VersionLoaded{Snapshot: n.head}
@@ -241,7 +245,10 @@
 	nd.seen = n.head.Number()
 	answer := HeadRead{Read: e.Read, Manifest: n.head.Manifest(), Took: n.tableTook(nd)}
 	if n.wholeHead {
-		answer.Snapshot = n.head
+		answer = HeadRead{Read: e.Read, Position: version.Position(n.head.Number()), Took: n.tableTook(nd)}
+		if answer.Position > e.After {
+			answer.Manifest, answer.Snapshot = n.head.Manifest(), n.head
+		}
 	}
 	n.schedule(nd, n.tableTook(nd), answer)
 }
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -117,6 +117,34 @@
 	}
 }
 
+// Guards against hosts that read every state of the head row since their own last
+// read when they stand in for the reader: they had the versions from others.
+func TestReadsAskForLaterChanges(t *testing.T) {
+	n := newNetwork(t, 140, 3, func(c *Config) { c.Watch = 700 * time.Millisecond })
+	n.wholeHead = true
+	n.run(30 * time.Second)
+	for range 10 {
+		n.accept(n.nodes[0], false)
+		n.run(time.Second)
+	}
+	for _, nd := range n.nodes {
+		if nd.core.readerRank() == 0 {
+			n.stop(nd)
+		}
+	}
+	reads := 0
+	n.reading = func(e ReadHead) {
+		reads++
+		if got, want := uint64(e.After), uint64(n.head.Number()); got != want {
+			t.Errorf("got a read of the changes after %d, want after %d", got, want)
+		}
+	}
+	n.run(3 * time.Second)
+	if reads == 0 {
+		t.Error("got no read in place of the reader's")
+	}
+}
+
 // Guards against a slow read that passes for news of the moment at which it ends:
 // the others would wait on although the head row has changed since.
 func TestConfirmationIsAsOldAsItsRead(t *testing.T) {
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -64,6 +64,7 @@
 	askedWait   time.Duration
 	waiting     bool
 	began       map[uint64]beganRead // reads without an answer, by their number
+	head        headState            // as last read here or elsewhere
 	failed      bool                 // the last read failed
 	seen        version.Number       // newer version in the head row
 	seenAt      time.Time
@@ -78,10 +79,26 @@
 	yieldedAt   time.Time // when this host gave up the role of the reader; zero when it has not
 }
 
+// headState is what the head row named at a position of its source.
+type headState struct {
+	position version.Position
+	number   version.Number
+}
+
 // beganRead is a read of the head row in progress.
 type beganRead struct {
-	at   time.Time
-	wait time.Duration
+	at    time.Time
+	wait  time.Duration
+	known headState // after which it asks for changes
+}
+
+// readAfter is the state after which the next read asks for changes. A version that
+// this host does not hold would not come again, so that it asks for the row then.
+func (c *Core) readAfter() headState {
+	if h := c.reader.head; c.versions.newest >= h.number {
+		return h
+	}
+	return headState{}
 }
 
 // asOf is the time at which the head row was as the answer says, at least. A read
@@ -281,6 +298,12 @@
 	r.failed, r.yieldedAt = false, time.Time{}
 	r.nextAt = c.now
 	n := e.Manifest.Number
+	if n == 0 {
+		n = began.known.number
+	}
+	if e.Position >= r.head.position {
+		r.head = headState{e.Position, n}
+	}
 	asOf := began.asOf(c.now, n > c.versions.known)
 	if n > c.versions.known {
 		r.nextAt = c.now.Add(changeSpacing)
@@ -329,10 +352,14 @@
 	}
 	r.passedOn = at
 	age := uint32(max(0, c.now.Sub(at).Milliseconds()))
+	var position version.Position
+	if r.head.number == n {
+		position = r.head.position
+	}
 	sender := c.hosts.byAddr[from]
 	for _, e := range c.edges() {
 		if e.push && e.addr != from && c.needsConfirm(e, sender) {
-			c.send(e.addr, message.Confirm{Number: n, AgeMS: age})
+			c.send(e.addr, message.Confirm{Number: n, AgeMS: age, Position: position})
 		}
 	}
 }
@@ -364,6 +391,9 @@
 	if at.After(c.config.Started.Add(floorMargin)) {
 		c.settle(m.Number)
 	}
+	if m.Position > c.reader.head.position {
+		c.reader.head = headState{m.Position, m.Number}
+	}
 	c.yieldReading(at)
 	if at.After(c.reader.confirmedAt) {
 		c.confirm(at, m.Number, from)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -149,6 +149,9 @@
 
 	Number version.Number
 	AgeMS  uint32 // milliseconds since the row was read
+	// Position is up to where the changes of the row are known; zero when its source
+	// has none.
+	Position version.Position
 }
 
 // Count is the number of hosts of a subtree that applied a version.
--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -12,6 +12,10 @@
 // that there is none yet.
 type Number uint64
 
+// Position is a place in the sequence of changes at a source of versions. Zero is
+// before all of them.
+type Position uint64
+
 // Digest is the SHA-256 of a section's canonical encoding.
 type Digest [32]byte
 
