Read the records of the zone twice in a first start

Ruled out: one read only (hosts that start within 0.3 s of each other would not meet). Change: such a host reads once more 0.4 s after its own record is written, and not at all when a peer has answered it; of any two, the one that wrote last finds the other and tells the neighbours.

--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -20,10 +20,10 @@
 	// Time between reads of the zone's records while there is no peer.
 	minAloneInterval = 200 * time.Millisecond
 	maxAloneInterval = 3 * time.Second
-	// freshFor is the time after its first start during which a host reads the
-	// records of its zone again: hosts that start at the same time do not find each
-	// other in the first read.
-	freshFor = 2 * time.Second
+	// meetWait is the time after the first writing of a host's record until the host
+	// reads the records of its zone once more: hosts that start at the same time do
+	// not find each other in the first read, and most have written theirs by then.
+	meetWait = 400 * time.Millisecond
 	// Time between searches of a zone root for hosts that it does not know. It
 	// doubles up to checkInterval. A search that finds unknown hosts is repeated
 	// soon, because a join can be lost, but only a few times, because the table may
@@ -48,7 +48,8 @@
 	readAt      time.Time        // next read of the zone's records
 	reading     bool
 	aloneFor    time.Duration // next interval between reads while alone
-	freshUntil  time.Time     // zero when the table knew this host
+	fresh       bool          // the table does not have this host's record yet, and no peer has answered
+	again       bool          // the records are to be read once more
 	readHeadAt  time.Time
 	headAsked   bool
 	joinAt      time.Time
@@ -73,7 +74,7 @@
 			c.readHead(0)
 		}
 	}
-	wanted := !c.record.read || c.alone() || c.now.Before(j.freshUntil)
+	wanted := !c.record.read || j.again || !j.fresh && c.alone()
 	if wanted && !j.reading && !c.now.Before(j.readAt) && c.mayCall() {
 		j.reading = true
 		c.beginCall()
@@ -147,8 +148,9 @@
 		return
 	}
 	first := !c.record.read
+	j.again = false
 	c.noteTook(e.Took)
-	found := false
+	found, unknown := false, false
 	for _, r := range e.Records {
 		if r.Host.ID == c.config.Self.ID {
 			found = true
@@ -156,12 +158,17 @@
 				c.takeOwnRecord(r, true)
 			}
 		} else {
-			c.takeRecord(r)
+			unknown = c.takeRecord(r) || unknown
 		}
 	}
 	if first && !found {
 		c.takeOwnRecord(Record{}, false)
-		j.freshUntil = c.now.Add(freshFor)
+		j.fresh = true
+	}
+	if unknown && !first {
+		// Of two hosts that start together, the one that wrote its record last finds
+		// the other one.
+		c.publishRows()
 	}
 	j.aloneFor = min(max(2*j.aloneFor, minAloneInterval), maxAloneInterval)
 	j.readAt = c.now.Add(j.aloneFor/2 + c.jitter(j.aloneFor))
@@ -171,6 +178,15 @@
 	}
 }
 
+// recordWritten lets a host that has written its record for the first time look
+// for others that have done so meanwhile.
+func (j *joinState) recordWritten(now time.Time) {
+	if j.fresh {
+		j.fresh, j.again = false, true
+		j.readAt = now.Add(meetWait)
+	}
+}
+
 // meetZone asks the hosts of the zone for their rows, and the first of them for
 // the floor, so that the requests of hosts that start together meet at one host.
 func (c *Core) meetZone() {
@@ -249,7 +265,9 @@
 }
 
 func (c *Core) receiveJoinAnswer(from netip.AddrPort, m message.JoinAnswer) {
-	c.join.joined = true
+	// Of the hosts that start together, those that found another one leave the second
+	// read to those that found none.
+	c.join.joined, c.join.fresh, c.join.again = true, false, false
 	c.mergeNews(m.News, from)
 	c.noteHead(from, m.Head)
 }
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -387,6 +387,24 @@
 	}
 }
 
+// TestFirstStartReadsRecordsTwice guards against hosts that read the records of
+// their zone again and again in a first start, in case others start as well: one
+// read before they write their own record and one after it find all.
+func TestFirstStartReadsRecordsTwice(t *testing.T) {
+	for seed := range uint64(20) {
+		n := newNetwork(t, seed+1, 12, nil)
+		n.run(10 * time.Second)
+		if got, want := n.ownReads, 2*len(n.nodes); got > want {
+			t.Errorf("seed %d: got %d reads of the own zone, want at most %d", seed+1, got, want)
+		}
+		for _, nd := range n.nodes {
+			if got := len(nd.core.Hosts()); got != len(n.nodes) {
+				t.Fatalf("seed %d: hosts known to %s after 10 s: got %d, want %d", seed+1, nd.row.ID, got, len(n.nodes))
+			}
+		}
+	}
+}
+
 // TestIdleRootsLeaveTableAlone guards against zone roots that search the table
 // every few seconds, over the region link, when all hosts are known.
 func TestIdleRootsLeaveTableAlone(t *testing.T) {
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -42,6 +42,7 @@
 	reads     int // calls that read the table
 	calls     int // calls of any kind, also while it is down
 	searches  int // searches of all zones
+	ownReads  int // reads of the records of the own zone
 	writes    int // rows written to the table by the fleet
 	records   map[host.ID]Record
 }
@@ -267,6 +268,8 @@
 	n.reads += max(1, len(zones))
 	if others {
 		n.searches++
+	} else {
+		n.ownReads++
 	}
 	return records
 }
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -55,6 +55,14 @@
 	c.note(Note{Kind: "server-" + s.State.String(), Server: s.ID, Host: s.Host})
 }
 
+// publishRows tells the neighbours of this host and its backend servers.
+func (c *Core) publishRows() {
+	c.news.addHost(c.config.Self.ID, noPeer)
+	for _, id := range c.servers.byHost[c.config.Self.ID] {
+		c.news.addServer(id, noPeer)
+	}
+}
+
 // leave publishes that this host stops in a planned way. That takes its backend
 // servers out of use until its daemon is back; they are not leaving themselves.
 func (c *Core) leave() {
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -93,6 +93,7 @@
 	}
 	r.retryAt = time.Time{}
 	r.written, r.absent = e.Record, false
+	c.join.recordWritten(c.now)
 	r.settled = max(r.settled, e.Ticket)
 	c.emit(Settled{Ticket: e.Ticket})
 }
