Average the first run times of a route

Cause: the mean run time of a route began with its first call and followed later ones with a weight of a fiftieth. Ruled out: names of routes that change with versions (they stay the same). Change: the mean is that of all calls until it covers fifty.

--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -9,7 +9,8 @@
 
 const (
 	// runWeight is the weight of one call in the mean run time and size of its
-	// route, which cover about the last 50 calls.
+	// route, which cover about the last 50 calls. The first calls weigh more: the
+	// mean is that of all calls until then.
 	runWeight = 0.02
 	// maxRoutes bounds the routes that are remembered. Routes come and go with
 	// versions.
@@ -29,6 +30,7 @@
 // runTime holds means over the recent calls of a route.
 type runTime struct {
 	mu        sync.Mutex
+	calls     float64
 	mean      float64 // time at the server, nanoseconds
 	kilobytes float64 // of request and response
 }
@@ -49,6 +51,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.calls == 0 {
+		return known{defaultRun, defaultKilobytes}
+	}
 	return known{time.Duration(t.mean), t.kilobytes}
 }
 
@@ -60,16 +65,18 @@
 	r.mu.RUnlock()
 	kilobytes := float64(bytes) / bytesPerKilobyte
 	if t == nil {
-		t = r.create(name, took, kilobytes)
+		t = r.create(name)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.mean += runWeight * (float64(took) - t.mean)
-	t.kilobytes += runWeight * (kilobytes - t.kilobytes)
+	t.calls++
+	weight := max(1/t.calls, runWeight)
+	t.mean += weight * (float64(took) - t.mean)
+	t.kilobytes += weight * (kilobytes - t.kilobytes)
 	return float64(took) / max(t.mean, 1)
 }
 
-func (r *runTimes) create(name document.RouteName, took time.Duration, kilobytes float64) *runTime {
+func (r *runTimes) create(name document.RouteName) *runTime {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t := r.routes[name]; t != nil {
@@ -78,7 +85,7 @@
 	if r.routes == nil || len(r.routes) >= maxRoutes {
 		r.routes = make(map[document.RouteName]*runTime)
 	}
-	t := &runTime{mean: float64(took), kilobytes: kilobytes}
+	t := &runTime{}
 	r.routes[name] = t
 	return t
 }
