Log when a daemon loses the table, each failed call and the wait after it

Nothing told whether the one host that the store served had called it, whether the call had failed, or how long it waited (hypotheses 1 to 3 of docs/incidents/version-late-after-outage.md). Change: events table-lost, table-call-failed (error, time until the next call), table-answers (length of the outage, failed calls) and version-read. Failed calls are bounded by the wait between calls. No decision is changed. Result: TestOutageIsRecorded failed before (got 0 events of each kind), passes now.

--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -34,6 +34,7 @@
 	headWithSnapshot bool                   // a read of the head row returns the complete version
 	blockedOnLink    func(SendMessage) bool // messages that the cross-region link does not deliver
 	onReadHead       func(ReadHead)         // called for every read of the head row
+	onEvent          func(*simHost, TimelineEvent)
 	loss             float64
 	duplicate        float64
 	partitioned      func(a, b host.Row) bool
@@ -174,6 +175,10 @@
 	switch e := effect.(type) {
 	case SendMessage:
 		n.transmit(h, e)
+	case TimelineEvent:
+		if n.onEvent != nil {
+			n.onEvent(h, e)
+		}
 	case ApplySnapshot:
 		n.checkApply(h, e.Snapshot)
 	case ReadHead:
--- a/internal/fleet/outage.go
+++ b/internal/fleet/outage.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -35,6 +36,8 @@
 // instead of one for each purpose.
 type tableBackoff struct {
 	failedAt        time.Time // time of the last failure; zero while the table answers
+	lostAt          time.Time // time of the first failure; zero while the table answers
+	failures        int       // failed calls since lostAt
 	delay           time.Duration
 	nextCallAt      time.Time     // earliest time of the next call
 	earlyRetryDelay time.Duration // time from the last failure to earlyRetryAt
@@ -70,16 +73,28 @@
 func (c *Core) tableCallDone(err error) {
 	b := &c.backoff
 	if err == nil || errors.Is(err, ErrRecordConflict) {
+		c.recordTableAnswer()
 		*b = tableBackoff{}
 		return
 	}
 	first := b.failedAt.IsZero()
 	b.failedAt = c.now
+	b.failures++
 	if first {
+		b.lostAt = c.now
 		b.earlyRetryDelay = minEarlyRetryDelay
 		c.increaseBackoff()
+		c.recordEvent(TimelineEvent{Kind: "table-lost"})
 	}
 	b.earlyRetryAt = c.now.Add(b.earlyRetryDelay - earlyRetryJitter/2 + c.jitter(earlyRetryJitter))
+	c.recordEvent(TimelineEvent{Kind: "table-call-failed", Detail: fmt.Sprintf("next call in %v: %v", max(0, b.nextCallAt.Sub(c.now)).Round(time.Millisecond), err)})
+}
+
+// recordTableAnswer records the end of an outage.
+func (c *Core) recordTableAnswer() {
+	if b := &c.backoff; !b.failedAt.IsZero() {
+		c.recordEvent(TimelineEvent{Kind: "table-answers", Detail: fmt.Sprintf("after %v and %d failed calls", c.now.Sub(b.lostAt).Round(time.Millisecond), b.failures)})
+	}
 }
 
 // increaseBackoff delays the next call, longer each time.
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -245,3 +245,32 @@
 		}
 	}
 }
+
+// TestOutageIsRecorded guards against logs of an outage that do not tell whether
+// a host called the platform table, why the call failed and when it calls next.
+func TestOutageIsRecorded(t *testing.T) {
+	n := newSimNetwork(t, 150, 3, nil)
+	n.advance(30 * time.Second)
+	events := make(map[string][]TimelineEvent)
+	n.onEvent = func(_ *simHost, e TimelineEvent) { events[e.Kind] = append(events[e.Kind], e) }
+	n.tableDown = true
+	n.advance(10 * time.Second)
+	n.tableDown = false
+	n.advance(10 * time.Second)
+	lost, answers := len(events["table-lost"]), len(events["table-answers"])
+	if lost == 0 || lost > len(n.hosts) {
+		t.Errorf("got %d events that the table was lost, want one for each host that called it", lost)
+	}
+	if answers == 0 || answers > lost {
+		t.Errorf("got %d events that the table answers again, want at least 1 and at most %d", answers, lost)
+	}
+	failures := events["table-call-failed"]
+	if len(failures) < 2 {
+		t.Fatalf("got %d events of failed calls in 10 s, want at least 2", len(failures))
+	}
+	for _, e := range failures {
+		if !strings.Contains(e.Detail, errTableDown.Error()) || !strings.Contains(e.Detail, "next call in") {
+			t.Errorf("got detail %q, want the error and the time until the next call", e.Detail)
+		}
+	}
+}
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -338,6 +338,7 @@
 		return
 	}
 	if e.Snapshot.Number() == n {
+		c.recordEvent(TimelineEvent{Kind: "version-read", Version: n})
 		c.addVersion(e.Snapshot, noSender)
 		return
 	}
