Call the table at least every two poll waits while nobody confirms the head row

What callers saw: calls handled by an older version more than 2 s after a newer one was acknowledged (CONFIG), after an outage of the store that ended for one host only. Cause: the wait of a host between calls to the table doubles up to 5 s (7.5 s with its jitter) on all but the first two hosts in the order of readers. It was meant for hosts that others keep up to date, but did not depend on that: when the store came back for one other host, that host slept on, and nobody else could read the version. Class: a backoff that is not bounded by the promise that waits for it. Change: while no confirmation is heard for 1.6 poll waits, the next call follows the last one after 1 to 2 poll waits (0.7 to 1.4 s on the platform) on every host. While others confirm, the longer wait stays.

--- a/internal/fleet/outage.go
+++ b/internal/fleet/outage.go
@@ -26,6 +26,10 @@
 	// maxEarlyRetryDelay, because the table may be reachable for other hosts only.
 	minEarlyRetryDelay = 800 * time.Millisecond
 	maxEarlyRetryDelay = 2 * time.Second
+	// unconfirmedRetryFactor limits the delay between two calls while no other host
+	// confirms the head row, as a multiple of the poll wait. This host may be the
+	// only one that the table answers, so that versions wait for its next call.
+	unconfirmedRetryFactor = 2
 	// earlyRetryJitter spreads the calls of hosts that learn at the same time that
 	// the table is available again.
 	earlyRetryJitter = 200 * time.Millisecond
@@ -42,12 +46,30 @@
 	nextCallAt      time.Time     // earliest time of the next call
 	earlyRetryDelay time.Duration // time from the last failure to earlyRetryAt
 	earlyRetryAt    time.Time     // earliest time of the next call once others have confirmed that the table answers
+	// unconfirmedRetryAt is the earliest time of the next call while the head row is
+	// not confirmed.
+	unconfirmedRetryAt time.Time
 }
 
 // mayCallTable reports whether a call to the platform table may start now.
 func (c *Core) mayCallTable() bool {
+	return c.backoff.failedAt.IsZero() || !c.now.Before(c.nextTableCallAt()) || c.mayRetryEarly()
+}
+
+// nextTableCallAt returns the earliest time of the next call during an outage,
+// unless another host confirms before that the table answers.
+func (c *Core) nextTableCallAt() time.Time {
 	b := &c.backoff
-	return b.failedAt.IsZero() || !c.now.Before(b.nextCallAt) || c.mayRetryEarly()
+	if c.isHeadUnconfirmed() && b.unconfirmedRetryAt.Before(b.nextCallAt) {
+		return b.unconfirmedRetryAt
+	}
+	return b.nextCallAt
+}
+
+// isHeadUnconfirmed reports whether no host has confirmed the head row for so
+// long that the other hosts read it themselves.
+func (c *Core) isHeadUnconfirmed() bool {
+	return c.now.Sub(c.reader.confirmedAt) >= c.staleAfter(0)
 }
 
 // mayRetryEarly reports whether another host has confirmed since the last
@@ -87,7 +109,7 @@
 		c.recordEvent(TimelineEvent{Kind: "table-lost"})
 	}
 	b.earlyRetryAt = c.now.Add(b.earlyRetryDelay - earlyRetryJitter/2 + c.jitter(earlyRetryJitter))
-	c.recordEvent(TimelineEvent{Kind: "table-call-failed", Detail: fmt.Sprintf("next call in %v: %v", max(0, b.nextCallAt.Sub(c.now)).Round(time.Millisecond), err)})
+	c.recordEvent(TimelineEvent{Kind: "table-call-failed", Detail: fmt.Sprintf("next call in %v: %v", max(0, c.nextTableCallAt().Sub(c.now)).Round(time.Millisecond), err)})
 }
 
 // recordTableAnswer records the end of an outage.
@@ -107,4 +129,6 @@
 	b.delay = min(max(2*b.delay, minBackoff), limit)
 	b.nextCallAt = c.now.Add(b.delay/2 + c.jitter(b.delay))
 	b.earlyRetryAt = b.nextCallAt
+	unconfirmedDelay := unconfirmedRetryFactor * c.headPollWait()
+	b.unconfirmedRetryAt = c.now.Add(unconfirmedDelay/2 + c.jitter(unconfirmedDelay/2))
 }
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -274,3 +274,50 @@
 		}
 	}
 }
+
+// TestFewHostsAreServedAfterOutage guards against a version that comes late
+// because the only hosts that the platform table answers wait too long after an
+// outage before they call it again.
+func TestFewHostsAreServedAfterOutage(t *testing.T) {
+	const wait = 700 * time.Millisecond
+	for i := range 12 {
+		n := newSimNetwork(t, uint64(160+i), 3, func(c *Config) { c.HeadPollWait = wait })
+		n.headWithSnapshot = true
+		n.acceptVersion(n.hosts[0], false)
+		n.advance(30 * time.Second)
+		n.tableDown = true
+		n.advance(8 * time.Second)
+		served := n.hosts[i].row.ID
+		n.tableUnreachable = func(r host.Row) bool { return r.ID != served }
+		n.tableDown = false
+		n.advance(time.Second)
+		n.commitVersion()
+		if got, want := n.runUntilApplied(7*time.Second), 2*time.Second; got > want {
+			t.Errorf("only %s is served: got the version on all hosts after %v, want at most %v", served, got, want)
+		}
+	}
+}
+
+// TestServedHostChanges guards against a version that comes late because the
+// table, which answered one host that confirmed the head row to the others, now
+// answers only one that waits after a failed call.
+func TestServedHostChanges(t *testing.T) {
+	const wait = 700 * time.Millisecond
+	for i := range 12 {
+		n := newSimNetwork(t, uint64(180+i), 3, func(c *Config) { c.HeadPollWait = wait })
+		n.headWithSnapshot = true
+		n.acceptVersion(n.hosts[0], false)
+		n.advance(30 * time.Second)
+		served := n.hosts[(i+5)%12].row.ID
+		n.tableUnreachable = func(r host.Row) bool { return r.ID != served }
+		n.advance(10 * time.Second)
+		served = "" // none for a while
+		n.advance(time.Duration(i) * 400 * time.Millisecond)
+		served = n.hosts[i].row.ID
+		n.advance(time.Second)
+		n.commitVersion()
+		if got, want := n.runUntilApplied(7*time.Second), 2*time.Second; got > want {
+			t.Errorf("only %s is served: got the version on all hosts after %v, want at most %v", served, got, want)
+		}
+	}
+}
