Ask the other region for versions near the table too while the table does not answer

What callers would see: after an outage that ends for one far host only, with the host that connects the regions dead, the region near the store handles calls by the old version for up to 2.4 s (in the simulated network). Change: near the table the first hosts of each zone ask as well while their calls fail. Result: TestNearRegionQueriesOtherRegion failed for 6 of 8 hosts (2.25 to 2.38 s, want 2 s) and passes. TestFewHostsAreServedAfterOutage also covers calls that get no answer at all; it fails on the code before in both forms.

--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -280,20 +280,23 @@
 // outage before they call it again.
 func TestFewHostsAreServedAfterOutage(t *testing.T) {
 	const wait = 700 * time.Millisecond
-	for i := range 12 {
+	for i := range 24 {
 		n := newSimNetwork(t, uint64(160+i), 3, func(c *Config) { c.HeadPollWait = wait })
 		n.headWithSnapshot = true
 		n.acceptVersion(n.hosts[0], false)
 		n.advance(30 * time.Second)
+		if i >= 12 {
+			n.callTimeout = 1500 * time.Millisecond // calls get no answer instead of an error
+		}
 		n.tableDown = true
 		n.advance(8 * time.Second)
-		served := n.hosts[i].row.ID
+		served := n.hosts[i%12].row.ID
 		n.tableUnreachable = func(r host.Row) bool { return r.ID != served }
 		n.tableDown = false
 		n.advance(time.Second)
 		n.commitVersion()
 		if got, want := n.runUntilApplied(7*time.Second), 2*time.Second; got > want {
-			t.Errorf("only %s is served: got the version on all hosts after %v, want at most %v", served, got, want)
+			t.Errorf("only %s is served after calls that took %v: got the version on all hosts after %v, want at most %v", served, n.callTimeout, got, want)
 		}
 	}
 }
@@ -321,3 +324,31 @@
 		}
 	}
 }
+
+// TestNearRegionQueriesOtherRegion guards against a region near the platform
+// table that gets a version seconds late when, after an outage, the table
+// answers only a host of the other region and the host that connects the regions
+// has died.
+func TestNearRegionQueriesOtherRegion(t *testing.T) {
+	for seed := range uint64(8) {
+		n := newSimNetwork(t, 200+seed, 4, func(c *Config) { c.HeadPollWait = 700 * time.Millisecond })
+		n.headWithSnapshot = true
+		n.acceptVersion(n.hosts[0], false)
+		n.advance(30 * time.Second)
+		n.tableDown = true
+		n.advance(8 * time.Second)
+		served := n.hosts[8+seed].row
+		n.tableUnreachable = func(r host.Row) bool { return r.ID != served.ID }
+		n.tableDown = false
+		n.advance(time.Second)
+		for _, h := range n.hosts {
+			if h.row.Region == "pwani" && h.core.isRegionRoot() {
+				n.stop(h)
+			}
+		}
+		n.commitVersion()
+		if got, want := n.runUntilApplied(7*time.Second), 2*time.Second; got > want {
+			t.Errorf("only %s is served: got the version on all hosts after %v, want at most %v", served.ID, got, want)
+		}
+	}
+}
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -49,10 +49,10 @@
 	behindReadDelay        = 500 * time.Millisecond
 	behindReadDelayPerRank = 50 * time.Millisecond // added for each reader rank
 	// regionQueryFactor is the age of the last confirmation, as a multiple of the
-	// poll wait, from which hosts that are not near the platform table query
-	// another region every regionQueryInterval. regionQueryHosts is both the
-	// number of such hosts in a zone and the number of hosts that they query in
-	// turn.
+	// poll wait, from which hosts that are not near the platform table, or get no
+	// answer from it, query another region every regionQueryInterval.
+	// regionQueryHosts is both the number of such hosts in a zone and the number of
+	// hosts that they query in turn.
 	regionQueryFactor   = 1.3
 	regionQueryInterval = 400 * time.Millisecond
 	regionQueryHosts    = 3
@@ -170,13 +170,14 @@
 
 // queryOtherRegions requests a newer version from other regions when the head
 // row has not been confirmed for a while: the host that connects this region
-// may be dead, and reading the platform table from here can take seconds. The
+// may be dead, and the platform table may be far away or not answer. The
 // first hosts of each zone do this because a dead root disconnects its zone as
 // well. Each query goes to a different host, which does not answer if it has no
 // newer version.
 func (c *Core) queryOtherRegions() {
 	r, v := &c.reader, &c.versions
-	if c.selfRow().NearTable || v.highestRetained == 0 || c.now.Sub(r.regionQueriedAt) < regionQueryInterval {
+	tableNear := c.selfRow().NearTable && c.backoff.failedAt.IsZero()
+	if tableNear || v.highestRetained == 0 || c.now.Sub(r.regionQueriedAt) < regionQueryInterval {
 		return
 	}
 	rank := c.overlay.zoneRank
