Log the limits that backend servers name, and count the calls sent to them

The logs could not tell whether a limit was seen, when it began, changed or ended, or how many calls the gate sent meanwhile. Change: the header in which a server names its limit is decoded by the dialect (Server-Limit on the platform, Peridotlb-Limit otherwise); the gate logs when a limit begins, changes and ends, and once when it can't be read. A response whose call was sent before the last naming does not end it, and one with status 421 comes from another server. Counter peridotlb_gate_calls_total. Nothing acts on it yet. Result: TestLimitIsLogged and TestLimitHeader pass; without the change neither the header nor the lines exist.

--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -29,6 +29,7 @@
 	startTimeSum float64   // of the calls in flight, in seconds since origin
 	meanSlotTime float64   // moving average in nanoseconds; 0 when unknown
 	probeFailing bool      // the last health probe failed
+	limit        noticedLimit
 	queue        []*waiter
 	idle         chan struct{} // closed and replaced when no call is in flight
 }
@@ -187,6 +188,9 @@
 	if row.State == backend.Ready && s.readyAt.IsZero() {
 		s.readyAt = s.now()
 	}
+	if s.row.Started != row.Started {
+		s.limit = noticedLimit{} // of the previous run of the server
+	}
 	if s.drained && row.State == backend.Ready && row.Stamp.Compare(s.drainedAt) > 0 {
 		s.drained = false
 		s.readyAt = s.now()
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -17,6 +17,7 @@
 	NotRun    string // set in the response of a server that did not run the call
 	Server    string // id of the server that may run the call
 	Caller    string // service of the host on which the call originated
+	Limit     string // calls per second that the responding server accepts from all daemons together
 	// CloseDelimited accepts responses of backend servers that have no length and
 	// end when the server closes the connection. Truncated responses must then end
 	// with a reset. Otherwise such responses are rejected, because truncation could
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -140,10 +140,12 @@
 	}
 	server := permit.Server()
 	m := c.buildMessage(g.config.Dialect.serverFields(string(server.ID), remaining)...)
+	g.metrics.sentToServers.Inc()
 	s := send(ctx, g.config.Transports.backends, server.Addr, m, connection.Options{})
 	if s.err != nil {
 		return gateResult{failure: sendFailure(ctx, s, reasonServerUnreachable, "server-broke")}
 	}
+	g.observeNotice(permit, s.response)
 	notRun := g.config.Dialect.reportsNotRun(s.response)
 	reply, err := readReply(s.response, c.method, g.config.Dialect.CloseDelimited)
 	if notRun {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -14,6 +14,7 @@
 	failures      labelledCounter // by reason
 	refused       labelledCounter // by reason
 	forwarded     *metrics.Counter
+	sentToServers *metrics.Counter // calls that the gate sent to backend servers
 	retries       *metrics.Counter
 	retriesDenied *metrics.Counter
 	latencyAdded  *metrics.Histogram // seconds
@@ -28,6 +29,7 @@
 		failures:      labelledCounter{set: set, name: "peridotlb_failures_total", label: "reason"},
 		refused:       labelledCounter{set: set, name: "peridotlb_refused_total", label: "reason"},
 		forwarded:     set.GetOrCreateCounter("peridotlb_calls_forwarded_total"),
+		sentToServers: set.GetOrCreateCounter("peridotlb_gate_calls_total"),
 		retries:       set.GetOrCreateCounter("peridotlb_retries_total"),
 		retriesDenied: set.GetOrCreateCounter("peridotlb_retries_denied_total"),
 		latencyAdded:  set.GetOrCreateHistogram("peridotlb_latency_added_seconds"),
--- /dev/null
+++ b/internal/proxy/notice.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"github.com/peridotlb/peridotlb/internal/gate"
+)
+
+// maxLimit is the highest limit that a backend server can name, in calls per
+// second. It is far above what one server can run.
+const maxLimit = 1e6
+
+// decimal matches a number without sign and exponent.
+var decimal = regexp.MustCompile(`^[0-9]+(\.[0-9]+)?$`)
+
+// unreadableLimitError reports a limit that is not a decimal number of at most
+// maxLimit. It changes nothing.
+type unreadableLimitError struct{ value string }
+
+// Error returns the start of the value.
+func (e *unreadableLimitError) Error() string {
+	const maxShown = 40 // bytes
+	return fmt.Sprintf("limit %.*q is not a decimal number of at most %g", maxShown, e.value, float64(maxLimit))
+}
+
+// limitHeader returns the name of the header in which backend servers name their
+// limit.
+func (d Dialect) limitHeader() string {
+	if d.Limit == "" {
+		return HeaderLimit
+	}
+	return d.Limit
+}
+
+// notice returns what a backend server states about itself in a response. The error
+// is an *unreadableLimitError.
+func (d Dialect) notice(r *http.Response) (gate.Notice, error) {
+	values := r.Header.Values(d.limitHeader())
+	if len(values) == 0 {
+		return gate.Notice{}, nil
+	}
+	limit, err := strconv.ParseFloat(values[0], 64)
+	if len(values) > 1 || !decimal.MatchString(values[0]) || err != nil || limit > maxLimit {
+		return gate.Notice{}, &unreadableLimitError{values[0]}
+	}
+	return gate.Notice{Limited: true, Limit: limit}, nil
+}
+
+// observeNotice records what a backend server states about itself in a response to
+// the call of a permit.
+func (g *gateHandler) observeNotice(permit *gate.Permit, r *http.Response) {
+	if r.StatusCode == http.StatusMisdirectedRequest {
+		return // from another server, which has taken over the address
+	}
+	server := permit.Server().ID
+	n, err := g.config.Dialect.notice(r)
+	if err != nil {
+		if permit.ObserveUnreadable() {
+			g.config.Log.Warn("Ignored the limit of a backend server.", zap.String("server", string(server)), zap.Error(err))
+		}
+		return
+	}
+	change, before := permit.Observe(n)
+	switch change {
+	case gate.LimitSet:
+		g.config.Log.Info("A backend server limits its calls.", zap.String("server", string(server)), zap.Float64("limit-per-second", n.Limit), zap.Float64("previous", before))
+	case gate.LimitEnded:
+		g.config.Log.Info("A backend server no longer limits its calls.", zap.String("server", string(server)), zap.Float64("previous", before))
+	case gate.Unchanged:
+	}
+}
--- /dev/null
+++ b/internal/proxy/notice_test.go
@@ -0,0 +1,69 @@
+package proxy
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/peridotlb/peridotlb/internal/gate"
+)
+
+// TestLimitHeader guards against a limit that is read from a value that is not a
+// decimal number, and against one of another server at the same address.
+func TestLimitHeader(t *testing.T) {
+	for value, want := range map[string]float64{"12.5": 12.5, "0": 0, "0.25": 0.25, "1000000": 1e6} {
+		r := &http.Response{Header: http.Header{HeaderLimit: {value}}}
+		if got, err := (Dialect{}).notice(r); err != nil || got != (gate.Notice{Limited: true, Limit: want}) {
+			t.Errorf("limit %q: got %+v, %v, want %v", value, got, err, want)
+		}
+	}
+	huge := strings.Repeat("9", 400)
+	for _, values := range [][]string{{"-1"}, {"+1"}, {"NaN"}, {"Inf"}, {"1e3"}, {"0x10"}, {"1_0"}, {"1,5"}, {""}, {"many"}, {"1000000.5"}, {huge}, {"1", "2"}} {
+		r := &http.Response{Header: http.Header{HeaderLimit: values}}
+		if got, err := (Dialect{}).notice(r); err == nil || got != (gate.Notice{}) {
+			t.Errorf("limit %.40q: got %+v, %v, want an error only", values, got, err)
+		}
+	}
+}
+
+// TestLimitIsLogged guards against limits that begin, change, end or can't be read
+// without a log line, and against a line for each response.
+func TestLimitIsLogged(t *testing.T) {
+	core, logs := observer.New(zapcore.InfoLevel)
+	var limit string
+	m := newMesh(t)
+	m.log = zap.New(core)
+	m.start(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if limit != "" {
+			w.Header().Set(HeaderLimit, limit)
+		}
+	}))
+	for _, step := range []struct{ limit, want string }{
+		{"", ""},
+		{"50", "A backend server limits its calls."},
+		{"50", ""},
+		{"-50", "Ignored the limit of a backend server."},
+		{"1e999", ""},
+		{"50", ""},
+		{"40.5", "A backend server limits its calls."},
+		{"nothing", "Ignored the limit of a backend server."},
+		{"", "A backend server no longer limits its calls."},
+		{"", ""},
+	} {
+		limit = step.limit
+		if r := m.do("GET", "/stock", ""); r.StatusCode != http.StatusOK {
+			t.Errorf("limit %q: got status %d, want 200", step.limit, r.StatusCode)
+		}
+		var got []string
+		for _, e := range logs.TakeAll() {
+			got = append(got, e.Message)
+		}
+		if strings.Join(got, " ") != step.want {
+			t.Errorf("limit %q: got lines %q, want %q", step.limit, got, step.want)
+		}
+	}
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/claim"
@@ -37,6 +38,7 @@
 
 	transports *Transports
 	dialect    Dialect
+	log        *zap.Logger
 
 	backends []netip.AddrPort
 	set      *metrics.Set
@@ -98,7 +100,7 @@
 	services := m.services()
 	table := route.FromDocument(1, document.Document{Sections: []document.Section{{Name: "s", Services: services, Routes: m.routes}}})
 	m.pool = pool.New(pool.Config{Self: "entry", Zone: "a", Region: "r", Now: m.now})
-	base := Config{Transports: m.transports, Routes: func() *route.Table { return table }, Claims: m.claims, Events: m.recordEvent, Now: m.now, Dialect: m.dialect}
+	base := Config{Transports: m.transports, Routes: func() *route.Table { return table }, Claims: m.claims, Events: m.recordEvent, Now: m.now, Dialect: m.dialect, Log: m.log}
 	hosts := []host.Row{{ID: "entry", Zone: "a", Region: "r"}}
 	for i, row := range rows {
 		if m.local {
