Send no more calls to a backend server that says in a response that it leaves

A server that leaves says so in each response; nothing read that, so only its announcement stopped calls. While the announcement is late, or a restarted gate takes the server over as ready from its record, entries that had passed the statement on would still call the server. Class: a statement of a peer that is passed on without being acted on (as with the limit). Change: the gate admits no more calls in that run of the server and refuses the queued ones; each entry that passed the response on does not choose the server again in that run, also after its host was taken for dead and returned.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -62,5 +62,11 @@
 	Stamp host.Stamp
 }
 
+// SameRun reports whether both rows describe the same run of a server. Without start
+// times, each change of the row counts as a new run.
+func (s Server) SameRun(o Server) bool {
+	return s.ID == o.ID && s.Started == o.Started && (s.Started != 0 || s.Stamp == o.Stamp)
+}
+
 // Supersedes reports whether s replaces o in the server table.
 func (s Server) Supersedes(o Server) bool { return s.Stamp.Compare(o.Stamp) > 0 }
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -20,6 +20,8 @@
 	// then their number per second from all daemons together.
 	Limited bool
 	Limit   float64
+	// Leaving is set if the server is about to end and should get no more calls.
+	Leaving bool
 }
 
 // Change is the effect of a notice.
@@ -95,6 +97,21 @@
 	l.limited, l.perSecond, l.namedAt = true, perSecond, now
 }
 
+// ObserveLeaving records that a response to the call of this permit stated that the
+// server leaves. The server then gets no more calls in its present run. It reports
+// whether this was not known before.
+func (p *Permit) ObserveLeaving() bool {
+	s := p.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving || !p.row.SameRun(s.row) {
+		return false
+	}
+	s.leaving = true
+	s.refuseQueue(ErrDraining)
+	return true
+}
+
 // ObserveUnreadable records that a response to the call of this permit named a limit
 // that can't be read. The last limit stays. It reports whether the response before
 // named none or one that could be read.
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -30,6 +30,7 @@
 	meanSlotTime float64   // moving average in nanoseconds; 0 when unknown
 	probeFailing bool      // the last health probe failed
 	limit        noticedLimit
+	leaving      bool // the server stated in a response that it leaves; holds for this run of the server
 	tokenTimer   bool // a timer calls grantSlots when the limit permits the next call
 	queue        []*waiter
 	idle         chan struct{} // closed and replaced when no call is in flight
@@ -194,6 +195,9 @@
 	if row.State == backend.Ready && s.readyAt.IsZero() {
 		s.readyAt = s.now()
 	}
+	if !s.row.SameRun(row) {
+		s.leaving = false
+	}
 	if s.row.Started != row.Started {
 		s.limit = noticedLimit{} // of the previous run of the server
 	}
@@ -218,7 +222,7 @@
 // admissionError returns the reason why the server accepts no calls, or nil.
 func (s *server) admissionError() error {
 	switch {
-	case s.drained, s.row.State == backend.Draining, s.row.State == backend.Gone:
+	case s.drained, s.leaving, s.row.State == backend.Draining, s.row.State == backend.Gone:
 		return ErrDraining
 	case s.row.State != backend.Ready:
 		return ErrNotReady
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -143,7 +143,7 @@
 	now := p.config.Now()
 	estimate := p.routeStats.estimate(sel.call.Route)
 	for _, server := range servers {
-		if slices.Contains(sel.call.Tried, server.row.ID) {
+		if slices.Contains(sel.call.Tried, server.row.ID) || server.state.leaves(server.row) {
 			continue
 		}
 		c := candidate{server: server, tier: tier, avoided: server.state.ejected(now)}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -63,6 +63,7 @@
 		*rand.Rand
 	}
 	unhealthy  sync.Map // keys: backend.ServerID of servers whose health probe fails
+	leaving    sync.Map // backend.ServerID to *leavingServer
 	routeStats routeStats
 	daemons    daemonSet
 }
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -31,6 +31,7 @@
 	unhealthy         atomic.Bool  // a probe by this host failed
 	probeFailingUntil atomic.Int64 // when a gate's report of a failed probe expires, Unix nanoseconds
 	ejectedUntil      atomic.Int64 // end of the ejection, Unix nanoseconds; 0 for none
+	leaving           atomic.Pointer[leavingServer]
 	unusableUntil     atomic.Int64 // when a gate's report that the server accepts no calls expires, Unix nanoseconds
 
 	load struct {
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -80,6 +80,7 @@
 		next.services[s.Name] = p.buildService(s, rows[s.Name], hosts, old, next, now)
 	}
 	p.view.Store(next)
+	p.forgetLeaving(next, now)
 	p.setRetryBudgets(v.Hosts, next, now)
 	p.daemons.update(p.config, v.Hosts)
 }
@@ -147,6 +148,7 @@
 	server.state = new(serverState)
 	_, unhealthy := p.unhealthy.Load(row.ID)
 	server.state.unhealthy.Store(unhealthy)
+	p.restoreLeaving(server.state, row.ID)
 	return server
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -124,6 +124,7 @@
 func (x *exchange) handleResult(ctx context.Context, r attemptResult) (attemptResult, bool) {
 	x.running = slices.DeleteFunc(x.running, func(a *attempt) bool { return a == r.attempt })
 	x.attemptLogs = append(x.attemptLogs, newAttemptLog(r, r.start.Sub(x.start)))
+	x.observeNotice(r)
 	x.recordAttempt(r)
 	if r.failure == nil && (!r.reply.hasRetryableStatus() || !x.match.Route.Idempotent()) {
 		return r, true
--- a/internal/proxy/notice.go
+++ b/internal/proxy/notice.go
@@ -37,18 +37,30 @@
 	return d.Limit
 }
 
-// notice returns what a backend server states about itself in a response. The error
-// is an *unreadableLimitError.
-func (d Dialect) notice(r *http.Response) (gate.Notice, error) {
-	values := r.Header.Values(d.limitHeader())
+// leavingHeader returns the name of the header in which backend servers state that
+// they leave.
+func (d Dialect) leavingHeader() string {
+	if d.Leaving == "" {
+		return HeaderLeaving
+	}
+	return d.Leaving
+}
+
+// notice returns what a backend server states about itself in the header of a
+// response. The error is an *unreadableLimitError; the rest of the notice is then
+// valid.
+func (d Dialect) notice(h http.Header) (gate.Notice, error) {
+	n := gate.Notice{Leaving: h.Get(d.leavingHeader()) == "1"}
+	values := h.Values(d.limitHeader())
 	if len(values) == 0 {
-		return gate.Notice{}, nil
+		return n, nil
 	}
 	limit, err := strconv.ParseFloat(values[0], 64)
 	if len(values) > 1 || !decimal.MatchString(values[0]) || err != nil || limit > maxLimit {
-		return gate.Notice{}, &unreadableLimitError{values[0]}
+		return n, &unreadableLimitError{values[0]}
 	}
-	return gate.Notice{Limited: true, Limit: limit}, nil
+	n.Limited, n.Limit = true, limit
+	return n, nil
 }
 
 // observeNotice records what a backend server states about itself in a response to
@@ -58,7 +70,10 @@
 		return // from another server, which has taken over the address
 	}
 	server := permit.Server().ID
-	n, err := g.config.Dialect.notice(r)
+	n, err := g.config.Dialect.notice(r.Header)
+	if n.Leaving && permit.ObserveLeaving() {
+		g.config.Log.Info("A backend server of this host leaves and gets no more calls.", zap.String("server", string(server)))
+	}
 	if err != nil {
 		if permit.ObserveUnreadable() {
 			g.config.Log.Warn("Ignored the limit of a backend server.", zap.String("server", string(server)), zap.Error(err))
@@ -74,3 +89,18 @@
 	case gate.Unchanged:
 	}
 }
+
+// observeNotice records what the server of an attempt stated about itself in the
+// response that is passed on to the caller.
+func (x *exchange) observeNotice(r attemptResult) {
+	if r.reply == nil || r.reply.status == http.StatusMisdirectedRequest {
+		return
+	}
+	n, err := x.entry.config.Dialect.notice(r.reply.header)
+	if err != nil {
+		n.Limited = false // the gate logs the value
+	}
+	if r.choice.Observe(n) {
+		x.entry.config.Log.Info("A backend server leaves and gets no more calls from this host.", zap.String("server", string(r.choice.Server.ID)), zap.String("call", x.call.id))
+	}
+}
--- a/internal/proxy/notice_test.go
+++ b/internal/proxy/notice_test.go
@@ -16,15 +16,13 @@
 // decimal number, and against one of another server at the same address.
 func TestLimitHeader(t *testing.T) {
 	for value, want := range map[string]float64{"12.5": 12.5, "0": 0, "0.25": 0.25, "1000000": 1e6} {
-		r := &http.Response{Header: http.Header{HeaderLimit: {value}}}
-		if got, err := (Dialect{}).notice(r); err != nil || got != (gate.Notice{Limited: true, Limit: want}) {
+		if got, err := (Dialect{}).notice(http.Header{HeaderLimit: {value}}); err != nil || got != (gate.Notice{Limited: true, Limit: want}) {
 			t.Errorf("limit %q: got %+v, %v, want %v", value, got, err, want)
 		}
 	}
 	huge := strings.Repeat("9", 400)
 	for _, values := range [][]string{{"-1"}, {"+1"}, {"NaN"}, {"Inf"}, {"1e3"}, {"0x10"}, {"1_0"}, {"1,5"}, {""}, {"many"}, {"1000000.5"}, {huge}, {"1", "2"}} {
-		r := &http.Response{Header: http.Header{HeaderLimit: values}}
-		if got, err := (Dialect{}).notice(r); err == nil || got != (gate.Notice{}) {
+		if got, err := (Dialect{}).notice(http.Header{HeaderLimit: values}); err == nil || got != (gate.Notice{}) {
 			t.Errorf("limit %.40q: got %+v, %v, want an error only", values, got, err)
 		}
 	}
@@ -67,3 +65,32 @@
 		}
 	}
 }
+
+// TestLeavingHeader guards against calls to a server that has stated in a response
+// that it leaves, also at an entry whose own gate is not the server's.
+func TestLeavingHeader(t *testing.T) {
+	for _, local := range []bool{true, false} {
+		core, logs := observer.New(zapcore.InfoLevel)
+		m := newMesh(t)
+		m.local, m.log = local, zap.New(core)
+		calls := 0
+		m.start(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if calls++; calls == 2 {
+				w.Header().Set(HeaderLeaving, "1")
+			}
+		}))
+		for call, want := range []int{http.StatusOK, http.StatusOK, http.StatusServiceUnavailable, http.StatusServiceUnavailable} {
+			if r := m.do("GET", "/stock", ""); r.StatusCode != want {
+				t.Errorf("local %v, call %d: got status %d, want %d", local, call, r.StatusCode, want)
+			}
+		}
+		if got, want := calls, 2; got != want {
+			t.Errorf("local %v: got %d calls at the server, want %d", local, got, want)
+		}
+		for _, text := range []string{"A backend server of this host leaves and gets no more calls.", "A backend server leaves and gets no more calls from this host."} {
+			if got := logs.FilterMessage(text).Len(); got != 1 {
+				t.Errorf("local %v: got %d lines %q, want 1", local, got, text)
+			}
+		}
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,6 +37,8 @@
 	// HeaderLimit is set by a backend server that limits the calls that it accepts:
 	// their number per second from all daemons together, as a decimal number.
 	HeaderLimit = "Peridotlb-Limit"
+	// HeaderLeaving is "1" in the responses of a backend server that is about to end.
+	HeaderLeaving = "Peridotlb-Leaving"
 	// HeaderServerUS is the time that the backend server took, in microseconds.
 	HeaderServerUS = "Peridotlb-Server-Us"
 
