Tell a restarted gate the limit that its backend server has named

The limit lives in the gate's memory. After a restart of its daemon the gate knows none until the first response, and sends as many calls as the server has slots at once; the entries that passed the limit on were not restarted, so nothing excuses these calls. Change: each entry keeps the limit that a server named last in a response to it and sends it with its calls (Peridotlb-Noticed-Limit). A gate that has had no response in the server's present run adopts it and starts without tokens; the first response replaces it. Ruled out: the limit in the server's row, since a row is written by the daemon that has just restarted. Result: with the adoption taken out TestRestartedGateKeepsLimit got 54 calls in 12 s over three restarts, want at most 3, and TestGateAdoptsLimitOfEntry a call at the server.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -35,6 +35,10 @@
 	// times as long, within its deadline. With zero the call may wait up to
 	// DefaultMaxWait, whatever the expected wait is.
 	MaxWait time.Duration
+	// Notice is what the server stated last in a response that the entry of the call
+	// passed on. It replaces what a gate forgets when its daemon restarts, until the
+	// server responds again.
+	Notice Notice
 }
 
 // Errors of Admit and AdmitDefault. Each of them guarantees that the call was not
--- a/internal/gate/limit_test.go
+++ b/internal/gate/limit_test.go
@@ -170,3 +170,58 @@
 		mustAdmit(t, g)
 	})
 }
+
+// TestRestartedGateKeepsLimit guards against a server that gets as many calls as it
+// has slots, above its limit, each time that the daemon beside it restarts.
+func TestRestartedGateKeepsLimit(t *testing.T) {
+	for _, limit := range []float64{0, 0.5, 2, 9.2} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &limitedServer{limit: limit}
+			c := Call{Notice: Notice{Limited: true, Limit: limit}}
+			for range 3 {
+				s.gate = newGate(18, nil)
+				for start := time.Now(); time.Since(start) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
+					go s.call(c, 200*time.Millisecond, time.Second)
+				}
+			}
+			if got, want := float64(len(s.served)), limit*12+limit*limitBurst.Seconds()+3; got > want {
+				t.Errorf("limit %v: got %v calls in 12 s, want at most %v", limit, got, want)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
+// TestResponseReplacesLimitOfEntry guards against a limit that has ended and comes
+// back with the calls of entries that have not learned that.
+func TestResponseReplacesLimitOfEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(9, nil)
+		known := Call{Notice: Notice{Limited: true, Limit: 2}}
+		admit := func() *Permit {
+			p, err := g.Admit(context.Background(), "s", known)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return p
+		}
+		if _, err := g.Admit(context.Background(), "s", known); !errors.Is(err, ErrLimited) {
+			t.Errorf("got %v from a gate that knows no limit, want %v", err, ErrLimited)
+		}
+		time.Sleep(time.Second)
+		if got, _ := admit().Observe(Notice{}); got != LimitEnded {
+			t.Errorf("got change %v, want %v", got, LimitEnded)
+		}
+		for range 5 {
+			admit()
+		}
+		// The limit that entries know is that of the server's earlier run.
+		g = newGate(9, nil)
+		restarted := row(backend.Ready, 2)
+		restarted[0].Started = 1
+		g.Update(service(9, 0), restarted)
+		for range 3 {
+			admit()
+		}
+	})
+}
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -97,6 +97,14 @@
 	l.limited, l.perSecond, l.namedAt = true, perSecond, now
 }
 
+// adoptLimit sets the limit that the entry of a call knows, unless this gate knows
+// better.
+func (s *server) adoptLimit(n Notice) {
+	if n.Limited && !s.noticed && !s.limit.limited {
+		s.limit.set(s.now(), n.Limit)
+	}
+}
+
 // ObserveLeaving records that a response to the call of this permit stated that the
 // server leaves. The server then gets no more calls in its present run. It reports
 // whether this was not known before.
@@ -119,6 +127,7 @@
 	s := p.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noticed = true
 	first := !s.limit.unreadable
 	s.limit.unreadable = true
 	return first
@@ -134,11 +143,12 @@
 		return Unchanged, 0 // from an earlier run of the server
 	}
 	l := &s.limit
-	l.unreadable = false
+	first := !s.noticed
+	l.unreadable, s.noticed = false, true
 	before := l.perSecond
 	switch {
 	case n.Limited:
-		changed := !l.limited || l.perSecond != n.Limit
+		changed := first || !l.limited || l.perSecond != n.Limit
 		l.set(s.now(), n.Limit)
 		if changed {
 			return LimitSet, before
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -30,6 +30,7 @@
 	meanSlotTime float64   // moving average in nanoseconds; 0 when unknown
 	probeFailing bool      // the last health probe failed
 	limit        noticedLimit
+	noticed      bool // a response showed whether the server names a limit, or the server started after this daemon
 	leaving      bool // the server stated in a response that it leaves; holds for this run of the server
 	tokenTimer   bool // a timer calls grantSlots when the limit permits the next call
 	queue        []*waiter
@@ -200,6 +201,7 @@
 	}
 	if s.row.Started != row.Started {
 		s.limit = noticedLimit{} // of the previous run of the server
+		s.noticed = s.row.ID != ""
 	}
 	if s.drained && row.State == backend.Ready && row.Stamp.Compare(s.drainedAt) > 0 {
 		s.drained = false
@@ -258,6 +260,7 @@
 		s.mu.Unlock()
 		return nil, ErrDeadline
 	}
+	s.adoptLimit(c.Notice)
 	if len(s.queue) == 0 && s.inFlight < s.usableSlots() && s.limit.take(s.now()) {
 		permit := s.takeSlot()
 		s.mu.Unlock()
--- a/internal/pool/notice.go
+++ b/internal/pool/notice.go
@@ -18,10 +18,11 @@
 }
 
 // Observe records what the server stated about itself in the response to the call.
-// A leaving server is not chosen again in its present run, whatever its row says: its
+// Later calls to the server carry its limit. A leaving server is not chosen again in its present run, whatever its row says: its
 // own announcement may be late, and the gate forgets the notice when its daemon
 // restarts. Observe reports whether it was not known that the server leaves.
 func (c *Choice) Observe(n gate.Notice) bool {
+	c.poolServer.state.setLimit(c.Server, n)
 	if !n.Leaving || c.poolServer.state.leaves(c.Server) {
 		return false
 	}
@@ -31,6 +32,31 @@
 	return true
 }
 
+// namedLimit is the limit that a server named last.
+type namedLimit struct {
+	row   backend.Server // as of the call
+	limit float64        // calls per second
+}
+
+// setLimit records the limit that a run of the server named, or that it named none.
+func (s *serverState) setLimit(row backend.Server, n gate.Notice) {
+	switch {
+	case n.Limited:
+		s.limit.Store(&namedLimit{row: row, limit: n.Limit})
+	case s.limit.Load() != nil:
+		s.limit.Store(nil)
+	}
+}
+
+// notice returns the limit that the run described by a row named last.
+func (s *serverState) notice(row backend.Server) gate.Notice {
+	l := s.limit.Load()
+	if l == nil || !l.row.SameRun(row) {
+		return gate.Notice{}
+	}
+	return gate.Notice{Limited: true, Limit: l.limit}
+}
+
 // leaves reports whether the server stated that the run described by a row leaves.
 func (s *serverState) leaves(row backend.Server) bool {
 	l := s.leaving.Load()
--- a/internal/pool/notice_test.go
+++ b/internal/pool/notice_test.go
@@ -60,3 +60,28 @@
 		t.Error("still remembers a leaving server that has left the view")
 	}
 }
+
+// TestCallsCarryNamedLimit guards against a limit that a restarted gate learns from
+// nobody, and against one of an earlier run of the server.
+func TestCallsCarryNamedLimit(t *testing.T) {
+	p, _ := newPool(1)
+	v := viewOf(9, 1, 0, 0)
+	v.Servers[0].Started = 100
+	p.Update(v)
+	limited := gate.Notice{Limited: true, Limit: 2.5}
+	wantNotice := func(want gate.Notice) {
+		t.Helper()
+		if got := pick(t, p).Notice; got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+	wantNotice(gate.Notice{})
+	pick(t, p).Observe(limited)
+	wantNotice(limited)
+	pick(t, p).Observe(gate.Notice{})
+	wantNotice(gate.Notice{})
+	pick(t, p).Observe(limited)
+	v.Servers[0].Started = 200
+	p.Update(v)
+	wantNotice(gate.Notice{})
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -101,6 +101,8 @@
 	// the server, in the units of the selection cost; for a call without a target,
 	// the cost of the tier.
 	TransferCost float64
+	// Notice is the limit that the server named last in a response to this daemon.
+	Notice gate.Notice
 
 	call       Call
 	pool       *Pool
@@ -167,7 +169,8 @@
 	server.state.inFlight.Add(1)
 	return &Choice{
 		Server: server.row, GateAddr: server.gateAddr, Local: server.row.Host == p.config.Self, MaxWait: sel.maxWait(c),
-		ExpectedWait: c.wait, ExpectedRunTime: c.runTime, TransferCost: c.transferCost, call: call, pool: p, poolServer: server,
+		ExpectedWait: c.wait, ExpectedRunTime: c.runTime, TransferCost: c.transferCost,
+		Notice: server.state.notice(server.row), call: call, pool: p, poolServer: server,
 	}, nil
 }
 
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -32,7 +32,8 @@
 	probeFailingUntil atomic.Int64 // when a gate's report of a failed probe expires, Unix nanoseconds
 	ejectedUntil      atomic.Int64 // end of the ejection, Unix nanoseconds; 0 for none
 	leaving           atomic.Pointer[leavingServer]
-	unusableUntil     atomic.Int64 // when a gate's report that the server accepts no calls expires, Unix nanoseconds
+	limit             atomic.Pointer[namedLimit] // nil while the server names none
+	unusableUntil     atomic.Int64               // when a gate's report that the server accepts no calls expires, Unix nanoseconds
 
 	load struct {
 		sync.Mutex
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -230,7 +230,7 @@
 	if x.remaining() <= 0 {
 		return gateResult{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
 	}
-	q := gate.Call{Priority: x.match.Route.Priority, Target: x.targetTime, ExpectedRunTime: choice.ExpectedRunTime, MaxWait: choice.MaxWait}
+	q := gate.Call{Priority: x.match.Route.Priority, Target: x.targetTime, ExpectedRunTime: choice.ExpectedRunTime, MaxWait: choice.MaxWait, Notice: choice.Notice}
 	if choice.Local {
 		return x.entry.gate.handleCall(ctx, x.call, choice.Server.ID, q)
 	}
@@ -246,6 +246,9 @@
 	if text := formatQueue(q, x.now()); text != "" {
 		fields = append(fields, connection.Field{Name: HeaderQueue, Value: text})
 	}
+	if q.Notice.Limited {
+		fields = append(fields, connection.Field{Name: HeaderNoticedLimit, Value: strconv.FormatFloat(q.Notice.Limit, 'f', -1, 64)})
+	}
 	s := send(ctx, x.entry.config.Transports.gates, choice.GateAddr, x.call.buildMessage(fields...), connection.Options{})
 	if s.err != nil {
 		return gateResult{failure: sendFailure(ctx, s, "gate-unreachable", "gate-broke")}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -54,7 +54,9 @@
 		g.writeRefusal(w, id, &failure{reason: "request-cut", notRun: true, err: err})
 		return
 	}
-	result := g.handleCall(ctx, c, server, parseQueue(r.Header.Get(HeaderQueue), g.config.Now()))
+	q := parseQueue(r.Header.Get(HeaderQueue), g.config.Now())
+	q.Notice.Limit, q.Notice.Limited = parseLimit(r.Header.Get(HeaderNoticedLimit))
+	result := g.handleCall(ctx, c, server, q)
 	w.Header()[HeaderLoad] = []string{formatLoad(result.load, result.forecast)}
 	if result.failure != nil {
 		g.writeRefusal(w, id, result.failure)
--- a/internal/proxy/notice.go
+++ b/internal/proxy/notice.go
@@ -55,14 +55,22 @@
 	if len(values) == 0 {
 		return n, nil
 	}
-	limit, err := strconv.ParseFloat(values[0], 64)
-	if len(values) > 1 || !decimal.MatchString(values[0]) || err != nil || limit > maxLimit {
-		return n, &unreadableLimitError{values[0]}
+	n.Limit, n.Limited = parseLimit(values[0])
+	if len(values) > 1 || !n.Limited {
+		return gate.Notice{Leaving: n.Leaving}, &unreadableLimitError{values[0]}
 	}
-	n.Limited, n.Limit = true, limit
 	return n, nil
 }
 
+// parseLimit parses a limit in calls per second. It reports whether the text is one.
+func parseLimit(text string) (float64, bool) {
+	limit, err := strconv.ParseFloat(text, 64)
+	if !decimal.MatchString(text) || err != nil || limit > maxLimit {
+		return 0, false
+	}
+	return limit, true
+}
+
 // observeNotice records what a backend server states about itself in a response to
 // the call of a permit.
 func (g *gateHandler) observeNotice(permit *gate.Permit, r *http.Response) {
@@ -98,7 +106,7 @@
 	}
 	n, err := x.entry.config.Dialect.notice(r.reply.header)
 	if err != nil {
-		n.Limited = false // the gate logs the value
+		n.Limit, n.Limited = r.choice.Notice.Limit, r.choice.Notice.Limited // the gate logs the value
 	}
 	if r.choice.Observe(n) {
 		x.entry.config.Log.Info("A backend server leaves and gets no more calls from this host.", zap.String("server", string(r.choice.Server.ID)), zap.String("call", x.call.id))
--- a/internal/proxy/notice_test.go
+++ b/internal/proxy/notice_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
@@ -9,6 +12,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/gate"
 )
 
@@ -94,3 +98,48 @@
 		}
 	}
 }
+
+// TestEntryTellsGateTheLimit guards against a gate that has forgotten the limit of
+// its server and learns it from no entry, and against a caller that names one.
+func TestEntryTellsGateTheLimit(t *testing.T) {
+	var got []string
+	fake := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = append(got, r.Header.Get(HeaderNoticedLimit))
+		w.Header().Set(HeaderCallID, r.Header.Get(HeaderCallID))
+		if len(got) != 3 {
+			w.Header().Set(HeaderLimit, "2.5")
+		}
+	}))
+	t.Cleanup(fake.Close)
+	m := newMesh(t)
+	m.startRows([]backend.Server{m.row(0, fake)}, map[backend.ServerID]netip.AddrPort{"stock-0": address(fake)})
+	for range 4 {
+		m.do("GET", "/stock", "", HeaderNoticedLimit, "7")
+	}
+	if want := []string{"", "2.5", "2.5", ""}; !slices.Equal(got, want) {
+		t.Errorf("got limits %q at the gate, want %q", got, want)
+	}
+}
+
+// TestGateAdoptsLimitOfEntry guards against a gate that ignores the limit that an
+// entry knows.
+func TestGateAdoptsLimitOfEntry(t *testing.T) {
+	m := newMesh(t).start(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		t.Error("got a call at the server, want none")
+	}))
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+m.view.Hosts[1].GateAddr.String()+"/stock", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{HeaderCallID: "1", HeaderServer: "stock-0", HeaderTimeoutMS: "1000", HeaderNoticedLimit: "0.5"} {
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if got := resp.Header.Get(HeaderReason); got != reasonServerLimited {
+		t.Errorf("got reason %q, want %q", got, reasonServerLimited)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,6 +37,9 @@
 	// HeaderLimit is set by a backend server that limits the calls that it accepts:
 	// their number per second from all daemons together, as a decimal number.
 	HeaderLimit = "Peridotlb-Limit"
+	// HeaderNoticedLimit is the limit that the server of a call named last in a
+	// response to the entry.
+	HeaderNoticedLimit = "Peridotlb-Noticed-Limit"
 	// HeaderLeaving is "1" in the responses of a backend server that is about to end.
 	HeaderLeaving = "Peridotlb-Leaving"
 	// HeaderServerUS is the time that the backend server took, in microseconds.
