End a response whose header has no end

What callers saw: nothing yet; found by reading, after a report that bytes which are no answer may come without end. Cause: maxResponseHeader was declared and not used, and net/http's parser reads a header of any size into memory until the deadline of the call. Class: an input of a peer without a bound. Change: the client's connections bound a header to 64 KiB, with the reader that the server has for request headers.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -84,6 +85,7 @@
 // clientConn is a connection to a peer. It carries one request at a time.
 type clientConn struct {
 	raw           net.Conn
+	headerLimit   headerLimitReader
 	reader        *bufio.Reader
 	addr          netip.AddrPort
 	used          bool
@@ -155,7 +157,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize), addr: addr}, nil
+	cc := &clientConn{raw: raw, headerLimit: headerLimitReader{source: raw, remaining: -1}, addr: addr}
+	cc.reader = bufio.NewReaderSize(&cc.headerLimit, readBufferSize)
+	return cc, nil
 }
 
 // takeIdle returns an idle connection, or nil if there is none.
@@ -346,9 +350,13 @@
 		}
 		return nil, fmt.Errorf("wait for the response: %w", err)
 	}
+	// The parser itself reads a header of any size into memory.
+	limit := &x.conn.headerLimit
+	limit.remaining, limit.err = max(maxResponseHeader-x.conn.reader.Buffered(), 0), nil
 	r, err := http.ReadResponse(x.conn.reader, request)
+	limit.remaining = -1
 	if err != nil {
-		return nil, fmt.Errorf("read the response: %w", err)
+		return nil, fmt.Errorf("read the response: %w", cmp.Or(limit.err, err))
 	}
 	return r, nil
 }
--- a/internal/connection/client_test.go
+++ b/internal/connection/client_test.go
@@ -293,3 +293,50 @@
 		}
 	}
 }
+
+// TestEndlessHeader guards against reading a response header without end into memory
+// until the caller's deadline.
+func TestEndlessHeader(t *testing.T) {
+	for name, line := range map[string]string{"status line": "x", "fields": "A: b\r\n", "one field": "a"} {
+		closed := make(chan int, 1)
+		addr := peer(t, func(_ int64, in *bufio.Reader, c net.Conn) {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			text := strings.Repeat(line, 4096)
+			if name != "status line" {
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\nB: c")
+			}
+			sent := 0
+			for sent < 64<<20 {
+				n, err := io.WriteString(c, text)
+				if sent += n; err != nil {
+					break
+				}
+			}
+			closed <- sent
+		})
+		if got, err := roundTrip(t.Context(), newClient(t), addr, message("1", "")); err == nil {
+			t.Errorf("endless %s: got %q, want an error", name, got)
+		}
+		if got, want := <-closed, 16<<20; got > want {
+			t.Errorf("endless %s: the peer could send %d bytes, want at most %d until the connection is closed", name, got, want)
+		}
+	}
+}
+
+// TestCutHeader guards against a response whose header the peer cut short, so that
+// its length is missing, and which is taken for one that ends with its connection.
+func TestCutHeader(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: x\r\nContent-Length: 4\r\n\r\nbead"
+	for size := range strings.Index(response, "bead") {
+		addr := peer(t, func(_ int64, in *bufio.Reader, c net.Conn) {
+			if _, err := http.ReadRequest(in); err == nil {
+				_, _ = io.WriteString(c, response[:size])
+			}
+		})
+		if got, err := roundTrip(t.Context(), newClient(t), addr, message("1", "")); err == nil {
+			t.Errorf("header cut after %q: got %q without an error", response[:size], got)
+		}
+	}
+}
--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -31,7 +31,7 @@
 	firstRequestTimeout = 500 * time.Millisecond
 )
 
-var errHeaderTooLarge = errors.New("request header is too large")
+var errHeaderTooLarge = errors.New("header is too large")
 
 // conn is a connection from a client.
 type conn struct {
