Do not reuse a connection after a response that names no call

A faulty server wrote an earlier refusal once more on a kept connection. If the refusal carries no call id, the next call on the connection got 503 with the promise that it had not run, while the server ran it; a paid call could then run twice. Cause: a response of 300 or more without a call id matched any request (with the built-in headers every response without one). Class: a statement that is not tied to what it is about. Change: a connection is not reused after a response that does not name its call; with the built-in headers, where servers need not echo the id, after a refusal that does not. Then no earlier refusal can precede the response on any connection. Ruled out: not believing such refusals on reused connections; the platform's examples of refusals show no id, and a call that may run once could not be tried elsewhere. Result: TestRepeatedRefusalIsNotTakenForAnother: before, 'call 1: got 503, want 200' with both kinds of headers; after, it passes.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -63,6 +63,10 @@
 	// Matches reports whether a response belongs to a request; nil accepts every
 	// response. A response that does not match is late and is discarded.
 	Matches func(m *Message, r *http.Response) bool
+	// Identifies reports whether a response states which request it belongs to; nil
+	// means that every response does. A connection is not reused after one that does
+	// not: a second copy of it could be taken for the response to a later request.
+	Identifies func(r *http.Response) bool
 }
 
 // Client sends requests over persistent connections. It never sends a request
@@ -79,6 +83,9 @@
 	if c.Matches == nil {
 		c.Matches = func(*Message, *http.Response) bool { return true }
 	}
+	if c.Identifies == nil {
+		c.Identifies = func(*http.Response) bool { return true }
+	}
 	return &Client{config: c, idle: make(map[netip.AddrPort][]*clientConn)}
 }
 
@@ -330,7 +337,7 @@
 		}
 		if x.client.config.Matches(x.message, r) {
 			x.conn.setReuseDeadline(x.client.config.IdleTimeout, r)
-			r.Body = &responseBody{roundTrip: x, ReadCloser: r.Body, closeAfter: r.Close, sawEOF: r.Body == http.NoBody}
+			r.Body = &responseBody{roundTrip: x, ReadCloser: r.Body, closeAfter: r.Close || !x.client.config.Identifies(r), sawEOF: r.Body == http.NoBody}
 			return r, nil
 		}
 		if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
@@ -387,7 +394,7 @@
 type responseBody struct {
 	io.ReadCloser
 	roundTrip  *roundTrip
-	closeAfter bool // the connection ends with the response
+	closeAfter bool // the connection ends with the response or must not be reused
 	sawEOF     bool
 	closed     bool
 }
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -73,6 +73,13 @@
 	return id == m.Header.Get(d.callIDHeader())
 }
 
+// identifies reports whether a response of a backend server states which call it
+// belongs to. With the built-in headers, servers need not echo the call id, except
+// that a response which says that a call was not run must be beyond doubt.
+func (d Dialect) identifies(r *http.Response) bool {
+	return r.Header.Get(d.callIDHeader()) != "" || d.CallID == "" && !d.reportsNotRun(r)
+}
+
 // reportsNotRun reports whether a response says that the server did not run the
 // call. With NotRun set, that is this header or status 421; otherwise the built-in
 // header with status 503 or 429.
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -379,3 +380,41 @@
 		t.Errorf("got %d retries counted, want %d", got, runs.Load()-calls)
 	}
 }
+
+// TestRepeatedRefusalIsNotTakenForAnother guards against a server that writes an
+// earlier refusal, which does not name its call, once more on a connection that was
+// in use again: the next call would be reported as not run while the server runs it.
+func TestRepeatedRefusalIsNotTakenForAnother(t *testing.T) {
+	for _, d := range []Dialect{{}, {CallID: "Attempt", NotRun: "Not-Executed"}} {
+		notRun := cmp.Or(d.NotRun, HeaderNotRun)
+		var ran atomic.Int64
+		var first atomic.Value // net.Conn
+		addr := rawServer(t, func(n int64, r *http.Request, conn net.Conn) bool {
+			refusal := "HTTP/1.1 503 Service Unavailable\r\n" + notRun + ": true\r\nContent-Length: 0\r\n\r\n"
+			if n == 1 {
+				first.Store(conn)
+				_, _ = io.WriteString(conn, refusal)
+				return true
+			}
+			if conn == first.Load() {
+				_, _ = io.WriteString(conn, refusal)
+			}
+			ran.Add(1)
+			text := "HTTP/1.1 200 OK\r\n" + d.callIDHeader() + ": " + r.Header.Get(d.callIDHeader()) + "\r\nContent-Length: 0\r\n\r\n"
+			_, _ = io.WriteString(conn, text)
+			return true
+		})
+		m := newMesh(t)
+		m.dialect, m.local, m.routes[0].Retries = d, true, 0
+		m.transports = NewTransports(TransportConfig{Dialect: d})
+		m.startRows([]backend.Server{{ID: "stock-0", Service: "stock", Host: "host-0", Addr: addr, State: backend.Ready, Stamp: host.Stamp{Sequence: 1}}}, nil)
+		for call, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+			if got := m.do("GET", "/stock", "", "Attempt", fmt.Sprint("call-", call)); got.StatusCode != want {
+				t.Errorf("%+v, call %d: got %d, want %d", d, call, got.StatusCode, want)
+			}
+		}
+		if got, want := ran.Load(), int64(1); got != want {
+			t.Errorf("%+v: got %d runs, want %d", d, got, want)
+		}
+	}
+}
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -77,7 +77,7 @@
 		},
 	})
 	t.backends = connection.NewClient(connection.ClientConfig{
-		Dial: t.dialBackend, IdleTimeout: backendIdleTimeout, MaxIdleConns: maxIdleBackendConnections, Matches: c.Dialect.matches,
+		Dial: t.dialBackend, IdleTimeout: backendIdleTimeout, MaxIdleConns: maxIdleBackendConnections, Matches: c.Dialect.matches, Identifies: c.Dialect.identifies,
 	})
 	return t
 }
