Refuse calls of unknown length shortly before a planned stop ends

What callers saw: nothing yet; an operator's report (calls taken late in the grace and cut at its end), looked for here. Cause: a stopping daemon estimates how long a call takes from the run times that it has seen. A route that it has not called yet got the default of 100 ms, so a daemon that is stopped soon after its start took calls of half a second or more up to 0.6 s before it cancels them. Class: a default taken for a measurement. Result: TestStoppingDaemonRefusesCallOfUnknownLength: before, 'got 200 and 1 runs, want 503 and none'; after, it passes. TestStoppingDaemonAcceptsOnlyShortCalls makes 10 calls in place of 5 before it stops, so that the run time counts as measured.

--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -17,6 +17,9 @@
 	maxRoutes = 8192
 	// defaultKilobytes is the assumed call size of a route without measurements.
 	defaultKilobytes = 2
+	// minMeasuredCalls is the number of calls from which the mean run time of a route
+	// counts as measured.
+	minMeasuredCalls = 8
 	bytesPerKilobyte = 1000
 )
 
@@ -38,6 +41,7 @@
 type routeEstimate struct {
 	runTime   time.Duration
 	kilobytes float64
+	measured  bool // the run time is the mean of enough calls
 }
 
 // estimate returns the averages of a route, or the defaults when it has no
@@ -47,14 +51,14 @@
 	means := r.routes[name]
 	r.mu.RUnlock()
 	if means == nil {
-		return routeEstimate{defaultRunTime, defaultKilobytes}
+		return routeEstimate{runTime: defaultRunTime, kilobytes: defaultKilobytes}
 	}
 	means.mu.Lock()
 	defer means.mu.Unlock()
 	if means.calls == 0 {
-		return routeEstimate{defaultRunTime, defaultKilobytes}
+		return routeEstimate{runTime: defaultRunTime, kilobytes: defaultKilobytes}
 	}
-	return routeEstimate{time.Duration(means.runTime), means.kilobytes}
+	return routeEstimate{runTime: time.Duration(means.runTime), kilobytes: means.kilobytes, measured: means.calls >= minMeasuredCalls}
 }
 
 // record adds the run time and the bytes of a call. It returns the ratio of the
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -79,8 +79,11 @@
 	if end.IsZero() {
 		return nil
 	}
-	left := end.Sub(x.now())
-	if choice.ExpectedWait+completionFactor*choice.ExpectedRunTime <= left {
+	left, needed := end.Sub(x.now()), x.remaining()
+	if choice.RunTimeMeasured {
+		needed = min(needed, choice.ExpectedWait+completionFactor*choice.ExpectedRunTime)
+	}
+	if needed <= left {
 		return nil
 	}
 	return &failure{reason: reasonStopping, notRun: true, retryAfter: left}
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -17,7 +17,7 @@
 		ran++
 		time.Sleep(run)
 	}))
-	for range 5 {
+	for range 10 {
 		m.do("GET", "/stock", "")
 	}
 	var end time.Time
@@ -38,3 +38,22 @@
 		t.Error("the call was run, want it refused")
 	}
 }
+
+// TestStoppingDaemonRefusesCallOfUnknownLength guards against a daemon that starts,
+// is stopped soon and accepts a call of a route that it has no run times of: the
+// server is still working on the call when the daemon cancels it.
+func TestStoppingDaemonRefusesCallOfUnknownLength(t *testing.T) {
+	ran := 0
+	m := newMesh(t)
+	m.routes[0].Target = time.Second
+	m.start(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ }))
+	end := time.Now().Add(2 * time.Second)
+	m.config.ShutdownDeadline = func() time.Time { return end }
+	m.entry.Config.Handler = NewEntry(m.config)
+	if r := m.do("GET", "/stock", ""); r.StatusCode != http.StatusServiceUnavailable || ran != 0 {
+		t.Errorf("route timeout of 5 s, 2 s left: got %d and %d runs, want 503 and none", r.StatusCode, ran)
+	}
+	if r := m.do("GET", "/stock", "", HeaderTimeoutMS, "1000"); r.StatusCode != http.StatusOK {
+		t.Errorf("timeout of 1 s, 2 s left: got %d, want 200", r.StatusCode)
+	}
+}
