Skip records of hosts that decode and can't be used

Records that do not decode were skipped one by one already. One that decodes was taken as it was: with the key of another host, without a gate address, with a server of another host or of a state that does not exist. With the control address of a living host it kept that host out of the table of a starting daemon. Change: a record must have the key of its host and usable addresses, its servers must be its host's own; others are skipped with the existing line. A gone server may lack service and address. Result: TestOddRecordIsSkipped; with the check taken out, 'the host with the valid record is known: condition not met within 7s'. TestRecordWithForeignSignatureIsSkipped gives its records a gate address, as each daemon writes it.

--- a/internal/daemon/records.go
+++ b/internal/daemon/records.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -74,6 +76,29 @@
 	return fleet.HostRecord{Host: v.Host, Servers: v.Servers}, nil
 }
 
+// checkRecord returns an error for a record that can be decoded, but not used. Other
+// parties may write to the table, and one odd record must not affect the others.
+func checkRecord(key platform.Key, r fleet.HostRecord) error {
+	if recordKey(r.Host) != key {
+		return fmt.Errorf("record of host %q has the key of another host", r.Host.ID)
+	}
+	if !usable(r.Host.ControlAddr) || !usable(r.Host.GateAddr) {
+		return errors.New("record has no control address or no gate address")
+	}
+	for _, s := range r.Servers {
+		switch {
+		case s.ID == "", s.Host != r.Host.ID, s.State > backend.Gone:
+			return fmt.Errorf("record has an invalid backend server %q", s.ID)
+		case s.State != backend.Gone && (s.Service == "" || !usable(s.Addr)):
+			return fmt.Errorf("backend server %s has no service or no address", s.ID)
+		}
+	}
+	return nil
+}
+
+// usable reports whether an address can be connected to.
+func usable(a netip.AddrPort) bool { return a.IsValid() && a.Port() != 0 }
+
 // ownRow tracks the revision of this host's row in the table.
 type ownRow struct {
 	mu       sync.Mutex
@@ -101,6 +126,9 @@
 			l.ownRow.setRevision(r.Revision)
 		}
 		v, err := decodeRecord(l.signer, r.Value)
+		if err == nil {
+			err = checkRecord(r.Key, v)
+		}
 		if err != nil {
 			l.log.Warn("Skipped a host record that can't be used.", zap.String("row", string(r.Key)), zap.Error(err))
 			continue
--- a/internal/daemon/records_test.go
+++ b/internal/daemon/records_test.go
@@ -4,8 +4,11 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 
+	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/fleet"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/link"
@@ -36,7 +39,7 @@
 	ca, table := newCA(t), platform.NewMemory()
 	for i, signer := range []*link.Signer{newSigner(t, ca, "own-fleet-1"), newSigner(t, newCA(t), "other-fleet-1")} {
 		id := []host.ID{"own-fleet-1", "other-fleet-1"}[i]
-		row := host.Row{ID: id, Zone: "pwani-a", Region: "pwani", ControlAddr: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 9+i))}
+		row := host.Row{ID: id, Zone: "pwani-a", Region: "pwani", ControlAddr: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 9+i)), GateAddr: netip.MustParseAddrPort("127.0.0.1:9")}
 		value, err := encodeRecord(signer, fleet.HostRecord{Host: row})
 		if err != nil {
 			t.Fatal(err)
@@ -88,3 +91,67 @@
 		t.Errorf("record without a signature: got error %v, want %v", err, link.ErrUnsigned)
 	}
 }
+
+// TestOddRecordIsSkipped guards against one odd record of another writer that ends
+// the daemons which read it, or keeps them from using the other records.
+func TestOddRecordIsSkipped(t *testing.T) {
+	ca, table := newCA(t), platform.NewMemory()
+	signer := newSigner(t, ca, "pwani-a-2")
+	addr := netip.MustParseAddrPort("127.0.0.1:9")
+	valid := fleet.HostRecord{
+		Host:    host.Row{ID: "pwani-a-2", Zone: "pwani-a", Region: "pwani", ControlAddr: addr, GateAddr: addr},
+		Servers: []backend.Server{{ID: "s-2", Service: "stock", Host: "pwani-a-2", Addr: addr, Slots: 9, State: backend.Ready}},
+	}
+	put := func(key platform.Key, value []byte) {
+		t.Helper()
+		if _, err := table.Commit(t.Context(), platform.Write{Key: key, Value: value}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	odd := map[string]func(*fleet.HostRecord){
+		"of-another-host":   func(*fleet.HostRecord) {},
+		"no-control-port":   func(r *fleet.HostRecord) { r.Host.ControlAddr = netip.AddrPortFrom(addr.Addr(), 0) },
+		"no-gate-address":   func(r *fleet.HostRecord) { r.Host.GateAddr = netip.AddrPort{} },
+		"foreign-server":    func(r *fleet.HostRecord) { r.Servers[0].Host = "pwani-a-9" },
+		"no-server-address": func(r *fleet.HostRecord) { r.Servers[0].Addr = netip.AddrPort{} },
+		"unknown-state":     func(r *fleet.HostRecord) { r.Servers[0].State = 200 },
+	}
+	for name, change := range odd {
+		r := fleet.HostRecord{Host: valid.Host, Servers: slices.Clone(valid.Servers)}
+		if name != "of-another-host" {
+			r.Host.ID, r.Servers[0].Host = host.ID(name), host.ID(name)
+		}
+		change(&r)
+		value, err := encodeRecord(signer, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		put(zonePrefix("pwani", "pwani-a")+platform.Key(name), value)
+	}
+	for name, value := range map[string]string{
+		"empty": "", "text": "not a record", "deep": strings.Repeat("\x81", 100_000) + "\x00",
+		"long": "\x9b\xff\xff\xff\xff\xff\xff\xff\xff", "large-number": "\xa1\x01\x1b\xff\xff\xff\xff\xff\xff\xff\xff",
+	} {
+		put(zonePrefix("pwani", "pwani-a")+platform.Key(name), []byte(value))
+	}
+	value, err := encodeRecord(signer, valid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(recordKey(valid.Host), value)
+	d := start(t, table, daemonArgs(t, ca, "pwani-a-1", "pwani-a"))
+	t.Cleanup(d.stop)
+	var hosts []host.ID
+	eventually(t, maxApplyTime, "the host with the valid record is known", func() bool {
+		hosts = nil
+		err := d.loop.withCore(t.Context(), func(c *fleet.Core) {
+			for _, h := range c.Hosts() {
+				hosts = append(hosts, h.ID)
+			}
+		})
+		return err == nil && slices.Contains(hosts, "pwani-a-2")
+	})
+	if got, want := len(hosts), 2; got != want {
+		t.Errorf("got hosts %v, want pwani-a-1 and pwani-a-2", hosts)
+	}
+}
