--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -33,7 +33,7 @@
 
 // Main runs the daemon and returns its exit code. With settings.Store as platform,
 // adapt provides the platform and the environment; it may be nil.
-func Main(ctx context.Context, args []string, out, errs io.Writer, adapt func(settings.Daemon) (platform.Service, Environment)) int {
+func Main(ctx context.Context, args []string, out, errs io.Writer, adapt func(settings.Daemon, *zap.Logger) (platform.Service, Environment)) int {
 	s, err := settings.Parse(args)
 	if errors.Is(err, flag.ErrHelp) {
 		_, _ = io.WriteString(out, settings.Help())
@@ -58,7 +58,7 @@
 	log = log.With(zap.String("daemon", string(s.HostID)))
 	c := Config{Settings: s, Log: log, LinesDropped: dropped}
 	if s.Platform == settings.Store && adapt != nil {
-		c.Platform, c.Environment = adapt(s)
+		c.Platform, c.Environment = adapt(s, log)
 	}
 	d, err := New(ctx, c)
 	if err == nil {
--- a/test/platform/store/store.go
+++ b/test/platform/store/store.go
@@ -7,9 +7,11 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"strings"
@@ -40,6 +42,7 @@
 	Reset           bool          // close the connection of every call without running it
 	Silent          bool          // send no response until the client disconnects
 	Delay           time.Duration // delay of every call
+	Mute            bool          // run every call and send no response until the client disconnects
 	LoseProbability float64       // share of the calls that run without a response
 	// Callers restricts the faults to some caller addresses; empty means all.
 	Callers []netip.Addr
@@ -55,6 +58,7 @@
 	version      uint64
 	changed      chan struct{} // closed at the next change
 	faults       Faults
+	connections  map[string]bool // by the client's address; true if the connection is silent
 	calls        int
 	start        time.Time
 	mux          *http.ServeMux
@@ -91,7 +95,7 @@
 func New(c Config) *Store {
 	s := &Store{
 		rng: rand.New(rand.NewPCG(c.Seed, 0)), rows: make(map[rowKey]row),
-		changed: make(chan struct{}), start: time.Now(), mux: http.NewServeMux(),
+		changed: make(chan struct{}), start: time.Now(), mux: http.NewServeMux(), connections: make(map[string]bool),
 	}
 	s.mux.HandleFunc("POST /v1/rows-tx", s.handleCommit)
 	s.mux.HandleFunc("GET /v1/rows-get", s.handleGet)
@@ -107,6 +111,25 @@
 	s.faults = f
 }
 
+// SilenceConnections makes a share of the connections that have carried a call silent
+// for good: calls on them are neither run nor answered. New connections are not
+// affected.
+func (s *Store) SilenceConnections(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range slices.Sorted(maps.Keys(s.connections)) {
+		if s.rng.Float64() < share {
+			s.connections[c] = true
+		}
+	}
+}
+
+func (s *Store) isSilent(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.connections[r.RemoteAddr]
+}
+
 // Calls returns the number of calls so far, including failed calls.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -141,6 +164,7 @@
 	}
 	s.mu.Lock()
 	s.calls++
+	s.connections[r.RemoteAddr] = s.connections[r.RemoteAddr]
 	f := s.faults
 	if len(f.Callers) > 0 && !slices.Contains(f.Callers, callerAddr(r)) {
 		f = Faults{}
@@ -152,7 +176,10 @@
 	case <-r.Context().Done():
 	}
 	switch {
-	case f.Silent:
+	case f.Silent, s.isSilent(r):
+		<-r.Context().Done()
+	case f.Mute:
+		s.serve(discardWriter{make(http.Header)}, r, body)
 		<-r.Context().Done()
 	case f.Reset:
 		panic(http.ErrAbortHandler)
@@ -162,7 +189,15 @@
 		s.serve(discardWriter{make(http.Header)}, r, body)
 		panic(http.ErrAbortHandler)
 	default:
-		s.serve(w, r, body)
+		response := httptest.NewRecorder()
+		s.serve(response, r, body)
+		if s.isSilent(r) {
+			<-r.Context().Done()
+			return
+		}
+		maps.Copy(w.Header(), response.Header())
+		w.WriteHeader(response.Code)
+		_, _ = w.Write(response.Body.Bytes()) // an error means that the client has disconnected
 	}
 }
 
