Do not fail calls because several daemons have died

Cause: each gate that could not be connected to used up one of the call's two retries and one of the retry budget, although nothing was sent; and a dead gate was chosen again until five calls in a row had failed on it. Class: attempts that cost nothing counted like attempts that do. Evidence: the errors of the failed reads name three entries, each with gate-unreachable, in the 1.5 s in which daemons start again. Change: up to five unreachable gates a call are neither retries nor taken from the budget, and a gate that can't be connected to is avoided for 1 s at once. Result: TestDeadGatesAreSkipped (five of six daemons dead): before, 'call 0: got 503, want 200'; without the second change, 56 connections to dead daemons in 20 calls, want at most 10; after, it passes.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -122,6 +122,7 @@
 	Failed            // error or refused connection; counts towards ejection
 	Refused           // refused by the gate because the server is full
 	Unusable          // refused by the gate because the server is unknown there or accepts no calls
+	Unreachable       // no connection to the gate; counts towards ejection too
 	Abandoned         // canceled by the caller; no evidence about the server
 )
 
@@ -243,6 +244,9 @@
 		c.pool.recordFailure(c.poolServer, now)
 	case Unusable:
 		st.unusableUntil.Store(now.Add(unusableTime).UnixNano())
+	case Unreachable:
+		st.unusableUntil.Store(now.Add(unusableTime).UnixNano())
+		c.pool.recordFailure(c.poolServer, now)
 	case Refused, Abandoned:
 	}
 }
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -56,8 +56,8 @@
 }
 
 // unusableTime is the time for which a server is avoided after its gate has
-// reported that it accepts no calls. The row of the server, which says otherwise,
-// has not arrived yet or is stale.
+// reported that it accepts no calls, or could not be connected to. The row of the
+// server, which says otherwise, has not arrived yet or is stale.
 const unusableTime = time.Second
 
 func (s *serverState) ejected(now time.Time) bool { return s.ejectedUntil.Load() > now.UnixNano() }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -41,7 +41,7 @@
 // run sends the call and retries it until it has a response or must not be retried.
 // A hedged attempt may run in parallel with a slow one; the first response wins.
 func (x *exchange) run(ctx context.Context) attemptResult {
-	x.results = make(chan attemptResult, 1+maxGateRefusals+int(x.match.Route.Retries)+notRunRetries)
+	x.results = make(chan attemptResult, 1+maxGateRefusals+maxUnreachableGates+int(x.match.Route.Retries)+notRunRetries)
 	choice, err := x.chooseServer(nil)
 	if err != nil {
 		return attemptResult{gateResult: gateResult{failure: x.noServerFailure(err)}}
@@ -119,8 +119,10 @@
 }
 
 // retryCount returns the number of attempts after the first one, not counting those
-// that a gate refused for lack of room.
-func (x *exchange) retryCount() int { return x.startedAttempts - 1 - x.gateRefusals }
+// that a gate refused for lack of room, or whose gate could not be connected to.
+func (x *exchange) retryCount() int {
+	return x.startedAttempts - 1 - x.gateRefusals - min(x.unreachable, maxUnreachableGates)
+}
 
 // handleResult decides how to continue after an attempt ended. It returns the final
 // result and true when the exchange is over.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -25,6 +25,10 @@
 	// target for lack of room. Each refusal reports the current wait, which
 	// improves the next choice.
 	maxGateRefusals = 8
+	// maxUnreachableGates is the number of gates that one call may fail to connect to
+	// before each further one counts as a retry. Several hosts can die at once, and an
+	// attempt that was not sent adds no work to any server.
+	maxUnreachableGates = 5
 )
 
 // exchange is one call at the entry with all its attempts.
@@ -39,6 +43,7 @@
 	fullServers  []backend.ServerID // servers whose gates had no room
 	allFull      bool               // no server had room: the call may wait as long as possible
 	gateRefusals int                // number of gate refusals for lack of room
+	unreachable  int                // number of gates that could not be connected to
 	attemptLogs  []attemptLog
 	// mayHaveRun is set by every attempt that does not prove that the call was not
 	// run.
@@ -75,6 +80,9 @@
 		}
 		return
 	}
+	if r.failure != nil && r.failure.reason == reasonGateUnreachable {
+		x.unreachable++
+	}
 	if r.failure == nil || !r.failure.notRun {
 		x.mayHaveRun = true
 	}
@@ -135,6 +143,8 @@
 		return false
 	case !x.match.Route.Idempotent() && !provedNotRun:
 		return false
+	case provedNotRun && r.failure.reason == reasonGateUnreachable && x.unreachable <= maxUnreachableGates:
+		return true
 	case provedNotRun && r.failure.serverFull && !x.targetTime.IsZero():
 		// The call was only refused by gates; no server has seen it. If it already
 		// waited in a queue until it was late, it would only wait elsewhere.
@@ -192,6 +202,8 @@
 	case f == nil:
 	case f.reason == reasonCallerGone, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
 		outcome = pool.Abandoned
+	case f.reason == reasonGateUnreachable:
+		outcome = pool.Unreachable
 	case f.refused && f.serverUnavailable:
 		outcome = pool.Unusable
 	case f.refused:
@@ -251,7 +263,7 @@
 	}
 	s := send(ctx, x.entry.config.Transports.gates, choice.GateAddr, x.call.buildMessage(fields...), connection.Options{})
 	if s.err != nil {
-		return gateResult{failure: sendFailure(ctx, s, "gate-unreachable", "gate-broke")}
+		return gateResult{failure: sendFailure(ctx, s, reasonGateUnreachable, "gate-broke")}
 	}
 	h := s.response.Header
 	result := gateResult{}
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -53,6 +53,8 @@
 	reasonQueueTimeout      = "queue-timeout"
 	reasonNoVersion         = "no-version-applied"
 	reasonServerUnreachable = "server-unreachable"
+	// reasonGateUnreachable means that the entry could not connect to the gate.
+	reasonGateUnreachable = "gate-unreachable"
 	reasonStopping          = "daemon-stopping"
 )
 
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -418,3 +419,41 @@
 		}
 	}
 }
+
+// TestDeadGatesAreSkipped guards against calls that fail while most daemons of a
+// service have died, and against calls that try the same dead daemons again and again.
+func TestDeadGatesAreSkipped(t *testing.T) {
+	const dead, calls = 5, 20
+	var dials atomic.Int64
+	m := newMesh(t)
+	m.routes[0].Retries = 0
+	gates := make(map[backend.ServerID]netip.AddrPort)
+	refused := make(map[netip.AddrPort]bool)
+	var rows []backend.Server
+	for i := range dead + 1 {
+		s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		t.Cleanup(s.Close)
+		rows = append(rows, m.row(i, s))
+		if i < dead {
+			gate := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i+1))
+			gates[rows[i].ID], refused[gate] = gate, true
+		}
+	}
+	m.transports = NewTransports(TransportConfig{dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		if refused[addr] {
+			dials.Add(1)
+			return nil, errors.New("connection refused")
+		}
+		return dial(ctx, addr, netip.Addr{})
+	}})
+	m.startRows(rows, gates)
+	for call := range calls {
+		if got := m.do("GET", "/stock", ""); got.StatusCode != http.StatusOK {
+			t.Errorf("call %d: got %d, want 200", call, got.StatusCode)
+		}
+	}
+	// Each dead daemon may be tried again after unusableTime of the pool, 1 s.
+	if got, want := dials.Load(), int64(2*dead); got > want {
+		t.Errorf("got %d connections to dead daemons in %d calls, want at most %d", got, calls, want)
+	}
+}
