--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -118,12 +118,12 @@
 
 // Outcomes of a call.
 const (
-	Succeeded Outcome = iota
-	Failed            // error or refused connection; counts towards ejection
-	Refused           // refused by the gate because the server is full
-	Unusable          // refused by the gate because the server is unknown there or accepts no calls
-	Unreachable       // no connection to the gate; counts towards ejection too
-	Abandoned         // canceled by the caller; no evidence about the server
+	Succeeded   Outcome = iota
+	Failed              // error or refused connection; counts towards ejection
+	Refused             // refused by the gate because the server is full
+	Unusable            // refused by the gate because the server is unknown there or accepts no calls
+	Unreachable         // no connection to the gate; counts towards ejection too
+	Abandoned           // canceled by the caller; no evidence about the server
 )
 
 // Result reports the end of a call.
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -55,7 +55,7 @@
 	reasonServerUnreachable = "server-unreachable"
 	// reasonGateUnreachable means that the entry could not connect to the gate.
 	reasonGateUnreachable = "gate-unreachable"
-	reasonStopping          = "daemon-stopping"
+	reasonStopping        = "daemon-stopping"
 )
 
 func (f *failure) statusCode() int {
