Hold the limit of request bodies for bodies of unknown length too

What callers saw: a chunked body of any size was passed on, and the server took it for whole, though the configuration bounds bodies. Cause: only Content-Length was compared with the limit. Class: a bound on a declared value in place of the real one. Change: the body is counted while it is read. Result: TestTooLargeUpload: before, 'got 200, want 413' and 'took 1 bodies for whole' for chunked bodies of 101,000 and 300,000 bytes with a limit of 100,000; after, it passes.

--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -16,7 +16,27 @@
 // larger request body is read.
 const BufferLimit = 64 << 10
 
-var errBodyTooLarge = errors.New("request body is too large")
+// ErrBodyTooLarge is the error of reading a request body that exceeds the limit.
+var ErrBodyTooLarge = errors.New("request body is too large")
+
+// limitedBody is a request body that must not exceed a number of bytes. Unlike
+// io.LimitReader, it does not take the limit for the end of the body.
+type limitedBody struct {
+	io.ReadCloser
+	remaining int64 // negative once the body has exceeded the limit
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	if int64(len(p)) > b.remaining+1 {
+		p = p[:b.remaining+1]
+	}
+	n, err := b.ReadCloser.Read(p)
+	if b.remaining -= int64(n); b.remaining < 0 {
+		return 0, ErrBodyTooLarge
+	}
+	return n, err
+}
 
 // bufferedBody is a request body that was read completely before the handler runs.
 type bufferedBody struct{ *bytes.Reader }
@@ -52,9 +72,12 @@
 	n, err := b.rest.Read(p)
 	if err != nil && !b.sawEOF {
 		b.sawEOF = errors.Is(err, io.EOF)
-		if b.sawEOF {
+		switch {
+		case b.sawEOF:
 			close(b.eof)
-		} else {
+		case errors.Is(err, ErrBodyTooLarge):
+			// The client is still there, and the handler responds.
+		default:
 			b.conn.cancel()
 		}
 	}
@@ -89,8 +112,11 @@
 		return nil, nil
 	}
 	limits := c.server.config.Limits()
-	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
-		return nil, errBodyTooLarge
+	if limits.BodyBytes > 0 {
+		if r.ContentLength > limits.BodyBytes {
+			return nil, ErrBodyTooLarge
+		}
+		r.Body = &limitedBody{ReadCloser: r.Body, remaining: limits.BodyBytes}
 	}
 	c.setReadTimeout(limits.IdleTimeout)
 	if r.Header.Get("Expect") == "100-continue" && c.inFlightCount() == 0 {
--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -216,7 +216,7 @@
 	switch {
 	case errors.Is(err, errHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, errBodyTooLarge):
+	case errors.Is(err, ErrBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case errors.As(err, &e) && e.Timeout():
 		status = http.StatusRequestTimeout
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -21,7 +21,7 @@
 // new version of the configuration applies to open connections too.
 type Limits struct {
 	HeaderBytes   int           // of a request header
-	BodyBytes     int64         // Content-Length of a request; 0 for no limit. Chunked bodies are not limited.
+	BodyBytes     int64         // of a request body, also of a chunked one; 0 for no limit
 	HeaderTimeout time.Duration // from the first byte of a header to its last
 	IdleTimeout   time.Duration // between requests, for buffering a body, and for each read of a streamed body
 }
--- a/internal/connection/server_test.go
+++ b/internal/connection/server_test.go
@@ -267,6 +267,8 @@
 	}{
 		{"GET / HTTP/1.1\r\nHost: x\r\nLong: " + strings.Repeat("x", 9<<10) + "\r\n\r\n", 431},
 		{"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n", 413},
+		{"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(strings.Repeat("x", 101)), 413},
+		{"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(strings.Repeat("x", 100)) + "0\r\n\r\n", 200},
 		{"GET / HTTP/1.1\r\nHost", 408},
 		{"nonsense\r\n\r\n", 400},
 		{"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", 200},
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -68,6 +69,7 @@
 	length   int64     // -1 if unknown
 	trailer  http.Header
 	restRead atomic.Bool
+	tooLarge atomic.Bool // the rest exceeds the limit of the configuration
 }
 
 // readBody buffers the body of a request, or the first bufferLimit+1 bytes of a
@@ -128,7 +130,11 @@
 
 func (r restReader) Read(p []byte) (int, error) {
 	r.body.restRead.Store(true)
-	return r.body.rest.Read(p)
+	n, err := r.body.rest.Read(p)
+	if errors.Is(err, connection.ErrBodyTooLarge) {
+		r.body.tooLarge.Store(true)
+	}
+	return n, err
 }
 
 // stripHopByHop removes the headers that apply to a single connection.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -179,6 +179,10 @@
 		f := *r.failure
 		f.notRun = !x.mayHaveRun
 		f.noRetry = r.noRetry
+		if x.call.body.tooLarge.Load() {
+			// The server got a part of the body and may have acted on it.
+			f.reason, f.status, f.hint = reasonTooLarge, http.StatusRequestEntityTooLarge, "the request body exceeds the limit of the configuration"
+		}
 		r.failure = &f
 	}
 	return r
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -53,6 +53,7 @@
 	reasonQueueTimeout      = "queue-timeout"
 	reasonNoVersion         = "no-version-applied"
 	reasonServerUnreachable = "server-unreachable"
+	reasonTooLarge          = "request-too-large"
 	// reasonGateUnreachable means that the entry could not connect to the gate.
 	reasonGateUnreachable = "gate-unreachable"
 	reasonStopping        = "daemon-stopping"
--- a/internal/proxy/paid.go
+++ b/internal/proxy/paid.go
@@ -33,7 +33,7 @@
 	}
 	if x.call.body.rest != nil {
 		x.entry.writeFailure(w, x.call.id, &failure{
-			reason: "request-too-large", status: http.StatusRequestEntityTooLarge, notRun: true,
+			reason: reasonTooLarge, status: http.StatusRequestEntityTooLarge, notRun: true,
 			hint: "the body of a paid call must not exceed 64 KiB",
 		})
 		return
--- /dev/null
+++ b/internal/proxy/upload_test.go
@@ -0,0 +1,176 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/connection"
+)
+
+// uploadMesh is a mesh whose entry has the connection server of a daemon.
+type uploadMesh struct {
+	*mesh
+	addr string
+	// whole and cut count the bodies that the backend server read to their end, and
+	// those that ended with an error.
+	whole, cut atomic.Int64
+}
+
+// startUploads starts a mesh with an at-most-once route and a limit of bodies in
+// bytes; 0 for none.
+func startUploads(t *testing.T, maxBody int64) *uploadMesh {
+	u := &uploadMesh{mesh: newMesh(t)}
+	u.routes[0].AtMostOnce, u.routes[0].Retries = true, 0
+	u.service.Slots, u.service.Connections = 500, 500
+	u.start(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			u.cut.Add(1)
+			return
+		}
+		u.whole.Add(1)
+	}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := connection.DefaultLimits()
+	limits.BodyBytes = maxBody
+	server := NewEntryServer(ServerConfig{Handler: NewEntry(u.config), Limits: func() connection.Limits { return limits }})
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Close)
+	u.addr = l.Addr().String()
+	return u
+}
+
+// dial opens a connection to the entry.
+func (u *uploadMesh) dial() net.Conn {
+	u.t.Helper()
+	c, err := net.Dial("tcp", u.addr)
+	if err != nil {
+		u.t.Fatal(err)
+	}
+	u.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(30 * time.Second)) // limits a test that hangs
+	return c
+}
+
+// head returns the header of an upload; a length of -1 uses chunked encoding.
+func head(length int) string {
+	framing := fmt.Sprintf("Content-Length: %d", length)
+	if length < 0 {
+		framing = "Transfer-Encoding: chunked"
+	}
+	return "POST /stock HTTP/1.1\r\nHost: x\r\n" + framing + "\r\n\r\n"
+}
+
+func chunk(size int) string { return fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)) }
+
+// TestTooLargeUpload guards against bodies that exceed the limit and are passed on
+// because their length is not known at the start, and against a server that takes
+// what it got of such a body for the whole.
+func TestTooLargeUpload(t *testing.T) {
+	for _, size := range []int{101_000, 300_000} {
+		for _, chunked := range []bool{false, true} {
+			u := startUploads(t, 100_000)
+			request := head(size) + strings.Repeat("x", size)
+			if chunked {
+				request = head(-1) + chunk(size) + "0\r\n\r\n"
+			}
+			c := u.dial()
+			go func() { _, _ = io.WriteString(c, request) }()
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Errorf("%d bytes, chunked %v: %v", size, chunked, err)
+				continue
+			}
+			if got, want := r.StatusCode, http.StatusRequestEntityTooLarge; got != want {
+				t.Errorf("%d bytes, chunked %v: got %d, want %d", size, chunked, got, want)
+			}
+			if got := u.whole.Load(); got != 0 {
+				t.Errorf("%d bytes, chunked %v: the server took %d bodies for whole, want none", size, chunked, got)
+			}
+		}
+	}
+}
+
+// TestUploadCutByCaller guards against a body that its caller cut short, or whose
+// length lies, and which the server takes for whole.
+func TestUploadCutByCaller(t *testing.T) {
+	u := startUploads(t, 0)
+	requests := []string{
+		head(10_000) + strings.Repeat("x", 9_999),
+		head(300_000) + strings.Repeat("x", 299_999),
+		head(-1) + chunk(9_999),
+		head(-1) + chunk(299_999),
+		head(-1) + strings.TrimSuffix(chunk(299_999), "xx\r\n"),
+	}
+	for _, request := range requests {
+		c := u.dial()
+		_, _ = io.WriteString(c, request)
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	}
+	if got := u.whole.Load(); got != 0 {
+		t.Errorf("the server took %d of %d bodies for whole, want none", got, len(requests))
+	}
+}
+
+// TestSlowUploadsUseBoundedMemory guards against uploads whose bodies are kept in
+// memory while their callers are slow, and against reads that wait behind them.
+func TestSlowUploadsUseBoundedMemory(t *testing.T) {
+	const (
+		uploads, size, sent = 200, 4 << 20, 1 << 20
+		maxPerUpload        = 512 << 10 // bytes, of the caller, the entry, the gate and the server together
+	)
+	u := startUploads(t, 0)
+	before := heapInUse()
+	part := strings.Repeat("x", sent)
+	conns := make([]net.Conn, uploads)
+	var sending sync.WaitGroup
+	for i := range conns {
+		conns[i] = u.dial()
+		sending.Go(func() { _, _ = io.WriteString(conns[i], head(size)+part) })
+	}
+	sending.Wait()
+	perUpload := (heapInUse() - before) / uploads
+	t.Logf("%d KiB of heap for each of %d slow uploads", perUpload>>10, uploads)
+	if perUpload > maxPerUpload {
+		t.Errorf("got %d bytes of heap for each upload, want at most %d", perUpload, maxPerUpload)
+	}
+	u.routes[0].AtMostOnce = false
+	start := time.Now()
+	if r := u.do("GET", "/stock", ""); r.StatusCode != http.StatusOK || time.Since(start) > 5*time.Second {
+		t.Errorf("read beside slow uploads: got %d after %v, want 200", r.StatusCode, time.Since(start))
+	}
+	rest := strings.Repeat("x", size-sent)
+	var group sync.WaitGroup
+	for _, c := range conns {
+		group.Go(func() {
+			_, _ = io.WriteString(c, rest)
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || r.StatusCode != http.StatusOK {
+				t.Errorf("upload that goes on: got %+v, %v, want 200", r, err)
+			}
+		})
+	}
+	group.Wait()
+	if got := u.whole.Load(); got != uploads+1 {
+		t.Errorf("got %d whole bodies, want %d and a read", got, uploads)
+	}
+}
+
+func heapInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
