Let calls wait for a slot after three full gates

Cause: a call waits at a gate only until another server would cost less. With 21 to 32 servers that are equally full some other always seems a little better, each gate refuses the short wait, and the call ends after eight refusals; with four servers all were tried by then, and the call was allowed to wait. Class: a search whose end depends on the size of the fleet. Change: after three refusals the call waits where the wait is shortest, as long as its deadline permits.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -25,6 +25,10 @@
 	// target for lack of room. Each refusal reports the current wait, which
 	// improves the next choice.
 	maxGateRefusals = 8
+	// maxGateSearch is the number of gates that a call with a latency target asks for
+	// a slot within the wait that pays off. After that it waits where the wait is
+	// shortest: if so many are full, the others probably are too.
+	maxGateSearch = 3
 	// maxUnreachableGates is the number of gates that one call may fail to connect to
 	// before each further one counts as a retry. Several hosts can die at once, and an
 	// attempt that was not sent adds no work to any server.
@@ -41,7 +45,7 @@
 	shortTimeout bool      // the caller's timeout is shorter than the route's
 	tried        []backend.ServerID
 	fullServers  []backend.ServerID // servers whose gates had no room
-	allFull      bool               // no server had room: the call may wait as long as possible
+	allFull      bool               // no server that was asked had room: the call may wait as long as possible
 	gateRefusals int                // number of gate refusals for lack of room
 	unreachable  int                // number of gates that could not be connected to
 	attemptLogs  []attemptLog
@@ -113,13 +117,14 @@
 		// A response after the target is still useful until the deadline.
 		c.TimeToTarget = max(x.targetTime.Sub(x.now()), time.Millisecond)
 	}
+	if len(x.fullServers) >= maxGateSearch {
+		x.waitForSlot(&c)
+	}
 	c.Tried = slices.Concat(x.tried, x.fullServers)
 	choice, err := p.Choose(c)
 	if errors.Is(err, pool.ErrNoServer) && len(x.fullServers) > 0 {
-		// All servers are full: wait where the wait is shortest, for as long as
-		// possible.
-		x.fullServers, x.allFull = nil, true
-		c.Tried, c.AlreadyCounted, c.WaitForSlot = x.tried, true, true
+		x.waitForSlot(&c)
+		c.Tried = x.tried
 		choice, err = p.Choose(c)
 	}
 	if errors.Is(err, pool.ErrNoServer) && last != nil && !last.refused {
@@ -129,6 +134,13 @@
 	return choice, err
 }
 
+// waitForSlot makes the call wait for a slot where the wait is shortest, for as long
+// as its deadline permits. Servers that were only full may be chosen again.
+func (x *exchange) waitForSlot(c *pool.Call) {
+	x.fullServers, x.allFull = nil, true
+	c.AlreadyCounted, c.WaitForSlot = true, true
+}
+
 // takeRetry takes a retry from the budget and reports whether the call may be
 // retried. A call with a latency target that was refused by a full gate needs no
 // budget. takeRetry sets r.noRetry if retries are exhausted, so that callers up the
