Keep one copy of the first part of a large body, and none once it is passed on

Cause: each daemon on the way kept up to 256 KiB of a streamed body: ReadFrom doubles a buffer that is full at the end of the body's part, and the connection kept its part until the end of the call. Change: buffers have room for the last read; the connection's part is freed when it has been read.

--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -47,7 +47,7 @@
 // next request can be read only after the end of the body.
 type streamedBody struct {
 	conn   *conn
-	buffer *bytes.Buffer // read before the handler runs
+	buffer *bytes.Buffer // read before the handler runs; nil once it was passed on
 	rest   io.Reader
 
 	mu      sync.Mutex // held during a read
@@ -65,8 +65,12 @@
 	if b.stopped.Load() {
 		return 0, errBodyAbandoned
 	}
-	if b.buffer.Len() > 0 {
-		return b.buffer.Read(p)
+	if b.buffer != nil {
+		n, err := b.buffer.Read(p)
+		if b.buffer.Len() == 0 {
+			b.buffer = nil // the rest may take long
+		}
+		return n, err
 	}
 	b.conn.setReadTimeout(b.conn.server.config.Limits().IdleTimeout)
 	n, err := b.rest.Read(p)
@@ -126,9 +130,10 @@
 	}
 	size := int64(BufferLimit)
 	if r.ContentLength >= 0 {
-		size = min(size, r.ContentLength)
+		size = min(size+1, r.ContentLength)
 	}
-	buffer := bytes.NewBuffer(make([]byte, 0, size))
+	// Without room for MinRead bytes, ReadFrom would double the buffer at the end.
+	buffer := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
 	n, err := buffer.ReadFrom(io.LimitReader(r.Body, BufferLimit+1))
 	if err != nil {
 		return nil, fmt.Errorf("read the request body: %w", err)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -107,7 +107,11 @@
 		}
 		return buffered, true, err
 	}
-	var buffer bytes.Buffer
+	buffer := new(bytes.Buffer)
+	if length > bufferLimit {
+		// Without room for MinRead bytes, ReadFrom would double the buffer at the end.
+		buffer.Grow(bufferLimit + 1 + bytes.MinRead)
+	}
 	n, err := buffer.ReadFrom(io.LimitReader(r, bufferLimit+1))
 	return buffer.Bytes(), n <= bufferLimit, err
 }
