Report why a claim was not confirmed when its deadline ends the last attempt

What callers saw: a refused paid call names 'context deadline exceeded' in place of the fault of the table, about once in 60 calls that fail in the instant of their deadline. Cause: the error of the last operation replaced the earlier ones, also when only the deadline ended it. Change: such an error counts only if there is no other; the test awaits the release.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -491,6 +491,11 @@
 		if err != nil || !ok || !errors.Is(refused.Err, errFault) || time.Since(start) != time.Second {
 			t.Errorf("got %v, %v after %v, want Unconfirmed with the cause after 1s", got, err, time.Since(start))
 		}
+		// If the deadline ended the wait for the last commit, its claim is released in the
+		// background.
+		if err := claims.Drain(t.Context()); err != nil {
+			t.Error(err)
+		}
 		for _, k := range []Key{{}, {Route: "a/b", Value: "c"}, {Route: "a", Value: strings.Repeat("x", maxKeyBytes+1)}, {Route: "a", Value: "\xff"}} {
 			if got, err := claims.Take(ctx, k, fingerprint); got != nil || !errors.Is(err, ErrInvalidKey) {
 				t.Errorf("%.20v: got %v, %v, want ErrInvalidKey", k, got, err)
--- a/internal/claim/take.go
+++ b/internal/claim/take.go
@@ -20,7 +20,15 @@
 	record       record            // claim to write
 	baseRevision platform.Revision // revision that the claim replaces; zero inserts a row
 	inDoubt      bool              // a write on baseRevision may have applied or may still apply
-	err          error             // of the last failed operation
+	err          error             // of the last operation that failed before the deadline
+}
+
+// fail records the error of an operation. That the deadline ended the last operation
+// tells less than why the ones before failed.
+func (s *takeState) fail(ctx context.Context, err error) {
+	if s.err == nil || ctx.Err() == nil {
+		s.err = err
+	}
 }
 
 // Take claims the key for the action with this fingerprint. When ctx ends first,
@@ -68,7 +76,7 @@
 		s.inDoubt = true
 	}
 	if err != nil {
-		s.err = err
+		s.fail(ctx, err)
 		if outcome == platform.NotApplied && !s.inDoubt {
 			return nil, nil // the write was not sent, so there is no need to read the row
 		}
@@ -85,7 +93,7 @@
 	case errors.As(err, &malformed):
 		return nil, err
 	case err != nil:
-		s.err = err
+		s.fail(ctx, err)
 		return nil, nil
 	case revision == s.baseRevision:
 		return nil, nil
