--- a/review/harness/case_leaving.go
+++ b/review/harness/case_leaving.go
@@ -35,7 +35,7 @@
 	start := time.Now()
 	calmAt := start // when all machines are in touch again
 	if trouble {
-		d.setStore("resets all calls", store.Faults{Reset: true})
+		d.setStore("answers every call with 503", store.Faults{Status: http.StatusServiceUnavailable})
 		time.AfterFunc(outageTime, func() { d.setStore("answers again", store.Faults{}) })
 		calmAt = start.Add(outageTime + contactTime)
 	}
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -20,13 +20,13 @@
 	"github.com/peridotlb/peridotlb/test/platform/store"
 )
 
-// Bounds of the small site kujaza-mesh.
+// Bounds of the small site prh-mesh.
 const (
 	contactTime       = 3 * time.Second
 	drainTime         = 2 * time.Second
 	graceTime         = 6 * time.Second
-	heartbeatInterval = 1500 * time.Millisecond
-	serverSlots       = 9
+	heartbeatInterval = 870 * time.Millisecond
+	serverSlots       = 18
 )
 
 // Paths in the repository, in which the harness is started.
@@ -137,7 +137,7 @@
 	}
 	services := [][]any{}
 	for _, s := range c.services {
-		services = append(services, []any{s, "/health", 130, "h1", false})
+		services = append(services, []any{s, "/health", 110, "h1", false})
 	}
 	return map[string]any{
 		"version": "r" + strconv.Itoa(c.version),
@@ -160,32 +160,24 @@
 		deployment: d, zone: zone, region: region, service: service,
 		name: fmt.Sprintf("sidecar-%s-%d", zone, n), ip: fmt.Sprintf("127.0.%d.1", n), ports: make(map[string]int),
 	}
-	for _, name := range listeners {
-		port, err := freePort(h.ip, name == "internal")
-		if err != nil {
-			return nil, err
-		}
-		h.ports[name] = port
+	if err := h.choosePorts(); err != nil {
+		return nil, err
 	}
 	d.hosts = append(d.hosts, h)
 	return h, nil
 }
 
-func freePort(ip string, udp bool) (int, error) {
-	if udp {
-		c, err := net.ListenPacket("udp", ip+":0")
+// choosePorts chooses free ports. It holds all of them until the last one is chosen.
+func (h *host) choosePorts() error {
+	for _, name := range listeners {
+		l, err := net.Listen("tcp", h.ip+":0")
 		if err != nil {
-			return 0, fmt.Errorf("find a free port: %w", err)
+			return fmt.Errorf("find a free port: %w", err)
 		}
-		defer c.Close()
-		return c.LocalAddr().(*net.UDPAddr).Port, nil
+		defer l.Close()
+		h.ports[name] = l.Addr().(*net.TCPAddr).Port
 	}
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, fmt.Errorf("find a free port: %w", err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return nil
 }
 
 func (h *host) addr(listener string) string {
@@ -205,7 +197,7 @@
 		"{{listen_addresses.control}}", h.addr("control"), "{{listen_addresses.ready}}", h.addr("ready"),
 		"{{internal_ports.0}}", strconv.Itoa(h.ports["internal"]), "{{internal_ports.1}}", strconv.Itoa(h.ports["operator"]),
 		"{{ip}}:9180", h.addr("metrics"), "{{ip}}", h.ip, "{{platform.address}}", h.deployment.storeAddress,
-		"{{bounds.grace_s}}", "6", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.budget_extra_retries}}", "62", "{{bounds.budget_window_s}}", "10",
+		"{{bounds.grace_s}}", "6", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.budget_extra_retries}}", "58", "{{bounds.budget_window_s}}", "10",
 	).Replace(string(template))
 	if strings.Contains(text, "{{") {
 		return "", fmt.Errorf("the template of the settings has unknown fields: %s", text)
--- a/review/harness/shop.go
+++ b/review/harness/shop.go
@@ -8,8 +8,8 @@
 
 // Services of the shop.
 const (
-	stockService  = "stock-svc"
-	ordersService = "orders-svc"
+	stockService  = "stockdesk"
+	ordersService = "ordermill"
 )
 
 func (d *deployment) since(t time.Time) float64 { return t.Sub(d.record.start).Seconds() }
@@ -27,27 +27,57 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, place := range []struct{ zone, region, service string }{
-		{"kariakoo", "pwani", stockService},
-		{"mbezi", "pwani", stockService},
-		{"kariakoo", "pwani", ordersService},
-		{"ngarenaro", "kaskazini", ordersService},
-	} {
-		h, err := d.addHost(place.zone, place.region, place.service)
+	err = d.startHosts(ctx, []place{
+		{"regina-a", "regina", stockService},
+		{"regina-b", "regina", stockService},
+		{"regina-a", "regina", ordersService},
+		{"winnipeg-a", "winnipeg", ordersService},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return d.hosts[0], nil
+}
+
+// place is where a host stands, and the service of its server.
+type place struct{ zone, region, service string }
+
+// startHosts starts hosts with a server each, and waits until they serve.
+func (d *deployment) startHosts(ctx context.Context, places []place) error {
+	for _, p := range places {
+		h, err := d.addHost(p.zone, p.region, p.service)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if err := h.start(); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	for i, h := range d.hosts {
 		if err := h.waitReady(ctx); err != nil {
-			return nil, err
+			return err
 		}
 		if _, err := h.startServer(fmt.Sprintf("i-%d", i+1), 20*time.Millisecond); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return d.hosts[0], sleep(ctx, 2*time.Second)
+	return sleep(ctx, 2*time.Second)
+}
+
+// startOrders starts four hosts in four zones, each with a server of the service for
+// orders.
+func (d *deployment) startOrders(ctx context.Context) error {
+	err := d.putConfiguration(configuration{
+		version: 3, services: []string{ordersService},
+		routes: []route{{name: "book", prefix: "/orders/", kind: "unsafe", service: ordersService, timeout: 2, attempts: 3}},
+	})
+	if err != nil {
+		return err
+	}
+	return d.startHosts(ctx, []place{
+		{"regina-a", "regina", ordersService},
+		{"regina-b", "regina", ordersService},
+		{"winnipeg-a", "winnipeg", ordersService},
+		{"winnipeg-b", "winnipeg", ordersService},
+	})
 }
