Acknowledge a departure only when the store has it

Cause: Renew and Withdraw waited 700 ms for the record and then returned in any case, and the handlers took the return for success. So only the process knew what it had acknowledged, and the new one read a record that said "ready". The same held for a request that was repeated ("nothing changed"), for a late drain of a server that is gone, for a server that the daemon did not know (kept in memory only) and for drains and DELETE of the product's own interface.

Change: a drain or departure takes effect at once, as before, but is only acknowledged when the record in the store holds it; otherwise the response is 503 and the server repeats its call. Each row keeps the channel of its last write, so that a repeated request waits for the first one. A departure of an unknown server is published and stored.

TestWaitsUntilPersisted wanted the fault: "not acknowledging it in time when the platform does not answer". It now wants an error after the same time, for first, repeated and late requests, and an acknowledgement as soon as the row is stored.

--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -63,9 +63,9 @@
 	client       *http.Client
 	otherLimiter *rate.Limiter // for all requests other than renewals
 
-	mu            sync.Mutex
-	servers       map[backend.ServerID]*entry
-	withdrawnUpTo map[backend.ServerID]position // announcements of a withdrawn server up to this position have no effect
+	mu        sync.Mutex
+	servers   map[backend.ServerID]*entry
+	withdrawn map[backend.ServerID]withdrawal // the last withdrawal of each server
 }
 
 // announcementBody is the body of a PUT request.
@@ -87,7 +87,7 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	a := &API{config: c, mux: http.NewServeMux(), servers: make(map[backend.ServerID]*entry), withdrawnUpTo: make(map[backend.ServerID]position)}
+	a := &API{config: c, mux: http.NewServeMux(), servers: make(map[backend.ServerID]*entry), withdrawn: make(map[backend.ServerID]withdrawal)}
 	a.otherLimiter = rate.NewLimiter(otherRequestsPerSecond, otherRequestsPerSecond)
 	a.client = &http.Client{
 		Timeout: probeTimeout,
@@ -147,7 +147,17 @@
 		writeError(w, http.StatusBadRequest, err)
 		return
 	}
-	a.Renew(r.Context(), Announcement{Server: row, HealthPath: healthPath})
+	writeOutcome(w, a.Renew(r.Context(), Announcement{Server: row, HealthPath: healthPath}))
+}
+
+// writeOutcome writes the response to a request that changes a server. One that is
+// not persisted yet gets status 503.
+func writeOutcome(w http.ResponseWriter, err error) {
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		writeError(w, http.StatusServiceUnavailable, err)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -198,22 +208,35 @@
 func (a *API) handleSetState(w http.ResponseWriter, r *http.Request, s backend.State) {
 	id := backend.ServerID(r.PathValue("id"))
 	a.mu.Lock()
-	limited := a.rateLimited(w, nil)
-	e := a.servers[id]
-	var persisted <-chan struct{}
-	if !limited && e != nil {
-		e.requested = s
-		persisted = a.advanceState(e, s)
+	if a.rateLimited(w, nil) {
+		a.mu.Unlock()
+		return
 	}
+	known := a.requestState(id, s)
+	persisted := a.leavingPersisted(id)
 	a.mu.Unlock()
-	switch {
-	case limited:
-	case e == nil:
+	if !known {
 		writeError(w, http.StatusNotFound, fmt.Errorf("no backend server %q is announced on this host", id))
-	default:
-		awaitPersisted(r.Context(), persisted)
-		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	writeOutcome(w, awaitPersisted(r.Context(), persisted))
+}
+
+// requestState sets the state that an operator or a server has requested. It reports
+// whether the server is known; one that is gone already may be withdrawn again.
+func (a *API) requestState(id backend.ServerID, s backend.State) bool {
+	e := a.servers[id]
+	if e == nil {
+		_, withdrawn := a.withdrawn[id]
+		return withdrawn && s == backend.Gone
 	}
+	e.requested = s
+	if s == backend.Gone {
+		a.remove(e)
+	} else {
+		a.advanceState(e, s)
+	}
+	return true
 }
 
 // probe starts a health probe of each server with a health path. The result only
--- a/internal/announcement/registry.go
+++ b/internal/announcement/registry.go
@@ -3,7 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"math"
+	"errors"
+	"fmt"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -16,6 +17,11 @@
 // request again.
 const persistTimeout = 700 * time.Millisecond
 
+// ErrNotPersisted is returned for a drain or withdrawal that is in effect, but not
+// yet persisted outside this process. A restart could still undo it, so it must not
+// be acknowledged.
+var ErrNotPersisted = errors.New("the change is in effect but not stored yet; repeat the request")
+
 // entry is a backend server of this host.
 type entry struct {
 	row            backend.Server
@@ -25,7 +31,8 @@
 	// requested is the state last requested by the server or an operator. It
 	// differs from the state of the row after the lease has expired.
 	requested backend.State
-	position  position // of the newest announcement
+	position  position        // of the newest announcement
+	persisted <-chan struct{} // closed when row is persisted; nil if it is not persisted at all
 }
 
 // Announcement is an announcement of a backend server. Announcements of one server
@@ -55,70 +62,56 @@
 	return cmp.Or(cmp.Compare(p.started, o.started), cmp.Compare(p.sequence, o.sequence))
 }
 
-// endOfRun returns the position after the last possible announcement of one run of
-// a server's process.
-func endOfRun(started int64) position { return position{started, math.MaxUint64} }
-
 // Renew applies an announcement of a backend server on this host. If the state is
-// draining or gone, Renew also waits until the row is persisted, for at most
-// persistTimeout.
-func (a *API) Renew(ctx context.Context, n Announcement) {
+// draining or gone, Renew waits until that is persisted. If it is not persisted
+// within persistTimeout, the announcement is in effect, and Renew returns an error
+// that wraps ErrNotPersisted.
+func (a *API) Renew(ctx context.Context, n Announcement) error {
 	a.mu.Lock()
-	persisted := a.renew(n)
-	a.mu.Unlock()
+	a.renew(n)
+	var persisted <-chan struct{}
 	if n.Server.State >= backend.Draining {
-		awaitPersisted(ctx, persisted)
+		persisted = a.leavingPersisted(n.Server.ID)
 	}
+	a.mu.Unlock()
+	return awaitPersisted(ctx, persisted)
 }
 
 // Withdraw withdraws a run of a backend server: only announcements of a later run
 // are accepted afterwards. A zero time means the current run. Like Renew, it waits
-// until the row is persisted.
-func (a *API) Withdraw(ctx context.Context, id backend.ServerID, started time.Time) {
+// until that is persisted, and returns an error that wraps ErrNotPersisted.
+func (a *API) Withdraw(ctx context.Context, id backend.ServerID, started time.Time) error {
 	a.mu.Lock()
-	persisted := a.withdraw(id, positionOf(started, 0).started)
+	a.withdraw(id, positionOf(started, 0).started)
+	persisted := a.leavingPersisted(id)
 	a.mu.Unlock()
-	awaitPersisted(ctx, persisted)
+	return awaitPersisted(ctx, persisted)
 }
 
-// awaitPersisted waits until a change is persisted, for at most persistTimeout.
-func awaitPersisted(ctx context.Context, persisted <-chan struct{}) {
+// leavingPersisted returns a channel that is closed when the departure of a server
+// is persisted; nil if the server is not leaving, or nothing is persisted.
+func (a *API) leavingPersisted(id backend.ServerID) <-chan struct{} {
+	if e := a.servers[id]; e == nil {
+		return a.withdrawn[id].persisted
+	} else if e.row.State == backend.Draining {
+		return e.persisted
+	}
+	return nil // a later announcement has replaced the one that is acknowledged
+}
+
+// awaitPersisted waits until a change is persisted, for at most persistTimeout. A
+// nil channel needs no wait.
+func awaitPersisted(ctx context.Context, persisted <-chan struct{}) error {
 	if persisted == nil {
-		return
+		return nil
 	}
-	timer := time.NewTimer(persistTimeout)
-	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(ctx, persistTimeout)
+	defer cancel()
 	select {
 	case <-persisted:
-	case <-timer.C:
+		return nil
 	case <-ctx.Done():
-	}
-}
-
-// Restore restores the backend servers that an earlier run of this daemon knew. It
-// does not change servers that have announced themselves since.
-func (a *API) Restore(rows []backend.Server) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, row := range rows {
-		pos := position{row.Started, row.Sequence}
-		if withdrawn, ok := a.withdrawnUpTo[row.ID]; ok && pos.compare(withdrawn) <= 0 {
-			row.State = backend.Gone
-		} else if row.State == backend.Gone {
-			a.withdrawnUpTo[row.ID] = endOfRun(row.Started)
-		}
-		if e := a.servers[row.ID]; e != nil || a.addressTakenOver(row, pos) {
-			continue
-		}
-		// As in an announcement, the host is empty, so that a renewal without a change
-		// compares equal to the row. The host is set when the row is published.
-		row.Host = ""
-		if row.State == backend.Gone {
-			a.config.Publish(row) // keeps the withdrawal known to the fleet
-			continue
-		}
-		a.servers[row.ID] = &entry{row: row, renewedAt: a.config.Now(), requested: row.State, position: pos, renewalLimiter: rate.NewLimiter(renewalsPerSecond, renewalsPerSecond)}
-		a.config.Publish(row)
+		return fmt.Errorf("wait for the store: %w", ErrNotPersisted)
 	}
 }
 
@@ -144,34 +137,14 @@
 	}
 }
 
-func (a *API) withdraw(id backend.ServerID, started int64) <-chan struct{} {
-	e := a.servers[id]
-	if e != nil && started != 0 && started < e.position.started {
-		return nil // late message of an earlier run
-	}
-	if e == nil {
-		// The server is not known yet, for example after a restart of this daemon. Its
-		// announcements that are still to arrive, and the record of an earlier run, are
-		// from before now.
-		if started == 0 {
-			started = a.config.Now().UnixMilli()
-		}
-		a.withdrawnUpTo[id] = endOfRun(max(started, a.withdrawnUpTo[id].started))
-		return nil
-	}
-	a.withdrawnUpTo[id] = endOfRun(max(started, e.position.started))
-	e.requested = backend.Gone
-	return a.advanceState(e, backend.Gone)
-}
-
-func (a *API) renew(n Announcement) <-chan struct{} {
+func (a *API) renew(n Announcement) {
 	row, pos := n.Server, positionOf(n.Started, n.Sequence)
-	if withdrawn, ok := a.withdrawnUpTo[row.ID]; ok && pos.compare(withdrawn) <= 0 || a.addressTakenOver(row, pos) {
-		return nil
+	if a.withdrawn[row.ID].includes(pos) || a.addressTakenOver(row, pos) {
+		return
 	}
 	e := a.servers[row.ID]
 	if e != nil && pos.compare(e.position) < 0 {
-		return nil
+		return
 	}
 	a.withdrawPreviousAtAddress(row, pos)
 	if e == nil {
@@ -194,25 +167,26 @@
 	// A higher sequence alone is not a change of the row.
 	row.Started, row.Sequence = pos.started, e.row.Sequence
 	if e.row == row {
-		return nil
+		return
 	}
 	row.Sequence = pos.sequence
 	e.row = row
-	return a.config.Publish(row)
+	a.publish(e)
 }
 
+// publish publishes the row of a server.
+func (a *API) publish(e *entry) { e.persisted = a.config.Publish(e.row) }
+
 // advanceState moves a server to a later state and removes it when it is gone.
-func (a *API) advanceState(e *entry, s backend.State) <-chan struct{} {
-	var persisted <-chan struct{}
+func (a *API) advanceState(e *entry, s backend.State) {
 	if e.row.State < s {
 		e.row.State, e.row.Sequence = s, e.position.sequence
-		persisted = a.config.Publish(e.row)
+		a.publish(e)
 	}
 	if s == backend.Gone {
 		delete(a.servers, e.row.ID)
 		a.resetHealth(e.row.ID)
 	}
-	return persisted
 }
 
 // expireLeases drains servers whose lease has expired and withdraws them after
@@ -224,7 +198,7 @@
 	for _, e := range a.servers {
 		switch age := now.Sub(e.renewedAt); {
 		case age > withdrawAfterLeases*a.config.Lease:
-			a.advanceState(e, backend.Gone)
+			a.remove(e)
 		case age > a.config.Lease:
 			a.advanceState(e, backend.Draining)
 		}
--- a/internal/announcement/registry_test.go
+++ b/internal/announcement/registry_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -35,22 +38,23 @@
 	f := newFixture()
 	started := f.now.UnixMilli() - 60_000
 	ctx := t.Context()
-	f.Renew(ctx, newAnnouncement("a", backend.Ready, started, 5))
+	_ = f.Renew(ctx, newAnnouncement("a", backend.Ready, started, 5))
 	f.check(t, "first", "127.0.0.1:8080 ready")
-	f.Renew(ctx, newAnnouncement("a", backend.Draining, started, 7))
+	_ = f.Renew(ctx, newAnnouncement("a", backend.Draining, started, 7))
 	f.check(t, "draining", "127.0.0.1:8080 draining")
-	f.Renew(ctx, newAnnouncement("a", backend.Ready, started, 6))
+	_ = f.Renew(ctx, newAnnouncement("a", backend.Ready, started, 6))
 	f.check(t, "late, from before draining")
-	f.Withdraw(ctx, "a", time.Time{})
+	_ = f.Withdraw(ctx, "a", time.Time{})
 	f.check(t, "withdrawal", "127.0.0.1:8080 gone", "a healthy=true")
-	f.Renew(ctx, newAnnouncement("a", backend.Ready, started, 8))
+	_ = f.Renew(ctx, newAnnouncement("a", backend.Ready, started, 8))
 	f.check(t, "late, from before the withdrawal")
-	f.Renew(ctx, newAnnouncement("a", backend.Ready, started+1000, 1))
+	_ = f.Renew(ctx, newAnnouncement("a", backend.Ready, started+1000, 1))
 	f.check(t, "a later run", "127.0.0.1:8080 ready")
 
 	restarted := newFixture()
-	restarted.Withdraw(ctx, "a", time.Time{})
-	restarted.Renew(ctx, newAnnouncement("a", backend.Ready, started, 8))
+	_ = restarted.Withdraw(ctx, "a", time.Time{})
+	restarted.check(t, "withdrawal of a server that is not known", "invalid AddrPort gone")
+	_ = restarted.Renew(ctx, newAnnouncement("a", backend.Ready, started, 8))
 	restarted.check(t, "late, at a daemon that knows only of the withdrawal")
 	restarted.Restore([]backend.Server{storedServer("a", backend.Ready, started, 5)})
 	restarted.check(t, "record from before the withdrawal", "127.0.0.1:8080 gone")
@@ -62,17 +66,17 @@
 	f := newFixture()
 	started := f.now.UnixMilli() - 60_000
 	ctx := t.Context()
-	f.Renew(ctx, newAnnouncement("new", backend.Draining, started, 9))
+	_ = f.Renew(ctx, newAnnouncement("new", backend.Draining, started, 9))
 	f.takeCallbacks()
 	f.Restore([]backend.Server{storedServer("new", backend.Ready, started, 5), storedServer("gone", backend.Gone, started, 3)})
 	f.check(t, "record", "127.0.0.1:8080 gone")
-	f.Renew(ctx, newAnnouncement("gone", backend.Ready, started, 4))
+	_ = f.Renew(ctx, newAnnouncement("gone", backend.Ready, started, 4))
 	f.check(t, "late announcement of the withdrawn server")
 
 	drained := newFixture()
 	drained.Restore([]backend.Server{storedServer("a", backend.Draining, started, 5)})
 	drained.check(t, "draining", "127.0.0.1:8080 draining")
-	drained.Renew(ctx, newAnnouncement("a", backend.Ready, started, 4))
+	_ = drained.Renew(ctx, newAnnouncement("a", backend.Ready, started, 4))
 	drained.check(t, "late, from before draining")
 }
 
@@ -82,47 +86,90 @@
 	f := newFixture()
 	started := f.now.UnixMilli() - 60_000
 	ctx := t.Context()
-	f.Renew(ctx, newAnnouncement("old", backend.Ready, started, 1))
-	f.Renew(ctx, newAnnouncement("new", backend.Ready, started+5000, 1))
+	_ = f.Renew(ctx, newAnnouncement("old", backend.Ready, started, 1))
+	_ = f.Renew(ctx, newAnnouncement("new", backend.Ready, started+5000, 1))
 	f.check(t, "taken over", "127.0.0.1:8080 ready", "127.0.0.1:8080 gone", "old healthy=true", "127.0.0.1:8080 ready")
-	f.Renew(ctx, newAnnouncement("old", backend.Ready, started, 2))
+	_ = f.Renew(ctx, newAnnouncement("old", backend.Ready, started, 2))
 	f.check(t, "late announcement of the old server")
-	f.Renew(ctx, newAnnouncement("older", backend.Ready, started-5000, 9))
+	_ = f.Renew(ctx, newAnnouncement("older", backend.Ready, started-5000, 9))
 	f.check(t, "late announcement of one that was never known")
 }
 
-// Guards against acknowledging a drain or a withdrawal before it is persisted, and
-// against not acknowledging it in time when the platform does not answer.
+// Guards against a server without start times that can't return after a withdrawal
+// and a restart, and against a record from before its withdrawal that brings it back.
+func TestWithdrawalWithoutStartTimes(t *testing.T) {
+	f := newFixture()
+	f.Restore([]backend.Server{storedServer("stock-1", backend.Gone, 0, 0)})
+	f.check(t, "record", "127.0.0.1:8080 gone")
+	f.send("PUT", "/backend-servers/stock-1", readyBody)
+	f.check(t, "announcement after the withdrawal", "127.0.0.1:8080 ready")
+	f.send("DELETE", "/backend-servers/stock-1", "")
+	f.check(t, "withdrawal", "127.0.0.1:8080 gone", "stock-1 healthy=true")
+	f.Restore([]backend.Server{storedServer("stock-1", backend.Ready, 0, 0)})
+	f.check(t, "record from before the withdrawal", "127.0.0.1:8080 gone")
+}
+
+// Guards against acknowledging a drain or a withdrawal before it is persisted: the
+// first time, when it is repeated, and when it is announced late; and against not
+// reporting that within the time after which a server repeats its request.
 func TestWaitsUntilPersisted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		done := make(chan struct{})
-		a := New(Config{Publish: func(backend.Server) <-chan struct{} { return done }})
-		a.Renew(t.Context(), newAnnouncement("a", backend.Ready, 1, 1))
-		acknowledged := make(chan time.Duration, 2)
-		measure := func(f func(context.Context)) {
-			start := time.Now()
-			f(t.Context())
-			acknowledged <- time.Since(start)
+	drain := func(a *API) error { return a.Renew(context.Background(), newAnnouncement("a", backend.Draining, 1, 2)) }
+	send := func(method, path string) func(*API) error {
+		return func(a *API) error {
+			w := httptest.NewRecorder()
+			a.ServeHTTP(w, httptest.NewRequest(method, path, nil))
+			switch {
+			case w.Code == http.StatusNoContent:
+				return nil
+			case w.Code == http.StatusServiceUnavailable && w.Header().Get("Retry-After") != "":
+				return ErrNotPersisted
+			}
+			return fmt.Errorf("got status %d", w.Code)
 		}
-		go measure(func(ctx context.Context) { a.Renew(ctx, newAnnouncement("a", backend.Draining, 1, 2)) })
-		time.Sleep(100 * time.Millisecond)
-		close(done)
-		if got := <-acknowledged; got != 100*time.Millisecond {
-			t.Errorf("draining: got an acknowledgement after %v, want 100ms", got)
-		}
-		done = make(chan struct{})
-		go measure(func(ctx context.Context) { a.Withdraw(ctx, "a", time.Time{}) })
-		if got := <-acknowledged; got != persistTimeout {
-			t.Errorf("gone, not persisted: got an acknowledgement after %v, want %v", got, persistTimeout)
-		}
-	})
+	}
+	withdraw := func(a *API) error { return a.Withdraw(context.Background(), "a", time.Time{}) }
+	for name, requests := range map[string][]func(*API) error{
+		"draining":              {drain, drain},
+		"gone":                  {withdraw, withdraw},
+		"draining, then gone":   {drain, withdraw, drain},
+		"drained by operator":   {send("POST", "/backend-servers/a/drain"), send("POST", "/backend-servers/a/drain")},
+		"withdrawn by operator": {send("DELETE", "/backend-servers/a"), send("DELETE", "/backend-servers/a")},
+		"unknown server":        {func(a *API) error { return a.Withdraw(context.Background(), "b", time.UnixMilli(5)) }, func(a *API) error { return a.Withdraw(context.Background(), "b", time.UnixMilli(5)) }},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var unfinished []chan struct{}
+			a := New(Config{Publish: func(backend.Server) <-chan struct{} {
+				unfinished = append(unfinished, make(chan struct{}))
+				return unfinished[len(unfinished)-1]
+			}})
+			_ = a.Renew(t.Context(), newAnnouncement("a", backend.Ready, 1, 1))
+			for i, request := range requests {
+				start := time.Now()
+				if err := request(a); !errors.Is(err, ErrNotPersisted) || time.Since(start) != persistTimeout {
+					t.Errorf("%s, request %d, not persisted: got %v after %v, want %v after %v", name, i, err, time.Since(start), ErrNotPersisted, persistTimeout)
+				}
+			}
+			const storeDelay = 100 * time.Millisecond
+			time.AfterFunc(storeDelay, func() {
+				for _, done := range unfinished {
+					close(done)
+				}
+			})
+			for i, want := range []time.Duration{storeDelay, 0} {
+				start := time.Now()
+				if err := requests[len(requests)-1](a); err != nil || time.Since(start) != want {
+					t.Errorf("%s, repetition %d: got %v after %v, want an acknowledgement after %v", name, i, err, time.Since(start), want)
+				}
+			}
+		})
+	}
 }
 
 // Guards against publishing an unchanged row at every renewal.
 func TestRenewalChangesNothing(t *testing.T) {
 	f := newFixture()
 	for sequence := range uint64(5) {
-		f.Renew(t.Context(), newAnnouncement("a", backend.Ready, 1000, sequence+1))
+		_ = f.Renew(t.Context(), newAnnouncement("a", backend.Ready, 1000, sequence+1))
 	}
 	f.check(t, "renewals", fmt.Sprint("127.0.0.1:8080 ", backend.Ready))
 }
