Restore an earlier run's servers over late announcements

Callers saw: requests reached a server 9 s and more after its Deregister had been acknowledged and stored (DRAIN).

Cause: a restarted daemon ordered what an earlier run had stored by the time of its reading. The core dropped rows of servers that had announced themselves since, and Restore passed over them, although the stored row comes later in the order of the server's own announcements. Between the read and the restore the record could also be written with the late row, so that the next restart found "ready".

Change: Restore has the effect that it would have had before the first announcement. The record is not written between its read and the end of the restore (ServersRestored). Daemons give back what they know of the leaving servers of a host to its restarted daemon, when it joins and when rows are exchanged, so that it learns of departures while the store is down.

--- a/internal/announcement/registry_test.go
+++ b/internal/announcement/registry_test.go
@@ -95,6 +95,35 @@
 	f.check(t, "late announcement of one that was never known")
 }
 
+// Guards against a restart that brings a server back with a late announcement, which
+// arrived before the record of the earlier run was read: one from before the
+// withdrawal or the drain, or one of an earlier run of the server.
+func TestRestoreAfterLateAnnouncement(t *testing.T) {
+	const started, ready, draining, gone = 1_700_000_000_000, backend.Ready, backend.Draining, backend.Gone
+	for _, c := range []struct {
+		name   string
+		late   Announcement
+		stored backend.Server
+		want   []string
+	}{
+		{"gone", newAnnouncement("a", ready, started, 4), storedServer("a", gone, started, 5), []string{"127.0.0.1:8080 gone", "a healthy=true"}},
+		{"gone, announced later", newAnnouncement("a", ready, started, 9), storedServer("a", gone, started, 5), []string{"127.0.0.1:8080 gone", "a healthy=true"}},
+		{"draining", newAnnouncement("a", ready, started, 4), storedServer("a", draining, started, 5), []string{"127.0.0.1:8080 draining"}},
+		{"later run", newAnnouncement("a", draining, started-1, 4), storedServer("a", ready, started, 1), []string{"127.0.0.1:8080 ready"}},
+		{"earlier run is gone", newAnnouncement("a", ready, started, 1), storedServer("a", gone, started-1, 5), nil},
+		{"earlier run was draining", newAnnouncement("a", ready, started, 1), storedServer("a", draining, started-1, 5), nil},
+		{"newer state", newAnnouncement("a", draining, started, 6), storedServer("a", ready, started, 5), nil},
+	} {
+		f := newFixture()
+		_ = f.Renew(t.Context(), c.late)
+		f.takeCallbacks()
+		f.Restore([]backend.Server{c.stored})
+		f.check(t, c.name, c.want...)
+		_ = f.Renew(t.Context(), c.late)
+		f.check(t, c.name+", announced once more")
+	}
+}
+
 // Guards against a server without start times that can't return after a withdrawal
 // and a restart, and against a record from before its withdrawal that brings it back.
 func TestWithdrawalWithoutStartTimes(t *testing.T) {
--- a/internal/announcement/withdrawal.go
+++ b/internal/announcement/withdrawal.go
@@ -86,8 +86,9 @@
 	a.withdrawn[e.row.ID] = w
 }
 
-// Restore restores the backend servers that an earlier run of this daemon knew. It
-// does not change servers that have announced themselves since.
+// Restore restores the backend servers that an earlier run of this daemon knew, as
+// if it had known them before the first announcement: what a server announced or an
+// operator requested later stays in effect, and a late announcement does not.
 func (a *API) Restore(rows []backend.Server) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -97,9 +98,10 @@
 		row.Host = ""
 		w, known := a.withdrawn[row.ID]
 		switch e := a.servers[row.ID]; {
-		case e != nil:
 		case row.State == backend.Gone:
 			a.restoreWithdrawal(row)
+		case e != nil:
+			a.restoreDrain(e, row)
 		case known && row.Started <= w.row.Started:
 			row.State, row.Started = backend.Gone, w.row.Started
 			w.row = row
@@ -110,8 +112,15 @@
 	}
 }
 
-// restoreWithdrawal restores a server that is gone.
+// restoreWithdrawal restores a server that is gone. Without start times, a server
+// that has announced itself since cannot be told from the one that is gone, and stays.
 func (a *API) restoreWithdrawal(row backend.Server) {
+	if e := a.servers[row.ID]; e != nil {
+		if row.Started != 0 {
+			a.withdraw(row.ID, row.Started)
+		}
+		return
+	}
 	w := a.withdrawn[row.ID]
 	if row.Started >= w.row.Started {
 		w.row = row
@@ -132,3 +141,22 @@
 	a.servers[row.ID] = e
 	a.publish(e)
 }
+
+// restoreDrain restores the state of a server that has announced itself since. The
+// announcement may be a late one, from an earlier run of the server or from before
+// its drain.
+func (a *API) restoreDrain(e *entry, row backend.Server) {
+	switch pos := (position{row.Started, row.Sequence}); {
+	case pos.started > e.position.started:
+		e.row, e.requested, e.position = row, row.State, pos
+	case pos.started == e.position.started && row.State == backend.Draining && e.row.State == backend.Ready && e.row.Addr == row.Addr:
+		if pos.compare(e.position) > 0 {
+			e.position = pos
+		}
+		e.requested = backend.Draining
+		e.row.State, e.row.Sequence = backend.Draining, e.position.sequence
+	default:
+		return
+	}
+	a.publish(e)
+}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -144,7 +144,10 @@
 	case fleet.ConfirmTicket:
 		l.waiters.complete(e.Ticket)
 	case fleet.RestoreServers:
-		go l.adopt(e.Servers)
+		go func() {
+			l.adopt(e.Servers)
+			l.post(ctx, fleet.ServersRestored{})
+		}()
 	case fleet.DeleteRecord:
 		go l.deleteRecord(ctx, e)
 	case fleet.TimelineEvent:
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -76,6 +76,8 @@
 	case ServerAnnounced:
 		c.hostRecord.lastTicket = max(c.hostRecord.lastTicket, e.Ticket)
 		c.announceServer(e.Server)
+	case ServersRestored:
+		c.hostRecord.restoring--
 	case VersionAccepted:
 		c.addVersion(e.Snapshot, netip.AddrPort{})
 	case ReadHeadResult:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,6 +75,10 @@
 	Err    error
 }
 
+// ServersRestored reports that a RestoreServers effect was executed. It follows the
+// announcements that the effect caused.
+type ServersRestored struct{}
+
 // ShutdownRequested starts a planned shutdown of this daemon.
 type ShutdownRequested struct{}
 
@@ -133,7 +137,7 @@
 type ConfirmTicket struct{ Ticket uint64 }
 
 // RestoreServers restores backend servers that an earlier run of this daemon
-// recorded, including those that are gone.
+// recorded or published, including those that are gone. ServersRestored must follow.
 type RestoreServers struct{ Servers []backend.Server }
 
 // DeleteRecord deletes the record of a dead host.
@@ -151,6 +155,7 @@
 func (Tick) isEvent()              {}
 func (MessageReceived) isEvent()   {}
 func (ServerAnnounced) isEvent()   {}
+func (ServersRestored) isEvent()   {}
 func (VersionAccepted) isEvent()   {}
 func (ReadHeadResult) isEvent()    {}
 func (LoadVersionResult) isEvent() {}
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
 	"github.com/peridotlb/peridotlb/internal/version"
@@ -261,13 +262,29 @@
 	if c.selfRow().State == host.Left {
 		return
 	}
+	// The merge removes what an earlier run of the host has published.
+	earlier := c.leavingServers(m.Row.ID)
 	c.mergeUpdates(message.RowUpdate{Hosts: []host.Row{m.Row}, Servers: m.Servers}, from)
 	if j.answersSent >= maxJoinAnswersPerSecond {
 		return
 	}
 	j.answersSent++
 	all := func(host.AvailabilityZone) bool { return true }
-	c.send(from, message.JoinAnswer{Rows: c.rowsInZones(all), Summary: c.stateSummary()})
+	rows := c.rowsInZones(all)
+	rows.Servers = append(rows.Servers, earlier...)
+	c.send(from, message.JoinAnswer{Rows: rows, Summary: c.stateSummary()})
+}
+
+// leavingServers returns the rows of the backend servers of a host that are draining
+// or gone.
+func (c *Core) leavingServers(id host.ID) []backend.Server {
+	var rows []backend.Server
+	for _, sid := range slices.Sorted(slices.Values(c.servers.byHost[id])) {
+		if s := c.servers.rows[sid]; s.State >= backend.Draining {
+			rows = append(rows, s)
+		}
+	}
+	return rows
 }
 
 func (c *Core) receiveJoinAnswer(from netip.AddrPort, m message.JoinAnswer) {
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -215,6 +215,7 @@
 		for _, s := range e.Servers {
 			n.schedule(h, time.Millisecond, ServerAnnounced{Server: s})
 		}
+		n.schedule(h, time.Millisecond, ServersRestored{})
 	case DeleteRecord:
 		if !tableDown {
 			n.tableWrites++
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -41,6 +41,7 @@
 	lastTicket      uint64 // ticket of the last change that the record must contain
 	confirmedTicket uint64 // ticket of the last change that the table contains
 	serversRestored bool   // the stored backend servers of an earlier run were handled
+	restoring       int    // RestoreServers effects without a ServersRestored event yet
 }
 
 // ownRecord returns the record that the platform table should contain.
@@ -62,7 +63,7 @@
 // runWriteRecord writes the record if it differs from the stored one.
 func (c *Core) runWriteRecord() {
 	r := &c.hostRecord
-	if !r.loaded || r.writePending || c.now.Before(r.retryAt) || !c.mayCallTable() {
+	if !r.loaded || r.restoring > 0 || r.writePending || c.now.Before(r.retryAt) || !c.mayCallTable() {
 		return
 	}
 	own := c.ownRecord()
@@ -101,23 +102,54 @@
 	c.emit(ConfirmTicket{Ticket: e.Ticket})
 }
 
-// setStoredRecord records what the platform table stores about this host. It
-// restores the backend servers of an earlier run unless they have announced
-// themselves since.
+// setStoredRecord records what the platform table stores about this host, and
+// restores the backend servers of an earlier run. Until that is done, the record is
+// not written: a late announcement that arrived before must not replace what is
+// stored.
 func (c *Core) setStoredRecord(r HostRecord, found bool) {
 	c.hostRecord.loaded, c.hostRecord.missing, c.hostRecord.stored = true, !found, r
 	if c.hostRecord.serversRestored || !found {
 		return
 	}
 	c.hostRecord.serversRestored = true
-	var servers []backend.Server
-	for _, s := range r.Servers {
-		if _, announced := c.servers.rows[s.ID]; !announced {
-			servers = append(servers, s)
-		}
+	c.restoreServers(slices.Clone(r.Servers))
+}
+
+// restoreServers restores backend servers that an earlier run of this daemon knew,
+// the one that started last at the end: the oldest rows of gone servers are pruned
+// first.
+func (c *Core) restoreServers(servers []backend.Server) {
+	if len(servers) == 0 {
+		return
 	}
-	if len(servers) > 0 {
-		c.emit(RestoreServers{Servers: servers})
+	slices.SortStableFunc(servers, func(a, b backend.Server) int { return cmp.Compare(a.Started, b.Started) })
+	c.hostRecord.restoring++
+	c.emit(RestoreServers{Servers: servers})
+}
+
+// restoreFromPeer restores a backend server of this host that an earlier run of the
+// daemon published as leaving. Peers still know that when the platform table can't
+// be read.
+func (c *Core) restoreFromPeer(s backend.Server) {
+	if s.State < backend.Draining || s.Stamp.Incarnation >= c.selfRow().Stamp.Incarnation {
+		return
+	}
+	if own, known := c.servers.rows[s.ID]; known && !leftAfter(s, own) {
+		return
+	}
+	c.restoreServers([]backend.Server{s})
+}
+
+// leftAfter reports whether a row with state draining or gone is from after another
+// row of the same server. A run that is gone does not return.
+func leftAfter(left, row backend.Server) bool {
+	switch {
+	case left.Started != row.Started:
+		return left.Started > row.Started
+	case left.State == backend.Gone:
+		return row.State != backend.Gone
+	default:
+		return row.State < backend.Draining && left.Sequence > row.Sequence
 	}
 }
 
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -89,3 +89,84 @@
 		t.Errorf("record read first: got live hosts %v, want %v", got, want)
 	}
 }
+
+// TestPeersKeepDepartures guards against a late announcement that brings a server
+// back at a restarted daemon, which can't read its record, although the other daemons
+// know that the server has left.
+func TestPeersKeepDepartures(t *testing.T) {
+	for _, state := range []backend.State{backend.Draining, backend.Gone} {
+		for _, planned := range []bool{true, false} {
+			n := newSimNetwork(t, 23, 2, nil)
+			n.advance(5 * time.Second)
+			h := n.hosts[1]
+			if planned {
+				n.configure = func(c *Config) { c.Peers = []netip.AddrPort{n.hosts[0].row.ControlAddr} }
+			}
+			s := backend.Server{ID: "s", Service: "bead-stock", State: state, Started: 1, Sequence: 5}
+			n.schedule(h, 0, ServerAnnounced{Server: s})
+			n.advance(5 * time.Second)
+			n.tableDown = true
+			if planned {
+				n.schedule(h, 0, ShutdownRequested{})
+				n.advance(time.Second)
+			}
+			n.stop(h)
+			n.advance(600 * time.Millisecond)
+			n.start(h)
+			late := s
+			late.State, late.Sequence = backend.Ready, 4
+			n.schedule(h, 0, ServerAnnounced{Server: late})
+			n.advance(5 * time.Second)
+			for _, other := range n.hosts {
+				if got := other.core.servers.rows["s"].State; got != state {
+					t.Errorf("planned %t: got state %v at %s, want %v", planned, got, other.row.ID, state)
+				}
+			}
+		}
+	}
+}
+
+// TestRecordIsRestoredBeforeItIsWritten guards against a late announcement that
+// replaces a stored departure in the record of a restarted daemon.
+func TestRecordIsRestoredBeforeItIsWritten(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	self := host.Row{ID: "self", Zone: "a", Region: "r", ControlAddr: netip.MustParseAddrPort("10.0.0.1:7000")}
+	c := New(Config{Self: self, Started: now})
+	step := func(e Event) (effects []Effect) {
+		now = now.Add(10 * time.Millisecond)
+		return c.Step(now, e)
+	}
+	written := func(effects []Effect) (rows []backend.Server, confirmed bool) {
+		for _, e := range effects {
+			switch e := e.(type) {
+			case WriteRecord:
+				rows = e.Record.Servers
+			case ConfirmTicket:
+				confirmed = true
+			}
+		}
+		return rows, confirmed
+	}
+	late := backend.Server{ID: "s", Service: "bead-stock", State: backend.Ready, Started: 1, Sequence: 4}
+	gone := backend.Server{ID: "s", Service: "bead-stock", Host: "self", State: backend.Gone, Started: 1, Sequence: 5}
+	step(Tick{})
+	step(ServerAnnounced{Server: late, Ticket: 1})
+	effects := step(ReadRecordsResult{Records: []HostRecord{{Host: self, Servers: []backend.Server{gone}}}})
+	restored := false
+	for _, e := range effects {
+		if r, ok := e.(RestoreServers); ok {
+			restored = slices.Equal(r.Servers, []backend.Server{gone})
+		}
+	}
+	if !restored {
+		t.Errorf("got effects %v, want the server restored as gone", effects)
+	}
+	for _, e := range [][]Effect{effects, step(Tick{}), step(ServerAnnounced{Server: gone, Ticket: 2})} {
+		if rows, confirmed := written(e); rows != nil || confirmed {
+			t.Errorf("before the end of the restore: got %v written, confirmed %t", rows, confirmed)
+		}
+	}
+	if rows, confirmed := written(step(ServersRestored{})); len(rows) > 0 && rows[0].State != backend.Gone || !confirmed && rows == nil {
+		t.Errorf("after the restore: got %v written, confirmed %t, want the server gone", rows, confirmed)
+	}
+}
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -145,7 +145,11 @@
 }
 
 func (c *Core) mergeServer(s backend.Server, from netip.AddrPort) bool {
-	if s.ID == "" || s.Host == "" || s.Host == c.config.Self.ID {
+	if s.ID == "" || s.Host == "" {
+		return false
+	}
+	if s.Host == c.config.Self.ID {
+		c.restoreFromPeer(s)
 		return false
 	}
 	if e := c.hosts.get(s.Host); e != nil && s.Stamp.Incarnation < e.row.Stamp.Incarnation {
