Give the rest of a large request body to one attempt only

Cause: the rest of such a body goes from the caller's connection to the server. Whether a call may be sent again was decided by "nothing of the rest was read so far", and nothing kept the goroutine of the ended attempt, whose write of the first part had just succeeded, from reading on. It took a piece for a closed connection, and the next attempt sent a chunked body without it. Two attempts side by side (hedged) shared the rest in the same way.

Change: the rest has one reader, the first attempt that begins to read it; for all others the read fails, so that their servers see a broken body. The client stops an attempt's reading when the attempt ends: on an error of Send, and when the response is closed. A failed response that is long, and might still be passed on, is stopped at the moment at which the call is sent again.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -25,13 +25,22 @@
 	Fields    []Field // additional header fields; Header has none of their names
 	Body      []byte
 	// Rest follows Body and can be read only once. It is nil if Body is the whole
-	// body.
-	Rest   io.Reader
+	// body. It is stopped when the request ends, and may be read while Body is
+	// written.
+	Rest   Rest
 	Length int64 // of the whole body; -1 uses chunked encoding
 	// Trailer is sent after a chunked body.
 	Trailer http.Header
 }
 
+// Rest is the rest of the body of a request.
+type Rest interface {
+	io.Reader
+	// Stop ends the reading: a Read that begins after Stop was called fails, also one
+	// in another goroutine. Stop does not wait for a Read that has begun.
+	Stop()
+}
+
 // Field is one header field.
 type Field struct{ Name, Value string }
 
@@ -150,6 +159,7 @@
 	r, err := x.run()
 	if err != nil {
 		x.stopWatch()
+		x.stopRest()
 		_ = cc.raw.Close()
 		if cause := ctx.Err(); cause != nil {
 			err = cause
@@ -287,6 +297,15 @@
 	return x.readMatchingResponse()
 }
 
+// stopRest ends the reading of the body when the request has ended. The goroutine that
+// writes the body may still be about to read from it, and what it read then would be
+// missing where the body is sent again.
+func (x *roundTrip) stopRest() {
+	if x.message.Rest != nil {
+		x.message.Rest.Stop()
+	}
+}
+
 func (x *roundTrip) write(p []byte) error {
 	n, err := x.conn.raw.Write(p)
 	x.written = x.written || n > 0
@@ -406,14 +425,16 @@
 	return n, err
 }
 
-// Close implements io.Closer. It closes the connection unless the body was read to
-// its end.
+// Close implements io.Closer. It ends the request: the rest of its body is not read
+// any more. It closes the connection unless the body of the response was read to its
+// end.
 func (b *responseBody) Close() error {
 	if b.closed {
 		return nil
 	}
 	b.closed = true
 	x := b.roundTrip
+	x.stopRest()
 	if !x.stopWatch() {
 		return x.conn.raw.Close()
 	}
--- a/internal/connection/client_test.go
+++ b/internal/connection/client_test.go
@@ -238,6 +238,11 @@
 	}
 }
 
+// rest is the rest of a body.
+type rest struct{ io.Reader }
+
+func (rest) Stop() {}
+
 // Guards against sending a body that is shorter than its length, and against a
 // chunked body without a final chunk.
 func TestStreamedBody(t *testing.T) {
@@ -248,13 +253,13 @@
 	c := newClient(t)
 	for _, length := range []int64{-1, 100_000} {
 		m := message("1", strings.Repeat("a", 60_000))
-		m.Length, m.Rest = length, strings.NewReader(strings.Repeat("b", 40_000))
+		m.Length, m.Rest = length, rest{strings.NewReader(strings.Repeat("b", 40_000))}
 		if got, err := roundTrip(t.Context(), c, addr, m); err != nil || got != strings.Repeat("a", 60_000)+strings.Repeat("b", 40_000) {
 			t.Errorf("length %d: got %d bytes, error %v, want 100000", length, len(got), err)
 		}
 	}
 	m := message("1", strings.Repeat("a", 60_000))
-	m.Length, m.Rest = 100_000, strings.NewReader("short")
+	m.Length, m.Rest = 100_000, rest{strings.NewReader("short")}
 	if got, err := roundTrip(t.Context(), c, addr, m); err == nil {
 		t.Errorf("short body: got %d bytes, want an error", len(got))
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -145,6 +145,10 @@
 		}
 		return x.endIfNoneRunning(r)
 	}
+	if !r.reply.stopUpload() {
+		choice.Done(pool.Result{Outcome: pool.Abandoned})
+		return x.endIfNoneRunning(r)
+	}
 	x.discard(r)
 	x.entry.metrics.retries.Inc()
 	x.startAttempt(ctx, choice)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -277,7 +277,8 @@
 	if q.Notice.Limited {
 		fields = append(fields, connection.Field{Name: HeaderNoticedLimit, Value: strconv.FormatFloat(q.Notice.Limit, 'f', -1, 64)})
 	}
-	s := send(ctx, x.entry.config.Transports.gates, choice.GateAddr, x.call.buildMessage(fields...), connection.Options{})
+	m := x.call.buildMessage(fields...)
+	s := send(ctx, x.entry.config.Transports.gates, choice.GateAddr, m, connection.Options{})
 	if s.err != nil {
 		return gateResult{failure: sendFailure(ctx, s, reasonGateUnreachable, "gate-broke")}
 	}
@@ -287,7 +288,7 @@
 	reason := h.Get(HeaderReason)
 	us, _ := strconv.ParseInt(h.Get(HeaderServerUS), 10, 64) // 0 if absent
 	result.serverTime = time.Duration(us) * time.Microsecond
-	reply, err := readReply(s.response, x.call.method, false)
+	reply, err := readReply(s.response, m, false)
 	switch {
 	case reason != "":
 		result.failure = gateFailure(reason, h)
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -67,11 +67,16 @@
 func rawMesh(t testing.TB, atGate bool, addr netip.AddrPort) *mesh {
 	m := newMesh(t)
 	m.routes[0].Retries = 0
-	row := backend.Server{ID: "stock-0", Service: "stock", Host: "host-0", Addr: addr, State: backend.Ready, Stamp: host.Stamp{Sequence: 1}}
+	rows := m.rawRows(addr)
 	if atGate {
-		return m.startRows([]backend.Server{row}, map[backend.ServerID]netip.AddrPort{row.ID: addr})
+		return m.startRows(rows, map[backend.ServerID]netip.AddrPort{rows[0].ID: addr})
 	}
-	return m.startRows([]backend.Server{row}, nil)
+	return m.startRows(rows, nil)
+}
+
+// rawRows returns the row of a backend server at an address.
+func (m *mesh) rawRows(addr netip.AddrPort) []backend.Server {
+	return []backend.Server{{ID: "stock-0", Service: "stock", Host: "host-0", Addr: addr, State: backend.Ready, Stamp: host.Stamp{Sequence: 1}}}
 }
 
 // serverClosingReused runs every request but answers only the first. After any other
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -110,7 +110,7 @@
 	}
 	h := s.response.Header
 	reason := h.Get(HeaderReason)
-	reply, err := readReply(s.response, x.call.method, false)
+	reply, err := readReply(s.response, m, false)
 	switch {
 	case reason == reasonNoVersion:
 		reply.close()
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -151,7 +151,7 @@
 	}
 	g.observeNotice(permit, s.response)
 	notRun := g.config.Dialect.reportsNotRun(s.response)
-	reply, err := readReply(s.response, c.method, g.config.Dialect.CloseDelimited)
+	reply, err := readReply(s.response, m, g.config.Dialect.CloseDelimited)
 	if notRun {
 		reply.close()
 		return gateResult{failure: &failure{reason: reasonServerRefused, notRun: true, refused: true}}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -34,7 +34,10 @@
 	routes  []document.Route
 	claims  Claims
 	local   bool // the servers are on the host of the entry
-	now     func() time.Time
+	// serveGate serves the gate of another host; nil uses net/http, which reads a
+	// request to its end before it responds.
+	serveGate func(http.Handler) netip.AddrPort
+	now       func() time.Time
 
 	transports *Transports
 	dialect    Dialect
@@ -115,9 +118,13 @@
 			if m.gate == nil {
 				m.gate = c.Gate
 			}
-			s := httptest.NewServer(NewGate(c))
-			m.t.Cleanup(s.Close)
-			addr = address(s)
+			if m.serveGate != nil {
+				addr = m.serveGate(NewGate(c))
+			} else {
+				s := httptest.NewServer(NewGate(c))
+				m.t.Cleanup(s.Close)
+				addr = address(s)
+			}
 		}
 		hosts = append(hosts, host.Row{ID: row.Host, Zone: "a", Region: "r", GateAddr: addr})
 	}
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/peridotlb/peridotlb/internal/connection"
 )
 
 var (
@@ -23,16 +25,18 @@
 	length   int64        // of the body; -1 if unknown
 	trailer  *http.Header // complete once the body was read
 	hasBody  bool
+	upload   *restReader // of the request, which may still be sent while rest is read; nil if its body was short
 }
 
-// readReply buffers the start of a response. It closes the response on an error and
+// readReply buffers the start of the response to a message. It closes the response on an error and
 // when the whole body is buffered. With closeDelimited, a response may end with its
 // connection.
-func readReply(resp *http.Response, method string, closeDelimited bool) (*reply, error) {
+func readReply(resp *http.Response, m *connection.Message, closeDelimited bool) (*reply, error) {
 	r := &reply{
 		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, trailer: &resp.Trailer,
-		hasBody: method != http.MethodHead && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified,
+		hasBody: m.Method != http.MethodHead && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified,
 	}
+	r.upload, _ = m.Rest.(*restReader)
 	stripHopByHop(r.header)
 	err := r.bufferBody(resp, closeDelimited)
 	if err != nil || r.rest == nil {
@@ -73,6 +77,10 @@
 	}
 }
 
+// stopUpload ends the sending of the request's body, so that it can be sent again, and
+// reports whether that is possible. It accepts a nil reply.
+func (r *reply) stopUpload() bool { return r == nil || r.upload.stopUnlessRead() }
+
 // close discards the unread part of the body. It accepts a nil reply.
 func (r *reply) close() {
 	if r != nil && r.rest != nil {
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime"
 	"strings"
 	"sync"
@@ -38,17 +39,36 @@
 		}
 		u.whole.Add(1)
 	}))
+	u.serveEntry(maxBody)
+	return u
+}
+
+// serveEntry serves the entry with a limit of bodies in bytes; 0 for none.
+func (u *uploadMesh) serveEntry(maxBody int64) {
+	u.t.Helper()
+	limits := connection.DefaultLimits()
+	limits.BodyBytes = maxBody
+	server := NewEntryServer(ServerConfig{Handler: NewEntry(u.config), Limits: func() connection.Limits { return limits }})
+	u.addr = serveConnections(u.t, server).String()
+}
+
+// serveGate returns a function that serves gates like a daemon.
+func serveGate(t testing.TB) func(http.Handler) netip.AddrPort {
+	return func(h http.Handler) netip.AddrPort {
+		return serveConnections(t, NewGateServer(ServerConfig{Handler: h}, nil))
+	}
+}
+
+// serveConnections runs the connection server of a daemon until the test ends.
+func serveConnections(t testing.TB, s *connection.Server) netip.AddrPort {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	limits := connection.DefaultLimits()
-	limits.BodyBytes = maxBody
-	server := NewEntryServer(ServerConfig{Handler: NewEntry(u.config), Limits: func() connection.Limits { return limits }})
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(server.Close)
-	u.addr = l.Addr().String()
-	return u
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	return netip.MustParseAddrPort(l.Addr().String())
 }
 
 // dial opens a connection to the entry.
