--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -30,6 +30,7 @@
 	probeInterval       = time.Second
 	probeTimeout        = 500 * time.Millisecond
 	maxBodyBytes        = 16 << 10 // of a request body
+	maxProbeHeaderBytes = 64 << 10 // of the response to a health probe, whose body is not read
 )
 
 // Rate limits in requests per second, which are also the bursts. Every change of a
@@ -90,7 +91,8 @@
 	a := &API{config: c, mux: http.NewServeMux(), servers: make(map[backend.ServerID]*entry), withdrawn: make(map[backend.ServerID]withdrawal)}
 	a.otherLimiter = rate.NewLimiter(otherRequestsPerSecond, otherRequestsPerSecond)
 	a.client = &http.Client{
-		Timeout: probeTimeout,
+		Timeout:   probeTimeout,
+		Transport: &http.Transport{MaxResponseHeaderBytes: maxProbeHeaderBytes, IdleConnTimeout: 2 * probeInterval},
 		// A health endpoint must not redirect probes to other addresses.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/announcement/announcement_test.go
+++ b/internal/announcement/announcement_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -234,3 +236,43 @@
 		f.check(t, "a withdrawal while a probe hangs", "127.0.0.1:80 gone", "hang healthy=true")
 	})
 }
+
+// TestEndlessProbeResponse guards against a health endpoint that sends a response
+// without end, in its header or its body, which the daemon keeps in memory.
+func TestEndlessProbeResponse(t *testing.T) {
+	const maxTaken = 4 << 20 // bytes, with the buffers of the sockets
+	for name, first := range map[string]string{
+		"header": "HTTP/1.1 200 OK\r\nA: ", "informational": "HTTP/1.1 103 Early Hints\r\nA: ",
+		"body": "HTTP/1.1 200 OK\r\n\r\n", "bytes after a response": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		taken := make(chan int, 1)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_, _ = c.Read(make([]byte, 4096))
+			_, err = io.WriteString(c, first)
+			n, part := 0, make([]byte, 16<<10)
+			for i := range part {
+				part[i] = 'x'
+			}
+			for err == nil && n < 16*maxTaken {
+				var k int
+				k, err = c.Write(part)
+				n += k
+			}
+			taken <- n
+		}()
+		newFixture().healthy(t.Context(), "http://"+l.Addr().String())
+		if got := <-taken; got > maxTaken {
+			t.Errorf("%s: got %d bytes taken from the endpoint, want at most %d", name, got, maxTaken)
+		}
+	}
+}
--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -112,6 +112,9 @@
 	// maxResponsesRead bounds the responses that are read to find the matching one.
 	// Late and informational responses count.
 	maxResponsesRead = 4
+	// maxDiscardedBody bounds the body in bytes of a late response, which is read only
+	// to find the next one.
+	maxDiscardedBody = 1 << 20
 	// maxResponseHeader bounds the size of a response header in bytes.
 	maxResponseHeader = 64 << 10
 	// inlineWriteLimit is the size in bytes up to which a request is written
@@ -127,7 +130,8 @@
 var ErrNoResponse = errors.New("the peer closed the connection without a response")
 
 // ErrResponseMismatch is returned if the matching response does not arrive after
-// late ones: there are too many, or one has no length and ends with the connection.
+// late ones: there are too many, one is too long, or one has no length and ends with
+// the connection.
 var ErrResponseMismatch = errors.New("the response belongs to another request")
 
 // Options change how a request is sent.
@@ -362,9 +366,13 @@
 		if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
 			return nil, ErrResponseMismatch
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBody+1))
+		if err != nil {
 			return nil, fmt.Errorf("discard a late response: %w", err)
 		}
+		if n > maxDiscardedBody {
+			return nil, ErrResponseMismatch
+		}
 	}
 	return nil, ErrResponseMismatch
 }
