Keep servers in use that have returned since an expired lease

Cause: a row that a daemon had published before it refuted its own death looked like one of an earlier run, so that a peer's copy with "gone" would have withdrawn a server that had returned since. And a restored row "draining" was taken for a drain that the server had asked for, also when only its lease had run out: the server then stayed out of use until it was started again.

Change: only rows from before the first incarnation of this run are given back by peers. For a server that orders its announcements, a later one as ready counts after a restore; an earlier one still doesn't.

Evidence: before, TestOwnRowsAreNotRestored fails with the server restored as gone, TestExpiredLeaseIsNotRestoredAsDrain with "later announcement: got callbacks [], want ready"; both pass now, as do the tests of both cases.

--- a/internal/announcement/registry_test.go
+++ b/internal/announcement/registry_test.go
@@ -109,6 +109,7 @@
 		{"gone", newAnnouncement("a", ready, started, 4), storedServer("a", gone, started, 5), []string{"127.0.0.1:8080 gone", "a healthy=true"}},
 		{"gone, announced later", newAnnouncement("a", ready, started, 9), storedServer("a", gone, started, 5), []string{"127.0.0.1:8080 gone", "a healthy=true"}},
 		{"draining", newAnnouncement("a", ready, started, 4), storedServer("a", draining, started, 5), []string{"127.0.0.1:8080 draining"}},
+		{"draining, announced later", newAnnouncement("a", ready, started, 9), storedServer("a", draining, started, 5), nil},
 		{"later run", newAnnouncement("a", draining, started-1, 4), storedServer("a", ready, started, 1), []string{"127.0.0.1:8080 ready"}},
 		{"earlier run is gone", newAnnouncement("a", ready, started, 1), storedServer("a", gone, started-1, 5), nil},
 		{"earlier run was draining", newAnnouncement("a", ready, started, 1), storedServer("a", draining, started-1, 5), nil},
@@ -124,6 +125,19 @@
 	}
 }
 
+// Guards against a server that stays out of use because its lease had expired before a
+// restart, and whose row does not tell that from a drain that it asked for.
+func TestExpiredLeaseIsNotRestoredAsDrain(t *testing.T) {
+	f := newFixture()
+	const started = 1_700_000_000_000
+	f.Restore([]backend.Server{storedServer("a", backend.Draining, started, 5)})
+	f.check(t, "record", "127.0.0.1:8080 draining")
+	_ = f.Renew(t.Context(), newAnnouncement("a", backend.Ready, started, 4))
+	f.check(t, "late announcement")
+	_ = f.Renew(t.Context(), newAnnouncement("a", backend.Ready, started, 6))
+	f.check(t, "later announcement", "127.0.0.1:8080 ready")
+}
+
 // Guards against a server without start times that can't return after a withdrawal
 // and a restart, and against a record from before its withdrawal that brings it back.
 func TestWithdrawalWithoutStartTimes(t *testing.T) {
--- a/internal/announcement/withdrawal.go
+++ b/internal/announcement/withdrawal.go
@@ -137,7 +137,7 @@
 	if a.addressTakenOver(row, pos) {
 		return
 	}
-	e := &entry{row: row, renewedAt: a.config.Now(), requested: row.State, position: pos, renewalLimiter: rate.NewLimiter(renewalsPerSecond, renewalsPerSecond)}
+	e := &entry{row: row, renewedAt: a.config.Now(), requested: restoredRequest(row), position: pos, renewalLimiter: rate.NewLimiter(renewalsPerSecond, renewalsPerSecond)}
 	a.servers[row.ID] = e
 	a.publish(e)
 }
@@ -148,15 +148,22 @@
 func (a *API) restoreDrain(e *entry, row backend.Server) {
 	switch pos := (position{row.Started, row.Sequence}); {
 	case pos.started > e.position.started:
-		e.row, e.requested, e.position = row, row.State, pos
-	case pos.started == e.position.started && row.State == backend.Draining && e.row.State == backend.Ready && e.row.Addr == row.Addr:
-		if pos.compare(e.position) > 0 {
-			e.position = pos
-		}
-		e.requested = backend.Draining
-		e.row.State, e.row.Sequence = backend.Draining, e.position.sequence
+		e.row, e.requested, e.position = row, restoredRequest(row), pos
+	case pos.compare(e.position) >= 0 && row.State == backend.Draining && e.row.State == backend.Ready && e.row.Addr == row.Addr:
+		e.requested, e.position = restoredRequest(row), pos
+		e.row.State, e.row.Sequence = backend.Draining, pos.sequence
 	default:
 		return
 	}
 	a.publish(e)
 }
+
+// restoredRequest returns the state that was requested for a restored server. A server
+// that orders its announcements says itself that it drains, and the row does not tell
+// that from an expired lease, after which a later announcement as ready counts.
+func restoredRequest(row backend.Server) backend.State {
+	if row.Started != 0 && row.State == backend.Draining {
+		return backend.Ready
+	}
+	return row.State
+}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -43,7 +43,7 @@
 	}
 	self := config.Self
 	self.State = host.Alive
-	self.Stamp = host.Stamp{Incarnation: host.Incarnation(config.Started.UnixMilli())}
+	self.Stamp = host.Stamp{Incarnation: c.firstIncarnation()}
 	c.config.Self = self
 	c.hosts.init()
 	c.servers.init(&c.hosts)
@@ -157,6 +157,12 @@
 
 func (c *Core) recordEvent(n TimelineEvent) { c.emit(n) }
 
+// firstIncarnation returns the incarnation with which this run of the daemon started.
+// Refutations raise the current one.
+func (c *Core) firstIncarnation() host.Incarnation {
+	return host.Incarnation(c.config.Started.UnixMilli())
+}
+
 // selfRow returns the current row of this host.
 func (c *Core) selfRow() host.Row { return c.hosts.get(c.config.Self.ID).row }
 
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -129,9 +129,9 @@
 
 // restoreFromPeer restores a backend server of this host that an earlier run of the
 // daemon published as leaving. Peers still know that when the platform table can't
-// be read.
+// be read. Rows of this run are older than what it knows itself.
 func (c *Core) restoreFromPeer(s backend.Server) {
-	if s.State < backend.Draining || s.Stamp.Incarnation >= c.selfRow().Stamp.Incarnation {
+	if s.State < backend.Draining || s.Stamp.Incarnation >= c.firstIncarnation() {
 		return
 	}
 	if own, known := c.servers.rows[s.ID]; known && !leftAfter(s, own) {
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -170,3 +170,28 @@
 		t.Errorf("after the restore: got %v written, confirmed %t, want the server gone", rows, confirmed)
 	}
 }
+
+// TestOwnRowsAreNotRestored guards against a daemon that takes a row which it published
+// itself, before a refutation, for one of an earlier run, and withdraws a server that
+// has returned since.
+func TestOwnRowsAreNotRestored(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	addr := netip.MustParseAddrPort("10.0.0.2:7000")
+	self := host.Row{ID: "self", Zone: "a", Region: "r", ControlAddr: netip.MustParseAddrPort("10.0.0.1:7000")}
+	c := New(Config{Self: self, Started: now})
+	first := c.selfRow().Stamp.Incarnation
+	c.Step(now, ServerAnnounced{Server: backend.Server{ID: "s", Service: "bead-stock", State: backend.Gone, Started: 1, Sequence: 5}})
+	gone := c.servers.rows["s"]
+	c.Step(now, ServerAnnounced{Server: backend.Server{ID: "s", Service: "bead-stock", State: backend.Ready, Started: 1, Sequence: 6}})
+	dead := self
+	dead.State, dead.Stamp = host.Dead, host.Stamp{Incarnation: first, Sequence: 99}
+	c.Step(now, MessageReceived{From: addr, Message: message.RowUpdate{Hosts: []host.Row{dead}}})
+	if got := c.selfRow().Stamp.Incarnation; got <= first {
+		t.Fatalf("got incarnation %d after a refutation, want one above %d", got, first)
+	}
+	for _, e := range c.Step(now, MessageReceived{From: addr, Message: message.RowUpdate{Servers: []backend.Server{gone}}}) {
+		if _, ok := e.(RestoreServers); ok {
+			t.Errorf("got %+v, want the server kept", e)
+		}
+	}
+}
