--- a/internal/announcement/announcement_test.go
+++ b/internal/announcement/announcement_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -13,6 +11,7 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/test/endless"
 )
 
 const readyBody = `{"service":"bead-stock","address":"127.0.0.1:8080","slots":9}`
@@ -245,33 +244,9 @@
 		"header": "HTTP/1.1 200 OK\r\nA: ", "informational": "HTTP/1.1 103 Early Hints\r\nA: ",
 		"body": "HTTP/1.1 200 OK\r\n\r\n", "bytes after a response": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
 	} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		taken := make(chan int, 1)
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer c.Close()
-			_, _ = c.Read(make([]byte, 4096))
-			_, err = io.WriteString(c, first)
-			n, part := 0, make([]byte, 16<<10)
-			for i := range part {
-				part[i] = 'x'
-			}
-			for err == nil && n < 16*maxTaken {
-				var k int
-				k, err = c.Write(part)
-				n += k
-			}
-			taken <- n
-		}()
-		newFixture().healthy(t.Context(), "http://"+l.Addr().String())
-		if got := <-taken; got > maxTaken {
+		server := endless.Serve(t, endless.Config{First: first, Limit: 16 * maxTaken})
+		newFixture().healthy(t.Context(), "http://"+server.Addr)
+		if got := <-server.Taken; got > maxTaken {
 			t.Errorf("%s: got %d bytes taken from the endpoint, want at most %d", name, got, maxTaken)
 		}
 	}
