Send each header of a request to a server once

Backend servers saw: two timeout headers (X-Deadline-Ms on the platform), that of the caller before that of the gate, and two Content-Length, in one request. A server that takes the first timeout works for a caller that no longer waits.

Cause: Message.encode wrote all of Header, then Fields, then the framing headers, and relied on Header having none of their names. Nothing removed them: the timeout and the Content-Length of a caller stay in the copied header.

Change: encode leaves out of Header the names of Fields, and Host, Content-Length, Transfer-Encoding and Trailer, which it derives from the message. The set of names is a static one unless a name of Fields is in Header.

Differently spelled duplicates of a caller (x-deadline-ms, X-DEADLINE-MS) have one key after parsing and are left out; a name with a space before the colon is parsed, but was never written.

Evidence: TestEachHeaderIsSentOnce on the code before: "X-Deadline-Ms: 900", "X-Deadline-Ms: 800" and "X-Deadline-Ms: 50" in one request, and "Content-Length: 2" twice; it passes after, as do the other tests of internal/connection.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -22,7 +22,7 @@
 	Target    string // path and query as received
 	Authority string // value of the Host header
 	Header    http.Header
-	Fields    []Field // additional header fields; Header has none of their names
+	Fields    []Field // additional header fields, which replace those of Header with the same names
 	Body      []byte
 	// Rest follows Body and can be read only once. It is nil if Body is the whole
 	// body. It is stopped when the request ends, and may be read while Body is
--- a/internal/connection/client_test.go
+++ b/internal/connection/client_test.go
@@ -345,3 +345,36 @@
 		}
 	}
 }
+
+// Guards against a server that gets the caller's own timeout, length or encoding beside
+// those of the request, however the caller spells their names.
+func TestEachHeaderIsSentOnce(t *testing.T) {
+	caller := "POST /a HTTP/1.1\r\nHost: x\r\nx-deadline-ms: 900\r\nX-DEADLINE-MS: 800\r\nX-Deadline-Ms : 700\r\ncontent-length: 2\r\nContent-Length: 2\r\nX-Other: 1\r\n\r\nab"
+	for _, length := range []int64{-1, 2} {
+		sent := make(chan string, 1)
+		addr := peer(t, func(_ int64, in *bufio.Reader, c net.Conn) {
+			var text strings.Builder
+			for line := ""; line != "\r\n"; text.WriteString(line) {
+				if line, _ = in.ReadString('\n'); line == "" {
+					break
+				}
+			}
+			sent <- text.String()
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		})
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(caller)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header["Transfer-Encoding"], r.Header["Trailer"], r.Header["Host"] = []string{"gzip"}, []string{"X-Sum"}, []string{"y"}
+		m := &connection.Message{Method: "POST", Target: "/a", Authority: "x", Header: r.Header, Fields: []connection.Field{{Name: "X-Deadline-Ms", Value: "50"}}, Body: []byte("ab"), Length: length}
+		_, _ = roundTrip(t.Context(), newClient(t), addr, m)
+		framing := "Content-Length: 2\r\n"
+		if length < 0 {
+			framing = "Transfer-Encoding: chunked\r\n"
+		}
+		if got, want := <-sent, "POST /a HTTP/1.1\r\nHost: x\r\nX-Other: 1\r\nX-Deadline-Ms: 50\r\n"+framing+"\r\n"; got != want {
+			t.Errorf("length %d: got %q, want %q", length, got, want)
+		}
+	}
+}
--- a/internal/connection/message.go
+++ b/internal/connection/message.go
@@ -3,10 +3,33 @@
 import (
 	"bytes"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 )
 
+// framingHeaders are the headers that encode derives from the message itself. Those
+// that a caller sent must not be added to them: with two lengths, a server can take
+// another end of the request than was meant.
+var framingHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+
+// replacedHeaders returns the names in Header that are not sent, because encode writes
+// headers of the same names. Of two timeouts, a server may take the caller's.
+func (m *Message) replacedHeaders() map[string]bool {
+	replaced := framingHeaders
+	for _, f := range m.Fields {
+		name := http.CanonicalHeaderKey(f.Name)
+		if _, ok := m.Header[name]; !ok {
+			continue
+		}
+		if len(replaced) == len(framingHeaders) {
+			replaced = maps.Clone(framingHeaders)
+		}
+		replaced[name] = true
+	}
+	return replaced
+}
+
 // encode encodes the request line and the header fields.
 func (m *Message) encode() []byte {
 	var b bytes.Buffer
@@ -17,7 +40,7 @@
 	b.WriteString(" HTTP/1.1\r\nHost: ")
 	b.WriteString(m.Authority)
 	b.WriteString("\r\n")
-	_ = m.Header.Write(&b) // writing to a buffer cannot fail
+	_ = m.Header.WriteSubset(&b, m.replacedHeaders()) // writing to a buffer cannot fail
 	for _, f := range m.Fields {
 		b.WriteString(f.Name)
 		b.WriteString(": ")
