Refuse announcements with an address nothing can connect to

A heartbeat with port 0 was acknowledged, and the row of a server that nothing can connect to went to the whole fleet.

Cause: the heartbeat decoder asked only whether the address was valid, and netip.AddrPort is valid with port 0. The product's own API refused port 0 and 0.0.0.0, but took a multicast address.

Change: host.CheckAddr (port 0, unspecified, multicast) is used by the product's API and by Renew, where every announcement enters. Ports beyond 65535 were refused already.

--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -20,6 +20,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
 )
 
 const (
@@ -175,7 +176,7 @@
 	}
 	var errs []error
 	addr, err := netip.ParseAddrPort(m.Address)
-	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
+	if err != nil || host.CheckAddr(addr) != nil {
 		errs = append(errs, fmt.Errorf("address %q must be a specific IP address with a non-zero port, for example 127.0.0.1:8080", m.Address))
 	}
 	if !validName.MatchString(string(id)) {
--- a/internal/announcement/announcement_test.go
+++ b/internal/announcement/announcement_test.go
@@ -121,6 +121,7 @@
 	for body, want := range map[string][]string{
 		`{"service":"Bead","address":"localhost:80","state":"up","health-path":"ok"}`: {`address \"localhost:80\"`, `id \"Stock_1\"`, `service \"Bead\"`, `health-path \"ok\"`, `state \"up\"`},
 		`{"service":"s","address":"0.0.0.0:80","health-path":"/%zz"}`:                 {`address \"0.0.0.0:80\"`, `health-path \"/%zz\"`},
+		`{"service":"s","address":"224.0.0.1:80"}`:                                    {`address \"224.0.0.1:80\"`},
 		`{"service":"s","address":"127.0.0.1:0"}`:                                     {`address \"127.0.0.1:0\"`},
 		`{"service":"s","adress":"127.0.0.1:80"}`:                                     {`unknown field \"adress\"`},
 		`{"slots":70000}`: {"slots"},
--- a/internal/announcement/registry.go
+++ b/internal/announcement/registry.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
 )
 
 // persistTimeout limits the wait until a drain or withdrawal is persisted outside
@@ -62,11 +63,15 @@
 	return cmp.Or(cmp.Compare(p.started, o.started), cmp.Compare(p.sequence, o.sequence))
 }
 
-// Renew applies an announcement of a backend server on this host. If the state is
+// Renew applies an announcement of a backend server on this host, or returns an error
+// if it can't be used. If the state is
 // draining or gone, Renew waits until that is persisted. If it is not persisted
 // within persistTimeout, the announcement is in effect, and Renew returns an error
 // that wraps ErrNotPersisted.
 func (a *API) Renew(ctx context.Context, n Announcement) error {
+	if err := host.CheckAddr(n.Server.Addr); err != nil {
+		return fmt.Errorf("announcement: address %s %w", n.Server.Addr, err)
+	}
 	a.mu.Lock()
 	a.renew(n)
 	var persisted <-chan struct{}
