Refuse ids and names with control characters where rows enter

A server id with a line break reached the header that names the server (X-Target-Instance on the platform): a server could add headers to its calls, and to those between daemons.

Cause: ids and service names of heartbeats and deregistrations, of host records in the store and of rows from other daemons were only compared with "".

Change: backend.Server.Check and host.Row.Check refuse ids, service, zone and region names that are not printable, have spaces or more than 256 bytes, unknown states, and addresses with port 0, of no one host or with such a zone. They run in Renew and Withdraw of the announcement API, when a host record is read, and when a row from a peer is merged. A record or row that fails is skipped; the others of the message are used. Rows of peers give one event row-refused per 10 s, since a peer that has such a row sends it with each exchange of rows.

Limit: while daemons of the version before hold such a row, their hashes differ from those of newer ones, and rows are exchanged after each cooldown.

TestOddRecordIsSkipped: the host with the valid record was not found, since a record with a bad id had its address.

--- a/internal/announcement/registry.go
+++ b/internal/announcement/registry.go
@@ -69,6 +69,9 @@
 // within persistTimeout, the announcement is in effect, and Renew returns an error
 // that wraps ErrNotPersisted.
 func (a *API) Renew(ctx context.Context, n Announcement) error {
+	if err := n.Server.Check(); err != nil {
+		return fmt.Errorf("announcement: %w", err)
+	}
 	if err := host.CheckAddr(n.Server.Addr); err != nil {
 		return fmt.Errorf("announcement: address %s %w", n.Server.Addr, err)
 	}
@@ -86,6 +89,9 @@
 // are accepted afterwards. A zero time means the current run. Like Renew, it waits
 // until that is persisted, and returns an error that wraps ErrNotPersisted.
 func (a *API) Withdraw(ctx context.Context, id backend.ServerID, started time.Time) error {
+	if err := id.Check(); err != nil {
+		return fmt.Errorf("withdrawal: %w", err)
+	}
 	a.mu.Lock()
 	a.withdraw(id, positionOf(started, 0).started)
 	persisted := a.leavingPersisted(id)
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -229,6 +229,7 @@
 	"table-call-failed":  "A call to the table failed.",
 	"table-answers":      "The table answers again.",
 	"record-not-written": "Could not write the record of this host to the table.",
+	"row-refused":        "Skipped a row of a peer that can't be used.",
 	"unreachable":        "Lost contact with a zone or region.",
 	"server-starting":    "A backend server of this host is starting.",
 	"server-ready":       "A backend server of this host is ready.",
--- a/internal/daemon/records.go
+++ b/internal/daemon/records.go
@@ -85,12 +85,18 @@
 	if !usable(r.Host.ControlAddr) || !usable(r.Host.GateAddr) {
 		return errors.New("record has no control address or no gate address")
 	}
+	if err := r.Host.Check(); err != nil {
+		return err
+	}
 	for _, s := range r.Servers {
 		switch {
-		case s.ID == "", s.Host != r.Host.ID, s.State > backend.Gone:
-			return fmt.Errorf("record has an invalid backend server %q", s.ID)
+		case s.Host != r.Host.ID:
+			return fmt.Errorf("record has a backend server %q of another host", s.ID)
 		case s.State != backend.Gone && (s.Service == "" || !usable(s.Addr)):
-			return fmt.Errorf("backend server %s has no service or no address", s.ID)
+			return fmt.Errorf("backend server %q has no service or no address", s.ID)
+		}
+		if err := s.Check(); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/daemon/records_test.go
+++ b/internal/daemon/records_test.go
@@ -114,6 +114,10 @@
 		"no-gate-address":   func(r *fleet.HostRecord) { r.Host.GateAddr = netip.AddrPort{} },
 		"foreign-server":    func(r *fleet.HostRecord) { r.Servers[0].Host = "pwani-a-9" },
 		"no-server-address": func(r *fleet.HostRecord) { r.Servers[0].Addr = netip.AddrPort{} },
+		"server-id":         func(r *fleet.HostRecord) { r.Servers[0].ID = "s\r\nX-Other: 1" },
+		"service":           func(r *fleet.HostRecord) { r.Servers[0].Service = "stock\n" },
+		"control-zone":      func(r *fleet.HostRecord) { r.Host.ControlAddr = netip.MustParseAddrPort("[fe80::1%a\nb]:9") },
+		"any-gate-address":  func(r *fleet.HostRecord) { r.Host.GateAddr = netip.MustParseAddrPort("0.0.0.0:9") },
 		"unknown-state":     func(r *fleet.HostRecord) { r.Servers[0].State = 200 },
 	}
 	for name, change := range odd {
--- a/internal/fleet/membership_test.go
+++ b/internal/fleet/membership_test.go
@@ -439,3 +439,39 @@
 		}
 	}
 }
+
+// TestUnusableRowsAreSkipped guards against a row of a peer whose id reaches a header of
+// calls with a line break in it, or whose address can't be connected to; against such a
+// row that keeps others of the same message out; and against a log line for each.
+func TestUnusableRowsAreSkipped(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.1:7000")
+	valid := backend.Server{ID: "s", Service: "stock", Host: "h", Addr: addr, Stamp: host.Stamp{Incarnation: 1}}
+	h := host.Row{ID: "h", Zone: "a", Region: "r", ControlAddr: addr, GateAddr: addr, Stamp: host.Stamp{Incarnation: 1}}
+	c := New(Config{Self: host.Row{ID: "self", Zone: "a", Region: "r"}, Started: time.Unix(1_800_000_000, 0)})
+	var updates message.RowUpdate
+	for _, change := range []func(*backend.Server, *host.Row){
+		func(s *backend.Server, h *host.Row) { s.ID, h.ID = "s\r\nX-Other: 1", "h\n" },
+		func(s *backend.Server, h *host.Row) { s.ID, h.ID = "s\x00", "h " },
+		func(s *backend.Server, h *host.Row) { s.Service, h.Zone = "stock\x7f", "\xff" },
+		func(s *backend.Server, h *host.Row) { s.Host, h.Region = "h\n", "r\u2028" },
+		func(s *backend.Server, h *host.Row) {
+			s.Addr, h.GateAddr = netip.AddrPortFrom(addr.Addr(), 0), netip.MustParseAddrPort("0.0.0.0:1")
+		},
+		func(s *backend.Server, h *host.Row) { s.State, h.State = 200, 200 },
+	} {
+		s, r := valid, h
+		s.ID, r.ID = "other", "other"
+		change(&s, &r)
+		updates.Servers, updates.Hosts = append(updates.Servers, s), append(updates.Hosts, r)
+	}
+	updates.Servers, updates.Hosts = append(updates.Servers, valid), append(updates.Hosts, h)
+	refused := 0
+	for _, e := range c.Step(time.Unix(1_800_000_000, 0), MessageReceived{From: addr, Message: updates}) {
+		if e, ok := e.(TimelineEvent); ok && e.Kind == "row-refused" {
+			refused++
+		}
+	}
+	if got := slices.Collect(maps.Keys(c.servers.rows)); !slices.Equal(got, []backend.ServerID{"s"}) || len(c.hosts.entries) != 2 || refused != 1 {
+		t.Errorf("got servers %q, %d hosts and %d events, want the server s, this host and h, and one event", got, len(c.hosts.entries), refused)
+	}
+}
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
@@ -22,6 +23,8 @@
 	// syncCooldownProbes is the number of mismatching probes after an exchange that
 	// do not count towards syncMismatchThreshold.
 	syncCooldownProbes = 2
+	// refusedRowInterval bounds the events about rows that can't be used.
+	refusedRowInterval = 10 * time.Second
 )
 
 // updateState holds the row updates to forward, with the neighbor that each
@@ -32,6 +35,8 @@
 	nextFlushAt  time.Time
 	lastSequence host.Sequence // last sequence number of this host's rows
 	nextPurgeAt  time.Time
+	// nextRefusalAt is the time from which a row that can't be used is recorded again.
+	nextRefusalAt time.Time
 }
 
 func (u *updateState) init() {
@@ -102,8 +107,19 @@
 	}
 }
 
+// refuseRow records that a received row is skipped, at most once per
+// refusedRowInterval. A peer with an unusable row sends it with each exchange of rows.
+func (c *Core) refuseRow(err error, from netip.AddrPort) {
+	if c.now.Before(c.updates.nextRefusalAt) {
+		return
+	}
+	c.updates.nextRefusalAt = c.now.Add(refusedRowInterval)
+	c.recordEvent(TimelineEvent{Kind: "row-refused", Detail: fmt.Sprintf("from %s: %v", from, err)})
+}
+
 func (c *Core) mergeHost(row host.Row, from netip.AddrPort) bool {
-	if row.ID == "" || row.Zone == "" || !row.ControlAddr.IsValid() {
+	if err := row.Check(); err != nil {
+		c.refuseRow(err, from)
 		return false
 	}
 	if row.ID == c.config.Self.ID {
@@ -145,7 +161,12 @@
 }
 
 func (c *Core) mergeServer(s backend.Server, from netip.AddrPort) bool {
-	if s.ID == "" || s.Host == "" {
+	err := s.Check()
+	if err == nil && s.Host == "" {
+		err = fmt.Errorf("backend server %q has no host", s.ID)
+	}
+	if err != nil {
+		c.refuseRow(err, from)
 		return false
 	}
 	if s.Host == c.config.Self.ID {
