Announce trailers from a copy of their names

Found while reading the paths of a resent body: one attempt that reads the rest of a body to its end lets net/http add the values to the trailer map of the request, and a hedged attempt that is being encoded iterates over the same map. The runtime ends a process on such an access. It was not seen outside the race detector.

Change: the names are copied before the first attempt, and messages carry them in TrailerNames. The map itself is read only after the end of the body, by the attempt that has read it.

Evidence: TestTrailerOfHedgedAttempt, go test -race, on the code before: "DATA RACE" between Message.encode and the read of the rest.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -29,8 +29,11 @@
 	// written.
 	Rest   Rest
 	Length int64 // of the whole body; -1 uses chunked encoding
-	// Trailer is sent after a chunked body.
+	// Trailer is sent after a chunked body. It is not used before the end of Rest, which
+	// may set its values.
 	Trailer http.Header
+	// TrailerNames are the names of the trailer that the header announces.
+	TrailerNames []string
 }
 
 // Rest is the rest of the body of a request.
--- a/internal/connection/message.go
+++ b/internal/connection/message.go
@@ -50,7 +50,7 @@
 	switch {
 	case m.Length < 0:
 		b.WriteString("Transfer-Encoding: chunked\r\n")
-		for name := range m.Trailer {
+		for _, name := range m.TrailerNames {
 			b.WriteString("Trailer: " + name + "\r\n")
 		}
 	case m.Length > 0 || m.Method != http.MethodGet && m.Method != http.MethodHead:
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -21,7 +23,10 @@
 	rest     io.Reader // nil if buffered is the whole body
 	length   int64     // -1 if unknown
 	trailer  http.Header
-	tooLarge atomic.Bool // the rest exceeds the limit of the configuration
+	// trailerNames is a copy of the names in trailer. The attempt that reads rest adds
+	// the values to trailer, while others may be encoding the names.
+	trailerNames []string
+	tooLarge     atomic.Bool // the rest exceeds the limit of the configuration
 
 	mu     sync.Mutex
 	reader *restReader // the attempt that has begun to read rest; nil if none has
@@ -41,7 +46,8 @@
 	}
 	// If the body is longer than the buffer, r.Trailer has only the announced names
 	// yet. A request that announces none is then forwarded without trailers.
-	b.buffered, b.trailer = buffered, r.Trailer
+	b.buffered = buffered
+	b.setTrailer(r.Trailer)
 	if !whole {
 		b.rest = r.Body
 		return b, nil
@@ -50,6 +56,11 @@
 	return b, nil
 }
 
+// setTrailer sets the trailer of the body, before an attempt reads it.
+func (b *body) setTrailer(h http.Header) {
+	b.trailer, b.trailerNames = h, slices.Sorted(maps.Keys(h))
+}
+
 // readPrefix reads a body of up to bufferLimit bytes completely, and bufferLimit+1
 // bytes of a longer one. It reports whether it read the whole body. A length of -1
 // means unknown.
@@ -84,8 +95,8 @@
 	if b.rest != nil {
 		m.Rest = &restReader{body: b}
 	}
-	if len(b.trailer) > 0 {
-		m.Length, m.Trailer = -1, b.trailer
+	if len(b.trailerNames) > 0 {
+		m.Length, m.Trailer, m.TrailerNames = -1, b.trailer, b.trailerNames
 	}
 }
 
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -1,10 +1,20 @@
 package proxy
 
 import (
+	"context"
 	"errors"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/peridotlb/peridotlb/internal/connection"
 )
 
 // readerFunc is a body whose reads run a function while they are in flight.
@@ -70,3 +80,38 @@
 		}
 	})
 }
+
+// trailerReader is a rest of a body that adds the trailer of its request at the end, as
+// net/http does.
+type trailerReader struct {
+	io.Reader
+	trailer http.Header
+}
+
+func (r trailerReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err == io.EOF {
+		maps.Copy(r.trailer, http.Header{"X-Sum": {"1"}})
+	}
+	return n, err
+}
+
+// TestTrailerOfHedgedAttempt guards against a process that ends because one attempt
+// encodes the names of a trailer while another, which reads the rest of the body, adds
+// its values. The race detector or the runtime reports it.
+func TestTrailerOfHedgedAttempt(t *testing.T) {
+	trailer := http.Header{"X-Sum": nil}
+	b := &body{buffered: []byte("a"), length: -1, rest: trailerReader{strings.NewReader("b"), trailer}}
+	b.setTrailer(trailer)
+	first, second := &connection.Message{Method: "POST"}, &connection.Message{Method: "POST"}
+	b.attach(first)
+	b.attach(second)
+	client := connection.NewClient(connection.ClientConfig{Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+		here, there := net.Pipe()
+		return here, there.Close()
+	}})
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = io.Copy(io.Discard, first.Rest) })
+	group.Go(func() { _, _ = client.Send(t.Context(), netip.AddrPort{}, second, connection.Options{}) })
+	group.Wait()
+}
