--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -22,15 +22,18 @@
 	Target    string // path and query as received
 	Authority string // value of the Host header
 	Header    http.Header
-	Fields    []Field // additional header fields; Header has none of their names
+	Fields    []Field // additional header fields, which replace those of Header with the same names
 	Body      []byte
 	// Rest follows Body and can be read only once. It is nil if Body is the whole
 	// body. It is stopped when the request ends, and may be read while Body is
 	// written.
 	Rest   Rest
 	Length int64 // of the whole body; -1 uses chunked encoding
-	// Trailer is sent after a chunked body.
+	// Trailer is sent after a chunked body. It is not used before the end of Rest, which
+	// may set its values.
 	Trailer http.Header
+	// TrailerNames are the names of the trailer that the header announces.
+	TrailerNames []string
 }
 
 // Rest is the rest of the body of a request.
