Close the connection of a response that was just sent at a shutdown

Seen: TestShutdownAnswersReadRequests failed in 2 of 2 runs at a load average of 29 (once in 3 repeats, after 30 s): the server kept an idle connection open. A daemon that stops then waits for the idle timeout of such a connection, or until the end of its drain timeout.

Cause: when Shutdown comes between the write of the last response and the moment in which it is recorded, closeWhenIdle sees a request in flight and only marks the connection as closing. Nothing wakes the reader after that, and the response had not announced the close.

Change: the connection remembers that it is to be closed once it is idle, and the last response wakes the reader unless it has announced the close itself.

--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -48,6 +48,9 @@
 	lastResponse *response  // the next response is written after this one
 	cond         *sync.Cond // signalled when inFlight falls and after the last response
 	closing      bool       // no further requests are read
+	// closeOnceIdle is set while the connection is to be closed after the responses in
+	// flight and none of them has announced that.
+	closeOnceIdle bool
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -104,7 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.inFlight > 0 {
-		c.closing = true
+		c.closing, c.closeOnceIdle = true, true
 		return
 	}
 	c.setReadTimeout(c.nextRequestTimeout())
@@ -283,6 +286,10 @@
 	defer c.mu.Unlock()
 	c.inFlight--
 	c.cond.Signal()
+	if c.inFlight == 0 && c.closeOnceIdle {
+		// The reader may be waiting for another request.
+		c.setReadTimeout(0)
+	}
 }
 
 // decideClose decides whether the connection ends with the response that is about
@@ -299,7 +306,11 @@
 	if w.closeAfter || unread || (noKeepAlives && c.lastResponse == w) {
 		c.closing = true
 	}
-	return c.closing && c.lastResponse == w
+	last := c.closing && c.lastResponse == w
+	if last {
+		c.closeOnceIdle = false // closeWrite waits for the client
+	}
+	return last
 }
 
 // closeWrite tells the client that no more responses follow, and starts
