--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -34,6 +35,7 @@
 	u.routes[0].AtMostOnce, u.routes[0].Retries, u.routes[0].Timeout = true, 0, time.Minute
 	u.routes = append(u.routes, document.Route{Name: "list", PathPrefix: "/list", Service: "stock", Timeout: time.Minute})
 	u.service.Slots, u.service.Connections = 500, 500
+	u.transports = NewTransports(TransportConfig{dial: dialWithoutTimeout})
 	u.start(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			u.cut.Add(1)
@@ -45,6 +47,13 @@
 	return u
 }
 
+// dialWithoutTimeout connects like dial. On a busy machine, dialTimeout passes before a
+// test server has accepted 200 connections.
+func dialWithoutTimeout(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
 // serveEntry serves the entry with a limit of bodies in bytes; 0 for none.
 func (u *uploadMesh) serveEntry(maxBody int64) {
 	u.t.Helper()
