Admit large responses by the bytes committed on slow links

Cause: on hosts with a link of 7 to 15 Mbit/s, a few large responses fill the link, and small calls, configuration and membership wait behind them. The gate counted slots only.

Change: on links of at most 50 Mbit/s (link-mbps), gates learn the response sizes of routes and admit a call of another host with a large expected response only if what is committed can be sent before its target; otherwise they refuse it as not run, with the expected wait. Large responses are sent in pieces at 85% of the link less what small messages use, the earliest target first. The wait is part of Peridotlb-Load, and entries do the same accounting for what they receive. Small calls and calls to local servers are never refused for the link.

Deployments with faster links are unchanged.

--- a/internal/connection/response.go
+++ b/internal/connection/response.go
@@ -80,6 +80,16 @@
 	return len(p), w.writeBody(p)
 }
 
+// FlushError implements http.ResponseController's interface. It writes what is
+// buffered, and further writes are no longer buffered.
+func (w *response) FlushError() error {
+	w.WriteHeader(http.StatusOK)
+	if w.streaming || !w.hasBody() {
+		return nil
+	}
+	return w.startStreaming()
+}
+
 func (w *response) hasBody() bool {
 	return !w.isHead && w.status >= http.StatusOK && w.status != http.StatusNoContent && w.status != http.StatusNotModified
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -261,7 +261,8 @@
 	}
 	d.transports = proxy.NewTransports(proxy.TransportConfig{TLS: clientTLS, Translate: d.nat.Outside, Source: s.GateAddress.Addr(), Dialect: d.environment.Dialect})
 	calls := proxy.Config{
-		Self: s.HostID, Routes: func() *route.Table { return d.routing.routes.Load() },
+		Bandwidth: d.newBandwidth(set),
+		Self:      s.HostID, Routes: func() *route.Table { return d.routing.routes.Load() },
 		Pool: d.pool, Gate: d.gate, Claims: instrumentedClaims{d.claims, d.metrics}, Transports: d.transports,
 		ShutdownDeadline: d.shutdownDeadlineOrZero, Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService,
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -141,6 +141,7 @@
 // to a backend server.
 type Forecast struct {
 	Wait             [PriorityBands]time.Duration // expected wait for a slot, by priority band
+	LinkWait         time.Duration                // time that the link of this host takes for the large responses that were admitted; set by the caller of Forecast
 	ExpectedSlotTime time.Duration                // time for which a call is expected to hold a slot; 0 when unknown
 }
 
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/bandwidth"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/gate"
 )
@@ -24,6 +25,9 @@
 	AtMostOnce bool
 	// Tried lists servers that are not chosen again.
 	Tried []backend.ServerID
+	// LinkWait is the time that the link of this host takes for the large responses
+	// that it expects from other hosts.
+	LinkWait time.Duration
 	// WaitForSlot is set when every server refused the call as full. A call with a
 	// target then waits for as long as its deadline permits, even when another server
 	// would cost less.
@@ -153,6 +157,11 @@
 		}
 		c.runTime = max(server.state.expectedRunTime(now, estimate.runTime), time.Millisecond)
 		c.wait, c.utilization = server.expectedWait(now, c.runTime, gate.PriorityBand(sel.call.Priority))
+		if estimate.kilobytes*bytesPerKilobyte >= bandwidth.LargeBytes && server.row.Host != p.config.Self {
+			// The response waits for the links while the call waits and runs.
+			link := max(sel.call.LinkWait, server.state.reportedLinkWait(now))
+			c.wait = max(c.wait, link-c.runTime)
+		}
 		c.transferCost = sel.transferCost(&c, estimate.kilobytes)
 		c.fixedCost = c.transferCost + costUnserved*server.state.failureRatio()
 		if server.state.probeFailed(now) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -121,6 +121,7 @@
 	Succeeded   Outcome = iota
 	Failed              // error or refused connection; counts towards ejection
 	Refused             // refused by the gate because the server is full
+	LinkFull            // refused by the gate because the link of its host has no room for the response
 	Unusable            // refused by the gate because the server is unknown there or accepts no calls
 	Unreachable         // no connection to the gate; counts towards ejection too
 	Abandoned           // canceled by the caller; no evidence about the server
@@ -136,6 +137,8 @@
 	ProbeFailing bool
 	// ForecastWait is the wait for a slot that the gate forecast, by priority band.
 	ForecastWait [gate.PriorityBands]time.Duration
+	// LinkWait is the time that the link of the gate takes for large responses.
+	LinkWait time.Duration
 	// ExpectedSlotTime is the time for which the gate expects a call to hold a slot
 	// of the server; zero when unknown.
 	ExpectedSlotTime time.Duration
@@ -231,9 +234,14 @@
 		// A server that refused a call counts as full until the report expires.
 		slots := max(r.Slots, int(c.poolServer.slots), 1)
 		st.setLoad(now, max(slots, r.InFlight-int(ownCalls)), slots, r.ForecastWait, r.ExpectedSlotTime)
+	case r.Outcome == LinkFull && r.Slots > 0:
+		st.setLoad(now, max(0, r.InFlight-int(ownCalls)), r.Slots, r.ForecastWait, r.ExpectedSlotTime)
 	case r.Slots > 0:
 		st.setLoad(now, max(0, r.InFlight-1-int(ownCalls)), r.Slots, r.ForecastWait, r.ExpectedSlotTime)
 	}
+	if r.Slots > 0 {
+		st.setLinkWait(r.LinkWait)
+	}
 	switch r.Outcome {
 	case Succeeded:
 		st.recordSuccess(now)
@@ -247,6 +255,6 @@
 	case Unreachable:
 		st.unusableUntil.Store(now.Add(unusableTime).UnixNano())
 		c.pool.recordFailure(c.poolServer, now)
-	case Refused, Abandoned:
+	case Refused, LinkFull, Abandoned:
 	}
 }
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -40,6 +40,7 @@
 		otherCalls, slots int64
 		forecastWait      [gate.PriorityBands]time.Duration // forecast by the gate, by priority band
 		expectedSlotTime  time.Duration                     // time for which a call is expected to hold a slot; 0 when unknown
+		linkWait          time.Duration                     // of the host of the server, for large responses
 		reportedAt        time.Time
 	}
 	runTimeRatio struct {
@@ -101,6 +102,25 @@
 	return s.load.otherCalls, s.load.slots, max(0, s.load.forecastWait[band]-age), s.load.expectedSlotTime
 }
 
+// setLinkWait records the wait for the link that a gate reported with its load.
+func (s *serverState) setLinkWait(wait time.Duration) {
+	s.load.Lock()
+	defer s.load.Unlock()
+	s.load.linkWait = wait
+}
+
+// reportedLinkWait returns the last reported wait for the link, zero if the report has
+// expired.
+func (s *serverState) reportedLinkWait(now time.Time) time.Duration {
+	s.load.Lock()
+	defer s.load.Unlock()
+	age := now.Sub(s.load.reportedAt)
+	if age >= reportLifetime {
+		return 0
+	}
+	return max(0, s.load.linkWait-age)
+}
+
 // expectedWait returns the expected wait for a slot of the server and the
 // utilization of its slots.
 func (server *poolServer) expectedWait(now time.Time, runTime time.Duration, band int) (time.Duration, float64) {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -109,7 +109,8 @@
 func (x *exchange) chooseServer(last *failure) (*pool.Choice, error) {
 	p := x.entry.config.Pool
 	c := pool.Call{
-		Service: x.match.Service.Name, Route: x.match.Route.Name, TimeToDeadline: x.remaining(), Priority: x.match.Route.Priority,
+		LinkWait: x.receivingWait(),
+		Service:  x.match.Service.Name, Route: x.match.Route.Name, TimeToDeadline: x.remaining(), Priority: x.match.Route.Priority,
 		AtMostOnce: !x.match.Route.Idempotent(), AlreadyCounted: len(x.tried)+x.gateRefusals > 0,
 		WaitForSlot: x.allFull,
 	}
@@ -150,6 +151,8 @@
 	switch {
 	case ctx.Err() != nil, x.remaining() <= 0, !x.call.body.resendable():
 		return false
+	case r.failure != nil && r.failure.reason == reasonEntryLinkFull:
+		return false // any other host would respond over the same link
 	case r.failure != nil && r.failure.noRetry, r.reply != nil && r.reply.header[HeaderNoRetry] != nil:
 		r.noRetry = true
 		return false
@@ -211,15 +214,20 @@
 	if r.attempt == nil {
 		return
 	}
+	if r.reply != nil {
+		r.reply.recordSize(x.entry.config.Bandwidth, x.match.Route.Name)
+	}
 	outcome := pool.Succeeded
 	switch f := r.failure; {
 	case f == nil && r.reply.status >= http.StatusInternalServerError:
 		outcome = pool.Failed
 	case f == nil:
-	case f.reason == reasonCallerGone, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
+	case f.reason == reasonCallerGone, f.reason == reasonEntryLinkFull, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
 		outcome = pool.Abandoned
 	case f.reason == reasonGateUnreachable:
 		outcome = pool.Unreachable
+	case f.reason == reasonLinkFull:
+		outcome = pool.LinkFull
 	case f.refused && f.serverUnavailable:
 		outcome = pool.Unusable
 	case f.refused:
@@ -227,7 +235,7 @@
 	default:
 		outcome = pool.Failed
 	}
-	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots, ProbeFailing: r.load.ProbeFailing, ForecastWait: r.forecast.Wait, ExpectedSlotTime: r.forecast.ExpectedSlotTime, RunTime: r.serverTime, Bytes: x.transferSize(r)})
+	r.choice.Done(pool.Result{Outcome: outcome, InFlight: r.load.InFlight, Slots: r.load.Slots, ProbeFailing: r.load.ProbeFailing, ForecastWait: r.forecast.Wait, LinkWait: r.forecast.LinkWait, ExpectedSlotTime: r.forecast.ExpectedSlotTime, RunTime: r.serverTime, Bytes: x.transferSize(r)})
 }
 
 // assumedHeaderBytes is the assumed size of the headers of a request and its
@@ -277,9 +285,19 @@
 	if q.Notice.Limited {
 		fields = append(fields, connection.Field{Name: HeaderNoticedLimit, Value: strconv.FormatFloat(q.Notice.Limit, 'f', -1, 64)})
 	}
+	sending, f := x.admitSending()
+	if f != nil {
+		return gateResult{failure: f}
+	}
+	defer sending.End()
+	receiving, f := x.admitReceiving(choice)
+	if f != nil {
+		return gateResult{failure: f}
+	}
 	m := x.call.buildMessage(fields...)
 	s := send(ctx, x.entry.config.Transports.gates, choice.GateAddr, m, connection.Options{})
 	if s.err != nil {
+		receiving.End()
 		return gateResult{failure: sendFailure(ctx, s, reasonGateUnreachable, "gate-broke")}
 	}
 	h := s.response.Header
@@ -291,11 +309,14 @@
 	reply, err := readReply(s.response, m, false)
 	switch {
 	case reason != "":
+		receiving.End()
 		result.failure = gateFailure(reason, h)
 		reply.close()
 	case err != nil:
+		receiving.End()
 		result.failure = responseFailure(ctx, err)
 	default:
+		reply.received(x.entry.config.Bandwidth, receiving)
 		for _, name := range []string{HeaderLoad, HeaderServerUS, HeaderCallID} {
 			delete(reply.header, name)
 		}
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -49,8 +49,12 @@
 	reasonNotReady       = "server-not-ready"
 	// reasonServerRefused means that the server itself reported that it did not run
 	// the call.
-	reasonServerRefused     = "server-refused"
-	reasonQueueTimeout      = "queue-timeout"
+	reasonServerRefused = "server-refused"
+	reasonQueueTimeout  = "queue-timeout"
+	// reasonLinkFull means that the link of the gate has no room for the response in
+	// time, and reasonEntryLinkFull that the link of the entry has none.
+	reasonLinkFull          = "link-full"
+	reasonEntryLinkFull     = "entry-link-full"
 	reasonNoVersion         = "no-version-applied"
 	reasonServerUnreachable = "server-unreachable"
 	reasonTooLarge          = "request-too-large"
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -56,7 +56,7 @@
 	}
 	q := parseQueue(r.Header.Get(HeaderQueue), g.config.Now())
 	q.Notice.Limit, q.Notice.Limited = parseLimit(r.Header.Get(HeaderNoticedLimit))
-	result := g.handleCall(ctx, c, server, q)
+	result := g.handleRemoteCall(ctx, c, server, q, r)
 	w.Header()[HeaderLoad] = []string{formatLoad(result.load, result.forecast)}
 	if result.failure != nil {
 		g.writeRefusal(w, id, result.failure)
--- a/internal/proxy/goodput_test.go
+++ b/internal/proxy/goodput_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/bandwidth"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/host"
@@ -42,8 +43,9 @@
 	slow, failing int // servers that take 10 times as long, or fail half of their calls immediately
 	servers       int // 0 uses simServers
 	choose        func(p *pool.Pool, ids []backend.ServerID) Pool
-	target        time.Duration // latency target of the route; 0 for none
-	handler       http.Handler  // of all servers; nil serves with random service times
+	target        time.Duration          // latency target of the route; 0 for none
+	handler       http.Handler           // of all servers; nil serves with random service times
+	bandwidth     func() *bandwidth.Link // of each gate and entry; nil for none
 
 	ids        []backend.ServerID
 	view       pool.View
@@ -133,7 +135,7 @@
 		c.gates = append(c.gates, g)
 		server := &http.Server{Handler: c.backend(i)}
 		c.serve(addr(1).String(), server, func() { _ = server.Close() })
-		gateServer := NewGateServer(ServerConfig{Handler: NewGate(Config{Gate: g, Transports: c.transports()})}, nil)
+		gateServer := NewGateServer(ServerConfig{Handler: NewGate(Config{Gate: g, Transports: c.transports(), Bandwidth: c.link(), Routes: func() *route.Table { return table }})}, nil)
 		c.serve(addr(2).String(), gateServer, gateServer.Close)
 	}
 	c.view = v
@@ -142,12 +144,20 @@
 		p.Update(v)
 		c.pools = append(c.pools, p)
 		c.entries = append(c.entries, NewEntry(Config{
-			Self: "entry", Pool: c.choose(p, c.ids), Transports: c.transports(),
+			Bandwidth: c.link(),
+			Self:      "entry", Pool: c.choose(p, c.ids), Transports: c.transports(),
 			Routes: func() *route.Table { return table }, Gate: gate.New(gate.Config{}),
 		}))
 	}
 }
 
+func (c *simulation) link() *bandwidth.Link {
+	if c.bandwidth == nil {
+		return nil
+	}
+	return c.bandwidth()
+}
+
 // runStats summarizes a run.
 type runStats struct {
 	calls, good, refused, failed int
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -56,6 +56,9 @@
 	// holdPrefix the mean time for which calls hold a slot.
 	waitPrefix = ";wait="
 	holdPrefix = ";hold="
+	// linkPrefix precedes the time in milliseconds that the link takes for the large
+	// responses that were admitted.
+	linkPrefix = ";link="
 	// failingSuffix marks a server whose last health probe failed. It informs the
 	// entries without extra traffic between daemons.
 	failingSuffix = ";health=failing"
@@ -73,6 +76,9 @@
 			separator = ","
 		}
 	}
+	if ms := f.LinkWait.Milliseconds(); ms > 0 {
+		text += linkPrefix + strconv.FormatInt(ms, 10)
+	}
 	if l.ProbeFailing {
 		text += failingSuffix
 	}
@@ -83,20 +89,24 @@
 // Anything else yields the zero load.
 func parseLoad(text string) (gate.Load, gate.Forecast) {
 	text, failing := strings.CutSuffix(text, failingSuffix)
+	text, link, _ := strings.Cut(text, linkPrefix)
 	text, waits, _ := strings.Cut(text, waitPrefix)
 	text, hold, _ := strings.Cut(text, holdPrefix)
 	a, b, _ := strings.Cut(text, "/")
 	inFlight, err1 := strconv.ParseUint(a, 10, 16)
 	slots, err2 := strconv.ParseUint(b, 10, 16)
 	f := gate.Forecast{}
-	var err3, err4 error
+	var err3, err4, err5 error
 	if hold != "" {
 		f.ExpectedSlotTime, err3 = parseMilliseconds(hold)
 	}
 	if waits != "" {
 		f.Wait, err4 = parseWaits(waits)
 	}
-	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
+	if link != "" {
+		f.LinkWait, err5 = parseMilliseconds(link)
+	}
+	if err1 != nil || err2 != nil || err3 != nil || err4 != nil || err5 != nil {
 		return gate.Load{}, gate.Forecast{}
 	}
 	return gate.Load{InFlight: int(inFlight), Slots: int(slots), ProbeFailing: failing}, f
@@ -126,10 +136,14 @@
 // gateFailure returns the failure that a gate reported.
 func gateFailure(reason string, h http.Header) *failure {
 	notRun := h.Get(HeaderNotRun) == "true"
-	return &failure{
+	f := &failure{
 		reason: reason, notRun: notRun, refused: notRun && reason != reasonServerUnreachable,
-		serverFull:        reason == reasonServerFull || reason == reasonServerLimited || reason == reasonQueueTimeout,
+		serverFull:        reason == reasonServerFull || reason == reasonServerLimited || reason == reasonQueueTimeout || reason == reasonLinkFull,
 		serverUnavailable: reason == reasonDraining || reason == reasonSuspended || reason == reasonNotReady,
 		noRetry:           h.Get(HeaderNoRetry) == "true",
 	}
+	if reason == reasonLinkFull {
+		f.retryAfter = parseRetryAfter(h.Get("Retry-After"))
+	}
+	return f
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/bandwidth"
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/pool"
@@ -23,7 +24,7 @@
 	HeaderTimeoutMS = "Peridotlb-Timeout-Ms"
 	HeaderNotRun    = "Peridotlb-Not-Run" // "true": the call provably was not run
 	HeaderOutcome   = "Peridotlb-Outcome" // "unknown": the call may have been run
-	HeaderLoad      = "Peridotlb-Load"    // <in-flight>/<slots>[;hold=<ms>][;wait=<ms>,...][;health=failing]
+	HeaderLoad      = "Peridotlb-Load"    // <in-flight>/<slots>[;hold=<ms>][;wait=<ms>,...][;link=<ms>][;health=failing]
 	HeaderServer    = "Peridotlb-Server"
 	HeaderQueue     = "Peridotlb-Queue"    // <priority>,<ms until the target>,<longest wait in ms>,<expected run time in ms>
 	HeaderNoRetry   = "Peridotlb-No-Retry" // "true": retries were exhausted; do not retry
@@ -90,6 +91,7 @@
 	Gate       *gate.Gate
 	Claims     Claims // nil refuses paid calls
 	Transports *Transports
+	Bandwidth  *bandwidth.Link  // nil admits calls without regard to the link of this host
 	Now        func() time.Time // nil uses time.Now
 	Events     func(Event)      // nil discards events
 	Metrics    *metrics.Set     // nil uses a new set
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -243,7 +243,11 @@
 			Load:     gate.Load{InFlight: 9, Slots: 9, ProbeFailing: true},
 			Forecast: gate.Forecast{Wait: waits(40, 40, 50), ExpectedSlotTime: 360 * time.Millisecond},
 		},
-		"": {}, "3": {}, "-3/9": {}, "3/9;other": {}, "3/9;wait=-1": {}, "3/9;hold=x": {}, "3/9;wait=1,x": {},
+		"9/9;wait=0,40,120;link=250;health=failing": {
+			Load:     gate.Load{InFlight: 9, Slots: 9, ProbeFailing: true},
+			Forecast: gate.Forecast{Wait: waits(0, 40, 120), LinkWait: 250 * time.Millisecond},
+		},
+		"": {}, "3/9;link=x": {}, "3": {}, "-3/9": {}, "3/9;other": {}, "3/9;wait=-1": {}, "3/9;hold=x": {}, "3/9;wait=1,x": {},
 	} {
 		var got load
 		got.Load, got.Forecast = parseLoad(text)
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -25,7 +25,8 @@
 	length   int64        // of the body; -1 if unknown
 	trailer  *http.Header // complete once the body was read
 	hasBody  bool
-	upload   *restReader // of the request, which may still be sent while rest is read; nil if its body was short
+	sending  *pacedSending // nil sends the body at once
+	upload   *restReader   // of the request, which may still be sent while rest is read; nil if its body was short
 }
 
 // readReply buffers the start of the response to a message. It closes the response on an error and
@@ -120,6 +121,12 @@
 }
 
 func (r *reply) relayBody(w http.ResponseWriter) {
+	if r.sending != nil {
+		if err := r.sending.write(w, r.buffered, r.rest); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
 	if _, err := w.Write(r.buffered); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -109,16 +109,41 @@
 	return t.match(method, "", path)
 }
 
+// Route returns the route that Match returns, without an effect on splits; nil if there
+// is none.
+func (t *Table) Route(method, authority, path string) *document.Route {
+	if path == "" || path[0] != '/' {
+		return nil
+	}
+	if authority != "" {
+		if e := t.find(method, normalizeAuthority(authority), path); e != nil {
+			return e.match.Route
+		}
+	}
+	if e := t.find(method, "", path); e != nil {
+		return e.match.Route
+	}
+	return nil
+}
+
 func (t *Table) match(method, authority, path string) (Match, bool) {
+	if e := t.find(method, authority, path); e != nil {
+		return e.resolve(), true
+	}
+	return Match{}, false
+}
+
+// find returns the entry of the longest matching prefix for an authority, or nil.
+func (t *Table) find(method, authority, path string) *entry {
 	for prefix := t.longestCandidate(path); ; prefix = prefix[:strings.LastIndexByte(prefix, '/')] {
 		for i := t.firstEntry[prefixKey{authority, prefix}]; i != 0; i = t.entries[i-1].next {
 			e := &t.entries[i-1]
 			if e.matches(method, path) {
-				return e.resolve(), true
+				return e
 			}
 		}
 		if prefix == "" {
-			return Match{}, false
+			return nil
 		}
 	}
 }
