Learn how many concurrent calls each backend server handles well

Cause: servers of one service differ in speed, and some slow down long before all their slots are in use. The gate admitted calls up to the announced slots.

Change: with learned-capacity, the gate compares run times while the server gets more and fewer concurrent calls, in pairs of short intervals of random order, and sets its slots to the smallest number that gives about the full throughput, at most the announced ones. Fewer calls are tried only if run times have grown over those of the unloaded server. The default is off.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -183,7 +183,7 @@
 func (d *Daemon) build(ctx context.Context, set *metrics.Set) error {
 	s := d.settings
 	d.timeline = timeline.New(timeline.Config{Host: s.HostID, Zone: s.AvailabilityZone, Size: s.TimelineSize})
-	d.gate = gate.New(gate.Config{Self: s.HostID})
+	d.gate = gate.New(gate.Config{Self: s.HostID, LearnCapacity: s.LearnedCapacity, OnLearned: proxy.LogLearned(d.log.Named("gate"))})
 	d.pool = pool.New(pool.Config{
 		Self: s.HostID, Zone: s.AvailabilityZone, Region: s.Region,
 		FleetRetryBudget: pool.FleetRetryBudget{Ratio: s.RetryRatio, ExtraRetries: s.RetryExtra, Window: s.RetryWindow},
@@ -264,7 +264,7 @@
 		Bandwidth: d.newBandwidth(set),
 		Self:      s.HostID, Routes: func() *route.Table { return d.routing.routes.Load() },
 		Pool: d.pool, Gate: d.gate, Claims: instrumentedClaims{d.claims, d.metrics}, Transports: d.transports,
-		ShutdownDeadline: d.shutdownDeadlineOrZero, Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService,
+		ShutdownDeadline: d.shutdownDeadlineOrZero, Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService, LearnedCapacity: s.LearnedCapacity,
 	}
 	api, err := operator.New(operator.Config{
 		Backend: d, Host: d.fleetConfig().Self, Release: release.Number(), Tokens: s.OperatorTokens, Log: d.log.Named("operator"),
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -86,6 +86,8 @@
 		}
 		return time.Until(c.Leaf.NotAfter).Seconds()
 	})
+	set.NewGauge("peridotlb_slots_announced", func() float64 { _, announced := d.gate.LearnedSlots(); return float64(announced) })
+	set.NewGauge("peridotlb_slots_learned", func() float64 { learned, _ := d.gate.LearnedSlots(); return float64(learned) })
 	m := &daemonMetrics{
 		applied:             set.NewGauge("peridotlb_version_applied", nil),
 		applyDelay:          set.NewGauge("peridotlb_version_apply_delay_seconds", nil),
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -59,6 +59,12 @@
 type Config struct {
 	Self host.ID
 	Now  func() time.Time // nil uses time.Now
+	// LearnCapacity limits the concurrent calls of a server to the number that it
+	// handles well, as learned from its run times.
+	LearnCapacity bool
+	// OnLearned is called when the learned number of a server has changed. It must not
+	// block or call the gate. It may be nil.
+	OnLearned func(LearnedChange)
 }
 
 // Gate is the admission control of one host.
@@ -98,7 +104,7 @@
 		}
 		s := old[row.ID]
 		if s == nil {
-			s = &server{now: g.config.Now, origin: g.config.Now(), idle: make(chan struct{})}
+			s = &server{now: g.config.Now, learnCapacity: g.config.LearnCapacity, onLearned: g.config.OnLearned, origin: g.config.Now(), idle: make(chan struct{})}
 		}
 		next[row.ID] = s
 		if g.stopped {
@@ -175,7 +181,7 @@
 type Load struct {
 	InFlight     int
 	Queued       int
-	Slots        int  // currently usable; fewer than configured during warm-up or while the server limits its calls
+	Slots        int  // currently usable; fewer than configured during warm-up, if fewer are learned, or while the server limits its calls
 	ProbeFailing bool // the last health probe failed
 }
 
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -8,13 +8,16 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/capacity"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/host"
 )
 
 // server is the admission state of a backend server.
 type server struct {
-	now func() time.Time
+	now           func() time.Time
+	learnCapacity bool
+	onLearned     func(LearnedChange)
 
 	mu           sync.Mutex
 	row          backend.Server
@@ -34,7 +37,9 @@
 	leaving      bool // the server stated in a response that it leaves; holds for this run of the server
 	tokenTimer   bool // a timer calls grantSlots when the limit permits the next call
 	queue        []*waiter
-	idle         chan struct{} // closed and replaced when no call is in flight
+	learner      *capacity.Learner // nil unless learnCapacity is set
+	learnerRuns  int               // number of learners so far
+	idle         chan struct{}     // closed and replaced when no call is in flight
 }
 
 const (
@@ -71,6 +76,10 @@
 	row    backend.Server
 	start  time.Time
 	once   sync.Once
+
+	call       capacity.Call
+	run        capacity.Run // guarded by server.mu
+	learnerRun int          // learner that call belongs to
 }
 
 // Server returns the row of the backend server.
@@ -199,7 +208,8 @@
 	if !s.row.SameRun(row) {
 		s.leaving = false
 	}
-	if s.row.Started != row.Started {
+	restarted := s.row.Started != row.Started
+	if restarted {
 		s.limit = noticedLimit{} // of the previous run of the server
 		s.noticed = s.row.ID != ""
 	}
@@ -215,6 +225,7 @@
 	if service.Connections > 0 {
 		s.slots = min(s.slots, int(service.Connections))
 	}
+	s.learn(s.learnCapacity, restarted)
 	if err := s.admissionError(); err != nil {
 		s.refuseQueue(err)
 	}
@@ -235,10 +246,18 @@
 	}
 }
 
-// usableSlots returns the number of currently usable slots. During the warm-up it
-// grows in proportion to the time since the server became ready, from one slot
-// to all.
+// usableSlots returns the number of currently usable slots: those of warmSlots, but no
+// more than the learned number.
 func (s *server) usableSlots() int {
+	if s.learner != nil {
+		return min(s.warmSlots(), s.learner.Learned())
+	}
+	return s.warmSlots()
+}
+
+// warmSlots returns the number of slots that the warm-up permits. It grows in
+// proportion to the time since the server became ready, from one slot to all.
+func (s *server) warmSlots() int {
 	elapsed := s.now().Sub(s.readyAt)
 	if elapsed >= s.warmUp || s.slots <= 1 {
 		return s.slots
@@ -261,7 +280,7 @@
 		return nil, ErrDeadline
 	}
 	s.adoptLimit(c.Notice)
-	if len(s.queue) == 0 && s.inFlight < s.usableSlots() && s.limit.take(s.now()) {
+	if len(s.queue) == 0 && s.inFlight < s.admissionSlots() && s.limit.take(s.now()) {
 		permit := s.takeSlot()
 		s.mu.Unlock()
 		return permit, nil
@@ -343,6 +362,7 @@
 	s.inFlight++
 	p := &Permit{server: s, row: s.row, start: s.now()}
 	s.startTimeSum += s.sinceOrigin(p.start)
+	s.startRun(p)
 	return p
 }
 
@@ -369,6 +389,7 @@
 func (s *server) releaseSlot(p *Permit) {
 	s.startTimeSum -= s.sinceOrigin(p.start)
 	s.inFlight--
+	s.endRun(p)
 	s.grantSlots()
 	if s.inFlight == 0 {
 		s.startTimeSum = 0 // removes accumulated rounding errors
@@ -380,7 +401,7 @@
 // grantSlots grants free slots to queued calls in order, as far as the limit of the
 // server permits.
 func (s *server) grantSlots() {
-	for len(s.queue) > 0 && s.inFlight < s.usableSlots() && s.limit.take(s.now()) {
+	for len(s.queue) > 0 && s.inFlight < s.admissionSlots() && s.limit.take(s.now()) {
 		i := s.nextIndex()
 		w := s.queue[i]
 		s.queue = slices.Delete(s.queue, i, i+1)
@@ -394,7 +415,7 @@
 // awaitToken grants slots again when the limit of the server permits the next queued
 // call.
 func (s *server) awaitToken() {
-	if len(s.queue) == 0 || s.inFlight >= s.usableSlots() || s.tokenTimer {
+	if len(s.queue) == 0 || s.inFlight >= s.admissionSlots() || s.tokenTimer {
 		return
 	}
 	s.tokenTimer = true
--- a/internal/proxy/bandwidth.go
+++ b/internal/proxy/bandwidth.go
@@ -23,10 +23,10 @@
 const maxPacedBuffer = 1 << 20
 
 // routeName returns the route of a request, for the statistics of the gate; "" if it
-// is unknown here.
+// is unknown here or not needed.
 func (g *gateHandler) routeName(r *http.Request) document.RouteName {
 	table := g.config.Routes()
-	if table == nil {
+	if table == nil || g.config.Bandwidth == nil && !g.config.LearnedCapacity {
 		return ""
 	}
 	route := table.Route(r.Method, r.Host, r.URL.Path)
@@ -53,12 +53,12 @@
 
 // admitResponse commits the link for a call from another host whose response is
 // expected to be large. Without accounting, and for other calls, the transfer is nil.
-func (g *gateHandler) admitResponse(c *call, id backend.ServerID, route document.RouteName, q gate.Call) (*bandwidth.Transfer, *failure) {
+func (g *gateHandler) admitResponse(c *call, id backend.ServerID, q gate.Call) (*bandwidth.Transfer, *failure) {
 	link := g.config.Bandwidth
 	if link == nil {
 		return nil, nil
 	}
-	size := link.Sizes.Expected(route)
+	size := link.Sizes.Expected(c.route)
 	if !size.Large() {
 		return nil, nil
 	}
@@ -74,14 +74,13 @@
 
 // handleRemoteCall is handleCall for a call from another host, whose response is sent
 // over the link.
-func (g *gateHandler) handleRemoteCall(ctx context.Context, c *call, id backend.ServerID, q gate.Call, r *http.Request) gateResult {
+func (g *gateHandler) handleRemoteCall(ctx context.Context, c *call, id backend.ServerID, q gate.Call) gateResult {
 	link := g.config.Bandwidth
 	if link == nil {
 		return g.handleCall(ctx, c, id, q)
 	}
 	link.Receiving.AddSmall(int64(len(c.body.buffered)) + assumedHeaderBytes)
-	route := g.routeName(r)
-	transfer, f := g.admitResponse(c, id, route, q)
+	transfer, f := g.admitResponse(c, id, q)
 	if f != nil {
 		g.metrics.refused.inc(f.reason)
 		result := gateResult{failure: f, load: g.config.Gate.Load(id), forecast: g.config.Gate.Forecast(id)}
@@ -93,17 +92,17 @@
 	if result.reply == nil {
 		transfer.End()
 	} else {
-		g.pace(ctx, c, route, q, transfer, &result)
+		g.pace(ctx, c, q, transfer, &result)
 	}
 	result.forecast.LinkWait = link.Sending.Wait(0)
 	return result
 }
 
 // pace makes a large reply be sent at the rate of the link.
-func (g *gateHandler) pace(ctx context.Context, c *call, route document.RouteName, q gate.Call, transfer *bandwidth.Transfer, result *gateResult) {
+func (g *gateHandler) pace(ctx context.Context, c *call, q gate.Call, transfer *bandwidth.Transfer, result *gateResult) {
 	link, reply := g.config.Bandwidth, result.reply
 	size := reply.size()
-	reply.recordSize(link, route)
+	reply.recordSize(link, c.route)
 	if size < bandwidth.LargeBytes {
 		transfer.End()
 		link.Sending.AddSmall(size + assumedHeaderBytes)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/connection"
+	"github.com/peridotlb/peridotlb/internal/document"
 )
 
 // call is a request that passes through a daemon.
@@ -23,6 +24,7 @@
 	header        http.Header // end-to-end headers
 	body          *body
 	deadline      time.Time
+	route         document.RouteName // for statistics; "" if it is unknown or not needed
 }
 
 // newCall copies the headers and the target of a request. The body is read later.
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -18,7 +18,10 @@
 	Server    string // id of the server that may run the call
 	Caller    string // service of the host on which the call originated
 	Limit     string // calls per second that the responding server accepts from all daemons together
-	Leaving   string // "1" in the responses of a server that is about to end
+	// ServerLoad is the load of the responding server: its running and waiting calls,
+	// its slots and, optionally, how long work takes on its machine, in percent.
+	ServerLoad string
+	Leaving    string // "1" in the responses of a server that is about to end
 	// CloseDelimited accepts responses of backend servers that have no length and
 	// end when the server closes the connection. Truncated responses must then end
 	// with a reset. Otherwise such responses are rejected, because truncation could
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -57,6 +57,7 @@
 		return
 	}
 	c := newCall(r, id, start.Add(timeout))
+	c.route = match.Route.Name
 	if c.body, f = e.readBody(w, r, timeout); f != nil {
 		e.writeFailure(w, id, f)
 		return
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -48,6 +48,7 @@
 		return
 	}
 	c := newCall(r, id, g.config.Now().Add(time.Duration(ms)*time.Millisecond))
+	c.route = g.routeName(r)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.body, err = readBody(r); err != nil {
@@ -56,7 +57,7 @@
 	}
 	q := parseQueue(r.Header.Get(HeaderQueue), g.config.Now())
 	q.Notice.Limit, q.Notice.Limited = parseLimit(r.Header.Get(HeaderNoticedLimit))
-	result := g.handleRemoteCall(ctx, c, server, q, r)
+	result := g.handleRemoteCall(ctx, c, server, q)
 	w.Header()[HeaderLoad] = []string{formatLoad(result.load, result.forecast)}
 	if result.failure != nil {
 		g.writeRefusal(w, id, result.failure)
@@ -83,7 +84,9 @@
 		g.logFailure("Refused a call.", c, id, q, result)
 		return result
 	}
+	start := g.config.Now()
 	result := g.sendToServer(ctx, c, permit)
+	g.observeRun(ctx, c, permit, result, g.config.Now().Sub(start))
 	if result.failure != nil && result.failure.refused {
 		g.metrics.refused.inc(result.failure.reason)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -43,6 +43,10 @@
 	HeaderNoticedLimit = "Peridotlb-Noticed-Limit"
 	// HeaderLeaving is "1" in the responses of a backend server that is about to end.
 	HeaderLeaving = "Peridotlb-Leaving"
+	// HeaderServerLoad is the load that a backend server states in its responses:
+	// <running>,<waiting>,<slots>[,<percent>]. The percentage is how long work takes on
+	// its machine at this moment; 100 is usual.
+	HeaderServerLoad = "Peridotlb-Server-Load"
 	// HeaderServerUS is the time that the backend server took, in microseconds.
 	HeaderServerUS = "Peridotlb-Server-Us"
 
@@ -101,6 +105,9 @@
 	// use the entry. It is sent to the called servers if the dialect has a header
 	// for it.
 	CallerService string
+	// LearnedCapacity passes the run times of calls on to the gate, which learns from
+	// them how many concurrent calls each server handles well.
+	LearnedCapacity bool
 	// ShutdownDeadline returns when this daemon cancels the calls in flight, once
 	// this is so near that only calls that are likely to complete before are
 	// accepted. Until then, it returns the zero time. It is nil for a daemon that
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,7 @@
 	SettingsFile     string
 	Cores            float64 // processor cores that the daemon may use
 	LinkMbps         float64 // rate of the host's link, Mbit/s
+	LearnedCapacity  bool    // learn how many concurrent calls each backend server handles well
 
 	ControlAddress  netip.AddrPort // QUIC between daemons
 	GateAddress     netip.AddrPort // TLS, calls from other daemons
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -52,7 +52,7 @@
 		nameSetting("region", "Region of this host.", func(d *Daemon, s string) { d.Region = host.Region(s) }),
 		textSetting("caller-service", "Service whose backend server makes calls through this daemon. It is sent to the called backend servers.", func(d *Daemon) *string { return &d.CallerService }),
 		numberSetting("cores", "1", 0.01, 1024, "Processor cores that this daemon may use. Hosts with more cores and faster links are chosen first for work for other hosts.", func(d *Daemon) *float64 { return &d.Cores }),
-		numberSetting("link-mbps", "1000", 0.1, 1e6, "Rate of this host's link in Mbit/s.", func(d *Daemon) *float64 { return &d.LinkMbps }),
+		numberSetting("link-mbps", "1000", 0.1, 1e6, "Rate of this host's link in Mbit/s. Up to 50, calls with large responses are admitted only if the link carries them in time.", func(d *Daemon) *float64 { return &d.LinkMbps }),
 		textSetting("settings-file", "File with further settings. Each line has a name and a value. Flags and the environment take precedence.", func(d *Daemon) *string { return &d.SettingsFile }),
 	}
 }
@@ -119,6 +119,7 @@
 		numberSetting("retry-ratio", "0.1", 0, 1, "Retries that all daemons together may send to a service, as a share of its calls, when --retry-window is set.", func(d *Daemon) *float64 { return &d.RetryRatio }),
 		numberSetting("retry-extra", "30", 0, 1e6, "Additional retries of all daemons in each window of --retry-window.", func(d *Daemon) *float64 { return &d.RetryExtra }),
 		durationSetting("retry-window", "0s", 0, time.Hour, "Window over which the retries of all daemons are bounded. If 0s, each daemon has its own budget: 10% of its calls and 3 retries per second.", func(d *Daemon) *time.Duration { return &d.RetryWindow }),
+		booleanSetting("learned-capacity", "Learn from run times how many concurrent calls each backend server of this host handles well, and send it no more. The announced slots remain the maximum.", func(d *Daemon) *bool { return &d.LearnedCapacity }),
 		durationSetting("announce-lease", "3s", time.Second, time.Minute, "A backend server that does not renew its announcement for this long gets no new work.", func(d *Daemon) *time.Duration { return &d.AnnounceLease }),
 		// Clients repeat a call within minutes, but a queue that is stopped over a long
 		// weekend repeats calls after days. 37 paid calls per second need 22 million rows
