Rank calls of backend servers with the requests that they run

Cause: a request whose own call is refused fails as a whole, and the slot of its server was used for nothing. Routes of internal calls may rank below the requests that make them.

Change: with rank-nested-calls, the entry finds the routes that only the backend servers of its host call: their calls never arrive while these servers are idle, in contrast to calls of callers. Such a call gets the highest priority of the requests that run. No header is needed. The default is off.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -264,7 +264,7 @@
 		Bandwidth: d.newBandwidth(set),
 		Self:      s.HostID, Routes: func() *route.Table { return d.routing.routes.Load() },
 		Pool: d.pool, Gate: d.gate, Claims: instrumentedClaims{d.claims, d.metrics}, Transports: d.transports,
-		ShutdownDeadline: d.shutdownDeadlineOrZero, Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService, LearnedCapacity: s.LearnedCapacity,
+		ShutdownDeadline: d.shutdownDeadlineOrZero, Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService, LearnedCapacity: s.LearnedCapacity, RankNestedCalls: s.RankNestedCalls,
 	}
 	api, err := operator.New(operator.Config{
 		Backend: d, Host: d.fleetConfig().Self, Release: release.Number(), Tokens: s.OperatorTokens, Log: d.log.Named("operator"),
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -28,6 +28,7 @@
 	drained      bool       // by Drain, DrainAll or removal of the row; overrides the state of the row
 	drainedAt    host.Stamp // stamp of the row when drained
 	inFlight     int
+	running      running
 	origin       time.Time // reference time for startTimeSum
 	startTimeSum float64   // of the calls in flight, in seconds since origin
 	meanSlotTime float64   // moving average in nanoseconds; 0 when unknown
@@ -77,6 +78,8 @@
 	start  time.Time
 	once   sync.Once
 
+	priority uint8
+
 	call       capacity.Call
 	run        capacity.Run // guarded by server.mu
 	learnerRun int          // learner that call belongs to
@@ -281,7 +284,7 @@
 	}
 	s.adoptLimit(c.Notice)
 	if len(s.queue) == 0 && s.inFlight < s.admissionSlots() && s.limit.take(s.now()) {
-		permit := s.takeSlot()
+		permit := s.takeSlot(c.Priority)
 		s.mu.Unlock()
 		return permit, nil
 	}
@@ -358,9 +361,10 @@
 }
 
 // takeSlot takes a slot and returns its permit.
-func (s *server) takeSlot() *Permit {
+func (s *server) takeSlot(priority uint8) *Permit {
 	s.inFlight++
-	p := &Permit{server: s, row: s.row, start: s.now()}
+	p := &Permit{server: s, row: s.row, start: s.now(), priority: priority}
+	s.running.add(p.start, priority)
 	s.startTimeSum += s.sinceOrigin(p.start)
 	s.startRun(p)
 	return p
@@ -389,6 +393,7 @@
 func (s *server) releaseSlot(p *Permit) {
 	s.startTimeSum -= s.sinceOrigin(p.start)
 	s.inFlight--
+	s.running.remove(s.now(), p.priority)
 	s.endRun(p)
 	s.grantSlots()
 	if s.inFlight == 0 {
@@ -405,7 +410,7 @@
 		i := s.nextIndex()
 		w := s.queue[i]
 		s.queue = slices.Delete(s.queue, i, i+1)
-		w.permit = s.takeSlot()
+		w.permit = s.takeSlot(w.call.Priority)
 		w.result <- nil
 	}
 	s.evictLate()
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -15,6 +15,7 @@
 	metrics *callMetrics
 	gate    *gateHandler
 	callIDs *callIDGenerator
+	nested  nestedCalls
 }
 
 // ServeHTTP handles a request from a caller.
@@ -64,7 +65,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	x := &exchange{entry: e, call: c, match: match, start: start, shortTimeout: shortTimeout}
+	x := &exchange{entry: e, call: c, match: match, start: start, shortTimeout: shortTimeout, priority: match.Route.Priority}
+	if !forwarded {
+		e.rankNested(x)
+	}
 	if match.Route.Target > 0 {
 		x.targetTime = start.Add(match.Route.Target)
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -41,6 +41,7 @@
 	call         *call
 	match        route.Match
 	start        time.Time
+	priority     uint8
 	targetTime   time.Time // until which a response meets the latency target; zero if there is none
 	shortTimeout bool      // the caller's timeout is shorter than the route's
 	tried        []backend.ServerID
@@ -110,7 +111,7 @@
 	p := x.entry.config.Pool
 	c := pool.Call{
 		LinkWait: x.receivingWait(),
-		Service:  x.match.Service.Name, Route: x.match.Route.Name, TimeToDeadline: x.remaining(), Priority: x.match.Route.Priority,
+		Service:  x.match.Service.Name, Route: x.match.Route.Name, TimeToDeadline: x.remaining(), Priority: x.priority,
 		AtMostOnce: !x.match.Route.Idempotent(), AlreadyCounted: len(x.tried)+x.gateRefusals > 0,
 		WaitForSlot: x.allFull,
 	}
@@ -266,7 +267,7 @@
 	if x.remaining() <= 0 {
 		return gateResult{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
 	}
-	q := gate.Call{Priority: x.match.Route.Priority, Target: x.targetTime, ExpectedRunTime: choice.ExpectedRunTime, MaxWait: choice.MaxWait, Notice: choice.Notice}
+	q := gate.Call{Priority: x.priority, Target: x.targetTime, ExpectedRunTime: choice.ExpectedRunTime, MaxWait: choice.MaxWait, Notice: choice.Notice}
 	if choice.Local {
 		return x.entry.gate.handleCall(ctx, x.call, choice.Server.ID, q)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -108,6 +108,9 @@
 	// LearnedCapacity passes the run times of calls on to the gate, which learns from
 	// them how many concurrent calls each server handles well.
 	LearnedCapacity bool
+	// RankNestedCalls gives calls of the backend servers of this host, for requests that
+	// they run, the priority of these requests.
+	RankNestedCalls bool
 	// ShutdownDeadline returns when this daemon cancels the calls in flight, once
 	// this is so near that only calls that are likely to complete before are
 	// accepted. Until then, it returns the zero time. It is nil for a daemon that
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,7 @@
 	SettingsFile     string
 	Cores            float64 // processor cores that the daemon may use
 	LinkMbps         float64 // rate of the host's link, Mbit/s
+	RankNestedCalls  bool    // calls of the backend servers of this host get the priority of the requests that they run
 	LearnedCapacity  bool    // learn how many concurrent calls each backend server handles well
 
 	ControlAddress  netip.AddrPort // QUIC between daemons
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -120,6 +120,7 @@
 		numberSetting("retry-extra", "30", 0, 1e6, "Additional retries of all daemons in each window of --retry-window.", func(d *Daemon) *float64 { return &d.RetryExtra }),
 		durationSetting("retry-window", "0s", 0, time.Hour, "Window over which the retries of all daemons are bounded. If 0s, each daemon has its own budget: 10% of its calls and 3 retries per second.", func(d *Daemon) *time.Duration { return &d.RetryWindow }),
 		booleanSetting("learned-capacity", "Learn from run times how many concurrent calls each backend server of this host handles well, and send it no more. The announced slots remain the maximum.", func(d *Daemon) *bool { return &d.LearnedCapacity }),
+		booleanSetting("rank-nested-calls", "Give calls that the backend servers of this host make, on routes that only they call, at least the priority of the requests that they run.", func(d *Daemon) *bool { return &d.RankNestedCalls }),
 		durationSetting("announce-lease", "3s", time.Second, time.Minute, "A backend server that does not renew its announcement for this long gets no new work.", func(d *Daemon) *time.Duration { return &d.AnnounceLease }),
 		// Clients repeat a call within minutes, but a queue that is stopped over a long
 		// weekend repeats calls after days. 37 paid calls per second need 22 million rows
