Grow the number of calls of a little used server after its start by time

Cause: the first growth took one step per as many calls as slots, so that a server with few calls kept a third of its slots for a minute, and a burst then queued.

Change: a step also follows after 0.3 s. The known algorithms in the comparison start from the same number as the learner.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -35,6 +35,9 @@
 	// unloaded server from which fewer concurrent calls are tried. It spares a server
 	// that takes all its slots well the cost of trying.
 	minSuspicion = 0.18
+	// rampTime is the longest time between two steps of the first growth, so that a
+	// server with few calls is ready for more after some seconds.
+	rampTime = 300 * time.Millisecond
 	// maxRampGrowth is the growth at which the first growth after the start ends. A dozen
 	// calls per level have a standard error of about 0.2.
 	maxRampGrowth = 0.5
@@ -84,6 +87,7 @@
 	excessUntil    time.Time
 	ramping        bool // the first growth after the start; needs no trials
 	rampCalls      int  // calls that ended since the last step of the ramp
+	rampedAt       time.Time
 	random         *rand.Rand
 
 	inFlight  int
@@ -205,7 +209,7 @@
 	if r.RunTime > 0 {
 		s := l.sample(r, concurrency)
 		c.interval.add(r.Route, s)
-		l.ramp()
+		l.ramp(now)
 	}
 	c.interval.ended()
 	l.advance(now)
@@ -226,16 +230,19 @@
 	return s
 }
 
-// ramp grows the number after the start by one for as many calls, as long as run times
-// don't grow with it.
-func (l *Learner) ramp() {
+// ramp grows the number after the start by one for as many calls, or after rampTime, as
+// long as run times don't grow with it.
+func (l *Learner) ramp(now time.Time) {
 	if !l.ramping {
 		return
 	}
-	if l.rampCalls++; l.rampCalls < l.learned {
+	if l.rampedAt.IsZero() {
+		l.rampedAt = now
+	}
+	if l.rampCalls++; l.rampCalls < l.learned && now.Sub(l.rampedAt) < rampTime {
 		return
 	}
-	l.rampCalls = 0
+	l.rampCalls, l.rampedAt = 0, now
 	growth, known := l.runTimes.growth(l.learned, l.slots)
 	if l.learned >= l.slots {
 		l.ramping = false
--- a/internal/capacity/compare_test.go
+++ b/internal/capacity/compare_test.go
@@ -51,22 +51,22 @@
 var algorithms = map[string]func() policy{
 	"announced": func() policy { return fixed(modelSlots) },
 	"gradient": func() policy {
-		return &adaptive{limit: 12, adjust: func(a *adaptive, _ float64) {
+		return &adaptive{limit: 6, adjust: func(a *adaptive, _ float64) {
 			gradient := max(0.5, min(1, 1.5*a.least/a.mean))
 			a.limit += 0.02 * (a.limit*gradient + math.Sqrt(a.limit) - a.limit)
 		}}
 	},
 	"additive increase": func() policy {
-		return &adaptive{limit: 12, adjust: func(a *adaptive, _ float64) {
+		return &adaptive{limit: 6, adjust: func(a *adaptive, _ float64) {
 			if a.mean > 2*a.least {
 				a.limit *= 0.99
-			} else if float64(a.running) >= a.limit {
+			} else if float64(a.running) >= math.Floor(a.limit) {
 				a.limit += 1 / a.limit
 			}
 		}}
 	},
 	"Little's law": func() policy {
-		return &adaptive{limit: 12, adjust: func(a *adaptive, _ float64) {
+		return &adaptive{limit: 6, adjust: func(a *adaptive, _ float64) {
 			a.limit += 0.02 * (1.2*float64(a.running)/a.mean*a.least + 1 - a.limit)
 		}}
 	},
