Try numbers of calls that follow from the run times

Cause: a trial with fewer calls tried at least half of the number, so that a server whose knee moved far down needed several trials.

Change: the lower number follows from 0.9 of the growth of the run times, down to a third.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -46,6 +46,9 @@
 	// leastContrast is the least difference of the logarithms that a trial with fewer
 	// concurrent calls aims at. With 0.1, twelve pairs gave a standard error of 0.5.
 	leastContrast = 0.3
+	// mostContrast is the largest one, and growthShare its share of the growth of the run
+	// times: by the whole growth, the server would have no contention left.
+	mostContrast, growthShare = 1.1, 0.9
 	// upContrast is the same for trials with more concurrent calls.
 	upContrast = 0.35
 	// minContrast is the least difference of the logarithms of the concurrency within a
@@ -275,7 +278,7 @@
 		l.trial = l.newTrial(now, min(low, l.learned), high, true)
 		l.trial.strict = l.learned+l.step > l.excess*3/4 && now.Before(l.excessUntil)
 	case mayShrink:
-		low := int(math.Round(float64(l.learned) * math.Exp(-min(max(maxElasticity*growth, leastContrast), math.Ln2))))
+		low := int(math.Round(float64(l.learned) * math.Exp(-min(max(growthShare*growth, leastContrast), mostContrast))))
 		l.trial = l.newTrial(now, min(low, l.learned-1), l.learned, false)
 	}
 }
