--- a/internal/proxy/nested_test.go
+++ b/internal/proxy/nested_test.go
@@ -35,7 +35,7 @@
 			}
 			now = now.Add(50 * time.Millisecond)
 			nested = priorityOf("inner")
-			callers = max(callers, priorityOf("outer"))
+			callers = min(callers, priorityOf("outer"))
 			p.Release()
 			now = now.Add(50 * time.Millisecond)
 		}
