Allocate the state of learned calls only with a learner

Cause: each permit of the gate had room for the call and the run of the learner, also without one.

Change: the permit has a pointer, which is nil without a learner.

--- a/internal/gate/learned.go
+++ b/internal/gate/learned.go
@@ -13,6 +13,13 @@
 	Before, Learned, Announced int
 }
 
+// learnedRun is a call as the learner sees it.
+type learnedRun struct {
+	learner *capacity.Learner
+	call    capacity.Call
+	run     capacity.Run // guarded by server.mu
+}
+
 // learn updates the learner after the row of the server changed. A server that has
 // started again is learned anew.
 func (s *server) learn(enabled, restarted bool) {
@@ -22,7 +29,6 @@
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(s.row.ID)) // never fails
 		s.learner = capacity.New(capacity.Config{Slots: s.slots, Seed: h.Sum64()})
-		s.learnerRuns++
 	default:
 		s.learner.SetSlots(s.slots)
 	}
@@ -40,18 +46,18 @@
 // startRun records the start of a call with the learner.
 func (s *server) startRun(p *Permit) {
 	if s.learner != nil {
-		p.call, p.learnerRun = s.learner.Start(p.start), s.learnerRuns
+		p.learned = &learnedRun{learner: s.learner, call: s.learner.Start(p.start)}
 	}
 }
 
 // endRun records the end of a call with the learner, unless the server has started
 // again since.
 func (s *server) endRun(p *Permit) {
-	if s.learner == nil || p.learnerRun != s.learnerRuns {
+	if p.learned == nil || p.learned.learner != s.learner {
 		return
 	}
 	before := s.learner.Learned()
-	s.learner.End(s.now(), p.call, p.run)
+	s.learner.End(s.now(), p.learned.call, p.learned.run)
 	if learned := s.learner.Learned(); learned != before && !s.learner.Ramping() && s.onLearned != nil {
 		s.onLearned(LearnedChange{Server: s.row.ID, Before: before, Learned: learned, Announced: s.slots})
 	}
@@ -60,9 +66,12 @@
 // ObserveRun records the time that the server took for the call. A call without it
 // says nothing about the capacity of the server.
 func (p *Permit) ObserveRun(r capacity.Run) {
+	if p.learned == nil {
+		return
+	}
 	p.server.mu.Lock()
 	defer p.server.mu.Unlock()
-	p.run = r
+	p.learned.run = r
 }
 
 // LearnedSlots returns the learned and the announced number of concurrent calls of all
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -39,7 +39,6 @@
 	tokenTimer   bool // a timer calls grantSlots when the limit permits the next call
 	queue        []*waiter
 	learner      *capacity.Learner // nil unless learnCapacity is set
-	learnerRuns  int               // number of learners so far
 	idle         chan struct{}     // closed and replaced when no call is in flight
 }
 
@@ -80,9 +79,7 @@
 
 	priority uint8
 
-	call       capacity.Call
-	run        capacity.Run // guarded by server.mu
-	learnerRun int          // learner that call belongs to
+	learned *learnedRun // nil unless the server has a learner
 }
 
 // Server returns the row of the backend server.
