Tell the end of a paced response from one that breaks off

Cause: the loop that sends a response of unknown length at the rate of the link read with io.ReadAtLeast, whose io.ErrUnexpectedEOF also means a short last piece. A response whose server was killed reached the caller as complete: the scenario answers-whole with PERIDOTLB_LINK_MBPS=14 had 2 truncated responses.

Change: a read loop of its own that keeps the error of the body.

Result: TestCutPacedResponse fails before ("got error <nil>, want unexpected EOF") and passes now.

--- a/internal/proxy/bandwidth.go
+++ b/internal/proxy/bandwidth.go
@@ -147,7 +147,7 @@
 		return nil
 	}
 	for piece := make([]byte, bandwidth.PieceBytes); ; {
-		n, err := io.ReadAtLeast(rest, piece, len(piece))
+		n, err := readPiece(rest, piece)
 		if n > 0 {
 			if err := p.transfer.Send(p.ctx, n); err != nil {
 				return err
@@ -156,15 +156,28 @@
 				return err
 			}
 		}
-		switch {
-		case err == io.EOF, err == io.ErrUnexpectedEOF && n > 0 && n < len(piece):
+		switch err {
+		case nil:
+		case io.EOF:
 			return nil
-		case err != nil:
+		default:
 			return err
 		}
 	}
 }
 
+// readPiece reads until the piece is full or the body ends. Unlike io.ReadFull, it
+// distinguishes the end of a body from one that breaks off, whose error may be
+// io.ErrUnexpectedEOF.
+func readPiece(body io.Reader, piece []byte) (n int, err error) {
+	for n < len(piece) && err == nil {
+		var m int
+		m, err = body.Read(piece[n:])
+		n += m
+	}
+	return n, err
+}
+
 // size returns the size of the body, or of its buffered part if the length is unknown.
 func (r *reply) size() int64 {
 	if !r.hasBody {
--- a/internal/proxy/bandwidth_test.go
+++ b/internal/proxy/bandwidth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -9,6 +10,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -77,3 +79,19 @@
 		}
 	})
 }
+
+// Guards against a response that breaks off and is taken for complete while it is sent
+// at the rate of the link.
+func TestCutPacedResponse(t *testing.T) {
+	for _, cut := range []error{io.ErrUnexpectedEOF, io.ErrClosedPipe} {
+		link := bandwidth.New(bandwidth.Config{Mbps: 50})
+		for _, size := range []int{0, 1, bandwidth.PieceBytes, bandwidth.PieceBytes + 100} {
+			now := time.Now()
+			p := &pacedSending{t.Context(), link.Sending.Commit(demand(bandwidth.Exactly(1e5), 0, now, now))}
+			rest := io.MultiReader(bytes.NewReader(make([]byte, size)), iotest.ErrReader(cut))
+			if err := p.write(httptest.NewRecorder(), []byte("start"), rest); !errors.Is(err, cut) {
+				t.Errorf("%d bytes before the cut: got error %v, want %v", size, err, cut)
+			}
+		}
+	}
+}
