Keep slow uploads and unread responses from blocking the link

Cause: the entry committed the stated length of an upload, which its caller may send slowly or never, and the rest of a response until its caller had read it. One caller could keep the link from all others.

Change: only the buffered part of a request is committed, and the rest counts when it is read. A response that has begun to arrive counts for three times its expected time and 0.1 s.

--- a/internal/bandwidth/bandwidth.go
+++ b/internal/bandwidth/bandwidth.go
@@ -39,6 +39,9 @@
 	// stopped reading, and the link is free for others.
 	stallFactor = 3
 	stallTime   = time.Second
+	// arrivalTime replaces stallTime for a message that has begun to arrive. A caller
+	// that does not read its response must not keep the link from others.
+	arrivalTime = 100 * time.Millisecond
 )
 
 // Demand is what a large message needs.
@@ -156,6 +159,16 @@
 	}
 }
 
+// arrive replaces the expected rest of a message that has begun to arrive. Its sender
+// does not wait any more, so that the rest arrives within arrivalTime of its duration,
+// or waits for its reader elsewhere.
+func (l *ledger) arrive(now time.Time, c *commitment, left float64) {
+	l.resize(c, left)
+	if expires := now.Add(stallFactor*l.duration(now, c.left) + arrivalTime); expires.Before(c.expires) {
+		c.expires = expires
+	}
+}
+
 // release ends a commitment. It may be called repeatedly.
 func (l *ledger) release(c *commitment) {
 	l.resize(c, 0)
--- a/internal/bandwidth/bandwidth_test.go
+++ b/internal/bandwidth/bandwidth_test.go
@@ -209,3 +209,18 @@
 		t.Error("got accounting for a fast link or an unknown rate")
 	}
 }
+
+// Guards against a receiver that does not read its response and keeps the link from
+// others.
+func TestStalledReceiver(t *testing.T) {
+	l := newLedger()
+	l.backlog = receiveBacklog
+	c := l.commit(start, Demand{Exactly(300e3), 0, in(time.Second), in(time.Second)})
+	l.arrive(in(50*time.Millisecond), c, 100e3)
+	if got, _ := l.admit(in(300*time.Millisecond), Demand{Exactly(400e3), 0, in(2 * time.Second), in(2 * time.Second)}); got == nil {
+		t.Error("got no room 250 ms after the rest of a response of 100 ms began to arrive")
+	}
+	if l.wait(in(500 * time.Millisecond)); len(l.commitments) != 1 {
+		t.Errorf("got %d commitments after 500 ms, want only the new one", len(l.commitments))
+	}
+}
--- a/internal/bandwidth/link.go
+++ b/internal/bandwidth/link.go
@@ -130,6 +130,16 @@
 	t.direction.ledger.resize(t.commitment, float64(bytes))
 }
 
+// Arrives replaces the expected bytes of a message that has begun to arrive.
+func (t *Transfer) Arrives(left int64) {
+	if t == nil {
+		return
+	}
+	t.direction.mu.Lock()
+	defer t.direction.mu.Unlock()
+	t.direction.ledger.arrive(t.direction.now(), t.commitment, float64(left))
+}
+
 // Done records transferred bytes.
 func (t *Transfer) Done(bytes int) {
 	if t == nil {
--- a/internal/proxy/bandwidth.go
+++ b/internal/proxy/bandwidth.go
@@ -80,6 +80,7 @@
 		return g.handleCall(ctx, c, id, q)
 	}
 	link.Receiving.AddSmall(int64(len(c.body.buffered)) + assumedHeaderBytes)
+	c.body.countRest(link.Receiving)
 	transfer, f := g.admitResponse(c, id, q)
 	if f != nil {
 		g.metrics.refused.inc(f.reason)
@@ -231,15 +232,18 @@
 	return t, nil
 }
 
-// admitSending commits the link for the request of an attempt at another host, if it
-// is large.
+// admitSending commits the link for the buffered part of the request of an attempt at
+// another host, if that is large. The rest of a longer request counts as it is read: its
+// caller may send it slowly or never.
 func (x *exchange) admitSending() (*bandwidth.Transfer, *failure) {
-	link, length := x.entry.config.Bandwidth, x.call.body.length
+	link, body := x.entry.config.Bandwidth, x.call.body
 	if link == nil {
 		return nil, nil
 	}
+	body.countRest(link.Sending)
+	length := int64(len(body.buffered))
 	if length < bandwidth.LargeBytes {
-		link.Sending.AddSmall(max(length, 0) + assumedHeaderBytes)
+		link.Sending.AddSmall(length + assumedHeaderBytes)
 		return nil, nil
 	}
 	t, err := link.Sending.Admit(demand(bandwidth.Exactly(length), 0, x.targetTime, x.call.deadline))
@@ -249,6 +253,13 @@
 	return t, nil
 }
 
+// countRest makes the rest of the body count as small messages when it is read.
+func (b *body) countRest(d *bandwidth.Direction) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.direction = d
+}
+
 // receivingWait returns how long the link of this host takes for the large responses
 // that it expects.
 func (x *exchange) receivingWait() time.Duration {
@@ -273,7 +284,7 @@
 	case t != nil:
 		r.rest = &receivingBody{r.rest, t}
 		if r.length >= 0 {
-			t.SetLeft(r.length - int64(len(r.buffered)))
+			t.Arrives(r.length - int64(len(r.buffered)))
 		}
 	}
 }
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/peridotlb/peridotlb/internal/bandwidth"
 	"github.com/peridotlb/peridotlb/internal/connection"
 )
 
@@ -25,6 +26,8 @@
 
 	mu     sync.Mutex
 	reader *restReader // the attempt that has begun to read rest; nil if none has
+	// direction of the link over which the rest passes; nil without accounting.
+	direction *bandwidth.Direction
 }
 
 // readBody buffers the body of a request, or the first bufferLimit+1 bytes of a
@@ -105,12 +108,21 @@
 		return 0, err
 	}
 	n, err := r.body.rest.Read(p)
+	if d := r.body.linkDirection(); d != nil {
+		d.AddSmall(int64(n))
+	}
 	if errors.Is(err, connection.ErrBodyTooLarge) {
 		r.body.tooLarge.Store(true)
 	}
 	return n, err
 }
 
+func (b *body) linkDirection() *bandwidth.Direction {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.direction
+}
+
 // begin reserves the rest of the body for this attempt.
 func (r *restReader) begin() error {
 	b := r.body
