--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -8,13 +8,16 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/capacity"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/host"
 )
 
 // server is the admission state of a backend server.
 type server struct {
-	now func() time.Time
+	now           func() time.Time
+	learnCapacity bool
+	onLearned     func(LearnedChange)
 
 	mu           sync.Mutex
 	row          backend.Server
@@ -25,6 +28,7 @@
 	drained      bool       // by Drain, DrainAll or removal of the row; overrides the state of the row
 	drainedAt    host.Stamp // stamp of the row when drained
 	inFlight     int
+	running      running
 	origin       time.Time // reference time for startTimeSum
 	startTimeSum float64   // of the calls in flight, in seconds since origin
 	meanSlotTime float64   // moving average in nanoseconds; 0 when unknown
@@ -34,7 +38,8 @@
 	leaving      bool // the server stated in a response that it leaves; holds for this run of the server
 	tokenTimer   bool // a timer calls grantSlots when the limit permits the next call
 	queue        []*waiter
-	idle         chan struct{} // closed and replaced when no call is in flight
+	learner      *capacity.Learner // nil unless learnCapacity is set
+	idle         chan struct{}     // closed and replaced when no call is in flight
 }
 
 const (
@@ -71,6 +76,10 @@
 	row    backend.Server
 	start  time.Time
 	once   sync.Once
+
+	priority uint8
+
+	learned *learnedRun // nil unless the server has a learner
 }
 
 // Server returns the row of the backend server.
@@ -199,7 +208,8 @@
 	if !s.row.SameRun(row) {
 		s.leaving = false
 	}
-	if s.row.Started != row.Started {
+	restarted := s.row.Started != row.Started
+	if restarted {
 		s.limit = noticedLimit{} // of the previous run of the server
 		s.noticed = s.row.ID != ""
 	}
@@ -215,6 +225,7 @@
 	if service.Connections > 0 {
 		s.slots = min(s.slots, int(service.Connections))
 	}
+	s.learn(s.learnCapacity, restarted)
 	if err := s.admissionError(); err != nil {
 		s.refuseQueue(err)
 	}
@@ -235,10 +246,18 @@
 	}
 }
 
-// usableSlots returns the number of currently usable slots. During the warm-up it
-// grows in proportion to the time since the server became ready, from one slot
-// to all.
+// usableSlots returns the number of currently usable slots: those of warmSlots, but no
+// more than the learned number.
 func (s *server) usableSlots() int {
+	if s.learner != nil {
+		return min(s.warmSlots(), s.learner.Learned())
+	}
+	return s.warmSlots()
+}
+
+// warmSlots returns the number of slots that the warm-up permits. It grows in
+// proportion to the time since the server became ready, from one slot to all.
+func (s *server) warmSlots() int {
 	elapsed := s.now().Sub(s.readyAt)
 	if elapsed >= s.warmUp || s.slots <= 1 {
 		return s.slots
@@ -261,8 +280,8 @@
 		return nil, ErrDeadline
 	}
 	s.adoptLimit(c.Notice)
-	if len(s.queue) == 0 && s.inFlight < s.usableSlots() && s.limit.take(s.now()) {
-		permit := s.takeSlot()
+	if len(s.queue) == 0 && s.inFlight < s.admissionSlots() && s.limit.take(s.now()) {
+		permit := s.takeSlot(c.Priority)
 		s.mu.Unlock()
 		return permit, nil
 	}
@@ -339,10 +358,12 @@
 }
 
 // takeSlot takes a slot and returns its permit.
-func (s *server) takeSlot() *Permit {
+func (s *server) takeSlot(priority uint8) *Permit {
 	s.inFlight++
-	p := &Permit{server: s, row: s.row, start: s.now()}
+	p := &Permit{server: s, row: s.row, start: s.now(), priority: priority}
+	s.running.add(p.start, priority)
 	s.startTimeSum += s.sinceOrigin(p.start)
+	s.startRun(p)
 	return p
 }
 
@@ -369,6 +390,8 @@
 func (s *server) releaseSlot(p *Permit) {
 	s.startTimeSum -= s.sinceOrigin(p.start)
 	s.inFlight--
+	s.running.remove(s.now(), p.priority)
+	s.endRun(p)
 	s.grantSlots()
 	if s.inFlight == 0 {
 		s.startTimeSum = 0 // removes accumulated rounding errors
@@ -380,11 +403,11 @@
 // grantSlots grants free slots to queued calls in order, as far as the limit of the
 // server permits.
 func (s *server) grantSlots() {
-	for len(s.queue) > 0 && s.inFlight < s.usableSlots() && s.limit.take(s.now()) {
+	for len(s.queue) > 0 && s.inFlight < s.admissionSlots() && s.limit.take(s.now()) {
 		i := s.nextIndex()
 		w := s.queue[i]
 		s.queue = slices.Delete(s.queue, i, i+1)
-		w.permit = s.takeSlot()
+		w.permit = s.takeSlot(w.call.Priority)
 		w.result <- nil
 	}
 	s.evictLate()
@@ -394,7 +417,7 @@
 // awaitToken grants slots again when the limit of the server permits the next queued
 // call.
 func (s *server) awaitToken() {
-	if len(s.queue) == 0 || s.inFlight >= s.usableSlots() || s.tokenTimer {
+	if len(s.queue) == 0 || s.inFlight >= s.admissionSlots() || s.tokenTimer {
 		return
 	}
 	s.tokenTimer = true
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/bandwidth"
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/pool"
@@ -23,7 +24,7 @@
 	HeaderTimeoutMS = "Peridotlb-Timeout-Ms"
 	HeaderNotRun    = "Peridotlb-Not-Run" // "true": the call provably was not run
 	HeaderOutcome   = "Peridotlb-Outcome" // "unknown": the call may have been run
-	HeaderLoad      = "Peridotlb-Load"    // <in-flight>/<slots>[;hold=<ms>][;wait=<ms>,...][;health=failing]
+	HeaderLoad      = "Peridotlb-Load"    // <in-flight>/<slots>[;hold=<ms>][;wait=<ms>,...][;link=<ms>][;health=failing]
 	HeaderServer    = "Peridotlb-Server"
 	HeaderQueue     = "Peridotlb-Queue"    // <priority>,<ms until the target>,<longest wait in ms>,<expected run time in ms>
 	HeaderNoRetry   = "Peridotlb-No-Retry" // "true": retries were exhausted; do not retry
@@ -42,6 +43,10 @@
 	HeaderNoticedLimit = "Peridotlb-Noticed-Limit"
 	// HeaderLeaving is "1" in the responses of a backend server that is about to end.
 	HeaderLeaving = "Peridotlb-Leaving"
+	// HeaderServerLoad is the load that a backend server states in its responses:
+	// <running>,<waiting>,<slots>[,<percent>]. The percentage is how long work takes on
+	// its machine at this moment; 100 is usual.
+	HeaderServerLoad = "Peridotlb-Server-Load"
 	// HeaderServerUS is the time that the backend server took, in microseconds.
 	HeaderServerUS = "Peridotlb-Server-Us"
 
@@ -90,6 +95,7 @@
 	Gate       *gate.Gate
 	Claims     Claims // nil refuses paid calls
 	Transports *Transports
+	Bandwidth  *bandwidth.Link  // nil admits calls without regard to the link of this host
 	Now        func() time.Time // nil uses time.Now
 	Events     func(Event)      // nil discards events
 	Metrics    *metrics.Set     // nil uses a new set
@@ -99,6 +105,12 @@
 	// use the entry. It is sent to the called servers if the dialect has a header
 	// for it.
 	CallerService string
+	// LearnedCapacity passes the run times of calls on to the gate, which learns from
+	// them how many concurrent calls each server handles well.
+	LearnedCapacity bool
+	// RankNestedCalls gives calls of the backend servers of this host, for requests that
+	// they run, the priority of these requests.
+	RankNestedCalls bool
 	// ShutdownDeadline returns when this daemon cancels the calls in flight, once
 	// this is so near that only calls that are likely to complete before are
 	// accepted. Until then, it returns the zero time. It is nil for a daemon that
