Bound the memory of callers' requests by estimated cost

Cause: a parsed header takes up to 40 times its bytes. Only its size was limited, so that 64 pipelined requests on each of many connections, or bodies that never arrived, made a daemon exceed the memory of its host.

Change: connection.Memory accounts for connections, headers, bodies, trailers and responses of the entry and the gate. A request reserves its estimated cost before its header is parsed, up to a share of what is still free per connection and per caller address. A refusal is 503 or 431 and closes the connection; entries treat it as a refusal of a call that was not run. The connections, the descriptors and the control listeners are bounded, and the Go runtime gets a soft limit. New settings memory-mb, requests-memory and file-descriptors.

--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -128,21 +128,53 @@
 			return nil, fmt.Errorf("send the 100 Continue response: %w", err)
 		}
 	}
-	size := int64(BufferLimit)
-	if r.ContentLength >= 0 {
-		size = min(size+1, r.ContentLength)
-	}
-	// Without room for MinRead bytes, ReadFrom would double the buffer at the end.
-	buffer := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	n, err := buffer.ReadFrom(io.LimitReader(r.Body, BufferLimit+1))
+	data, err := c.bufferBody(r)
 	if err != nil {
 		return nil, fmt.Errorf("read the request body: %w", err)
 	}
-	if n <= BufferLimit {
-		r.Body = bufferedBody{bytes.NewReader(buffer.Bytes())}
+	if len(data) <= BufferLimit {
+		r.Body = bufferedBody{bytes.NewReader(data)}
 		return nil, nil
 	}
-	stream := &streamedBody{conn: c, buffer: buffer, rest: r.Body, eof: make(chan struct{})}
+	if err := c.reserve(streamCost - bodyCost*BufferLimit); err != nil {
+		return nil, err
+	}
+	stream := &streamedBody{conn: c, buffer: bytes.NewBuffer(data), rest: r.Body, eof: make(chan struct{})}
 	r.Body = stream
 	return stream, nil
 }
+
+// firstBodyBuffer is the size in bytes of the first buffer for a body. It grows as
+// the body arrives, because a client may announce a body that it never sends.
+const firstBodyBuffer = 8 << 10
+
+// bufferBody reads a body up to BufferLimit bytes completely, and BufferLimit+1 bytes
+// of a longer one.
+func (c *conn) bufferBody(r *http.Request) ([]byte, error) {
+	most := BufferLimit + 1
+	if r.ContentLength >= 0 {
+		most = int(min(int64(most), r.ContentLength))
+	}
+	var data []byte
+	for len(data) < most {
+		if len(data) == cap(data) {
+			size := min(max(2*cap(data), firstBodyBuffer), most)
+			if err := c.reserve(bodyCost * (size - cap(data))); err != nil {
+				return nil, err
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := r.Body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if len(r.Trailer) > 0 && len(data) <= BufferLimit {
+		return data, c.reserve(fieldsCost(r.Trailer))
+	}
+	return data, nil
+}
--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -31,16 +30,16 @@
 	firstRequestTimeout = 500 * time.Millisecond
 )
 
-var errHeaderTooLarge = errors.New("header is too large")
-
 // conn is a connection from a client.
 type conn struct {
-	server      *Server
-	raw         net.Conn
-	headerLimit headerLimitReader
-	reader      *bufio.Reader
-	ctx         context.Context // ends when the client disconnects
-	cancel      context.CancelFunc
+	server   *Server
+	raw      net.Conn
+	source   pendingReader
+	reader   *bufio.Reader
+	account  *account
+	reserved int             // bytes of the request that is being read
+	ctx      context.Context // ends when the client disconnects
+	cancel   context.CancelFunc
 
 	mu           sync.Mutex
 	inFlight     int        // requests read whose responses were not written yet
@@ -52,37 +51,13 @@
 
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{server: s, raw: raw}
-	c.headerLimit = headerLimitReader{source: raw}
-	c.reader = bufio.NewReaderSize(&c.headerLimit, readBufferSize)
+	c.source = pendingReader{source: raw}
+	c.reader = bufio.NewReaderSize(&c.source, readBufferSize)
 	c.cond = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
-// headerLimitReader bounds the bytes that are read for a header. It keeps the error
-// that ended reading, because the parser reports a truncated header as malformed.
-type headerLimitReader struct {
-	source    io.Reader
-	remaining int // negative for no limit
-	err       error
-}
-
-func (r *headerLimitReader) Read(p []byte) (int, error) {
-	if r.remaining == 0 {
-		r.err = errHeaderTooLarge
-		return 0, r.err
-	}
-	if r.remaining > 0 && len(p) > r.remaining {
-		p = p[:r.remaining]
-	}
-	n, err := r.source.Read(p)
-	if r.remaining > 0 {
-		r.remaining -= n
-	}
-	r.err = err
-	return n, err
-}
-
 func (c *conn) inFlightCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -126,6 +101,7 @@
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
+	defer c.account.end()
 	defer c.raw.Close()
 	defer c.cancel()
 	more := true
@@ -147,8 +123,7 @@
 	if closing {
 		return false
 	}
-	c.headerLimit.remaining = -1
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.source.hasPending() {
 		return true
 	}
 	for {
@@ -198,11 +173,12 @@
 func (c *conn) readRequest() (*http.Request, error) {
 	limits := c.server.config.Limits()
 	c.setReadTimeout(limits.HeaderTimeout)
-	c.headerLimit.remaining, c.headerLimit.err = max(limits.HeaderBytes-c.reader.Buffered(), 0), nil
+	if err := c.receiveHeader(limits.HeaderBytes); err != nil {
+		return nil, err
+	}
 	r, err := http.ReadRequest(c.reader)
-	c.headerLimit.remaining = -1
 	if err != nil {
-		return nil, cmp.Or(c.headerLimit.err, err)
+		return nil, err
 	}
 	r.RemoteAddr = c.raw.RemoteAddr().String()
 	return r, nil
@@ -212,8 +188,12 @@
 // the responses to the requests in flight.
 func (c *conn) rejectRequest(err error) {
 	var e net.Error
+	var refused *refusedError
 	status := http.StatusBadRequest
 	switch {
+	case errors.As(err, &refused):
+		c.refuse(refused.reason)
+		return
 	case errors.Is(err, errHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, ErrBodyTooLarge):
@@ -241,6 +221,7 @@
 		return false
 	}
 	w.requestBody = body
+	w.charged, c.reserved = c.reserved, 0
 	ctx, cancel := context.WithCancel(c.ctx)
 	_ = c.raw.SetReadDeadline(time.Time{})
 	go func() {
@@ -278,7 +259,8 @@
 
 // responseDone records that a response was written or aborted and wakes serve, which
 // may wait for it.
-func (c *conn) responseDone() {
+func (c *conn) responseDone(w *response) {
+	c.account.release(w.charged)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight--
--- /dev/null
+++ b/internal/connection/header.go
@@ -0,0 +1,171 @@
+package connection
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"go.uber.org/zap"
+)
+
+// pendingReader reads bytes that were already received before those of its source.
+type pendingReader struct {
+	source  io.Reader
+	pending []byte
+}
+
+// Read implements io.Reader.
+func (r *pendingReader) Read(p []byte) (int, error) {
+	if len(r.pending) == 0 {
+		return r.source.Read(p)
+	}
+	n := copy(p, r.pending)
+	if r.pending = r.pending[n:]; len(r.pending) == 0 {
+		r.pending = nil // the buffer may be large
+	}
+	return n, nil
+}
+
+func (r *pendingReader) hasPending() bool { return len(r.pending) > 0 }
+
+// refusedError is the error of a request for which no memory was reserved.
+type refusedError struct{ reason Refusal }
+
+func (e *refusedError) Error() string { return "no memory for the request: " + string(e.reason) }
+
+// remoteIP returns the address by which callers are told apart. An IPv6 host usually
+// has the whole /64 network.
+func remoteIP(raw net.Conn) netip.Addr {
+	tcp, ok := raw.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return netip.Addr{}
+	}
+	addr := tcp.AddrPort().Addr().Unmap()
+	if addr.Is4() {
+		return addr
+	}
+	network, err := addr.Prefix(64)
+	if err != nil {
+		return addr
+	}
+	return network.Addr()
+}
+
+// openAccount reserves the memory of the connection and reports whether there is room.
+func (c *conn) openAccount() bool {
+	cost := connectionCost
+	if c.server.config.TLS != nil {
+		cost += tlsCost
+	}
+	var r Refusal
+	c.account, r = c.server.config.Memory.open(remoteIP(c.raw), cost, func() { go c.abort() })
+	if r == Granted {
+		return true
+	}
+	c.server.config.Log.Warn("Refused a connection: too many are open, and none is idle.", zap.Stringer("client", c.raw.RemoteAddr()))
+	return false
+}
+
+// reserve reserves memory for the request that is being read. It is released with the
+// response.
+func (c *conn) reserve(n int) error {
+	if r := c.account.reserve(n); r != Granted {
+		return &refusedError{r}
+	}
+	c.reserved += n
+	return nil
+}
+
+// receiveHeader waits for the end of a header of up to limit bytes and reserves the
+// memory that it takes when it is parsed. The header is then in the reader.
+func (c *conn) receiveHeader(limit int) error {
+	var scan headerScan
+	for {
+		n := c.reader.Buffered()
+		data, err := c.reader.Peek(n)
+		if err != nil {
+			return err
+		}
+		switch ended := scan.next(data); {
+		case ended && scan.size <= limit:
+			return c.reserve(headerCost(scan.size, scan.lines))
+		case ended, n > limit:
+			return errHeaderTooLarge
+		case n == readBufferSize:
+			return c.receiveLongHeader(&scan, data, limit)
+		}
+		if _, err := c.reader.Peek(n + 1); err != nil {
+			return err
+		}
+	}
+}
+
+// receiveLongHeader continues receiveHeader for a header that does not fit into the
+// read buffer, whose content is start.
+func (c *conn) receiveLongHeader(scan *headerScan, start []byte, limit int) error {
+	var data []byte
+	for ended := false; !ended; ended = scan.next(data) {
+		if len(data) > limit {
+			return errHeaderTooLarge
+		}
+		if len(data) == cap(data) {
+			size := min(max(2*cap(data), 4*readBufferSize), max(limit, readBufferSize)+1)
+			if err := c.reserve(size - cap(data)); err != nil {
+				return err
+			}
+			grown := make([]byte, len(data), size)
+			copy(grown, data)
+			data = grown
+		}
+		if len(data) == 0 {
+			data = append(data, start...)
+			// Everything that is discarded is in the buffer.
+			_, _ = c.reader.Discard(len(start))
+			continue
+		}
+		n, err := c.source.Read(data[len(data):cap(data)])
+		if n == 0 && err != nil {
+			return fmt.Errorf("read the header: %w", err)
+		}
+		data = data[:len(data)+n]
+	}
+	if scan.size > limit {
+		return errHeaderTooLarge
+	}
+	c.source.pending = append(data, c.source.pending...)
+	return c.reserve(headerCost(scan.size, scan.lines))
+}
+
+// RefusalStatus returns the status of the response to a request that was refused. Both
+// guarantee that the request has not run.
+func RefusalStatus(r Refusal) int {
+	if r == RequestTooCostly {
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeRefusal(w http.ResponseWriter, r Refusal) {
+	if RefusalStatus(r) == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	w.WriteHeader(RefusalStatus(r))
+}
+
+// refuse responds to a request for which no memory was reserved, after the responses
+// to the requests in flight. The connection ends with it, because the rest of the
+// request is not read.
+func (c *conn) refuse(reason Refusal) {
+	use := c.server.config.Memory.Use()
+	c.server.config.Log.Warn("Refused a request: callers' requests hold too much memory.",
+		zap.String("reason", string(reason)), zap.Stringer("client", c.raw.RemoteAddr()), zap.Int("used-bytes", use.Used), zap.Int("limit-bytes", use.Limit))
+	w := c.enqueueResponse(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Close: true})
+	if w == nil {
+		return
+	}
+	w.charged, c.reserved = c.reserved, 0
+	c.server.config.Refuse(w, reason)
+	go w.finish()
+}
--- /dev/null
+++ b/internal/connection/memory.go
@@ -0,0 +1,302 @@
+package connection
+
+import (
+	"container/list"
+	"net/netip"
+	"sync"
+)
+
+// Shares of the memory that is free, or of the whole limit. A reservation is granted
+// only below them, so that expensive requests are refused long before cheap ones and
+// no holder can take everything.
+const (
+	// connectionShare is the divisor of the free memory that one connection may hold.
+	connectionShare = 16
+	// callerShare is the multiple of the free memory that one caller address may hold.
+	// All callers of a host may share one address, which then gets 4/5 of the limit.
+	callerShare = 4
+	// soleShare is the divisor of the limit up to which a connection without other
+	// requests gets a reservation on an idle daemon. A header of 64 KB of the most
+	// expensive kind needs it.
+	soleShare = 4
+	// connectionReserve is the divisor of the limit that connections leave to requests.
+	connectionReserve = 4
+	// overcommitShare is the divisor of the limit by which responses may exceed it
+	// before the largest holder is closed.
+	overcommitShare = 16
+	// evictionCandidates is the number of connections, from the longest idle one, among
+	// which one of the caller with most connections is closed.
+	evictionCandidates = 16
+)
+
+// Refusal is the reason why the memory accounting refused something.
+type Refusal string
+
+// Refusals.
+const (
+	Granted           Refusal = ""
+	RequestTooCostly  Refusal = "request-too-costly"       // it could not be admitted on an idle daemon
+	ConnectionAtLimit Refusal = "connection-memory"        // its connection holds too much
+	CallerAtLimit     Refusal = "caller-memory"            // its caller address holds too much
+	NoConnection      Refusal = "connections"              // no connection could be closed for a new one
+	Evicted           Refusal = "idle-connection-closed"   // closed for a new connection
+	Aborted           Refusal = "largest-response-aborted" // closed because responses exceeded the limit
+)
+
+// Refusals returns every reason for a refusal.
+func Refusals() []Refusal {
+	return []Refusal{RequestTooCostly, ConnectionAtLimit, CallerAtLimit, NoConnection, Evicted, Aborted}
+}
+
+// MemoryConfig configures a Memory.
+type MemoryConfig struct {
+	Limit       int // bytes that connections and their requests may hold; 0 for no limit
+	Connections int // open connections of all listeners; 0 for no limit
+}
+
+// Memory accounts for the memory that callers' requests hold in a process. The servers
+// of the process share it. It has no sockets: an account closes its connection through
+// a function.
+type Memory struct {
+	config MemoryConfig
+
+	mu        sync.Mutex
+	used      int // bytes, including those of connections
+	requests  int // bytes of requests and responses
+	condemned int // bytes of accounts whose connections are being closed
+	accounts  map[*account]bool
+	callers   map[netip.Addr]*callerAccount
+	idle      *list.List // of *account, the longest idle first
+	refused   map[Refusal]uint64
+}
+
+// MemoryUse is the state of a Memory.
+type MemoryUse struct {
+	Used, Limit int // bytes
+	Connections int
+}
+
+// callerAccount is what the connections of one caller address hold.
+type callerAccount struct {
+	connections int
+	requests    int // bytes of requests and responses
+}
+
+// account is what one connection holds.
+type account struct {
+	memory    *Memory
+	addr      netip.Addr
+	caller    *callerAccount
+	fixed     int // bytes of the connection itself
+	requests  int // bytes of requests and responses
+	idle      *list.Element
+	condemned bool
+	close     func()
+}
+
+// NewMemory returns an accounting without connections.
+func NewMemory(c MemoryConfig) *Memory {
+	return &Memory{
+		config: c, accounts: make(map[*account]bool), callers: make(map[netip.Addr]*callerAccount),
+		idle: list.New(), refused: make(map[Refusal]uint64),
+	}
+}
+
+// Use returns the memory in use.
+func (m *Memory) Use() MemoryUse {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return MemoryUse{Used: m.used, Limit: m.config.Limit, Connections: len(m.accounts)}
+}
+
+// Refused returns how often something was refused for a reason.
+func (m *Memory) Refused(r Refusal) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.refused[r]
+}
+
+// open reserves a new connection, which is idle. If there are too many, it closes an
+// idle one, or refuses the new one. closeConn must not block.
+func (m *Memory) open(addr netip.Addr, cost int, closeConn func()) (*account, Refusal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lacksRoom(cost) && !m.evict() {
+		m.refused[NoConnection]++
+		return nil, NoConnection
+	}
+	caller := m.callers[addr]
+	if caller == nil {
+		caller = new(callerAccount)
+		m.callers[addr] = caller
+	}
+	a := &account{memory: m, addr: addr, caller: caller, fixed: cost, close: closeConn}
+	caller.connections++
+	m.accounts[a] = true
+	m.used += cost
+	a.idle = m.idle.PushBack(a)
+	return a, Granted
+}
+
+func (m *Memory) lacksRoom(cost int) bool {
+	if m.config.Connections > 0 && len(m.accounts) >= m.config.Connections {
+		return true
+	}
+	return m.config.Limit > 0 && m.used+cost > m.config.Limit-m.config.Limit/connectionReserve
+}
+
+// evict closes one of the longest idle connections and reports whether there is one.
+func (m *Memory) evict() bool {
+	var victim *account
+	e := m.idle.Front()
+	for range evictionCandidates {
+		if e == nil {
+			break
+		}
+		a := e.Value.(*account)
+		if victim == nil || a.caller.connections > victim.caller.connections {
+			victim = a
+		}
+		e = e.Next()
+	}
+	if victim == nil {
+		return false
+	}
+	m.refused[Evicted]++
+	victim.remove()
+	victim.close()
+	return true
+}
+
+// remove ends the account. The caller must hold the lock of the memory.
+func (a *account) remove() {
+	m := a.memory
+	if !m.accounts[a] {
+		return
+	}
+	delete(m.accounts, a)
+	a.leaveIdle()
+	m.used -= a.fixed + a.requests
+	m.requests -= a.requests
+	a.caller.requests -= a.requests
+	if a.condemned {
+		m.condemned -= a.fixed + a.requests
+	}
+	a.requests = 0
+	if a.caller.connections--; a.caller.connections == 0 {
+		delete(m.callers, a.addr)
+	}
+}
+
+func (a *account) leaveIdle() {
+	if a.idle != nil {
+		a.memory.idle.Remove(a.idle)
+		a.idle = nil
+	}
+}
+
+// end releases everything that the connection holds.
+func (a *account) end() {
+	a.memory.mu.Lock()
+	defer a.memory.mu.Unlock()
+	a.remove()
+}
+
+// reserve reserves bytes for a request. The connection then counts as busy.
+func (a *account) reserve(n int) Refusal {
+	m := a.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accounts[a] {
+		return NoConnection
+	}
+	if r := a.admit(n); r != Granted {
+		m.refused[r]++
+		return r
+	}
+	a.leaveIdle()
+	a.add(n)
+	return Granted
+}
+
+func (a *account) admit(n int) Refusal {
+	m := a.memory
+	limit, free := m.config.Limit, m.config.Limit-m.used
+	switch {
+	case limit == 0:
+		return Granted
+	case n > limit/soleShare:
+		return RequestTooCostly
+	case a.requests == 0 && m.requests+n <= limit/soleShare && n <= free:
+		return Granted
+	case (a.requests+n)*connectionShare > free:
+		return ConnectionAtLimit
+	case a.caller.requests+n > callerShare*free:
+		return CallerAtLimit
+	default:
+		return Granted
+	}
+}
+
+func (a *account) add(n int) {
+	a.memory.used += n
+	a.memory.requests += n
+	a.caller.requests += n
+	a.requests += n
+	if a.condemned {
+		a.memory.condemned += n
+	}
+}
+
+// charge adds bytes that can't be refused, such as those of a response. If that exceeds
+// the limit by too much, the connections that hold most are closed.
+func (a *account) charge(n int) {
+	m := a.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accounts[a] {
+		return
+	}
+	a.leaveIdle()
+	a.add(n)
+	limit := m.config.Limit
+	for limit > 0 && m.used-m.condemned > limit+limit/overcommitShare {
+		if !m.condemnLargest() {
+			return
+		}
+	}
+}
+
+// condemnLargest closes the connection whose requests hold most. Its bytes stay in use
+// until it has ended.
+func (m *Memory) condemnLargest() bool {
+	var largest *account
+	for a := range m.accounts {
+		if !a.condemned && (largest == nil || a.requests > largest.requests) {
+			largest = a
+		}
+	}
+	if largest == nil || largest.requests == 0 {
+		return false
+	}
+	largest.condemned = true
+	m.condemned += largest.fixed + largest.requests
+	m.refused[Aborted]++
+	largest.close()
+	return true
+}
+
+// release returns bytes of reserve or charge. The connection counts as idle from when
+// it holds none.
+func (a *account) release(n int) {
+	m := a.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accounts[a] {
+		return
+	}
+	a.add(-n)
+	if a.requests == 0 && a.idle == nil && !a.condemned {
+		a.idle = m.idle.PushBack(a)
+	}
+}
--- a/internal/connection/response.go
+++ b/internal/connection/response.go
@@ -30,6 +30,7 @@
 	streaming   bool // the header has been written
 	chunked     bool
 	aborted     bool
+	charged     int           // bytes that the request and its response hold in the account
 	requestBody *streamedBody // streamed body of the request; nil if there is none or it was read before the handler ran
 
 	previous <-chan struct{} // closed when the previous response was written or aborted
@@ -87,6 +88,7 @@
 // startStreaming waits until the previous response was written, then writes the
 // header and the buffered part of the body.
 func (w *response) startStreaming() error {
+	w.charge(streamCost)
 	<-w.previous
 	w.streaming = true
 	if _, known := w.header["Content-Length"]; !known {
@@ -182,8 +184,11 @@
 // finish writes the rest of the response when the handler has returned, and lets
 // the next response be written.
 func (w *response) finish() {
-	defer w.conn.responseDone()
+	defer w.conn.responseDone(w)
 	defer close(w.done)
+	if !w.streaming {
+		w.charge(w.cost())
+	}
 	<-w.previous
 	if w.aborted {
 		w.conn.abort()
@@ -199,6 +204,29 @@
 	}
 }
 
+// charge adds bytes that the response holds until it was written. They can't be
+// refused, because the call has run.
+func (w *response) charge(n int) {
+	if n > 0 {
+		w.charged += n
+		w.conn.account.charge(n)
+	}
+}
+
+// cost returns the bytes that a complete response holds beyond those of its request:
+// the body as received, as buffered here and as encoded. A response with few headers
+// and a short body is part of requestCost.
+func (w *response) cost() int {
+	n := 3 * w.body.Len()
+	if len(w.header) > usualFields {
+		n += fieldsCost(w.header)
+	}
+	if n <= usualResponse {
+		return 0
+	}
+	return n
+}
+
 // writeRemaining writes what is not written yet: the whole response, or the end of a
 // chunked body.
 func (w *response) writeRemaining() error {
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -40,6 +40,13 @@
 	Limits  func() Limits // nil uses DefaultLimits
 	TLS     *tls.Config   // nil disables TLS
 	Log     *zap.Logger   // nil disables logging
+	// Memory bounds what the connections and their requests hold. Servers of a
+	// process share it. Nil sets no limit.
+	Memory *Memory
+	// Refuse writes the response to a request that Memory refused. The request has
+	// not reached Handler, and its connection ends with the response. Nil writes
+	// RefusalStatus and Retry-After.
+	Refuse func(w http.ResponseWriter, r Refusal)
 }
 
 // Server serves HTTP/1.1 connections.
@@ -62,6 +69,12 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
+	if c.Memory == nil {
+		c.Memory = NewMemory(MemoryConfig{})
+	}
+	if c.Refuse == nil {
+		c.Refuse = writeRefusal
+	}
 	return &Server{config: c, listeners: make(map[net.Listener]bool), conns: make(map[*conn]bool)}
 }
 
@@ -104,9 +117,14 @@
 
 func (s *Server) addConn(raw net.Conn) {
 	c := newConn(s, raw)
+	if !c.openAccount() {
+		_ = raw.Close()
+		return
+	}
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
+		c.account.end()
 		_ = raw.Close()
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -128,6 +128,8 @@
 	timeline         *timeline.Ring
 	pool             *pool.Pool
 	gate             *gate.Gate
+	memory           *connection.Memory // of callers' requests
+	descriptors      int                // that the process may have open
 	claims           *claim.Claims
 	routing          routingState
 	regions          regionTable
@@ -189,6 +191,8 @@
 		FleetRetryBudget: pool.FleetRetryBudget{Ratio: s.RetryRatio, ExtraRetries: s.RetryExtra, Window: s.RetryWindow},
 		OnEject:          func(id backend.ServerID, t time.Duration) { d.callEvent(proxy.EjectedEvent(id, t)) },
 	})
+	d.descriptors = descriptorLimit(s.FileDescriptors)
+	d.memory = d.limitMemory()
 	d.claims = claim.New(claim.Config{Table: d.platform, Retention: s.OutcomeRetention})
 	d.acceptor = submission.New(submission.Config{Platform: d.platform, Retention: s.OutcomeRetention, CachedVersion: d.retained.get, NewestVersion: d.retained.newest})
 	d.metrics = newDaemonMetrics(set, d)
@@ -280,20 +284,21 @@
 		},
 	})
 	d.loop.adopt = d.announcements.Restore
-	operatorServer := &http.Server{Handler: api, ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 30 * time.Second}
+	operatorServer := newControlServer(api)
+	operatorServer.WriteTimeout = 30 * time.Second
 	if s.OperatorTLS {
 		operatorServer.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: d.serverTLS.GetCertificate, Certificates: d.serverTLS.Certificates}
 	}
 	d.servers = []*server{
-		{name: "call-address", calls: proxy.NewEntryServer(proxy.ServerConfig{Handler: proxy.NewEntry(calls), Limits: d.callerLimits, Log: d.log.Named("call")})},
-		{name: "gate-address", calls: proxy.NewGateServer(proxy.ServerConfig{Handler: proxy.NewGate(calls), Log: d.log.Named("gate")}, gateTLS)},
-		{name: "announce-address", control: &http.Server{Handler: d.announcementHandler(), ReadHeaderTimeout: 5 * time.Second}},
+		{name: "call-address", calls: proxy.NewEntryServer(proxy.ServerConfig{Handler: proxy.NewEntry(calls), Limits: d.callerLimits, Log: d.log.Named("call"), Memory: d.memory})},
+		{name: "gate-address", calls: proxy.NewGateServer(proxy.ServerConfig{Handler: proxy.NewGate(calls), Log: d.log.Named("gate"), Memory: d.memory}, gateTLS)},
+		{name: "announce-address", control: newControlServer(d.announcementHandler())},
 		{name: "operator-address", control: operatorServer},
-		{name: "metrics-address", control: &http.Server{Handler: d.metricsHandler(set), ReadHeaderTimeout: 5 * time.Second}},
+		{name: "metrics-address", control: newControlServer(d.metricsHandler(set))},
 	}
 	addresses := []netip.AddrPort{s.CallAddress, s.GateAddress, s.AnnounceAddress, s.OperatorAddress, s.MetricsAddress}
 	if s.ReadyAddress.IsValid() {
-		d.servers = append(d.servers, &server{name: "ready-address", control: &http.Server{Handler: d.readiness(), ReadHeaderTimeout: 5 * time.Second}})
+		d.servers = append(d.servers, &server{name: "ready-address", control: newControlServer(d.readiness())})
 		addresses = append(addresses, s.ReadyAddress)
 	}
 	for i, srv := range d.servers {
@@ -304,6 +309,7 @@
 		if srv.control == nil {
 			continue
 		}
+		srv.listener = newLimitedListener(srv.listener, controlConnections(d.descriptors))
 		srv.control.ErrorLog = stdlog.New(httpLogWriter{d.log.Named("http")}, "", 0)
 	}
 	return nil
--- /dev/null
+++ b/internal/daemon/memory.go
@@ -0,0 +1,168 @@
+package daemon
+
+import (
+	"math"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/peridotlb/peridotlb/internal/connection"
+)
+
+// Shares of the memory of the process. For a host with 184 MB they give a soft limit
+// of 120 MB and 67 MB for requests.
+const (
+	// softMemoryShare is the share of the memory that the Go runtime may use before it
+	// collects garbage more often. The rest is the program's own pages, which the
+	// runtime does not count, and what the runtime exceeds its limit by.
+	softMemoryShare = 0.65
+	// baseMemory is what the runtime uses without calls, in bytes.
+	baseMemory = 24e6
+	// requestsShare is the share of the rest for live memory of requests. What is left
+	// is garbage that is not collected yet.
+	requestsShare = 0.7
+)
+
+const (
+	// reservedDescriptors are kept for files, listeners and the store.
+	reservedDescriptors = 200
+	// minDescriptors is the smallest number of descriptors that leaves some for
+	// callers.
+	minDescriptors = 256
+	// outgoingShare is the divisor of the descriptors that are kept for connections to
+	// backend servers and gates, and for the control listeners.
+	outgoingShare = 16
+)
+
+// softMemoryLimit returns the soft memory limit of the runtime in bytes.
+func softMemoryLimit(memoryMB float64) int64 { return int64(memoryMB * 1e6 * softMemoryShare) }
+
+// requestsMemory returns the bytes that connections and requests of callers may hold.
+func requestsMemory(memoryMB, explicitMB float64) int {
+	if explicitMB > 0 {
+		return int(explicitMB * 1e6)
+	}
+	return int((float64(softMemoryLimit(memoryMB)) - baseMemory) * requestsShare)
+}
+
+// descriptorLimit returns the number of descriptors that the process may open.
+func descriptorLimit(setting int) int {
+	limit := math.MaxInt32
+	var r syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil {
+		limit = int(min(r.Cur, math.MaxInt32))
+	}
+	if setting > 0 {
+		limit = min(limit, setting)
+	}
+	return max(limit, minDescriptors)
+}
+
+// callConnections returns the number of connections that the entry and the gate accept.
+func callConnections(descriptors int) int {
+	return max(descriptors-reservedDescriptors-descriptors/outgoingShare, minDescriptors/outgoingShare)
+}
+
+// limitMemory sets the soft memory limit of the runtime and returns the accounting for
+// callers' requests. A lower limit from the environment remains.
+func (d *Daemon) limitMemory() *connection.Memory {
+	s := d.settings
+	if soft := softMemoryLimit(s.MemoryMB); soft < debug.SetMemoryLimit(-1) {
+		debug.SetMemoryLimit(soft)
+	}
+	c := connection.MemoryConfig{Limit: requestsMemory(s.MemoryMB, s.RequestsMemoryMB), Connections: callConnections(d.descriptors)}
+	d.log.Info("Limited the memory of callers' requests.", zap.Int("limit-bytes", c.Limit), zap.Int("connections", c.Connections), zap.Int64("soft-limit-bytes", debug.SetMemoryLimit(-1)))
+	return connection.NewMemory(c)
+}
+
+func addMemoryMetrics(set *metrics.Set, m *connection.Memory) {
+	set.NewGauge("peridotlb_request_memory_bytes", func() float64 { return float64(m.Use().Used) })
+	set.NewGauge("peridotlb_request_memory_limit_bytes", func() float64 { return float64(m.Use().Limit) })
+	set.NewGauge("peridotlb_call_connections", func() float64 { return float64(m.Use().Connections) })
+	for _, r := range connection.Refusals() {
+		set.NewGauge(`peridotlb_request_memory_refused_total{reason="`+string(r)+`"}`, func() float64 { return float64(m.Refused(r)) })
+	}
+}
+
+// Limits of the listeners for announcements, readiness, operators and metrics.
+const (
+	controlHeaderBytes   = 4 << 10
+	controlHeaderTimeout = 5 * time.Second
+	controlReadTimeout   = 30 * time.Second
+	controlIdleTimeout   = 2 * time.Minute
+	// controlShare is the divisor of the descriptors that one control listener may use.
+	controlShare = 32
+	// maxControlConnections bounds the memory of their headers to about 20 MB.
+	maxControlConnections = 64
+)
+
+func controlConnections(descriptors int) int {
+	return max(4, min(descriptors/controlShare, maxControlConnections))
+}
+
+func newControlServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, MaxHeaderBytes: controlHeaderBytes, ReadHeaderTimeout: controlHeaderTimeout,
+		ReadTimeout: controlReadTimeout, IdleTimeout: controlIdleTimeout,
+	}
+}
+
+// limitedListener bounds the open connections of a listener. Beyond the limit it closes
+// the oldest one, so that connections that do nothing can't keep others out.
+type limitedListener struct {
+	net.Listener
+	limit int
+
+	mu   sync.Mutex
+	open []*limitedConn // the oldest first
+}
+
+// limitedConn is a connection of a limitedListener.
+type limitedConn struct {
+	net.Conn
+	listener *limitedListener
+}
+
+func newLimitedListener(l net.Listener, limit int) *limitedListener {
+	return &limitedListener{Listener: l, limit: limit}
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &limitedConn{Conn: raw, listener: l}
+	l.mu.Lock()
+	var oldest *limitedConn
+	if len(l.open) >= l.limit {
+		oldest = l.open[0]
+	}
+	l.open = append(l.open, c)
+	l.mu.Unlock()
+	if oldest != nil {
+		_ = oldest.Close()
+	}
+	return c, nil
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	l := c.listener
+	l.mu.Lock()
+	for i, other := range l.open {
+		if other == c {
+			l.open = append(l.open[:i], l.open[i+1:]...)
+			break
+		}
+	}
+	l.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -86,6 +86,7 @@
 		}
 		return time.Until(c.Leaf.NotAfter).Seconds()
 	})
+	addMemoryMetrics(set, d.memory)
 	m := &daemonMetrics{
 		applied:             set.NewGauge("peridotlb_version_applied", nil),
 		applyDelay:          set.NewGauge("peridotlb_version_apply_delay_seconds", nil),
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -57,6 +57,9 @@
 	// reasonGateUnreachable means that the entry could not connect to the gate.
 	reasonGateUnreachable = "gate-unreachable"
 	reasonStopping        = "daemon-stopping"
+	// reasonMemory means that the requests of callers hold too much memory of the
+	// daemon that refused the call. It is decided before the header is parsed.
+	reasonMemory = "request-memory"
 )
 
 func (f *failure) statusCode() int {
@@ -87,7 +90,9 @@
 func (f *failure) write(w http.ResponseWriter, callID string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h[HeaderCallID] = []string{callID}
+	if callID != "" {
+		h[HeaderCallID] = []string{callID}
+	}
 	if f.notRun {
 		h.Set(HeaderNotRun, "true")
 	} else if f.status == 0 || f.status == http.StatusConflict {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -115,6 +115,9 @@
 	case reason == reasonNoVersion:
 		reply.close()
 		return nil, noVersionFailure()
+	case reason == reasonMemory:
+		reply.close()
+		return nil, gateFailure(reason, h)
 	case err != nil:
 		return nil, responseFailure(ctx, err)
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -14,11 +15,12 @@
 	Handler http.Handler
 	Limits  func() connection.Limits // of NewEntryServer; nil uses the defaults. NewGateServer ignores it.
 	Log     *zap.Logger
+	Memory  *connection.Memory // shared by the entry and the gate; nil sets no limit
 }
 
 // NewEntryServer returns a server for callers.
 func NewEntryServer(c ServerConfig) *connection.Server {
-	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: c.Limits, Log: c.Log})
+	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: c.Limits, Log: c.Log, Memory: c.Memory, Refuse: refuseForMemory})
 }
 
 // NewGateServer returns a server for calls from other daemons. The TLS
@@ -33,5 +35,30 @@
 		l.IdleTimeout = 2 * gateIdleTimeout
 		return l
 	}
-	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: limits, TLS: t, Log: c.Log})
+	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: limits, TLS: t, Log: c.Log, Memory: c.Memory, Refuse: refuseGateCallForMemory})
+}
+
+// memoryRetryAfter is when callers should repeat a request that was refused for lack of
+// memory. Queued calls, which hold most of it, end within about this time.
+const memoryRetryAfter = time.Second
+
+// refuseForMemory writes the response to a request for which no memory was reserved.
+func refuseForMemory(w http.ResponseWriter, r connection.Refusal) {
+	f := &failure{reason: reasonMemory, status: connection.RefusalStatus(r), notRun: true, retryAfter: memoryRetryAfter}
+	if r == connection.RequestTooCostly {
+		f.hint = "the header has too many lines for the memory of this host"
+	}
+	f.write(w, "")
+}
+
+// refuseGateCallForMemory also names the reason, by which the entry recognizes the
+// refusal. It has no call id, because the header was not parsed.
+func refuseGateCallForMemory(w http.ResponseWriter, r connection.Refusal) {
+	w.Header()[HeaderReason] = []string{reasonMemory}
+	refuseForMemory(w, r)
+}
+
+// isMemoryRefusal reports whether a response is one of refuseGateCallForMemory.
+func isMemoryRefusal(h http.Header) bool {
+	return h.Get(HeaderReason) == reasonMemory && h.Get(HeaderNotRun) == "true" && h.Get(HeaderCallID) == ""
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,9 @@
 	SettingsFile     string
 	Cores            float64 // processor cores that the daemon may use
 	LinkMbps         float64 // rate of the host's link, Mbit/s
+	MemoryMB         float64 // memory that the process may use
+	RequestsMemoryMB float64 // memory that callers' requests may hold; 0 derives it from MemoryMB
+	FileDescriptors  int     // open descriptors of the process; 0 for its own limit
 
 	ControlAddress  netip.AddrPort // QUIC between daemons
 	GateAddress     netip.AddrPort // TLS, calls from other daemons
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -53,6 +53,9 @@
 		textSetting("caller-service", "Service whose backend server makes calls through this daemon. It is sent to the called backend servers.", func(d *Daemon) *string { return &d.CallerService }),
 		numberSetting("cores", "1", 0.01, 1024, "Processor cores that this daemon may use. Hosts with more cores and faster links are chosen first for work for other hosts.", func(d *Daemon) *float64 { return &d.Cores }),
 		numberSetting("link-mbps", "1000", 0.1, 1e6, "Rate of this host's link in Mbit/s.", func(d *Daemon) *float64 { return &d.LinkMbps }),
+		numberSetting("memory-mb", "256", 64, 1e6, "Memory in MB that this process may use. The soft memory limit of the Go runtime and the memory of callers' requests are derived from it.", func(d *Daemon) *float64 { return &d.MemoryMB }),
+		numberSetting("requests-memory", "0", 0, 1e6, "Memory in MB that callers' connections and requests may hold. If 0, it is derived from --memory-mb.", func(d *Daemon) *float64 { return &d.RequestsMemoryMB }),
+		integerSetting("file-descriptors", "0", "descriptors", 0, 1<<20, "File descriptors that this process may have open. If 0, the limit of the process. Values below 256 count as 256.", func(d *Daemon) *int { return &d.FileDescriptors }),
 		textSetting("settings-file", "File with further settings. Each line has a name and a value. Flags and the environment take precedence.", func(d *Daemon) *string { return &d.SettingsFile }),
 	}
 }
