--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,9 @@
 	LinkMbps         float64 // rate of the host's link, Mbit/s
 	RankNestedCalls  bool    // calls of the backend servers of this host get the priority of the requests that they run
 	LearnedCapacity  bool    // learn how many concurrent calls each backend server handles well
+	MemoryMB         float64 // memory that the process may use
+	RequestsMemoryMB float64 // memory that callers' requests may hold; 0 derives it from MemoryMB
+	FileDescriptors  int     // open descriptors of the process; 0 for its own limit
 
 	ControlAddress  netip.AddrPort // QUIC between daemons
 	GateAddress     netip.AddrPort // TLS, calls from other daemons
