Don't quote unreadable requests in the log

The parser quotes a header line that it can't read in its error, and the listener logged that error. A line such as 'Authorization Bearer KEY', without the colon, put the key of a caller into the log. The log now has the text up to the first colon or quotation mark.

TestRejectedRequestIsNotQuoted found the key in the log before and passes now.

--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -224,7 +225,7 @@
 		c.cancel()
 		return
 	}
-	c.server.config.Log.Info("Rejected a request that could not be read.", zap.Int("status", status), zap.Error(err), zap.Stringer("client", c.raw.RemoteAddr()))
+	c.server.config.Log.Info("Rejected a request that could not be read.", zap.Int("status", status), zap.String("error", withoutQuotation(err)), zap.Stringer("client", c.raw.RemoteAddr()))
 	w := c.enqueueResponse(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Close: true})
 	if w != nil {
 		w.WriteHeader(status)
@@ -234,6 +235,21 @@
 	}
 }
 
+// withoutQuotation returns the text of an error of reading a request up to the first
+// colon or quotation mark. The parser quotes lines that it can't read, and such a line
+// can hold the key of a caller.
+func withoutQuotation(err error) string {
+	var e net.Error
+	if errors.Is(err, errHeaderTooLarge) || errors.Is(err, ErrBodyTooLarge) || errors.As(err, &e) {
+		return err.Error()
+	}
+	text := err.Error()
+	if i := strings.IndexAny(text, `:"`); i >= 0 {
+		text = text[:i]
+	}
+	return strings.TrimSpace(text)
+}
+
 // dispatch runs a request. It returns false if the connection ends with it.
 func (c *conn) dispatch(r *http.Request, body *streamedBody) bool {
 	w := c.enqueueResponse(r)
--- a/internal/connection/server_test.go
+++ b/internal/connection/server_test.go
@@ -12,6 +12,10 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/peridotlb/peridotlb/internal/connection"
 )
 
@@ -359,3 +363,34 @@
 		}
 	}
 }
+
+// Guards against a log line that holds a key, when the line of a request that the
+// parser quotes in its error is an Authorization header.
+func TestRejectedRequestIsNotQuoted(t *testing.T) {
+	core, logs := observer.New(zapcore.DebugLevel)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := connection.NewServer(connection.ServerConfig{Limits: connection.DefaultLimits, Log: zap.New(core)})
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	for _, text := range []string{
+		"GET / HTTP/1.1\r\nHost: a\r\nAuthorization Bearer k3y\r\n\r\n",
+		"GET / HTTP/1.1\r\n Authorization: Bearer k3y\r\n\r\n",
+		"GET / HTTP/k3y\r\nHost: a\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: k3y\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: k3y\r\n\r\n",
+	} {
+		c := newRawClient(t, l.Addr().String())
+		c.send(text)
+		if r, _ := c.receive(); r.StatusCode != http.StatusBadRequest {
+			t.Errorf("%q: got %d, want 400", text, r.StatusCode)
+		}
+	}
+	s.Close()
+	<-done
+	if got := fmt.Sprint(logs.All()); logs.Len() == 0 || strings.Contains(got, "k3y") {
+		t.Errorf("got log %s, want lines without the key", got)
+	}
+}
