Authenticate calls by the keys of organisations

With organisations in the version, the entry answers calls without exactly one known key with 401 before it reads the body, unless their route is public. The digests of the keys are a part of the routing table, so that routes and keys of a version change together. A caller can't set the name. The priority of the organisation replaces that of the route. A daemon without a version passes the key to the daemon that it forwards the call to, over the gate listener only, and that one checks it. Idempotency keys of organisations are separate.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -31,6 +31,9 @@
 	Length int64 // of the whole body; -1 uses chunked encoding
 	// Trailer is sent after a chunked body.
 	Trailer http.Header
+	// Withheld has the names of trailers that are not sent. Trailer itself is filled
+	// while the body is read.
+	Withheld map[string]bool
 }
 
 // Rest is the rest of the body of a request.
@@ -342,7 +345,7 @@
 		}
 	}
 	if chunks != nil {
-		return chunks.end(m.Trailer)
+		return chunks.end(m.Trailer, m.Withheld)
 	}
 	return nil
 }
--- a/internal/connection/message.go
+++ b/internal/connection/message.go
@@ -28,7 +28,9 @@
 	case m.Length < 0:
 		b.WriteString("Transfer-Encoding: chunked\r\n")
 		for name := range m.Trailer {
-			b.WriteString("Trailer: " + name + "\r\n")
+			if !m.Withheld[name] {
+				b.WriteString("Trailer: " + name + "\r\n")
+			}
 		}
 	case m.Length > 0 || m.Method != http.MethodGet && m.Method != http.MethodHead:
 		b.WriteString("Content-Length: ")
@@ -56,11 +58,11 @@
 	return len(p), nil
 }
 
-// end writes the final chunk and the trailer.
-func (w *chunkWriter) end(trailer http.Header) error {
+// end writes the final chunk and the trailer, except the withheld names.
+func (w *chunkWriter) end(trailer http.Header, withheld map[string]bool) error {
 	var b bytes.Buffer
 	b.WriteString("0\r\n")
-	_ = trailer.Write(&b) // writing to a buffer cannot fail
+	_ = trailer.WriteSubset(&b, withheld) // writing to a buffer cannot fail
 	b.WriteString("\r\n")
 	_, err := w.to.Write(b.Bytes())
 	return err
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -20,7 +20,8 @@
 	method        string
 	requestTarget string // path and query as received
 	host          string
-	header        http.Header // end-to-end headers
+	header        http.Header     // end-to-end headers
+	withheld      map[string]bool // names of trailers that are not passed on
 	body          *body
 	deadline      time.Time
 }
@@ -50,6 +51,7 @@
 func (c *call) buildMessage(fields ...connection.Field) *connection.Message {
 	m := &connection.Message{Method: c.method, Target: c.requestTarget, Authority: c.host, Header: c.header, Fields: fields}
 	c.body.attach(m)
+	m.Withheld = c.withheld
 	return m
 }
 
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -19,6 +19,8 @@
 	Caller    string // service of the host on which the call originated
 	Limit     string // calls per second that the responding server accepts from all daemons together
 	Leaving   string // "1" in the responses of a server that is about to end
+	// Organisation names the organisation of a call to servers. Only the entry sets it.
+	Organisation string
 	// CloseDelimited accepts responses of backend servers that have no length and
 	// end when the server closes the connection. Truncated responses must then end
 	// with a reset. Otherwise such responses are rejected, because truncation could
@@ -42,6 +44,15 @@
 	return d.TimeoutMS
 }
 
+// organisationHeader returns the name of the header that names the organisation of a
+// call.
+func (d Dialect) organisationHeader() string {
+	if d.Organisation == "" {
+		return HeaderOrganisation
+	}
+	return d.Organisation
+}
+
 // serverFields returns the additional header fields of a request to a backend
 // server.
 func (d Dialect) serverFields(server string, remaining time.Duration) []connection.Field {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -46,6 +46,10 @@
 		return
 	}
 	match, f := matchRoute(table, r)
+	customer, refusal := authenticate(table, match, r)
+	if refusal != nil {
+		f = refusal
+	}
 	if f != nil {
 		e.writeFailure(w, id, f)
 		return
@@ -57,13 +61,14 @@
 		return
 	}
 	c := newCall(r, id, start.Add(timeout))
+	e.identify(c, table, customer)
 	if c.body, f = e.readBody(w, r, timeout); f != nil {
 		e.writeFailure(w, id, f)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	x := &exchange{entry: e, call: c, match: match, start: start, shortTimeout: shortTimeout}
+	x := &exchange{entry: e, call: c, match: match, organisation: customer, priority: priorityOf(match, customer), start: start, shortTimeout: shortTimeout}
 	if match.Route.Target > 0 {
 		x.targetTime = start.Add(match.Route.Target)
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/connection"
+	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/pool"
 	"github.com/peridotlb/peridotlb/internal/route"
@@ -40,6 +41,8 @@
 	entry        *entryHandler
 	call         *call
 	match        route.Match
+	organisation *document.Organisation // nil if the call has none
+	priority     uint8
 	start        time.Time
 	targetTime   time.Time // until which a response meets the latency target; zero if there is none
 	shortTimeout bool      // the caller's timeout is shorter than the route's
@@ -109,7 +112,7 @@
 func (x *exchange) chooseServer(last *failure) (*pool.Choice, error) {
 	p := x.entry.config.Pool
 	c := pool.Call{
-		Service: x.match.Service.Name, Route: x.match.Route.Name, TimeToDeadline: x.remaining(), Priority: x.match.Route.Priority,
+		Service: x.match.Service.Name, Route: x.match.Route.Name, TimeToDeadline: x.remaining(), Priority: x.priority,
 		AtMostOnce: !x.match.Route.Idempotent(), AlreadyCounted: len(x.tried)+x.gateRefusals > 0,
 		WaitForSlot: x.allFull,
 	}
@@ -258,7 +261,7 @@
 	if x.remaining() <= 0 {
 		return gateResult{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
 	}
-	q := gate.Call{Priority: x.match.Route.Priority, Target: x.targetTime, ExpectedRunTime: choice.ExpectedRunTime, MaxWait: choice.MaxWait, Notice: choice.Notice}
+	q := gate.Call{Priority: x.priority, Target: x.targetTime, ExpectedRunTime: choice.ExpectedRunTime, MaxWait: choice.MaxWait, Notice: choice.Notice}
 	if choice.Local {
 		return x.entry.gate.handleCall(ctx, x.call, choice.Server.ID, q)
 	}
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -57,6 +57,8 @@
 	// reasonGateUnreachable means that the entry could not connect to the gate.
 	reasonGateUnreachable = "gate-unreachable"
 	reasonStopping        = "daemon-stopping"
+	// reasonUnauthorised means that the call needs a key and has no valid one.
+	reasonUnauthorised = "unauthorised"
 )
 
 func (f *failure) statusCode() int {
@@ -99,6 +101,9 @@
 		after := min(max(f.retryAfter, minRetryAfter), maxRetryAfter)
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
+	if f.statusCode() == http.StatusUnauthorized {
+		h.Set(headerAuthenticate, "Bearer")
+	}
 	if f.noRetry {
 		h.Set(HeaderNoRetry, "true")
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -50,6 +50,12 @@
 		// The caller may have listed the key as a hop-by-hop header.
 		c.header[headerIdempotencyKey] = keys
 	}
+	// The other daemon checks the key of the call. The caller may have listed the
+	// header as a hop-by-hop header, and may not name an organisation itself.
+	delete(c.header, e.config.Dialect.organisationHeader())
+	if credentials := r.Header.Values(headerAuthorization); len(credentials) > 0 {
+		c.header[headerAuthorization] = credentials
+	}
 	c.header[HeaderForwarded] = []string{"true"}
 	if c.body, f = e.readBody(w, r, timeout); f != nil {
 		e.writeFailure(w, id, f)
--- /dev/null
+++ b/internal/proxy/organisation.go
@@ -0,0 +1,50 @@
+package proxy
+
+import (
+	"net/http"
+
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/route"
+)
+
+// authenticate returns the organisation of a call, or nil if the call needs none: if the
+// version has no organisations, or the route is public. A call without a route is not
+// public.
+func authenticate(table *route.Table, m route.Match, r *http.Request) (*document.Organisation, *failure) {
+	directory := table.Organisations()
+	if directory == nil || m.Route != nil && m.Route.Public {
+		return nil, nil
+	}
+	o, err := directory.Authenticate(r.Header[headerAuthorization])
+	if err != nil {
+		return nil, &failure{reason: reasonUnauthorised, status: http.StatusUnauthorized, notRun: true, hint: err.Error()}
+	}
+	return o, nil
+}
+
+// identify sets the header that names the organisation of a call, and removes the key.
+// It also applies to trailers, which backend servers may merge into the header.
+func (e *entryHandler) identify(c *call, table *route.Table, customer *document.Organisation) {
+	name := e.config.Dialect.organisationHeader()
+	c.withheld = map[string]bool{name: true}
+	delete(c.header, name)
+	directory := table.Organisations()
+	if directory == nil {
+		return
+	}
+	c.withheld[headerAuthorization] = true
+	if customer != nil {
+		c.header[name] = []string{string(customer.Name)}
+	}
+	if customer != nil || directory.HoldsKey(c.header[headerAuthorization]) {
+		delete(c.header, headerAuthorization)
+	}
+}
+
+// priorityOf returns the priority of a call: that of its organisation, if it has one.
+func priorityOf(m route.Match, customer *document.Organisation) uint8 {
+	if customer != nil && customer.Priority != nil {
+		return *customer.Priority
+	}
+	return m.Route.Priority
+}
--- a/internal/proxy/paid.go
+++ b/internal/proxy/paid.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"maps"
 	"net/http"
@@ -63,6 +65,15 @@
 	if x.entry.config.Claims == nil {
 		return nil, unconfirmed(errors.New("no claim store is configured")), nil
 	}
+	if x.organisation != nil {
+		// Organisations that choose the same key must not get each other's responses.
+		prefix := string(x.organisation.Name) + "/"
+		if len(prefix)+len(key) > maxKeyBytes {
+			digest := sha256.Sum256([]byte(key))
+			key = hex.EncodeToString(digest[:])
+		}
+		key = prefix + key
+	}
 	d, err := x.entry.config.Claims.Take(ctx, claim.Key{Route: x.match.Route.Name, Value: key}, x.fingerprint())
 	if err != nil {
 		return nil, unconfirmed(err), nil
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -42,10 +42,14 @@
 	HeaderNoticedLimit = "Peridotlb-Noticed-Limit"
 	// HeaderLeaving is "1" in the responses of a backend server that is about to end.
 	HeaderLeaving = "Peridotlb-Leaving"
+	// HeaderOrganisation names the organisation of a call to its backend server.
+	HeaderOrganisation = "Peridotlb-Organisation"
 	// HeaderServerUS is the time that the backend server took, in microseconds.
 	HeaderServerUS = "Peridotlb-Server-Us"
 
 	headerIdempotencyKey = "Idempotency-Key"
+	headerAuthorization  = "Authorization"
+	headerAuthenticate   = "Www-Authenticate"
 )
 
 // bufferLimit is the size in bytes up to which request and response bodies are
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -29,11 +29,12 @@
 
 // mesh is an entry on host "entry" and one host with a gate per backend server.
 type mesh struct {
-	t       testing.TB
-	service document.Service
-	routes  []document.Route
-	claims  Claims
-	local   bool // the servers are on the host of the entry
+	t             testing.TB
+	service       document.Service
+	routes        []document.Route
+	organisations []document.Organisation
+	claims        Claims
+	local         bool // the servers are on the host of the entry
 	// serveGate serves the gate of another host; nil uses net/http, which reads a
 	// request to its end before it responds.
 	serveGate func(http.Handler) netip.AddrPort
@@ -101,7 +102,7 @@
 // servers.
 func (m *mesh) startRows(rows []backend.Server, gates map[backend.ServerID]netip.AddrPort) *mesh {
 	services := m.services()
-	table := route.FromDocument(1, document.Document{Sections: []document.Section{{Name: "s", Services: services, Routes: m.routes}}})
+	table := route.FromDocument(1, document.Document{Sections: []document.Section{{Name: "s", Services: services, Routes: m.routes, Organisations: m.organisations}}})
 	m.pool = pool.New(pool.Config{Self: "entry", Zone: "a", Region: "r", Now: m.now})
 	base := Config{Transports: m.transports, Routes: func() *route.Table { return table }, Claims: m.claims, Events: m.recordEvent, Now: m.now, Dialect: m.dialect, Log: m.log}
 	hosts := []host.Row{{ID: "entry", Zone: "a", Region: "r"}}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,6 +9,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/organisation"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
@@ -25,6 +26,7 @@
 	firstEntry    map[prefixKey]int32 // index of the first entry of a key, plus one
 	entries       []entry
 	longestPrefix int // length of the longest prefix in bytes
+	organisations *organisation.Directory
 }
 
 // prefixKey is the key of the routes with a path prefix: the Host header, or empty
@@ -57,7 +59,7 @@
 	for i := range d.Sections {
 		routes += len(d.Sections[i].Routes)
 	}
-	t := &Table{number: number, firstEntry: make(map[prefixKey]int32, routes), entries: make([]entry, 0, routes)}
+	t := &Table{number: number, organisations: organisation.New(d), firstEntry: make(map[prefixKey]int32, routes), entries: make([]entry, 0, routes)}
 	// Entries are added in reverse order, because add prepends to the list: of
 	// several routes with the same prefix, the first in the document is tried first.
 	for i := range slices.Backward(d.Sections) {
@@ -91,6 +93,10 @@
 // Number returns the version that the table was built from.
 func (t *Table) Number() version.Number { return t.number }
 
+// Organisations returns the organisations of the version, or nil if it has none. They
+// are a part of the table so that routes and keys of a version take effect together.
+func (t *Table) Organisations() *organisation.Directory { return t.organisations }
+
 // Match returns the route with the longest matching path prefix that accepts the
 // method. Routes for the authority are preferred to routes for any authority. A
 // prefix matches whole path segments (/stock matches /stock/beads, but not
