Refuse calls over the quota of their organisation

A call begins to run while its token is valid, or is refused as not run by the gate: time in a queue would otherwise move calls of one window into the next. An attempt that can make a call run twice takes a token of its own. Messages of quotas bypass the queue of the fleet core.

--- a/internal/daemon/apply_test.go
+++ b/internal/daemon/apply_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/document"
@@ -39,6 +40,7 @@
 	c := &components{
 		settings: settings.Daemon{HostID: "h"},
 		pool:     pool.New(pool.Config{Self: "h"}), gate: gate.New(gate.Config{Self: "h"}),
+		quotas:  newQuotas(settings.Daemon{HostID: "h"}, time.Now(), metrics.NewSet(), zap.NewNop()),
 		metrics: &daemonMetrics{applied: metrics.NewSet().NewGauge("applied", nil), applyDelay: metrics.NewSet().NewGauge("delay", nil)},
 	}
 	return c, fleet.New(fleet.Config{Self: host.Row{ID: "h", Zone: "a", Region: "r"}, Started: time.Unix(1_800_000_000, 0)})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,6 +131,7 @@
 	claims           *claim.Claims
 	routing          routingState
 	regions          regionTable
+	quotas           *quotas
 	metrics          *daemonMetrics
 	leaving          atomic.Bool
 	shutdownDeadline atomic.Pointer[time.Time] // time at which unfinished calls are canceled; nil until half of the drain timeout has passed
@@ -192,6 +193,7 @@
 	d.claims = claim.New(claim.Config{Table: d.platform, Retention: s.OutcomeRetention})
 	d.acceptor = submission.New(submission.Config{Platform: d.platform, Retention: s.OutcomeRetention, CachedVersion: d.retained.get, NewestVersion: d.retained.newest})
 	d.metrics = newDaemonMetrics(set, d)
+	d.quotas = newQuotas(s, time.Now(), set, d.log.Named("quota"))
 	var err error
 	if d.nat, err = newNAT(s.NAT); err != nil {
 		return fmt.Errorf("setting nat: %w", err)
@@ -250,6 +252,7 @@
 		return fmt.Errorf("open control address %s: %w", s.ControlAddress, err)
 	}
 	d.link = l
+	d.quotas.setSend(l.Send)
 	return nil
 }
 
@@ -262,7 +265,7 @@
 	d.transports = proxy.NewTransports(proxy.TransportConfig{TLS: clientTLS, Translate: d.nat.Outside, Source: s.GateAddress.Addr(), Dialect: d.environment.Dialect})
 	calls := proxy.Config{
 		Self: s.HostID, Routes: func() *route.Table { return d.routing.routes.Load() },
-		Pool: d.pool, Gate: d.gate, Claims: instrumentedClaims{d.claims, d.metrics}, Transports: d.transports,
+		Pool: d.pool, Gate: d.gate, Claims: instrumentedClaims{d.claims, d.metrics}, Quotas: d.quotas, Transports: d.transports,
 		ShutdownDeadline: d.shutdownDeadlineOrZero, Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService,
 	}
 	api, err := operator.New(operator.Config{
@@ -359,6 +362,7 @@
 	group.Go(func() error { d.loop.run(runCtx); return nil })
 	group.Go(func() error { d.announcements.Run(runCtx); return nil })
 	group.Go(func() error { d.transports.Run(runCtx); return nil })
+	group.Go(func() error { d.quotas.run(runCtx); return nil })
 	for _, srv := range d.servers {
 		group.Go(func() error { return srv.serve() })
 	}
@@ -410,6 +414,7 @@
 	defer cancel()
 	time.AfterFunc(d.settings.DrainTimeout/2, func() { d.shutdownDeadline.Store(&end) })
 	sleep(ctx, callerDrainTime)
+	d.quotas.leave()
 	d.loop.post(ctx, fleet.ShutdownRequested{})
 	sleep(ctx, leavePropagationTime)
 	if err := d.gate.DrainAll(ctx); err != nil {
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -56,6 +56,9 @@
 	if l.isCrossRegion(from.Addr()) {
 		l.metrics.lastCrossRegionMessage.Store(time.Now().UnixNano())
 	}
+	if l.quotas.receive(from, m) {
+		return
+	}
 	select {
 	case l.messages <- fleet.MessageReceived{From: from, Message: m}:
 	default:
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -55,6 +55,7 @@
 		r.services = services
 		c.updateRouting(core)
 	}
+	c.quotas.apply(s)
 	r.routes.Store(route.New(s))
 	r.limits.Store(limitsOf(s.Document()))
 	r.snapshot.Store(&s)
@@ -88,6 +89,7 @@
 	services := r.withPrevious()
 	hosts := core.Hosts()
 	c.regions.update(hosts)
+	c.quotas.setHosts(hosts)
 	c.pool.Update(pool.View{Services: services, Hosts: hosts, Servers: servers})
 	var own []backend.Server
 	for _, s := range servers {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -108,11 +108,14 @@
 func (x *exchange) startAttempt(ctx context.Context, choice *pool.Choice) {
 	a := &attempt{choice: choice, start: x.now()}
 	ctx, a.cancel = context.WithCancel(ctx)
+	// An attempt beside another one, or after one that may have run, can make the call
+	// run twice.
+	runsAgain := x.mayHaveRun || len(x.running) > 0
 	x.startedAttempts++
 	x.tried = append(x.tried, choice.Server.ID)
 	x.running = append(x.running, a)
 	go func() {
-		r := attemptResult{gateResult: x.sendAttempt(ctx, choice), attempt: a}
+		r := attemptResult{gateResult: x.sendAttempt(ctx, choice, runsAgain), attempt: a}
 		r.elapsed = x.now().Sub(a.start)
 		x.results <- r
 	}()
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -31,7 +31,7 @@
 	c := &call{id: id, method: r.Method, requestTarget: requestTarget(r), host: r.Host, deadline: deadline}
 	c.header = maps.Clone(r.Header)
 	stripHopByHop(c.header)
-	for _, name := range []string{HeaderTimeoutMS, HeaderNotRun, HeaderOutcome, HeaderLoad, HeaderServer, HeaderQueue, HeaderNoticedLimit, HeaderNoRetry, HeaderReplayed, HeaderReason, HeaderServerUS, HeaderForwarded} {
+	for _, name := range []string{HeaderTimeoutMS, HeaderNotRun, HeaderOutcome, HeaderLoad, HeaderServer, HeaderQueue, HeaderNoticedLimit, HeaderNoRetry, HeaderReplayed, HeaderReason, HeaderServerUS, HeaderForwarded, HeaderRunWithin} {
 		delete(c.header, name)
 	}
 	c.header[HeaderCallID] = []string{id}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -62,13 +62,18 @@
 	}
 	c := newCall(r, id, start.Add(timeout))
 	e.identify(c, table, customer)
+	runBy, f := e.takeToken(r.Context(), customer)
+	if f != nil {
+		e.writeFailure(w, id, f)
+		return
+	}
 	if c.body, f = e.readBody(w, r, timeout); f != nil {
 		e.writeFailure(w, id, f)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	x := &exchange{entry: e, call: c, match: match, organisation: customer, priority: priorityOf(match, customer), start: start, shortTimeout: shortTimeout}
+	x := &exchange{entry: e, call: c, match: match, organisation: customer, priority: priorityOf(match, customer), runBy: runBy, start: start, shortTimeout: shortTimeout}
 	if match.Route.Target > 0 {
 		x.targetTime = start.Add(match.Route.Target)
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -43,6 +43,7 @@
 	match        route.Match
 	organisation *document.Organisation // nil if the call has none
 	priority     uint8
+	runBy        time.Time // the token of the call is valid until then; zero if it needs none
 	start        time.Time
 	targetTime   time.Time // until which a response meets the latency target; zero if there is none
 	shortTimeout bool      // the caller's timeout is shorter than the route's
@@ -219,7 +220,7 @@
 	case f == nil && r.reply.status >= http.StatusInternalServerError:
 		outcome = pool.Failed
 	case f == nil:
-	case f.reason == reasonCallerGone, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
+	case f.reason == reasonCallerGone, f.reason == reasonOverQuota, f.reason == reasonNoToken, f.reason == reasonTokenExpired, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
 		outcome = pool.Abandoned
 	case f.reason == reasonGateUnreachable:
 		outcome = pool.Unreachable
@@ -257,19 +258,26 @@
 
 // sendAttempt sends the call to one server, through the local gate or that of
 // another host.
-func (x *exchange) sendAttempt(ctx context.Context, choice *pool.Choice) gateResult {
+func (x *exchange) sendAttempt(ctx context.Context, choice *pool.Choice, runsAgain bool) gateResult {
+	runBy, f := x.tokenFor(ctx, runsAgain)
+	if f != nil {
+		return gateResult{failure: f}
+	}
 	if x.remaining() <= 0 {
 		return gateResult{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
 	}
 	q := gate.Call{Priority: x.priority, Target: x.targetTime, ExpectedRunTime: choice.ExpectedRunTime, MaxWait: choice.MaxWait, Notice: choice.Notice}
+	if !runBy.IsZero() && q.MaxWait > 0 {
+		q.MaxWait = min(q.MaxWait, runBy.Sub(x.now()))
+	}
 	if choice.Local {
-		return x.entry.gate.handleCall(ctx, x.call, choice.Server.ID, q)
+		return x.entry.gate.handleCall(ctx, x.call, choice.Server.ID, q, runBy)
 	}
-	return x.sendRemote(ctx, choice, q)
+	return x.sendRemote(ctx, choice, q, runBy)
 }
 
 // sendRemote sends the call to the gate of another host.
-func (x *exchange) sendRemote(ctx context.Context, choice *pool.Choice, q gate.Call) gateResult {
+func (x *exchange) sendRemote(ctx context.Context, choice *pool.Choice, q gate.Call, runBy time.Time) gateResult {
 	fields := []connection.Field{
 		{Name: HeaderTimeoutMS, Value: formatMilliseconds(x.remaining())},
 		{Name: HeaderServer, Value: string(choice.Server.ID)},
@@ -280,6 +288,9 @@
 	if q.Notice.Limited {
 		fields = append(fields, connection.Field{Name: HeaderNoticedLimit, Value: strconv.FormatFloat(q.Notice.Limit, 'f', -1, 64)})
 	}
+	if !runBy.IsZero() {
+		fields = append(fields, connection.Field{Name: HeaderRunWithin, Value: formatMilliseconds(runBy.Sub(x.now()))})
+	}
 	m := x.call.buildMessage(fields...)
 	s := send(ctx, x.entry.config.Transports.gates, choice.GateAddr, m, connection.Options{})
 	if s.err != nil {
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -32,6 +32,8 @@
 	// maxRetryAfter bounds the Retry-After header from above, because forecasts of
 	// long waits are unreliable.
 	maxRetryAfter = 2 * time.Second
+	// minQuotaRetryAfter bounds the Retry-After header of a call over a quota.
+	minQuotaRetryAfter = 50 * time.Millisecond
 )
 
 // Reasons of failures. Further ones are literals where they are used.
@@ -59,6 +61,12 @@
 	reasonStopping        = "daemon-stopping"
 	// reasonUnauthorised means that the call needs a key and has no valid one.
 	reasonUnauthorised = "unauthorised"
+	// reasonOverQuota means that the quota of the organisation is used up, and
+	// reasonNoToken that no owner of the quota has answered.
+	reasonOverQuota = "over-quota"
+	reasonNoToken   = "quota-unavailable"
+	// reasonTokenExpired means that the call has waited longer than its token is valid.
+	reasonTokenExpired = "quota-token-expired"
 )
 
 func (f *failure) statusCode() int {
@@ -85,6 +93,10 @@
 	}
 }
 
+func setRetryAfter(h http.Header, d time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 2, 64))
+}
+
 // write writes the failure as a JSON response.
 func (f *failure) write(w http.ResponseWriter, callID string) {
 	h := w.Header()
@@ -97,9 +109,12 @@
 		// unknown outcome.
 		h.Set(HeaderOutcome, "unknown")
 	}
-	if f.statusCode() == http.StatusServiceUnavailable {
+	switch f.statusCode() {
+	case http.StatusTooManyRequests:
+		setRetryAfter(h, max(f.retryAfter, minQuotaRetryAfter))
+	case http.StatusServiceUnavailable:
 		after := min(max(f.retryAfter, minRetryAfter), maxRetryAfter)
-		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+		setRetryAfter(h, after)
 	}
 	if f.statusCode() == http.StatusUnauthorized {
 		h.Set(headerAuthenticate, "Bearer")
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -56,7 +56,7 @@
 	}
 	q := parseQueue(r.Header.Get(HeaderQueue), g.config.Now())
 	q.Notice.Limit, q.Notice.Limited = parseLimit(r.Header.Get(HeaderNoticedLimit))
-	result := g.handleCall(ctx, c, server, q)
+	result := g.handleCall(ctx, c, server, q, parseRunWithin(r.Header, g.config.Now()))
 	w.Header()[HeaderLoad] = []string{formatLoad(result.load, result.forecast)}
 	if result.failure != nil {
 		g.writeRefusal(w, id, result.failure)
@@ -73,8 +73,9 @@
 }
 
 // handleCall admits a call, sends it to the backend server and buffers the
-// response. The slot is held until the response was read.
-func (g *gateHandler) handleCall(ctx context.Context, c *call, id backend.ServerID, q gate.Call) gateResult {
+// response. The slot is held until the response was read. The call must begin to run
+// before runBy, unless that is zero.
+func (g *gateHandler) handleCall(ctx context.Context, c *call, id backend.ServerID, q gate.Call, runBy time.Time) gateResult {
 	permit, err := g.config.Gate.Admit(ctx, id, q)
 	if err != nil {
 		f := admissionFailure(err)
@@ -83,7 +84,7 @@
 		g.logFailure("Refused a call.", c, id, q, result)
 		return result
 	}
-	result := g.sendToServer(ctx, c, permit)
+	result := g.sendToServer(ctx, c, permit, runBy)
 	if result.failure != nil && result.failure.refused {
 		g.metrics.refused.inc(result.failure.reason)
 	}
@@ -136,12 +137,15 @@
 
 // sendToServer sends a call to the backend server. It checks the deadline again,
 // because the process may have been paused.
-func (g *gateHandler) sendToServer(ctx context.Context, c *call, permit *gate.Permit) gateResult {
+func (g *gateHandler) sendToServer(ctx context.Context, c *call, permit *gate.Permit, runBy time.Time) gateResult {
 	start := g.config.Now()
 	remaining := c.deadline.Sub(start)
 	if remaining <= 0 || ctx.Err() != nil {
 		return gateResult{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
 	}
+	if !runBy.IsZero() && !start.Before(runBy) {
+		return gateResult{failure: &failure{reason: reasonTokenExpired, notRun: true, refused: true}}
+	}
 	server := permit.Server()
 	m := c.buildMessage(g.config.Dialect.serverFields(string(server.ID), remaining)...)
 	g.metrics.sentToServers.Inc()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -11,9 +12,11 @@
 	"go.uber.org/zap"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/pool"
+	"github.com/peridotlb/peridotlb/internal/quota"
 	"github.com/peridotlb/peridotlb/internal/route"
 )
 
@@ -44,6 +47,9 @@
 	HeaderLeaving = "Peridotlb-Leaving"
 	// HeaderOrganisation names the organisation of a call to its backend server.
 	HeaderOrganisation = "Peridotlb-Organisation"
+	// HeaderRunWithin is the time in milliseconds within which a call must begin to run,
+	// because its token of the quota of its organisation expires then.
+	HeaderRunWithin = "Peridotlb-Run-Within-Ms"
 	// HeaderServerUS is the time that the backend server took, in microseconds.
 	HeaderServerUS = "Peridotlb-Server-Us"
 
@@ -85,6 +91,12 @@
 	ReportDaemon(id host.ID, applied bool)
 }
 
+// Quotas decides which calls of organisations with a quota may run.
+type Quotas interface {
+	// Take takes a token. It may wait some tens of milliseconds for it.
+	Take(ctx context.Context, name document.OrganisationName) quota.Decision
+}
+
 // Config configures the handlers. The entry and the gate of a daemon share one
 // Config.
 type Config struct {
@@ -93,6 +105,7 @@
 	Pool       Pool
 	Gate       *gate.Gate
 	Claims     Claims // nil refuses paid calls
+	Quotas     Quotas // nil disables quotas
 	Transports *Transports
 	Now        func() time.Time // nil uses time.Now
 	Events     func(Event)      // nil discards events
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -34,6 +34,7 @@
 	routes        []document.Route
 	organisations []document.Organisation
 	claims        Claims
+	quotas        Quotas
 	local         bool // the servers are on the host of the entry
 	// serveGate serves the gate of another host; nil uses net/http, which reads a
 	// request to its end before it responds.
@@ -104,7 +105,7 @@
 	services := m.services()
 	table := route.FromDocument(1, document.Document{Sections: []document.Section{{Name: "s", Services: services, Routes: m.routes, Organisations: m.organisations}}})
 	m.pool = pool.New(pool.Config{Self: "entry", Zone: "a", Region: "r", Now: m.now})
-	base := Config{Transports: m.transports, Routes: func() *route.Table { return table }, Claims: m.claims, Events: m.recordEvent, Now: m.now, Dialect: m.dialect, Log: m.log}
+	base := Config{Transports: m.transports, Routes: func() *route.Table { return table }, Claims: m.claims, Quotas: m.quotas, Events: m.recordEvent, Now: m.now, Dialect: m.dialect, Log: m.log}
 	hosts := []host.Row{{ID: "entry", Zone: "a", Region: "r"}}
 	for i, row := range rows {
 		if m.local {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,6 +103,9 @@
 	RetryRatio       float64       // retries of all daemons as a share of the calls of a service
 	RetryExtra       float64       // additional retries of all daemons in a window
 	RetryWindow      time.Duration // if 0, each daemon has a retry budget of its own
+	QuotaWindow      time.Duration // window over which the quotas of organisations are bounded
+	QuotaOverrun     float64       // part by which the requests in a window may exceed rate and burst
+	QuotaSlack       float64       // further requests in a window
 	AnnounceLease    time.Duration
 	OutcomeRetention time.Duration
 	TimelineSize     int // number of events
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -119,6 +119,10 @@
 		numberSetting("retry-ratio", "0.1", 0, 1, "Retries that all daemons together may send to a service, as a share of its calls, when --retry-window is set.", func(d *Daemon) *float64 { return &d.RetryRatio }),
 		numberSetting("retry-extra", "30", 0, 1e6, "Additional retries of all daemons in each window of --retry-window.", func(d *Daemon) *float64 { return &d.RetryExtra }),
 		durationSetting("retry-window", "0s", 0, time.Hour, "Window over which the retries of all daemons are bounded. If 0s, each daemon has its own budget: 10% of its calls and 3 retries per second.", func(d *Daemon) *time.Duration { return &d.RetryWindow }),
+		// The defaults are the bounds of docs/requirements.md, section 4.
+		durationSetting("quota-window", "5s", time.Second, time.Minute, "Window over which the requests of an organisation are bounded. Set the same value on all daemons, as for the next two.", func(d *Daemon) *time.Duration { return &d.QuotaWindow }),
+		numberSetting("quota-overrun", "0.1", 0.02, 10, "Part by which the requests of an organisation that run in a window may exceed its rate and burst. A smaller part makes tokens expire sooner.", func(d *Daemon) *float64 { return &d.QuotaOverrun }),
+		numberSetting("quota-slack", "20", 0, 1e6, "Requests of an organisation that may run in a window beyond that.", func(d *Daemon) *float64 { return &d.QuotaSlack }),
 		durationSetting("announce-lease", "3s", time.Second, time.Minute, "A backend server that does not renew its announcement for this long gets no new work.", func(d *Daemon) *time.Duration { return &d.AnnounceLease }),
 		// Clients repeat a call within minutes, but a queue that is stopped over a long
 		// weekend repeats calls after days. 37 paid calls per second need 22 million rows
