Avoid owners of quotas that do not answer for longer each time

A host whose owner is cut off but still counted as alive asked it again every 10 s, and its calls got no token meanwhile; the time now doubles up to 160 s. A host without a version answers no request for tokens, since it knows no quota and would refuse all. An attempt that gets no token for another run is not retried.

--- a/internal/daemon/quotas_test.go
+++ b/internal/daemon/quotas_test.go
@@ -63,7 +63,10 @@
 	for i, q := range all {
 		waitUntil(t, fmt.Sprintf("host %d gets a token", i), func() bool { return q.Take(t.Context(), "acme").Granted })
 	}
-	refused := func() bool { d := all[1].Take(t.Context(), "acme"); return !d.Granted && d.OverQuota && d.RetryAfter > 0 }
+	refused := func() bool {
+		d := all[1].Take(t.Context(), "acme")
+		return !d.Granted && d.OverQuota && d.RetryAfter > 0
+	}
 	waitUntil(t, "calls over the quota are refused", refused)
 	var text strings.Builder
 	all[1].set.WritePrometheus(&text)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -159,6 +159,8 @@
 		return false
 	case !x.match.Route.Idempotent() && !provedNotRun:
 		return false
+	case provedNotRun && (r.failure.reason == reasonOverQuota || r.failure.reason == reasonNoToken):
+		return false
 	case provedNotRun && r.failure.reason == reasonGateUnreachable && x.unreachable <= maxUnreachableGates:
 		return true
 	case provedNotRun && r.failure.serverFull && !x.targetTime.IsZero():
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -16,6 +16,7 @@
 type borrower struct {
 	candidates []host.ID // in the order in which they are taken as owners
 	avoidUntil map[host.ID]time.Time
+	avoided    map[host.ID]int // how often in succession a host was avoided
 
 	owner  host.ID
 	sentAt time.Time // of the last request; zero if none was sent to this owner
@@ -177,7 +178,8 @@
 	if b.open && c.now.Sub(b.sentAt) >= answerTimeout {
 		b.open = false
 		if b.misses++; b.misses >= missesToAvoid {
-			b.avoidUntil[b.owner] = c.now.Add(avoidTime)
+			b.avoidUntil[b.owner] = c.now.Add(avoidTime << min(b.avoided[b.owner], maxDoublings))
+			b.avoided[b.owner]++
 		}
 	}
 	c.chooseOwner(b)
@@ -278,6 +280,7 @@
 			b.open = false
 		}
 		b.misses = 0
+		delete(b.avoided, m.Host)
 		if m.Run > b.heard.run || m.Run == b.heard.run && m.SentAt >= b.heard.sentAt {
 			b.heard = heard{run: m.Run, sentAt: m.SentAt, at: c.now}
 		}
--- a/internal/quota/lease_test.go
+++ b/internal/quota/lease_test.go
@@ -176,3 +176,35 @@
 		}
 	}
 }
+
+// TestOwnerThatDoesNotAnswer guards against a host that keeps asking an owner without a
+// version or without a connection, and against one that returns its share before another
+// owner has answered.
+func TestOwnerThatDoesNotAnswer(t *testing.T) {
+	if effects := New(Config{Self: "a", Run: 1, Started: start, Bound: testBound}).Receive(start, message.QuotaRequest{Host: "b"}); len(effects) > 0 {
+		t.Errorf("got %v from a host without organisations, want no answer", effects)
+	}
+	core := New(Config{Self: "b", Run: 1, Started: start, Bound: testBound})
+	core.SetLimits(start, map[document.OrganisationName]Limit{"a": {Rate: 1}})
+	core.SetFleet(start, Fleet{Alive: []Host{{ID: "silent", Capacity: 9}, {ID: "b"}}, Known: 2})
+	requests, decided := 0, 0
+	for at := time.Duration(0); at < 30*time.Second; at += 10 * time.Millisecond {
+		effects, _ := core.Tick(start.Add(at))
+		_, more := core.Take(start.Add(at), "a")
+		for _, e := range append(effects, more...) {
+			switch e.(type) {
+			case Send:
+				requests++
+			case Decided:
+				decided++
+			}
+		}
+	}
+	// Three requests to each group's owner, when it is taken and again after 10 and 30 s.
+	if requests == 0 || requests > 3*3*groups {
+		t.Errorf("got %d requests to an owner that does not answer, want at most %d", requests, 3*3*groups)
+	}
+	if decided == 0 {
+		t.Error("got no decisions about requests that waited")
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -48,8 +48,10 @@
 	// answerTimeout is the time after which a request to the owner counts as lost.
 	answerTimeout = 100 * time.Millisecond
 	// missesToAvoid is the number of lost requests in succession after which a host takes
-	// another owner, and avoidTime for how long.
+	// another owner, and avoidTime for how long. The time doubles with each repetition, up
+	// to 16 times: each new attempt leaves the group without tokens for a moment.
 	missesToAvoid = 3
+	maxDoublings  = 4
 	avoidTime     = 10 * time.Second
 	// minInterval is the shortest time between two requests to one owner. Calls that
 	// arrive meanwhile share the next request.
@@ -171,6 +173,7 @@
 	core := &Core{config: c, now: c.Started, sizeStableAt: c.Started, organisations: make(map[document.OrganisationName]*organisation)}
 	for g := range core.borrowers {
 		core.borrowers[g].avoidUntil = make(map[host.ID]time.Time)
+		core.borrowers[g].avoided = make(map[host.ID]int)
 		core.owners[g] = ownership{at: c.Started, lenders: make(map[host.ID]*lender)}
 	}
 	return core
@@ -240,7 +243,9 @@
 	c.begin(now)
 	switch m := m.(type) {
 	case message.QuotaRequest:
-		if int(m.Group) < groups {
+		// Without organisations, this host has no version yet. It does not answer, so that
+		// another host is taken for the owner.
+		if int(m.Group) < groups && len(c.organisations) > 0 {
 			c.effects = append(c.effects, Send{To: m.Host, Message: c.answer(m)})
 		}
 	case message.QuotaAnswer:
