--- a/internal/document/organisation_test.go
+++ b/internal/document/organisation_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -90,3 +91,19 @@
 		}
 	}
 }
+
+// TestParseOrganisationsExample guards against an example that is not valid, which
+// operators would copy.
+func TestParseOrganisationsExample(t *testing.T) {
+	data, err := os.ReadFile("../../examples/organisations.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := document.Parse("organisations.yaml", data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(d.Sections[0].Organisations); got != 2 {
+		t.Errorf("got %d organisations, want 2", got)
+	}
+}
