Keep a connection whose streamed body was read to its end

When a handler had read a streamed body and finished before the connection's reader noticed, the reader could choose either event, and then ended the connection although the response had announced that it stays open; the client's next request would get no response. Found by reading; 900 runs of TestHeaderFirst without this change did not show it, with 1, 2 and 7 processors.

--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -269,8 +269,10 @@
 		select {
 		case <-body.eof:
 		case <-w.done:
-			body.stop()
-			return false // the rest of the body precedes the next request
+			if !body.fullyRead() {
+				body.stop()
+				return false // the rest of the body precedes the next request
+			}
 		}
 	}
 	return !r.Close
