Refuse calls by their header before the body has arrived

The listener read up to 64 KiB of a body before any handler ran, so that a call without a key, or over its quota, was answered only when its body had arrived. With organisations in the applied version, the handler runs first, unless the body arrived with the header. Without organisations, requests are read as before. 100 Continue is sent when the handler begins to read, and the first 64 KiB must arrive within the idle timeout as a whole.

--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -49,6 +49,14 @@
 	conn   *conn
 	buffer *bytes.Buffer // read before the handler runs; nil once it was passed on
 	rest   io.Reader
+	// expectsContinue is set until the first read, if the client waits for the 100
+	// Continue response before it sends the body.
+	expectsContinue bool
+	// The first BufferLimit bytes must arrive until a common deadline, as if they were
+	// read before the handler runs. Otherwise a slow client could hold a request for as
+	// long as it sends a byte within each timeout.
+	firstBytes         int64 // still to be read until firstBytesDeadline
+	firstBytesDeadline time.Time
 
 	mu      sync.Mutex // held during a read
 	stopped atomic.Bool
@@ -72,8 +80,19 @@
 		}
 		return n, err
 	}
-	b.conn.setReadTimeout(b.conn.server.config.Limits().IdleTimeout)
+	if b.expectsContinue {
+		b.expectsContinue = false
+		if err := b.conn.sendContinue(); err != nil {
+			return 0, err
+		}
+	}
+	if b.firstBytes > 0 {
+		_ = b.conn.raw.SetReadDeadline(b.firstBytesDeadline)
+	} else {
+		b.conn.setReadTimeout(b.conn.server.config.Limits().IdleTimeout)
+	}
 	n, err := b.rest.Read(p)
+	b.firstBytes -= int64(n)
 	if err != nil && !b.sawEOF {
 		b.sawEOF = errors.Is(err, io.EOF)
 		switch {
@@ -109,8 +128,18 @@
 	defer b.mu.Unlock()
 }
 
+// sendContinue tells the client to send the body of its request. No response may be in
+// flight.
+func (c *conn) sendContinue() error {
+	if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return fmt.Errorf("send the 100 Continue response: %w", err)
+	}
+	return nil
+}
+
 // readBody reads the body of a request and replaces r.Body. A body up to BufferLimit
-// is read completely, and nil is returned; a larger one is returned as a stream.
+// is read completely, and nil is returned; a larger one is returned as a stream, and
+// with HeaderFirst also one that has not arrived yet.
 func (c *conn) readBody(r *http.Request) (*streamedBody, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
@@ -123,9 +152,17 @@
 		r.Body = &limitedBody{ReadCloser: r.Body, remaining: limits.BodyBytes}
 	}
 	c.setReadTimeout(limits.IdleTimeout)
-	if r.Header.Get("Expect") == "100-continue" && c.inFlightCount() == 0 {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, fmt.Errorf("send the 100 Continue response: %w", err)
+	expectsContinue := r.Header.Get("Expect") == "100-continue" && c.inFlightCount() == 0
+	arrived := r.ContentLength >= 0 && r.ContentLength <= int64(c.reader.Buffered())
+	if f := c.server.config.HeaderFirst; f != nil && !arrived && f() {
+		stream := &streamedBody{conn: c, rest: r.Body, expectsContinue: expectsContinue, eof: make(chan struct{})}
+		stream.firstBytes, stream.firstBytesDeadline = BufferLimit+1, time.Now().Add(limits.IdleTimeout)
+		r.Body = stream
+		return stream, nil
+	}
+	if expectsContinue {
+		if err := c.sendContinue(); err != nil {
+			return nil, err
 		}
 	}
 	size := int64(BufferLimit)
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -38,8 +38,11 @@
 	// http.ErrAbortHandler closes the connection.
 	Handler http.Handler
 	Limits  func() Limits // nil uses DefaultLimits
-	TLS     *tls.Config   // nil disables TLS
-	Log     *zap.Logger   // nil disables logging
+	// HeaderFirst reports whether handlers run before the body of a request has arrived,
+	// so that they can refuse it by its header. Nil means that they do not.
+	HeaderFirst func() bool
+	TLS         *tls.Config // nil disables TLS
+	Log         *zap.Logger // nil disables logging
 }
 
 // Server serves HTTP/1.1 connections.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -288,7 +288,7 @@
 		operatorServer.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: d.serverTLS.GetCertificate, Certificates: d.serverTLS.Certificates}
 	}
 	d.servers = []*server{
-		{name: "call-address", calls: proxy.NewEntryServer(proxy.ServerConfig{Handler: proxy.NewEntry(calls), Limits: d.callerLimits, Log: d.log.Named("call")})},
+		{name: "call-address", calls: proxy.NewEntryServer(proxy.ServerConfig{Handler: proxy.NewEntry(calls), Limits: d.callerLimits, HeaderFirst: d.routing.hasOrganisations, Log: d.log.Named("call")})},
 		{name: "gate-address", calls: proxy.NewGateServer(proxy.ServerConfig{Handler: proxy.NewGate(calls), Log: d.log.Named("gate")}, gateTLS)},
 		{name: "announce-address", control: &http.Server{Handler: d.announcementHandler(), ReadHeaderTimeout: 5 * time.Second}},
 		{name: "operator-address", control: operatorServer},
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -118,6 +118,12 @@
 	return mergeServices(services, announced)
 }
 
+// hasOrganisations reports whether calls need keys.
+func (r *routingState) hasOrganisations() bool {
+	t := r.routes.Load()
+	return t != nil && t.Organisations() != nil
+}
+
 func limitsOf(d document.Document) *document.Limits {
 	for _, s := range d.Sections {
 		if s.Limits != nil {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/peridotlb/peridotlb/internal/connection"
 	"github.com/peridotlb/peridotlb/internal/route"
 )
 
@@ -148,7 +151,13 @@
 
 func readBodyOrFail(r *http.Request) (*body, *failure) {
 	b, err := readBody(r)
-	if err != nil {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, connection.ErrBodyTooLarge):
+		return nil, &failure{reason: reasonTooLarge, status: http.StatusRequestEntityTooLarge, notRun: true, hint: "the request body exceeds the limit of the configuration", err: err}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, &failure{reason: "request-cut", status: http.StatusRequestTimeout, notRun: true, hint: "the request body did not arrive completely in time", err: err}
+	case err != nil:
 		return nil, &failure{reason: "request-cut", status: http.StatusBadRequest, notRun: true, hint: "the request body did not arrive completely in time", err: err}
 	}
 	return b, nil
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -13,12 +13,15 @@
 type ServerConfig struct {
 	Handler http.Handler
 	Limits  func() connection.Limits // of NewEntryServer; nil uses the defaults. NewGateServer ignores it.
-	Log     *zap.Logger
+	// HeaderFirst reports whether calls can be refused by their header, so that their
+	// bodies should not be read before. NewGateServer ignores it.
+	HeaderFirst func() bool
+	Log         *zap.Logger
 }
 
 // NewEntryServer returns a server for callers.
 func NewEntryServer(c ServerConfig) *connection.Server {
-	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: c.Limits, Log: c.Log})
+	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: c.Limits, HeaderFirst: c.HeaderFirst, Log: c.Log})
 }
 
 // NewGateServer returns a server for calls from other daemons. The TLS
