Merge organisations with keys and quotas

Reviewed: keys are hashed where they enter and reach neither servers nor logs. Where the handler runs before the body has arrived, the body is reserved by its stated length, and a trailer is charged when it has been parsed, so that the bound of requests' memory holds for these requests too.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -34,6 +34,9 @@
 	Trailer http.Header
 	// TrailerNames are the names of the trailer that the header announces.
 	TrailerNames []string
+	// Withheld has the names of trailers that are not sent. Trailer itself is filled
+	// while the body is read.
+	Withheld map[string]bool
 }
 
 // Rest is the rest of the body of a request.
@@ -345,7 +348,7 @@
 		}
 	}
 	if chunks != nil {
-		return chunks.end(m.Trailer)
+		return chunks.end(m.Trailer, m.Withheld)
 	}
 	return nil
 }
--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -207,7 +208,7 @@
 		c.cancel()
 		return
 	}
-	c.server.config.Log.Info("Rejected a request that could not be read.", zap.Int("status", status), zap.Error(err), zap.Stringer("client", c.raw.RemoteAddr()))
+	c.server.config.Log.Info("Rejected a request that could not be read.", zap.Int("status", status), zap.String("error", withoutQuotation(err)), zap.Stringer("client", c.raw.RemoteAddr()))
 	w := c.enqueueResponse(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Close: true})
 	if w != nil {
 		w.WriteHeader(status)
@@ -217,6 +218,21 @@
 	}
 }
 
+// withoutQuotation returns the text of an error of reading a request up to the first
+// colon or quotation mark. The parser quotes lines that it can't read, and such a line
+// can hold the key of a caller.
+func withoutQuotation(err error) string {
+	var e net.Error
+	if errors.Is(err, errHeaderTooLarge) || errors.Is(err, ErrBodyTooLarge) || errors.As(err, &e) {
+		return err.Error()
+	}
+	text := err.Error()
+	if i := strings.IndexAny(text, `:"`); i >= 0 {
+		text = text[:i]
+	}
+	return strings.TrimSpace(text)
+}
+
 // dispatch runs a request. It returns false if the connection ends with it.
 func (c *conn) dispatch(r *http.Request, body *streamedBody) bool {
 	w := c.enqueueResponse(r)
@@ -237,8 +253,10 @@
 		select {
 		case <-body.eof:
 		case <-w.done:
-			body.stop()
-			return false // the rest of the body precedes the next request
+			if !body.fullyRead() {
+				body.stop()
+				return false // the rest of the body precedes the next request
+			}
 		}
 	}
 	return !r.Close
@@ -263,6 +281,9 @@
 // responseDone records that a response was written or aborted and wakes serve, which
 // may wait for it.
 func (c *conn) responseDone(w *response) {
+	if w.requestBody != nil {
+		w.charged += w.requestBody.releaseTrailer()
+	}
 	c.account.release(w.charged)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/connection/cost.go
+++ b/internal/connection/cost.go
@@ -38,6 +38,15 @@
 // headerCost returns the cost of a request whose header has the given size.
 func headerCost(size, lines int) int { return requestCost + size*byteCost + lines*lineCost }
 
+// unreadBodyCost returns the cost of a body of the given length that has not arrived
+// when the handler runs; -1 is an unknown length.
+func unreadBodyCost(length int64) int {
+	if length < 0 || length > BufferLimit {
+		return streamCost
+	}
+	return bodyCost * int(length)
+}
+
 // fieldsCost returns the cost of parsed fields, such as a trailer or the header of a
 // response.
 func fieldsCost(h http.Header) int {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -133,6 +133,7 @@
 	claims           *claim.Claims
 	routing          routingState
 	regions          regionTable
+	quotas           *quotas
 	metrics          *daemonMetrics
 	leaving          atomic.Bool
 	shutdownDeadline atomic.Pointer[time.Time] // time at which unfinished calls are canceled; nil until half of the drain timeout has passed
@@ -196,6 +197,7 @@
 	d.claims = claim.New(claim.Config{Table: d.platform, Retention: s.OutcomeRetention})
 	d.acceptor = submission.New(submission.Config{Platform: d.platform, Retention: s.OutcomeRetention, CachedVersion: d.retained.get, NewestVersion: d.retained.newest})
 	d.metrics = newDaemonMetrics(set, d)
+	d.quotas = newQuotas(s, time.Now(), set, d.log.Named("quota"))
 	var err error
 	if d.nat, err = newNAT(s.NAT); err != nil {
 		return fmt.Errorf("setting nat: %w", err)
@@ -254,6 +256,7 @@
 		return fmt.Errorf("open control address %s: %w", s.ControlAddress, err)
 	}
 	d.link = l
+	d.quotas.setSend(l.Send)
 	return nil
 }
 
@@ -267,7 +270,7 @@
 	calls := proxy.Config{
 		Bandwidth: d.newBandwidth(set),
 		Self:      s.HostID, Routes: func() *route.Table { return d.routing.routes.Load() },
-		Pool: d.pool, Gate: d.gate, Claims: instrumentedClaims{d.claims, d.metrics}, Transports: d.transports,
+		Pool: d.pool, Gate: d.gate, Claims: instrumentedClaims{d.claims, d.metrics}, Quotas: d.quotas, Transports: d.transports,
 		ShutdownDeadline: d.shutdownDeadlineOrZero, Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService, LearnedCapacity: s.LearnedCapacity, RankNestedCalls: s.RankNestedCalls,
 	}
 	api, err := operator.New(operator.Config{
@@ -291,7 +294,7 @@
 		operatorServer.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: d.serverTLS.GetCertificate, Certificates: d.serverTLS.Certificates}
 	}
 	d.servers = []*server{
-		{name: "call-address", calls: proxy.NewEntryServer(proxy.ServerConfig{Handler: proxy.NewEntry(calls), Limits: d.callerLimits, Log: d.log.Named("call"), Memory: d.memory})},
+		{name: "call-address", calls: proxy.NewEntryServer(proxy.ServerConfig{Handler: proxy.NewEntry(calls), Limits: d.callerLimits, HeaderFirst: d.routing.hasOrganisations, Log: d.log.Named("call"), Memory: d.memory})},
 		{name: "gate-address", calls: proxy.NewGateServer(proxy.ServerConfig{Handler: proxy.NewGate(calls), Log: d.log.Named("gate"), Memory: d.memory}, gateTLS)},
 		{name: "announce-address", control: newControlServer(d.announcementHandler())},
 		{name: "operator-address", control: operatorServer},
@@ -366,6 +369,7 @@
 	group.Go(func() error { d.loop.run(runCtx); return nil })
 	group.Go(func() error { d.announcements.Run(runCtx); return nil })
 	group.Go(func() error { d.transports.Run(runCtx); return nil })
+	group.Go(func() error { d.quotas.run(runCtx); return nil })
 	for _, srv := range d.servers {
 		group.Go(func() error { return srv.serve() })
 	}
@@ -417,6 +421,7 @@
 	defer cancel()
 	time.AfterFunc(d.settings.DrainTimeout/2, func() { d.shutdownDeadline.Store(&end) })
 	sleep(ctx, callerDrainTime)
+	d.quotas.leave()
 	d.loop.post(ctx, fleet.ShutdownRequested{})
 	sleep(ctx, leavePropagationTime)
 	if err := d.gate.DrainAll(ctx); err != nil {
--- a/internal/proxy/bandwidth.go
+++ b/internal/proxy/bandwidth.go
@@ -74,10 +74,10 @@
 
 // handleRemoteCall is handleCall for a call from another host, whose response is sent
 // over the link.
-func (g *gateHandler) handleRemoteCall(ctx context.Context, c *call, id backend.ServerID, q gate.Call) gateResult {
+func (g *gateHandler) handleRemoteCall(ctx context.Context, c *call, id backend.ServerID, q gate.Call, runBy time.Time) gateResult {
 	link := g.config.Bandwidth
 	if link == nil {
-		return g.handleCall(ctx, c, id, q)
+		return g.handleCall(ctx, c, id, q, runBy)
 	}
 	link.Receiving.AddSmall(int64(len(c.body.buffered)) + assumedHeaderBytes)
 	c.body.countRest(link.Receiving)
@@ -89,7 +89,7 @@
 		g.logFailure("Refused a call.", c, id, q, result)
 		return result
 	}
-	result := g.handleCall(ctx, c, id, q)
+	result := g.handleCall(ctx, c, id, q, runBy)
 	if result.reply == nil {
 		transfer.End()
 	} else {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -21,7 +21,8 @@
 	method        string
 	requestTarget string // path and query as received
 	host          string
-	header        http.Header // end-to-end headers
+	header        http.Header     // end-to-end headers
+	withheld      map[string]bool // names of trailers that are not passed on
 	body          *body
 	deadline      time.Time
 	route         document.RouteName // for statistics; "" if it is unknown or not needed
@@ -32,7 +33,7 @@
 	c := &call{id: id, method: r.Method, requestTarget: requestTarget(r), host: r.Host, deadline: deadline}
 	c.header = maps.Clone(r.Header)
 	stripHopByHop(c.header)
-	for _, name := range []string{HeaderTimeoutMS, HeaderNotRun, HeaderOutcome, HeaderLoad, HeaderServer, HeaderQueue, HeaderNoticedLimit, HeaderNoRetry, HeaderReplayed, HeaderReason, HeaderServerUS, HeaderForwarded} {
+	for _, name := range []string{HeaderTimeoutMS, HeaderNotRun, HeaderOutcome, HeaderLoad, HeaderServer, HeaderQueue, HeaderNoticedLimit, HeaderNoRetry, HeaderReplayed, HeaderReason, HeaderServerUS, HeaderForwarded, HeaderRunWithin} {
 		delete(c.header, name)
 	}
 	c.header[HeaderCallID] = []string{id}
@@ -52,6 +53,7 @@
 func (c *call) buildMessage(fields ...connection.Field) *connection.Message {
 	m := &connection.Message{Method: c.method, Target: c.requestTarget, Authority: c.host, Header: c.header, Fields: fields}
 	c.body.attach(m)
+	m.Withheld = c.withheld
 	return m
 }
 
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/peridotlb/peridotlb/internal/connection"
 	"github.com/peridotlb/peridotlb/internal/route"
 )
 
@@ -47,6 +50,10 @@
 		return
 	}
 	match, f := matchRoute(table, r)
+	customer, refusal := authenticate(table, match, r)
+	if refusal != nil {
+		f = refusal
+	}
 	if f != nil {
 		e.writeFailure(w, id, f)
 		return
@@ -59,13 +66,19 @@
 	}
 	c := newCall(r, id, start.Add(timeout))
 	c.route = match.Route.Name
+	e.identify(c, table, customer)
+	runBy, f := e.takeToken(r.Context(), customer)
+	if f != nil {
+		e.writeFailure(w, id, f)
+		return
+	}
 	if c.body, f = e.readBody(w, r, timeout); f != nil {
 		e.writeFailure(w, id, f)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	x := &exchange{entry: e, call: c, match: match, start: start, shortTimeout: shortTimeout, priority: match.Route.Priority}
+	x := &exchange{entry: e, call: c, match: match, organisation: customer, priority: priorityOf(match, customer), runBy: runBy, start: start, shortTimeout: shortTimeout}
 	if !forwarded {
 		e.rankNested(x)
 	}
@@ -143,7 +156,13 @@
 
 func readBodyOrFail(r *http.Request) (*body, *failure) {
 	b, err := readBody(r)
-	if err != nil {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, connection.ErrBodyTooLarge):
+		return nil, &failure{reason: reasonTooLarge, status: http.StatusRequestEntityTooLarge, notRun: true, hint: "the request body exceeds the limit of the configuration", err: err}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, &failure{reason: "request-cut", status: http.StatusRequestTimeout, notRun: true, hint: "the request body did not arrive completely in time", err: err}
+	case err != nil:
 		return nil, &failure{reason: "request-cut", status: http.StatusBadRequest, notRun: true, hint: "the request body did not arrive completely in time", err: err}
 	}
 	return b, nil
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/connection"
+	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/pool"
 	"github.com/peridotlb/peridotlb/internal/route"
@@ -40,8 +41,10 @@
 	entry        *entryHandler
 	call         *call
 	match        route.Match
-	start        time.Time
+	organisation *document.Organisation // nil if the call has none
 	priority     uint8
+	runBy        time.Time // the token of the call is valid until then; zero if it needs none
+	start        time.Time
 	targetTime   time.Time // until which a response meets the latency target; zero if there is none
 	shortTimeout bool      // the caller's timeout is shorter than the route's
 	tried        []backend.ServerID
@@ -159,6 +162,8 @@
 		return false
 	case !x.match.Route.Idempotent() && !provedNotRun:
 		return false
+	case provedNotRun && (r.failure.reason == reasonOverQuota || r.failure.reason == reasonNoToken):
+		return false
 	case provedNotRun && r.failure.reason == reasonGateUnreachable && x.unreachable <= maxUnreachableGates:
 		return true
 	case provedNotRun && r.failure.serverFull && !x.targetTime.IsZero():
@@ -223,7 +228,7 @@
 	case f == nil && r.reply.status >= http.StatusInternalServerError:
 		outcome = pool.Failed
 	case f == nil:
-	case f.reason == reasonCallerGone, f.reason == reasonEntryLinkFull, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
+	case f.reason == reasonCallerGone, f.reason == reasonEntryLinkFull, f.reason == reasonOverQuota, f.reason == reasonNoToken, f.reason == reasonTokenExpired, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
 		outcome = pool.Abandoned
 	case f.reason == reasonGateUnreachable:
 		outcome = pool.Unreachable
@@ -263,19 +268,26 @@
 
 // sendAttempt sends the call to one server, through the local gate or that of
 // another host.
-func (x *exchange) sendAttempt(ctx context.Context, choice *pool.Choice) gateResult {
+func (x *exchange) sendAttempt(ctx context.Context, choice *pool.Choice, runsAgain bool) gateResult {
+	runBy, f := x.tokenFor(ctx, runsAgain)
+	if f != nil {
+		return gateResult{failure: f}
+	}
 	if x.remaining() <= 0 {
 		return gateResult{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
 	}
 	q := gate.Call{Priority: x.priority, Target: x.targetTime, ExpectedRunTime: choice.ExpectedRunTime, MaxWait: choice.MaxWait, Notice: choice.Notice}
+	if !runBy.IsZero() && q.MaxWait > 0 {
+		q.MaxWait = min(q.MaxWait, runBy.Sub(x.now()))
+	}
 	if choice.Local {
-		return x.entry.gate.handleCall(ctx, x.call, choice.Server.ID, q)
+		return x.entry.gate.handleCall(ctx, x.call, choice.Server.ID, q, runBy)
 	}
-	return x.sendRemote(ctx, choice, q)
+	return x.sendRemote(ctx, choice, q, runBy)
 }
 
 // sendRemote sends the call to the gate of another host.
-func (x *exchange) sendRemote(ctx context.Context, choice *pool.Choice, q gate.Call) gateResult {
+func (x *exchange) sendRemote(ctx context.Context, choice *pool.Choice, q gate.Call, runBy time.Time) gateResult {
 	fields := []connection.Field{
 		{Name: HeaderTimeoutMS, Value: formatMilliseconds(x.remaining())},
 		{Name: HeaderServer, Value: string(choice.Server.ID)},
@@ -286,6 +298,9 @@
 	if q.Notice.Limited {
 		fields = append(fields, connection.Field{Name: HeaderNoticedLimit, Value: strconv.FormatFloat(q.Notice.Limit, 'f', -1, 64)})
 	}
+	if !runBy.IsZero() {
+		fields = append(fields, connection.Field{Name: HeaderRunWithin, Value: formatMilliseconds(runBy.Sub(x.now()))})
+	}
 	sending, f := x.admitSending()
 	if f != nil {
 		return gateResult{failure: f}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -14,13 +14,16 @@
 type ServerConfig struct {
 	Handler http.Handler
 	Limits  func() connection.Limits // of NewEntryServer; nil uses the defaults. NewGateServer ignores it.
-	Log     *zap.Logger
-	Memory  *connection.Memory // shared by the entry and the gate; nil sets no limit
+	// HeaderFirst reports whether calls can be refused by their header, so that their
+	// bodies should not be read before. NewGateServer ignores it.
+	HeaderFirst func() bool
+	Log         *zap.Logger
+	Memory      *connection.Memory // shared by the entry and the gate; nil sets no limit
 }
 
 // NewEntryServer returns a server for callers.
 func NewEntryServer(c ServerConfig) *connection.Server {
-	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: c.Limits, Log: c.Log, Memory: c.Memory, Refuse: refuseForMemory})
+	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: c.Limits, HeaderFirst: c.HeaderFirst, Log: c.Log, Memory: c.Memory, Refuse: refuseForMemory})
 }
 
 // NewGateServer returns a server for calls from other daemons. The TLS
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -124,6 +124,10 @@
 		durationSetting("retry-window", "0s", 0, time.Hour, "Window over which the retries of all daemons are bounded. If 0s, each daemon has its own budget: 10% of its calls and 3 retries per second.", func(d *Daemon) *time.Duration { return &d.RetryWindow }),
 		booleanSetting("learned-capacity", "Learn from run times how many concurrent calls each backend server of this host handles well, and send it no more. The announced slots remain the maximum.", func(d *Daemon) *bool { return &d.LearnedCapacity }),
 		booleanSetting("rank-nested-calls", "Give calls that the backend servers of this host make, on routes that only they call, at least the priority of the requests that they run.", func(d *Daemon) *bool { return &d.RankNestedCalls }),
+		// The defaults are the bounds of docs/requirements.md, section 4.
+		durationSetting("quota-window", "5s", time.Second, time.Minute, "Window over which the requests of an organisation are bounded. Set the same value on all daemons, as for the next two.", func(d *Daemon) *time.Duration { return &d.QuotaWindow }),
+		numberSetting("quota-overrun", "0.1", 0.02, 10, "Part by which the requests of an organisation that run in a window may exceed its rate and burst. A smaller part makes tokens expire sooner.", func(d *Daemon) *float64 { return &d.QuotaOverrun }),
+		numberSetting("quota-slack", "20", 0, 1e6, "Requests of an organisation that may run in a window beyond that.", func(d *Daemon) *float64 { return &d.QuotaSlack }),
 		durationSetting("announce-lease", "3s", time.Second, time.Minute, "A backend server that does not renew its announcement for this long gets no new work.", func(d *Daemon) *time.Duration { return &d.AnnounceLease }),
 		// Clients repeat a call within minutes, but a queue that is stopped over a long
 		// weekend repeats calls after days. 37 paid calls per second need 22 million rows
