Roll out versions of a service by orders in the store

Operators had no way to move the calls of a service to servers of another version under control. The reader of the configuration now leads roll-outs that rows of orders ask for: it writes each step under the revision of the roll-out's row, floods the state to all hosts, and judges the evidence that gates report. Entries send the share to servers of the target version, gates refuse what the roll-out does not permit and stop by themselves after a few failures. When all calls have moved, gates of the former versions close before 'completed' is written, since the servers are then stopped without draining.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -13,6 +13,10 @@
 // ServiceName names a service of the document.
 type ServiceName string
 
+// Version names the version of a service that a backend server runs, for example
+// "v2". It is empty if the server states none.
+type Version string
+
 // State is the state that a backend server announces.
 type State uint8
 
@@ -43,8 +47,6 @@
 // Server is the row of a backend server. Only the daemon on the server's host
 // writes it.
 type Server struct {
-	_ struct{} `cbor:",toarray"`
-
 	ID      ServerID
 	Service ServiceName
 	Host    host.ID
@@ -59,7 +61,8 @@
 	Sequence uint64
 	// Stamp is the incarnation and the sequence of the owning daemon at the last
 	// change.
-	Stamp host.Stamp
+	Stamp   host.Stamp
+	Version Version
 }
 
 // SameRun reports whether both rows describe the same run of a server. Without start
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"github.com/peridotlb/peridotlb/internal/pool"
 	"github.com/peridotlb/peridotlb/internal/proxy"
 	"github.com/peridotlb/peridotlb/internal/release"
+	"github.com/peridotlb/peridotlb/internal/rollout"
 	"github.com/peridotlb/peridotlb/internal/route"
 	"github.com/peridotlb/peridotlb/internal/settings"
 	"github.com/peridotlb/peridotlb/internal/submission"
@@ -84,6 +85,9 @@
 	// Versions provides versions that operators write outside the product; nil
 	// when versions come from submissions.
 	Versions VersionSource
+	// Rollouts is where orders of roll-outs are read and their rows are kept; nil if
+	// there are none.
+	Rollouts RolloutStore
 	// Dialect sets the names of the call headers.
 	Dialect proxy.Dialect
 	// Announcements returns the handler for announcements of backend servers;
@@ -99,8 +103,28 @@
 	// Newest returns the newest version after a position, and the position to pass
 	// as after in the next call. Position zero asks for the newest of all.
 	// Version zero means that none appeared within the wait. An UnreadableError is
-	// returned together with the newest version that can be read.
-	Newest(ctx context.Context, after version.Position, wait time.Duration) (version.Snapshot, version.Position, error)
+	// returned together with what can be read.
+	Newest(ctx context.Context, after version.Position, wait time.Duration) (Changes, error)
+}
+
+// Changes is what a VersionSource returns about the time since a position.
+type Changes struct {
+	Version  version.Snapshot // the newest
+	Position version.Position // to pass as after in the next call
+	// Orders are the orders of roll-outs that changed. OrdersMissing is set if there may
+	// be others.
+	Orders        []rollout.Order
+	OrdersMissing bool
+}
+
+// RolloutStore keeps the orders of operators and the rows of roll-outs.
+type RolloutStore interface {
+	// ReadRollouts returns all orders and all rows.
+	ReadRollouts(ctx context.Context) ([]rollout.Order, []rollout.Stored, error)
+	// WriteRollout writes a row, and what operators see of it, if the row has the given
+	// revision; zero requires that there is none. The outcome is as for
+	// platform.Table.Commit.
+	WriteRollout(ctx context.Context, row rollout.Row, ifRevision rollout.Revision) (platform.Result, error)
 }
 
 // UnreadableError reports that a VersionSource returned a version that can't be
@@ -128,6 +152,7 @@
 	timeline         *timeline.Ring
 	pool             *pool.Pool
 	gate             *gate.Gate
+	tracker          rollout.Tracker
 	claims           *claim.Claims
 	routing          routingState
 	regions          regionTable
@@ -231,7 +256,7 @@
 			Capacity: host.CapacityOf(s.Cores, s.LinkMbps),
 		},
 		Started: time.Now(), Peers: s.Peers, HeadPollWait: s.HeadPollWait,
-		Distribution: s.Distribution, Seed: rand.Uint64(),
+		Distribution: s.Distribution, Rollouts: d.rolloutLimits(), Seed: rand.Uint64(),
 	}
 }
 
@@ -262,7 +287,7 @@
 	d.transports = proxy.NewTransports(proxy.TransportConfig{TLS: clientTLS, Translate: d.nat.Outside, Source: s.GateAddress.Addr(), Dialect: d.environment.Dialect})
 	calls := proxy.Config{
 		Self: s.HostID, Routes: func() *route.Table { return d.routing.routes.Load() },
-		Pool: d.pool, Gate: d.gate, Claims: instrumentedClaims{d.claims, d.metrics}, Transports: d.transports,
+		Pool: d.pool, Gate: d.gate, Rollouts: &d.tracker, Claims: instrumentedClaims{d.claims, d.metrics}, Transports: d.transports,
 		ShutdownDeadline: d.shutdownDeadlineOrZero, Events: d.callEvent, Metrics: set, Dialect: d.environment.Dialect, Log: d.log.Named("call"), CallerService: s.CallerService,
 	}
 	api, err := operator.New(operator.Config{
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -101,6 +101,7 @@
 		case <-ticker.C:
 			l.step(ctx, fleet.Tick{})
 			l.refreshRouting(l.core)
+			l.collectEvidence(ctx)
 		case e := <-l.events:
 			l.step(ctx, e)
 		case e := <-l.messages:
@@ -150,6 +151,12 @@
 		}()
 	case fleet.DeleteRecord:
 		go l.deleteRecord(ctx, e)
+	case fleet.ReadRollouts:
+		go l.readRollouts(ctx)
+	case fleet.WriteRollout:
+		go l.writeRollout(ctx, e)
+	case fleet.ApplyRollouts:
+		l.applyRollouts(e.Rollouts)
 	case fleet.TimelineEvent:
 		l.recordEvent(e)
 	}
@@ -160,14 +167,14 @@
 	defer cancel()
 	if v := l.environment.Versions; v != nil {
 		start := time.Now()
-		s, position, err := v.Newest(readCtx, e.After, e.MaxWait)
+		changes, err := v.Newest(readCtx, e.After, e.MaxWait)
 		var unreadable *UnreadableError
 		if errors.As(err, &unreadable) {
 			l.log.Error("Skipped a version that can't be read; the previous one stays applied.", zap.Error(err))
 			err = nil
 		}
 		l.platform.recordTableResult(err)
-		result := fleet.ReadHeadResult{ReadID: e.ReadID, Manifest: s.Manifest(), Snapshot: s, Position: position, Err: err}
+		result := fleet.ReadHeadResult{ReadID: e.ReadID, Manifest: changes.Version.Manifest(), Snapshot: changes.Version, Position: changes.Position, Orders: changes.Orders, OrdersMissing: changes.OrdersMissing, Err: err}
 		if e.MaxWait == 0 {
 			result.Latency = time.Since(start)
 		}
@@ -234,6 +241,11 @@
 	"server-ready":       "A backend server of this host is ready.",
 	"server-draining":    "A backend server of this host is draining.",
 	"server-gone":        "A backend server of this host is gone.",
+
+	"rollout-running":     "A roll-out has a new step.",
+	"rollout-completed":   "A roll-out is completed.",
+	"rollout-rolled-back": "A roll-out is rolled back.",
+	"rollout-taken-over":  "Took over a roll-out whose leader is silent.",
 }
 
 func eventMessage(kind string) string {
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -31,6 +31,8 @@
 	snapshot atomic.Pointer[version.Snapshot]
 	limits   atomic.Pointer[document.Limits] // of callers; nil when the document sets none
 
+	ownServers []backend.Server // of this host
+
 	services  []document.Service // of the applied version
 	previous  map[backend.ServiceName]previousService
 	stale     bool      // pool and gate lack a change
@@ -99,6 +101,7 @@
 		services = gateServices(c.retained.newest(), own)
 	}
 	c.gate.Update(services, own)
+	c.routing.ownServers = own
 }
 
 // gateServices returns the services of a gate whose daemon has not applied a
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -33,6 +33,7 @@
 	reader     readerState
 	backoff    tableBackoff
 	reports    reportState
+	rollouts   rolloutState
 }
 
 // New returns a core that has not started yet; the first Step starts it.
@@ -52,6 +53,7 @@
 	c.updates.init()
 	c.versions.init()
 	c.reports.init()
+	c.rollouts.init()
 	c.hosts.put(self, config.Started)
 	return c
 }
@@ -88,6 +90,12 @@
 		c.handleReadRecordsResult(e)
 	case WriteRecordResult:
 		c.handleWriteRecordResult(e)
+	case EvidenceCollected:
+		c.forwardEvidence(e.Evidence)
+	case ReadRolloutsResult:
+		c.handleReadRolloutsResult(e)
+	case WriteRolloutResult:
+		c.handleWriteRolloutResult(e)
 	case ShutdownRequested:
 		c.announceShutdown()
 	}
@@ -127,6 +135,10 @@
 		c.receiveFloor(m)
 	case message.HeadConfirmation:
 		c.receiveConfirm(from, m)
+	case message.Rollouts:
+		c.mergeRollouts(m.Updates, from)
+	case message.RolloutEvidence:
+		c.receiveEvidence(m.Evidence)
 	case message.Report:
 		c.receiveReport(from, m)
 	}
@@ -142,6 +154,7 @@
 	c.runReader()
 	c.runFloorReads()
 	c.runReports()
+	c.runRollouts()
 	c.runWriteRecord()
 	c.runDeleteRecords()
 	c.refreshOverlay()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/rollout"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
@@ -50,8 +51,12 @@
 	// its content too.
 	Snapshot version.Snapshot
 	Position version.Position // position up to which the changes are known
-	Latency  time.Duration    // of the read, not counting the wait for a change
-	Err      error
+	// Orders are the orders of roll-outs that changed after the requested position.
+	// OrdersMissing is set if the read did not return them.
+	Orders        []rollout.Order
+	OrdersMissing bool
+	Latency       time.Duration // of the read, not counting the wait for a change
+	Err           error
 }
 
 // LoadVersionResult is the result of LoadVersion.
@@ -79,6 +84,35 @@
 // announcements that the effect caused.
 type ServersRestored struct{}
 
+// EvidenceCollected contains the evidence of the gate of this host about roll-outs,
+// without host and incarnation.
+type EvidenceCollected struct{ Evidence []rollout.Evidence }
+
+// ReadRolloutsResult is the result of ReadRollouts: all orders and rows.
+type ReadRolloutsResult struct {
+	Orders []rollout.Order
+	Rows   []rollout.Stored
+	Err    error
+}
+
+// WriteRolloutResult is the result of WriteRollout.
+type WriteRolloutResult struct {
+	Row      rollout.Row
+	Outcome  WriteOutcome
+	Revision rollout.Revision // of the written row; 0 unless Outcome is Written
+}
+
+// WriteOutcome is the outcome of a conditional write.
+type WriteOutcome uint8
+
+// Outcomes of a conditional write.
+const (
+	WriteUnknown WriteOutcome = iota // it may have been applied, now or later
+	Written
+	Conflict   // the row has another revision
+	NotWritten // it was not applied for another reason
+)
+
 // ShutdownRequested starts a planned shutdown of this daemon.
 type ShutdownRequested struct{}
 
@@ -143,6 +177,20 @@
 // DeleteRecord deletes the record of a dead host.
 type DeleteRecord struct{ Host host.Row }
 
+// ReadRollouts reads all orders of roll-outs and all their rows. ReadRolloutsResult
+// returns the result.
+type ReadRollouts struct{}
+
+// WriteRollout writes the row of a roll-out if it has the given revision; 0 requires
+// that there is none. WriteRolloutResult returns the result.
+type WriteRollout struct {
+	Row        rollout.Row
+	IfRevision rollout.Revision
+}
+
+// ApplyRollouts puts the known roll-outs into effect on this host.
+type ApplyRollouts struct{ Rollouts []rollout.Applied }
+
 // TimelineEvent adds an event to the timeline.
 type TimelineEvent struct {
 	Kind    string // kebab case, for example "version-applied"
@@ -163,6 +211,14 @@
 func (WriteRecordResult) isEvent() {}
 func (ShutdownRequested) isEvent() {}
 
+func (EvidenceCollected) isEvent()  {}
+func (ReadRolloutsResult) isEvent() {}
+func (WriteRolloutResult) isEvent() {}
+
+func (ReadRollouts) isEffect()  {}
+func (WriteRollout) isEffect()  {}
+func (ApplyRollouts) isEffect() {}
+
 func (SendMessage) isEffect()         {}
 func (RetainSnapshot) isEffect()      {}
 func (ApplySnapshot) isEffect()       {}
@@ -197,5 +253,7 @@
 	// zero means 2 s. If the reader fails, a new version is applied after about
 	// twice this time.
 	HeadPollWait time.Duration
-	Seed         uint64 // seeds the generator for jitter and random choices
+	// Rollouts enables roll-outs; it is nil if the environment has no orders.
+	Rollouts *rollout.Limits
+	Seed     uint64 // seeds the generator for jitter and random choices
 }
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -273,6 +273,7 @@
 	rows := c.rowsInZones(all)
 	rows.Servers = append(rows.Servers, earlier...)
 	c.send(from, message.JoinAnswer{Rows: rows, Summary: c.stateSummary()})
+	c.sendRollouts(from)
 }
 
 // leavingServers returns the rows of the backend servers of a host that are draining
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -317,6 +317,7 @@
 		c.recordReadLatency(e.Latency)
 	}
 	r.lastReadFailed, r.yieldedAt = false, time.Time{}
+	c.receiveOrders(e)
 	r.nextReadAt = c.now
 	n := e.Manifest.Number
 	if n == 0 {
@@ -416,6 +417,7 @@
 		c.setFloor(m.Number)
 	}
 	if m.Position > c.reader.lastHead.position {
+		c.rollouts.ordersMissing = true // this host did not read the changes in between
 		c.reader.lastHead = headState{m.Position, m.Number}
 	}
 	c.yieldReaderRole(at)
--- /dev/null
+++ b/internal/fleet/rollouts.go
@@ -0,0 +1,422 @@
+package fleet
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/rollout"
+)
+
+const (
+	// rankInterval is the time between two checks of whether this host is the reader.
+	rankInterval = 200 * time.Millisecond
+	// decideInterval is the shortest time between two decisions about a roll-out.
+	decideInterval = 50 * time.Millisecond
+	// takeOverAfter is the age of the last refresh from which the reader takes over a
+	// roll-out that another host leads: several refreshes were lost.
+	takeOverAfter = 1000 * time.Millisecond
+	// abandonAfter is how long the writes of a leader must fail before it leaves the
+	// roll-out to the reader, if that is another host.
+	abandonAfter = 1500 * time.Millisecond
+	// rolloutRetryDelay is the time after which a failed read or write is repeated.
+	rolloutRetryDelay = 400 * time.Millisecond
+	// rolloutCallTimeout is the time after which a read or write without a result counts
+	// as failed.
+	rolloutCallTimeout = 4 * time.Second
+	// verdictInterval is the time between two refreshes of verdicts by the reader, which
+	// reach hosts that have missed earlier ones. After recentVerdict it is
+	// oldVerdictInterval.
+	verdictInterval    = 5 * time.Second
+	recentVerdict      = time.Minute
+	oldVerdictInterval = 30 * time.Second
+)
+
+// rolloutState holds the known roll-outs, and what this host needs to lead them.
+type rolloutState struct {
+	known       map[backend.ServiceName]*knownRollout
+	orders      map[backend.ServiceName]rollout.Order // newest order of each service that this host has read
+	controllers map[backend.ServiceName]*ledRollout   // roll-outs that this host leads
+
+	isReader      bool
+	rankCheckedAt time.Time
+	ordersMissing bool // orders may have changed that this host has not read
+	read          bool // the orders and rows were read since this host is the reader
+	readPending   bool
+	readAt        time.Time // of the last read
+	readRetryAt   time.Time
+	verdictsAt    time.Time
+}
+
+// knownRollout is the newest known state of the roll-out of a service.
+type knownRollout struct{ rollout.Applied }
+
+// startedAt returns the local time at which the order was first read.
+func (k *knownRollout) startedAt() time.Time {
+	return k.At.Add(-time.Duration(k.AgeMS) * time.Millisecond)
+}
+
+// ledRollout is a roll-out that this host leads.
+type ledRollout struct {
+	*rollout.Controller
+	decidedAt   time.Time
+	refreshedAt time.Time
+	held        bool // as of the last refresh
+	writing     *rollout.Row
+	writeAt     time.Time // of the pending write
+	retryAt     time.Time
+	failingFrom time.Time // of the first failed write since the last successful one
+}
+
+func (r *rolloutState) init() {
+	r.known = make(map[backend.ServiceName]*knownRollout)
+	r.orders = make(map[backend.ServiceName]rollout.Order)
+	r.controllers = make(map[backend.ServiceName]*ledRollout)
+	r.ordersMissing = true
+}
+
+// Rollouts returns the newest known roll-outs in the order of their services.
+func (c *Core) Rollouts() []rollout.Applied {
+	all := make([]rollout.Applied, 0, len(c.rollouts.known))
+	for _, name := range slices.Sorted(maps.Keys(c.rollouts.known)) {
+		all = append(all, c.rollouts.known[name].Applied)
+	}
+	return all
+}
+
+// mergeRollouts takes over states that are newer than the known ones, and forwards
+// them.
+func (c *Core) mergeRollouts(updates []rollout.Update, from netip.AddrPort) {
+	var newer []rollout.Update
+	for _, u := range updates {
+		old := c.rollouts.known[u.Row.Service]
+		if u.Row.Service == "" || u.Row.State < rollout.Running || u.Row.State > rollout.RolledBack || old != nil && !u.Supersedes(old.Update) {
+			continue
+		}
+		c.noteRollout(old, u)
+		c.rollouts.known[u.Row.Service] = &knownRollout{rollout.Applied{Update: u, At: c.now}}
+		if led := c.rollouts.controllers[u.Row.Service]; led != nil && u.Revision > led.Revision() && from != noSender {
+			delete(c.rollouts.controllers, u.Row.Service) // another host leads it now
+		}
+		newer = append(newer, u)
+	}
+	if len(newer) == 0 {
+		return
+	}
+	for _, e := range c.neighbors() {
+		if e.addr != from {
+			c.send(e.addr, message.Rollouts{Updates: newer})
+		}
+	}
+	c.emit(ApplyRollouts{Rollouts: c.Rollouts()})
+}
+
+// noteRollout records a change of the step or state that this host learns of.
+func (c *Core) noteRollout(old *knownRollout, u rollout.Update) {
+	if old != nil && old.Row.Step == u.Row.Step && old.Row.State == u.Row.State && old.Row.Order == u.Row.Order {
+		return
+	}
+	c.recordEvent(TimelineEvent{Kind: "rollout-" + u.Row.State.String(), Detail: u.Row.String()})
+}
+
+// sendRollouts sends the known roll-outs to a host that joins.
+func (c *Core) sendRollouts(to netip.AddrPort) {
+	if len(c.rollouts.known) == 0 {
+		return
+	}
+	var all []rollout.Update
+	for _, a := range c.Rollouts() {
+		u := a.Update
+		u.AgeMS += uint32(max(0, c.now.Sub(a.At).Milliseconds()))
+		all = append(all, u)
+	}
+	c.send(to, message.Rollouts{Updates: all})
+}
+
+// forwardEvidence sends the evidence of this host to the leaders.
+func (c *Core) forwardEvidence(all []rollout.Evidence) {
+	for _, e := range all {
+		k := c.rollouts.known[e.Service]
+		if k == nil {
+			continue
+		}
+		e.Host, e.Incarnation = c.config.Self.ID, c.firstIncarnation()
+		if k.Row.Leader == e.Host {
+			c.receiveEvidence(e)
+		} else if leader := c.hosts.get(k.Row.Leader); leader != nil {
+			c.send(leader.row.ControlAddr, message.RolloutEvidence{Evidence: e})
+		}
+	}
+}
+
+func (c *Core) receiveEvidence(e rollout.Evidence) {
+	if led := c.rollouts.controllers[e.Service]; led != nil {
+		led.Report(c.now, e)
+	}
+}
+
+// receiveOrders takes over the orders that a read of the head row returned.
+func (c *Core) receiveOrders(e ReadHeadResult) {
+	if e.OrdersMissing {
+		c.rollouts.ordersMissing = true
+	}
+	for _, o := range e.Orders {
+		c.addOrder(o)
+	}
+}
+
+func (c *Core) addOrder(o rollout.Order) {
+	if old, ok := c.rollouts.orders[o.Service]; !ok || o.Number > old.Number {
+		c.rollouts.orders[o.Service] = o
+	}
+}
+
+// runRollouts reads orders and leads roll-outs if this host is the reader, and goes on
+// with those that it leads.
+func (c *Core) runRollouts() {
+	r := &c.rollouts
+	if c.config.Rollouts == nil || !c.join.initialReadDone || c.selfRow().State == host.Left {
+		clear(r.controllers)
+		return
+	}
+	if c.now.Sub(r.rankCheckedAt) >= rankInterval {
+		r.rankCheckedAt = c.now
+		r.isReader = c.readerRank() == 0
+		r.read = r.read && r.isReader
+	}
+	if r.isReader {
+		c.runReadRollouts()
+	}
+	if r.isReader && r.read {
+		c.followOrders()
+		c.takeOver()
+		c.refreshVerdicts()
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.controllers)) {
+		c.lead(name, r.controllers[name])
+	}
+}
+
+// runReadRollouts reads the orders and rows when this host has become the reader, or
+// may have missed an order.
+func (c *Core) runReadRollouts() {
+	r := &c.rollouts
+	if r.readPending && c.now.Sub(r.readAt) > rolloutCallTimeout {
+		r.readPending = false
+	}
+	if r.readPending || r.read && !r.ordersMissing || c.now.Before(r.readRetryAt) {
+		return
+	}
+	r.readPending, r.readAt, r.ordersMissing = true, c.now, false
+	c.emit(ReadRollouts{})
+}
+
+func (c *Core) handleReadRolloutsResult(e ReadRolloutsResult) {
+	r := &c.rollouts
+	r.readPending = false
+	if e.Err != nil {
+		r.ordersMissing, r.readRetryAt = true, c.now.Add(rolloutRetryDelay)
+		return
+	}
+	r.read = true
+	ordered := make(map[backend.ServiceName]bool)
+	for _, o := range e.Orders {
+		ordered[o.Service] = true
+		c.addOrder(o)
+	}
+	var updates []rollout.Update
+	for _, s := range e.Rows {
+		// Whether another host leads the roll-out is not known yet.
+		u := rollout.Update{Row: s.Row, Revision: s.Revision, Hold: s.Row.State == rollout.Running}
+		if k := r.known[s.Row.Service]; k != nil && k.Row.Started == s.Row.Started {
+			u.AgeMS = uint32(max(0, c.now.Sub(k.startedAt()).Milliseconds()))
+		} else {
+			u.AgeMS = uint32(min(max(0, c.now.UnixMilli()-s.Row.Started), int64(s.Row.DurationMS)))
+		}
+		if led := r.controllers[s.Row.Service]; led != nil {
+			c.resolveWrite(led, s)
+		}
+		updates = append(updates, u)
+		if s.Row.State == rollout.Running && !ordered[s.Row.Service] {
+			c.addOrder(rollout.Order{Service: s.Row.Service, Target: s.Row.Target, Number: s.Row.Order + 1, Withdrawn: true})
+		}
+	}
+	c.mergeRollouts(updates, noSender)
+}
+
+// resolveWrite compares a stored row with the one that this host leads. It goes on with
+// a row of its own, whose write had no response, and gives up the lead otherwise.
+func (c *Core) resolveWrite(led *ledRollout, s rollout.Stored) {
+	switch {
+	case s.Revision <= led.Revision():
+	case s.Row.Leader == c.config.Self.ID:
+		c.rolloutWritten(led, s)
+	default:
+		delete(c.rollouts.controllers, s.Row.Service)
+	}
+}
+
+// followOrders writes the rows of new, changed and withdrawn orders.
+func (c *Core) followOrders() {
+	for _, name := range slices.Sorted(maps.Keys(c.rollouts.orders)) {
+		o := c.rollouts.orders[name]
+		var current rollout.Stored
+		if k := c.rollouts.known[name]; k != nil {
+			current = rollout.Stored{Row: k.Row, Revision: k.Revision}
+		}
+		row, changed := rollout.Follow(current.Row, o, c.now)
+		if !changed {
+			continue
+		}
+		led := c.rollouts.controllers[name]
+		if led == nil {
+			led = c.newLed(current, c.now)
+			c.rollouts.controllers[name] = led
+		}
+		row.Leader = c.config.Self.ID
+		c.writeRollout(led, row)
+	}
+}
+
+func (c *Core) newLed(s rollout.Stored, started time.Time) *ledRollout {
+	return &ledRollout{Controller: rollout.New(*c.config.Rollouts, c.config.Self.ID, s, started, c.now)}
+}
+
+// takeOver leads the running roll-outs whose leader is silent.
+func (c *Core) takeOver() {
+	for name, k := range c.rollouts.known {
+		if k.Row.State == rollout.Running && c.rollouts.controllers[name] == nil && c.now.Sub(k.At) >= takeOverAfter {
+			c.rollouts.controllers[name] = c.newLed(rollout.Stored{Row: k.Row, Revision: k.Revision}, k.startedAt())
+			c.recordEvent(TimelineEvent{Kind: "rollout-taken-over", Host: k.Row.Leader, Detail: k.Row.String()})
+		}
+	}
+}
+
+// refreshVerdicts repeats the roll-outs that have ended.
+func (c *Core) refreshVerdicts() {
+	r := &c.rollouts
+	if c.now.Sub(r.verdictsAt) < verdictInterval {
+		return
+	}
+	r.verdictsAt = c.now
+	var all []rollout.Update
+	for _, name := range slices.Sorted(maps.Keys(r.known)) {
+		k := r.known[name]
+		age := c.now.Sub(k.startedAt())
+		if k.Row.State == rollout.Running || age > recentVerdict && c.now.Sub(k.At) < oldVerdictInterval {
+			continue
+		}
+		u := k.Update
+		u.Refresh++
+		u.AgeMS = uint32(min(age.Milliseconds(), 1<<31))
+		all = append(all, u)
+	}
+	if len(all) > 0 {
+		c.mergeRollouts(all, noSender)
+	}
+}
+
+// lead decides about a roll-out that this host leads.
+func (c *Core) lead(name backend.ServiceName, led *ledRollout) {
+	if led.writing != nil && c.now.Sub(led.writeAt) > rolloutCallTimeout {
+		c.writeFailed(led)
+	}
+	if !led.failingFrom.IsZero() && c.now.Sub(led.failingFrom) > abandonAfter && !c.rollouts.isReader {
+		delete(c.rollouts.controllers, name)
+		return
+	}
+	if led.Row().State == rollout.Running && c.now.Sub(led.decidedAt) >= decideInterval {
+		led.decidedAt = c.now
+		row, changed := led.Next(c.now, c.serversOf(name))
+		if changed && led.writing == nil && !c.now.Before(led.retryAt) {
+			c.writeRollout(led, row)
+		}
+	}
+	if led.Row().State == rollout.Running && (led.Held() != led.held || c.now.Sub(led.refreshedAt) >= rollout.RefreshInterval) {
+		c.refreshRollout(led)
+	}
+	if led.Row().State > rollout.Running && led.writing == nil && !c.now.Before(led.retryAt) {
+		c.refreshRollout(led)
+		delete(c.rollouts.controllers, name)
+	}
+}
+
+// refreshRollout sends the state of a roll-out to all hosts.
+func (c *Core) refreshRollout(led *ledRollout) {
+	if led.Revision() == 0 {
+		return
+	}
+	led.refreshedAt, led.held = c.now, led.Held()
+	c.mergeRollouts([]rollout.Update{led.Update(c.now)}, noSender)
+}
+
+// serversOf returns the servers of a service.
+func (c *Core) serversOf(name backend.ServiceName) []rollout.Server {
+	var all []rollout.Server
+	for _, id := range slices.Sorted(maps.Keys(c.servers.rows)) {
+		s := c.servers.rows[id]
+		if s.Service != name {
+			continue
+		}
+		e := c.hosts.get(s.Host)
+		if e == nil || !e.live() || e.row.Stamp.Incarnation != s.Stamp.Incarnation {
+			continue
+		}
+		all = append(all, rollout.Server{Row: s, Alive: e.row.State == host.Alive})
+	}
+	return all
+}
+
+func (c *Core) writeRollout(led *ledRollout, row rollout.Row) {
+	if led.writing != nil || c.now.Before(led.retryAt) {
+		return
+	}
+	led.writing, led.writeAt = &row, c.now
+	c.emit(WriteRollout{Row: row, IfRevision: led.Revision()})
+}
+
+func (c *Core) handleWriteRolloutResult(e WriteRolloutResult) {
+	led := c.rollouts.controllers[e.Row.Service]
+	if led == nil || led.writing == nil {
+		return
+	}
+	switch e.Outcome {
+	case Written:
+		c.rolloutWritten(led, rollout.Stored{Row: e.Row, Revision: e.Revision})
+		c.refreshRollout(led)
+	case Conflict, WriteUnknown:
+		c.writeFailed(led)
+		c.rollouts.ordersMissing = true
+		if !c.rollouts.isReader && !c.rollouts.readPending {
+			// A leader that is not the reader reads the row only now.
+			c.rollouts.readPending, c.rollouts.readAt = true, c.now
+			c.emit(ReadRollouts{})
+		}
+	case NotWritten:
+		c.writeFailed(led)
+	}
+}
+
+// rolloutWritten takes over a row that this host wrote.
+func (c *Core) rolloutWritten(led *ledRollout, s rollout.Stored) {
+	if led.Row().Started != s.Row.Started {
+		// The evidence of the previous roll-out does not count.
+		started := c.now.Add(-time.Duration(max(0, c.now.UnixMilli()-s.Row.Started)) * time.Millisecond)
+		led.Controller = rollout.New(*c.config.Rollouts, c.config.Self.ID, s, started, c.now)
+	} else {
+		led.Written(c.now, s)
+	}
+	led.writing, led.failingFrom, led.refreshedAt = nil, time.Time{}, time.Time{}
+}
+
+// writeFailed schedules another write.
+func (c *Core) writeFailed(led *ledRollout) {
+	led.writing, led.retryAt = nil, c.now.Add(rolloutRetryDelay)
+	if led.failingFrom.IsZero() {
+		led.failingFrom = c.now
+	}
+}
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -63,6 +63,8 @@
 	KindFloorRequest
 	KindFloor
 	KindHeadConfirmation
+	KindRollouts        Kind = 24
+	KindRolloutEvidence Kind = 25
 )
 
 // kinds maps each kind to its name in logs and to the zero value of its type.
@@ -86,6 +88,8 @@
 	KindFloorRequest:     {"floor-request", FloorRequest{}},
 	KindFloor:            {"floor", Floor{}},
 	KindHeadConfirmation: {"confirm", HeadConfirmation{}},
+	KindRollouts:         {"rollouts", Rollouts{}},
+	KindRolloutEvidence:  {"rollout-evidence", RolloutEvidence{}},
 }
 
 var kindOfType = func() map[reflect.Type]Kind {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -6,6 +6,7 @@
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/rollout"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
 
@@ -177,6 +178,24 @@
 	Stragglers []host.ID // hosts that lag behind; the sender lists at most five
 }
 
+// Rollouts contains the state of roll-outs. Hosts forward what is newer than what they
+// know.
+type Rollouts struct {
+	_ struct{} `cbor:",toarray"`
+
+	Updates []rollout.Update
+}
+
+// RolloutEvidence reports the calls to the servers of one service to the leader of its
+// roll-out.
+type RolloutEvidence struct {
+	_ struct{} `cbor:",toarray"`
+
+	Evidence rollout.Evidence
+}
+
+func (Rollouts) isMessage()         {}
+func (RolloutEvidence) isMessage()  {}
 func (Probe) isMessage()            {}
 func (ProbeAnswer) isMessage()      {}
 func (IndirectProbe) isMessage()    {}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -65,6 +65,7 @@
 	unhealthy  sync.Map // keys: backend.ServerID of servers whose health probe fails
 	leaving    sync.Map // backend.ServerID to *leavingServer
 	routeStats routeStats
+	rollouts   atomic.Pointer[map[backend.ServiceName]*Rollout]
 	daemons    daemonSet
 }
 
@@ -162,7 +163,13 @@
 		s.retryBudget.recordCall()
 		s.refusedRetryBudget.recordCall()
 	}
-	c, sel := p.choose(s, call)
+	var c *candidate
+	var sel *selection
+	if r := p.rolloutOf(call.Service); r != nil {
+		c, sel = p.chooseByVersion(s, call, r)
+	} else {
+		c, sel = p.choose(s, call)
+	}
 	if c == nil {
 		return nil, ErrNoServer
 	}
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -45,6 +45,7 @@
 	reasonServerFull     = "server-full"
 	reasonServerLimited  = "server-limited"
 	reasonDraining       = "server-draining"
+	reasonVersion        = "version-refused"
 	reasonSuspended      = "host-suspended"
 	reasonNotReady       = "server-not-ready"
 	// reasonServerRefused means that the server itself reported that it did not run
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -83,6 +83,12 @@
 		g.logFailure("Refused a call.", c, id, q, result)
 		return result
 	}
+	tracked, ok := g.beginTracked(c, permit)
+	if !ok {
+		permit.ReleaseAborted()
+		g.metrics.refused.inc(reasonVersion)
+		return gateResult{failure: &failure{reason: reasonVersion, notRun: true, refused: true, serverUnavailable: true}, load: g.config.Gate.Load(id), forecast: g.config.Gate.Forecast(id)}
+	}
 	result := g.sendToServer(ctx, c, permit)
 	if result.failure != nil && result.failure.refused {
 		g.metrics.refused.inc(result.failure.reason)
@@ -93,11 +99,13 @@
 	}
 	switch {
 	case result.reply != nil && result.reply.rest != nil:
-		result.reply.rest = &slotReleasingBody{result.reply.rest, permit}
+		result.reply.rest = &slotReleasingBody{result.reply.rest, permit, func() { g.endTracked(tracked, result) }}
 	case result.reply != nil:
 		permit.Release()
+		g.endTracked(tracked, result)
 	default:
 		permit.ReleaseAborted()
+		g.endTracked(tracked, result)
 	}
 	return result
 }
@@ -106,10 +114,12 @@
 type slotReleasingBody struct {
 	io.ReadCloser
 	permit *gate.Permit
+	end    func()
 }
 
 func (b *slotReleasingBody) Close() error {
 	b.permit.Release()
+	b.end()
 	return b.ReadCloser.Close()
 }
 
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -129,7 +129,7 @@
 	return &failure{
 		reason: reason, notRun: notRun, refused: notRun && reason != reasonServerUnreachable,
 		serverFull:        reason == reasonServerFull || reason == reasonServerLimited || reason == reasonQueueTimeout,
-		serverUnavailable: reason == reasonDraining || reason == reasonSuspended || reason == reasonNotReady,
+		serverUnavailable: reason == reasonDraining || reason == reasonVersion || reason == reasonSuspended || reason == reasonNotReady,
 		noRetry:           h.Get(HeaderNoRetry) == "true",
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/pool"
+	"github.com/peridotlb/peridotlb/internal/rollout"
 	"github.com/peridotlb/peridotlb/internal/route"
 )
 
@@ -88,7 +89,8 @@
 	Routes     func() *route.Table // returns nil if no version is applied yet
 	Pool       Pool
 	Gate       *gate.Gate
-	Claims     Claims // nil refuses paid calls
+	Rollouts   *rollout.Tracker // nil without roll-outs
+	Claims     Claims           // nil refuses paid calls
 	Transports *Transports
 	Now        func() time.Time // nil uses time.Now
 	Events     func(Event)      // nil discards events
--- /dev/null
+++ b/internal/rollout/controller.go
@@ -0,0 +1,396 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/host"
+)
+
+const (
+	// raiseTime is the time before the deadline from which the share rises to all
+	// calls: three steps with a write each, the end of the calls in flight at the other
+	// versions, and the write of the verdict.
+	raiseTime = 5200 * time.Millisecond
+	// stepTime is the shortest time between two steps, in which the evidence of the step
+	// arrives.
+	stepTime = 600 * time.Millisecond
+	// detectionTime is the assumed time from the first bad response to the moment from
+	// which no entry sends calls to the target version.
+	detectionTime = 550 * time.Millisecond
+	// evidenceLifetime is the age from which the evidence of a host is not current.
+	evidenceLifetime = 700 * time.Millisecond
+	// suspectTime is the time before the deadline from which the roll-out does not wait
+	// for the gates of suspect hosts.
+	suspectTime = 600 * time.Millisecond
+	// closingTime is how long after the deadline a roll-out that is closing may still be
+	// completed.
+	closingTime = 3 * time.Second
+	// probeBudget is the part of the permitted calls that the target version gets before
+	// the share rises. slackPart is the part of the slack. Most calls of a bad version
+	// come from the last steps, in the time until they are noticed.
+	probeBudget = 0.12
+	slackPart   = 0.5
+	// maxProbeShare is the largest share before the rise.
+	maxProbeShare = 250
+	// budgetMargin is the part of the permitted calls that the decision uses.
+	budgetMargin = 0.92
+	// rateWindow is the time over which the calls per second of the service are measured.
+	rateWindow = 1500 * time.Millisecond
+	// minTargetSlots is the part of the slots of the former versions that the target
+	// version must have before the share rises.
+	minTargetSlots = 0.5
+)
+
+// raiseSteps are the shares of the last steps.
+var raiseSteps = []Share{120, 350, AllCalls}
+
+// Controller decides about the roll-out of one service. It is not safe for concurrent
+// use.
+type Controller struct {
+	limits   Limits
+	self     host.ID
+	row      Row
+	revision Revision
+	refresh  uint32
+	started  time.Time
+	stepAt   time.Time // when the current step was written
+	hosts    map[host.ID]*hostEvidence
+	samples  []sample
+	raising  bool
+	judgment Judgment
+	hold     bool
+	failures uint32 // FailureLimit of the updates
+	active   []backend.ServerID
+}
+
+// hostEvidence is the newest report of a host, and the counts of earlier runs of its
+// daemon.
+type hostEvidence struct {
+	Evidence
+	at      time.Time
+	earlier map[document.RouteName]sides
+}
+
+// New returns the controller of a stored roll-out that was started at the given time.
+func New(l Limits, self host.ID, s Stored, started, now time.Time) *Controller {
+	return &Controller{limits: l, self: self, row: s.Row, revision: s.Revision, started: started, stepAt: now, hosts: make(map[host.ID]*hostEvidence), failures: initialFailureLimit}
+}
+
+// initialFailureLimit is the number of failures after which a gate stops calls to the
+// target version until the leader has judged them.
+const initialFailureLimit = 4
+
+// Row returns the stored row.
+func (c *Controller) Row() Row { return c.row }
+
+// Revision returns the revision of the stored row.
+func (c *Controller) Revision() Revision { return c.revision }
+
+// Judgment returns the last comparison of the versions.
+func (c *Controller) Judgment() Judgment { return c.judgment }
+
+// Written records that a row was written.
+func (c *Controller) Written(now time.Time, s Stored) {
+	if s.Row.Step != c.row.Step || s.Row.State != c.row.State {
+		c.stepAt = now
+	}
+	c.row, c.revision, c.refresh = s.Row, s.Revision, 0
+}
+
+// Update returns the next refresh of the state.
+func (c *Controller) Update(now time.Time) Update {
+	c.refresh++
+	return Update{
+		Row: c.row, Revision: c.revision, Refresh: c.refresh, AgeMS: uint32(max(0, now.Sub(c.started).Milliseconds())),
+		Hold: c.hold, Active: c.active, FailureLimit: c.failures,
+	}
+}
+
+// Held reports whether calls to the target version are stopped.
+func (c *Controller) Held() bool { return c.hold }
+
+// Report adds the evidence of a host.
+func (c *Controller) Report(now time.Time, e Evidence) {
+	h := c.hosts[e.Host]
+	switch {
+	case h == nil:
+		h = &hostEvidence{earlier: make(map[document.RouteName]sides)}
+		c.hosts[e.Host] = h
+	case e.Incarnation < h.Incarnation, e.Incarnation == h.Incarnation && e.Sequence <= h.Sequence:
+		return
+	case e.Incarnation > h.Incarnation:
+		// The counters start again, but the calls were made.
+		c.add(h.earlier, h.Evidence)
+	}
+	h.Evidence, h.at = e, now
+}
+
+// add adds the evidence of a host to sums by route.
+func (c *Controller) add(sums map[document.RouteName]sides, e Evidence) {
+	for _, s := range e.Servers {
+		for _, r := range s.Routes {
+			v := counts{float64(r.Calls), float64(r.Failures), float64(r.WarmDone), float64(r.WarmUS) / 1e6}
+			sum := sums[r.Route]
+			switch {
+			case s.Version == c.row.Target:
+				sum.target = sum.target.plus(v)
+			case !slices.Contains(c.row.Barred, s.Version):
+				sum.others = sum.others.plus(v)
+			}
+			sums[r.Route] = sum
+		}
+	}
+}
+
+// sample sums the evidence of all hosts.
+func (c *Controller) sample(now time.Time) sample {
+	s := sample{at: now, routes: make(map[document.RouteName]sides)}
+	for _, h := range c.hosts {
+		for name, r := range h.earlier {
+			sum := s.routes[name]
+			s.routes[name] = sides{sum.target.plus(r.target), sum.others.plus(r.others)}
+		}
+		c.add(s.routes, h.Evidence)
+	}
+	return s
+}
+
+// observe updates the judgment and what follows from it without a write.
+func (c *Controller) observe(now time.Time, servers []Server) (current sample, rate float64) {
+	current = c.sample(now)
+	c.samples = slices.DeleteFunc(c.samples, func(s sample) bool { return now.Sub(s.at) > windowLength })
+	before := sample{at: c.started}
+	if len(c.samples) > 0 {
+		before = c.samples[0]
+	}
+	c.judgment = judge(current, before)
+	c.hold = c.judgment.Bad
+	rate = c.rate(current)
+	if n := len(c.samples); n == 0 || now.Sub(c.samples[n-1].at) >= windowInterval {
+		c.samples = append(c.samples, current)
+	}
+	if !c.judgment.Bad {
+		c.raiseFailureLimit()
+	}
+	c.chooseActive(servers)
+	return current, rate
+}
+
+// rate returns the calls per second of the service.
+func (c *Controller) rate(current sample) float64 {
+	for _, s := range c.samples {
+		if d := current.at.Sub(s.at); d <= rateWindow && d > 0 {
+			now, before := current.total(), s.total()
+			return max(0, now.target.calls+now.others.calls-before.target.calls-before.others.calls) / d.Seconds()
+		}
+	}
+	return 0
+}
+
+// raiseFailureLimit permits further failures of servers whose failures were judged as
+// not caused by the version.
+func (c *Controller) raiseFailureLimit() {
+	for _, h := range c.hosts {
+		for _, s := range h.Servers {
+			if s.Version != c.row.Target {
+				continue
+			}
+			var failures uint32
+			for _, r := range s.Routes {
+				failures += r.Failures
+			}
+			c.failures = max(c.failures, failures+initialFailureLimit)
+		}
+	}
+}
+
+// usable reports whether a server may get calls.
+func (c *Controller) usable(s Server) bool {
+	return s.Alive && s.Row.State == backend.Ready && !slices.Contains(c.row.Barred, s.Row.Version)
+}
+
+// chooseActive chooses the servers of the target version that get its share: as many as
+// then have the load of a normal server, so that a version that is bad under load shows
+// it while its share is small.
+func (c *Controller) chooseActive(servers []Server) {
+	var ready []backend.ServerID
+	for _, s := range servers {
+		if s.Row.Version == c.row.Target && c.usable(s) {
+			ready = append(ready, s.Row.ID)
+		}
+	}
+	slices.Sort(ready)
+	n := min(len(ready), max(1, int(math.Ceil(float64(len(ready))*float64(c.row.Share)/float64(AllCalls)))))
+	// Servers that already get calls stay.
+	kept := slices.DeleteFunc(slices.Clone(c.active), func(id backend.ServerID) bool { return !slices.Contains(ready, id) })
+	for _, id := range ready {
+		if len(kept) < n && !slices.Contains(kept, id) {
+			kept = append(kept, id)
+		}
+	}
+	c.active = kept[:min(len(kept), n)]
+}
+
+// Next returns the row that is to be written now, if any. The controller acts on it
+// when Written confirms it.
+func (c *Controller) Next(now time.Time, servers []Server) (Row, bool) {
+	if c.row.State != Running {
+		return Row{}, false
+	}
+	current, rate := c.observe(now, servers)
+	next := c.row
+	next.Leader = c.self
+	left := c.started.Add(c.row.Duration()).Sub(now)
+	switch {
+	case c.judgment.Bad:
+		return c.rollBack(next, c.judgment.Reason), true
+	case left <= 0 && (!c.row.Closing || left <= -closingTime):
+		return c.rollBack(next, "not completed by the deadline"), true
+	case c.row.Closing:
+		if c.othersClosed(now, servers, left) {
+			next.State, next.Reason = Completed, c.figures()
+			next.Barred = c.formerVersions(servers)
+			return next, true
+		}
+	case c.row.Share == AllCalls:
+		if c.settled(now, servers) {
+			next.Closing = true
+			next.Step++
+			return next, true
+		}
+	default:
+		if share := c.nextShare(now, current, rate, left, servers); share > c.row.Share {
+			next.Share = share
+			next.Step++
+			return next, true
+		}
+	}
+	return next, next.Leader != c.row.Leader
+}
+
+func (c *Controller) figures() string {
+	j := c.judgment
+	return fmt.Sprintf("%.0f calls, %.0f failed, %.1f expected, run time %.2f of the others in %.0f calls", j.Calls, j.Failures, j.ExpectedFailures, j.Slowdown, j.Compared)
+}
+
+func (c *Controller) rollBack(next Row, reason string) Row {
+	next.State, next.Share, next.Closing, next.Reason = RolledBack, 0, false, reason
+	next.Step++
+	if !slices.Contains(next.Barred, next.Target) {
+		next.Barred = append(slices.Clone(next.Barred), next.Target)
+	}
+	return next
+}
+
+// formerVersions returns the versions that get no calls after the roll-out.
+func (c *Controller) formerVersions(servers []Server) []backend.Version {
+	all := slices.Clone(c.row.Barred)
+	for _, s := range servers {
+		if s.Row.Version != c.row.Target && !slices.Contains(all, s.Row.Version) {
+			all = append(all, s.Row.Version)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// nextShare returns the share that the evidence and the budget permit now.
+func (c *Controller) nextShare(now time.Time, current sample, rate float64, left time.Duration, servers []Server) Share {
+	if len(c.active) == 0 || rate <= 0 || c.judgment.Doubtful || !c.settled(now, servers) {
+		return 0
+	}
+	budget := c.budget(current, rate, left)
+	if left > raiseTime {
+		if c.row.Share > 0 {
+			return 0
+		}
+		calls := rate * (left - raiseTime).Seconds()
+		if calls <= 0 {
+			return 0
+		}
+		n := probeBudget*c.limits.ExposureShare*rate*c.row.Duration().Seconds() + slackPart*c.limits.ExposureSlack
+		return Share(min(maxProbeShare, max(1, n/calls*float64(AllCalls))))
+	}
+	if !c.enoughServers(servers) {
+		return 0
+	}
+	used := current.total().target.calls
+	for _, share := range raiseSteps {
+		if share <= c.row.Share {
+			continue
+		}
+		if used+float64(share)/float64(AllCalls)*rate*detectionTime.Seconds() <= budget {
+			return share
+		}
+		return 0
+	}
+	return 0
+}
+
+// budget returns the number of calls that a bad version may get in all, by the calls
+// so far and those that are expected until the deadline.
+func (c *Controller) budget(current sample, rate float64, left time.Duration) float64 {
+	total := current.total()
+	expected := total.target.calls + total.others.calls + rate*max(0, left.Seconds())
+	return budgetMargin * (c.limits.ExposureShare*expected + c.limits.ExposureSlack)
+}
+
+// settled reports whether the current step has been in effect for long enough, and
+// whether current evidence of it is known.
+func (c *Controller) settled(now time.Time, servers []Server) bool {
+	if now.Sub(c.stepAt) < stepTime {
+		return false
+	}
+	if c.row.Share == 0 {
+		return true
+	}
+	for _, s := range servers {
+		if !slices.Contains(c.active, s.Row.ID) {
+			continue
+		}
+		h := c.hosts[s.Row.Host]
+		if h == nil || now.Sub(h.at) > evidenceLifetime || h.Revision != c.revision {
+			return false
+		}
+	}
+	return len(c.active) > 0
+}
+
+// enoughServers reports whether the target version can take the calls of the others.
+func (c *Controller) enoughServers(servers []Server) bool {
+	var target, others float64
+	for _, s := range servers {
+		switch {
+		case !c.usable(s):
+		case s.Row.Version == c.row.Target:
+			target += float64(max(1, s.Row.Slots))
+		default:
+			others += float64(max(1, s.Row.Slots))
+		}
+	}
+	return target >= minTargetSlots*others
+}
+
+// othersClosed reports whether the gates of all other servers refuse calls under the
+// current revision, and have none in flight.
+func (c *Controller) othersClosed(now time.Time, servers []Server, left time.Duration) bool {
+	for _, s := range servers {
+		if s.Row.Version == c.row.Target || s.Row.State == backend.Gone || !s.Alive && left < suspectTime {
+			continue
+		}
+		h := c.hosts[s.Row.Host]
+		if h == nil || h.Revision != c.revision || now.Sub(h.at) > evidenceLifetime {
+			return false
+		}
+		i := slices.IndexFunc(h.Servers, func(e ServerEvidence) bool { return e.ID == s.Row.ID })
+		if i < 0 || !h.Servers[i].Closed || h.Servers[i].InFlight > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,6 +102,8 @@
 
 	RetryRatio       float64       // retries of all daemons as a share of the calls of a service
 	RetryExtra       float64       // additional retries of all daemons in a window
+	RolloutShare     float64       // of the calls of a service that a bad version may get
+	RolloutSlack     float64       // calls that a bad version may get in addition
 	RetryWindow      time.Duration // if 0, each daemon has a retry budget of its own
 	AnnounceLease    time.Duration
 	OutcomeRetention time.Duration
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -119,6 +119,8 @@
 		numberSetting("retry-ratio", "0.1", 0, 1, "Retries that all daemons together may send to a service, as a share of its calls, when --retry-window is set.", func(d *Daemon) *float64 { return &d.RetryRatio }),
 		numberSetting("retry-extra", "30", 0, 1e6, "Additional retries of all daemons in each window of --retry-window.", func(d *Daemon) *float64 { return &d.RetryExtra }),
 		durationSetting("retry-window", "0s", 0, time.Hour, "Window over which the retries of all daemons are bounded. If 0s, each daemon has its own budget: 10% of its calls and 3 retries per second.", func(d *Daemon) *time.Duration { return &d.RetryWindow }),
+		numberSetting("rollout-exposure-share", "0.1", 0.001, 1, "Calls that a bad version may get in a roll-out, as a share of the calls of its service.", func(d *Daemon) *float64 { return &d.RolloutShare }),
+		numberSetting("rollout-exposure-slack", "50", 0, 1e6, "Calls that a bad version may get in a roll-out in addition to the share.", func(d *Daemon) *float64 { return &d.RolloutSlack }),
 		durationSetting("announce-lease", "3s", time.Second, time.Minute, "A backend server that does not renew its announcement for this long gets no new work.", func(d *Daemon) *time.Duration { return &d.AnnounceLease }),
 		// Clients repeat a call within minutes, but a queue that is stopped over a long
 		// weekend repeats calls after days. 37 paid calls per second need 22 million rows
