Judge slowness of new versions by windows and the heartbeat's warm-up

Run times are now compared by a Chernoff bound over the whole roll-out and two windows, calls in flight count in part, and the share before the rise uses what the last steps leave of the budget. Servers count as warm when their heartbeats say so, else 5 s after their start.

--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -54,6 +54,8 @@
 	// OnHealth receives the results of health probes; true means healthy. It also
 	// receives true when a server is no longer probed. With nil, nothing is probed.
 	OnHealth func(backend.ServerID, bool)
+	// OnWarmUp receives how long servers that state it are still slow; it may be nil.
+	OnWarmUp func(backend.ServerID, time.Duration)
 	Now      func() time.Time // nil uses time.Now
 }
 
--- a/internal/announcement/registry.go
+++ b/internal/announcement/registry.go
@@ -41,6 +41,7 @@
 type Announcement struct {
 	Server     backend.Server // without host, stamp, start time and sequence
 	HealthPath string
+	WarmUp     time.Duration // for which the server is still slow; 0 when it is not, or states nothing
 	Started    time.Time
 	Sequence   uint64
 }
@@ -69,6 +70,9 @@
 func (a *API) Renew(ctx context.Context, n Announcement) error {
 	a.mu.Lock()
 	a.renew(n)
+	if a.config.OnWarmUp != nil && n.WarmUp > 0 {
+		a.config.OnWarmUp(n.Server.ID, n.WarmUp)
+	}
 	var persisted <-chan struct{}
 	if n.Server.State >= backend.Draining {
 		persisted = a.leavingPersisted(n.Server.ID)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -297,8 +297,9 @@
 		return fmt.Errorf("operator API: %w", err)
 	}
 	d.announcements = announcement.New(announcement.Config{
-		Lease:   s.AnnounceLease,
-		Publish: func(b backend.Server) <-chan struct{} { return d.loop.announce(ctx, b) },
+		Lease:    s.AnnounceLease,
+		Publish:  func(b backend.Server) <-chan struct{} { return d.loop.announce(ctx, b) },
+		OnWarmUp: func(id backend.ServerID, remaining time.Duration) { d.tracker.SetWarmUp(id, time.Now(), remaining) },
 		OnHealth: func(id backend.ServerID, healthy bool) {
 			d.pool.SetHealth(id, healthy)
 			d.gate.SetHealth(id, healthy)
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -13,9 +13,12 @@
 
 const (
 	// raiseTime is the time before the deadline from which the share rises to all
-	// calls: three steps with a write each, the end of the calls in flight at the other
-	// versions, and the write of the verdict.
-	raiseTime = 5200 * time.Millisecond
+	// calls: up to three steps with a write each, the end of the calls in flight at the
+	// other versions, and the write of the verdict.
+	raiseTime = 4800 * time.Millisecond
+	// commitTime is the time before the deadline from which the roll-out does not wait
+	// for more evidence.
+	commitTime = 2500 * time.Millisecond
 	// stepTime is the shortest time between two steps, in which the evidence of the step
 	// arrives.
 	stepTime = 600 * time.Millisecond
@@ -30,13 +33,25 @@
 	// closingTime is how long after the deadline a roll-out that is closing may still be
 	// completed.
 	closingTime = 3 * time.Second
-	// probeBudget is the part of the permitted calls that the target version gets before
-	// the share rises. slackPart is the part of the slack. Most calls of a bad version
-	// come from the last steps, in the time until they are noticed.
-	probeBudget = 0.12
-	slackPart   = 0.5
+	// raiseCost is the time for which the target version would get all calls of the
+	// service until a bad one is stopped in the last step: in the steps before, and until
+	// it is noticed. probeBudget is the part of the permitted calls beyond that which the
+	// target version gets before the share rises.
+	raiseCost   = 950 * time.Millisecond
+	probeBudget = 0.9
+	// minProbePart is the least part of the permitted calls before the share rises.
+	minProbePart = 0.1
+	// coldPart is the part of that which servers get while they warm up. Their run
+	// times say nothing about the version.
+	coldPart = 0.25
 	// maxProbeShare is the largest share before the rise.
-	maxProbeShare = 250
+	maxProbeShare = 300
+	// normalLoad is the load of a server of the target version before all calls have
+	// moved, as a multiple of the load that it has then.
+	normalLoad = 1.1
+	// enoughCalls is the number of calls after the last step from which the roll-out
+	// does not wait for more evidence.
+	enoughCalls = 150
 	// budgetMargin is the part of the permitted calls that the decision uses.
 	budgetMargin = 0.92
 	// rateWindow is the time over which the calls per second of the service are measured.
@@ -46,8 +61,9 @@
 	minTargetSlots = 0.5
 )
 
-// raiseSteps are the shares of the last steps.
-var raiseSteps = []Share{120, 350, AllCalls}
+// raiseParts are the parts of the servers of the target version that get calls in the
+// steps before the last.
+var raiseParts = []float64{0.12, 0.35}
 
 // Controller decides about the roll-out of one service. It is not safe for concurrent
 // use.
@@ -61,7 +77,8 @@
 	stepAt   time.Time // when the current step was written
 	hosts    map[host.ID]*hostEvidence
 	samples  []sample
-	raising  bool
+	stepUsed float64 // calls to the target version at the start of the step
+	used     float64
 	judgment Judgment
 	hold     bool
 	failures uint32 // FailureLimit of the updates
@@ -97,7 +114,7 @@
 // Written records that a row was written.
 func (c *Controller) Written(now time.Time, s Stored) {
 	if s.Row.Step != c.row.Step || s.Row.State != c.row.State {
-		c.stepAt = now
+		c.stepAt, c.stepUsed = now, c.used
 	}
 	c.row, c.revision, c.refresh = s.Row, s.Revision, 0
 }
@@ -134,7 +151,7 @@
 func (c *Controller) add(sums map[document.RouteName]sides, e Evidence) {
 	for _, s := range e.Servers {
 		for _, r := range s.Routes {
-			v := counts{float64(r.Calls), float64(r.Failures), float64(r.WarmDone), float64(r.WarmUS) / 1e6}
+			v := counts{float64(r.Calls), float64(r.Failures), float64(r.WarmDone) + float64(r.WarmInFlight)/2, float64(r.WarmUS) / 1e6}
 			sum := sums[r.Route]
 			switch {
 			case s.Version == c.row.Target:
@@ -163,15 +180,18 @@
 // observe updates the judgment and what follows from it without a write.
 func (c *Controller) observe(now time.Time, servers []Server) (current sample, rate float64) {
 	current = c.sample(now)
-	c.samples = slices.DeleteFunc(c.samples, func(s sample) bool { return now.Sub(s.at) > windowLength })
-	before := sample{at: c.started}
-	if len(c.samples) > 0 {
-		before = c.samples[0]
+	c.used = current.total().target.calls
+	c.samples = slices.DeleteFunc(c.samples, func(s sample) bool { return now.Sub(s.at) > slices.Max(windows) })
+	before := []sample{{at: c.started}}
+	for _, w := range windows {
+		if i := slices.IndexFunc(c.samples, func(s sample) bool { return now.Sub(s.at) <= w }); i >= 0 {
+			before = append(before, c.samples[i])
+		}
 	}
 	c.judgment = judge(current, before)
 	c.hold = c.judgment.Bad
 	rate = c.rate(current)
-	if n := len(c.samples); n == 0 || now.Sub(c.samples[n-1].at) >= windowInterval {
+	if n := len(c.samples); n == 0 || now.Sub(c.samples[n-1].at) >= sampleInterval {
 		c.samples = append(c.samples, current)
 	}
 	if !c.judgment.Bad {
@@ -225,7 +245,10 @@
 		}
 	}
 	slices.Sort(ready)
-	n := min(len(ready), max(1, int(math.Ceil(float64(len(ready))*float64(c.row.Share)/float64(AllCalls)))))
+	n := min(len(ready), max(1, int(math.Ceil(float64(len(ready))*c.row.Share.part()/normalLoad))))
+	if c.row.Share == AllCalls {
+		n = len(ready)
+	}
 	// Servers that already get calls stay.
 	kept := slices.DeleteFunc(slices.Clone(c.active), func(id backend.ServerID) bool { return !slices.Contains(ready, id) })
 	for _, id := range ready {
@@ -251,14 +274,17 @@
 		return c.rollBack(next, c.judgment.Reason), true
 	case left <= 0 && (!c.row.Closing || left <= -closingTime):
 		return c.rollBack(next, "not completed by the deadline"), true
+	case c.judgment.Doubtful && c.used+c.row.Share.part()*rate*detectionTime.Seconds() > c.budget(current, rate, left):
+		return c.rollBack(next, "no calls left to clear a doubt: "+c.figures()), true
 	case c.row.Closing:
-		if c.othersClosed(now, servers, left) {
+		if !c.judgment.Doubtful && c.othersClosed(now, servers, left) {
 			next.State, next.Reason = Completed, c.figures()
 			next.Barred = c.formerVersions(servers)
 			return next, true
 		}
 	case c.row.Share == AllCalls:
-		if c.settled(now, servers) {
+		enough := c.used-c.stepUsed >= enoughCalls || left < commitTime || c.used+rate*detectionTime.Seconds() > c.budget(current, rate, left)
+		if enough && !c.judgment.Doubtful && c.settled(now, servers) {
 			next.Closing = true
 			next.Step++
 			return next, true
@@ -299,37 +325,74 @@
 	return all
 }
 
-// nextShare returns the share that the evidence and the budget permit now.
+// nextShare returns the share that the evidence and the budget permit now, or 0 if the
+// share stays.
 func (c *Controller) nextShare(now time.Time, current sample, rate float64, left time.Duration, servers []Server) Share {
 	if len(c.active) == 0 || rate <= 0 || c.judgment.Doubtful || !c.settled(now, servers) {
 		return 0
 	}
 	budget := c.budget(current, rate, left)
 	if left > raiseTime {
-		if c.row.Share > 0 {
-			return 0
+		return c.probeShare(budget, rate, left, servers)
+	}
+	targets := c.targets(servers)
+	if !c.enoughServers(servers) {
+		return 0
+	}
+	last := rate * detectionTime.Seconds()
+	for _, part := range raiseParts {
+		share := Share(min(1, max(1, math.Round(part*targets))/targets) * float64(AllCalls))
+		if share > c.row.Share && c.used+share.part()*rate*(stepTime+sampleInterval).Seconds()+last <= budget {
+			return share
 		}
-		calls := rate * (left - raiseTime).Seconds()
-		if calls <= 0 {
+	}
+	if c.used+last <= budget {
+		return AllCalls
+	}
+	return 0
+}
+
+// probeShare returns the share before the rise: a first one while the servers warm up,
+// and a second one that uses the rest of the budget for it.
+func (c *Controller) probeShare(budget, rate float64, left time.Duration, servers []Server) Share {
+	calls := max(probeBudget*(budget-raiseCost.Seconds()*rate), minProbePart*budget)
+	remaining := (left - raiseTime).Seconds()
+	if !c.activeWarm(servers) {
+		if c.row.Share > 0 {
 			return 0
 		}
-		n := probeBudget*c.limits.ExposureShare*rate*c.row.Duration().Seconds() + slackPart*c.limits.ExposureSlack
-		return Share(min(maxProbeShare, max(1, n/calls*float64(AllCalls))))
+		calls *= coldPart
+		remaining = max(remaining, warmUpTime.Seconds())
 	}
-	if !c.enoughServers(servers) {
+	share := Share(min(maxProbeShare, max(1, (calls-c.used)/rate/max(remaining, 0.5)*float64(AllCalls))))
+	// Every step costs a write, so the share is adapted only by much.
+	if share < 2*c.row.Share {
 		return 0
 	}
-	used := current.total().target.calls
-	for _, share := range raiseSteps {
-		if share <= c.row.Share {
-			continue
+	return share
+}
+
+// activeWarm reports whether a server that gets calls has warmed up.
+func (c *Controller) activeWarm(servers []Server) bool {
+	for _, s := range servers {
+		if h := c.hosts[s.Row.Host]; h != nil && slices.Contains(c.active, s.Row.ID) {
+			if i := slices.IndexFunc(h.Servers, func(e ServerEvidence) bool { return e.ID == s.Row.ID }); i >= 0 && h.Servers[i].Warm {
+				return true
+			}
 		}
-		if used+float64(share)/float64(AllCalls)*rate*detectionTime.Seconds() <= budget {
-			return share
+	}
+	return false
+}
+
+// targets returns the number of usable servers of the target version.
+func (c *Controller) targets(servers []Server) float64 {
+	n := 0.0
+	for _, s := range servers {
+		if s.Row.Version == c.row.Target && c.usable(s) {
+			n++
 		}
-		return 0
 	}
-	return 0
+	return max(n, 1)
 }
 
 // budget returns the number of calls that a bad version may get in all, by the calls
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -8,12 +8,14 @@
 	"github.com/peridotlb/peridotlb/internal/document"
 )
 
+// windows are the times over which run times are compared, in addition to the whole
+// roll-out. The shorter one notices a version that becomes slow while its share rises,
+// the longer one averages out slowdowns of single machines of 600 ms.
+var windows = []time.Duration{2500 * time.Millisecond, 900 * time.Millisecond}
+
 const (
-	// windowLength is the time over which run times are compared. It is long enough to
-	// average out slowdowns of single machines of 600 ms, and short enough to notice a
-	// version that becomes slow while its share rises.
-	windowLength   = 2500 * time.Millisecond
-	windowInterval = 200 * time.Millisecond
+	// sampleInterval is the time between two samples.
+	sampleInterval = 200 * time.Millisecond
 	// minRouteCalls is the number of calls of a route to the former versions from which
 	// its mean run time is used.
 	minRouteCalls = 5
@@ -21,16 +23,18 @@
 
 // counts are the sums of the evidence about the servers of one side.
 type counts struct {
-	calls, failures, warmDone float64
-	warmTime                  float64 // seconds
+	calls, failures float64
+	// warmCalls are those that have ended, and half of those in flight, which have on
+	// average run for half of their time. warmTime is their run time in seconds.
+	warmCalls, warmTime float64
 }
 
 func (c counts) minus(o counts) counts {
-	return counts{c.calls - o.calls, c.failures - o.failures, c.warmDone - o.warmDone, c.warmTime - o.warmTime}
+	return counts{c.calls - o.calls, c.failures - o.failures, c.warmCalls - o.warmCalls, c.warmTime - o.warmTime}
 }
 
 func (c counts) plus(o counts) counts {
-	return counts{c.calls + o.calls, c.failures + o.failures, c.warmDone + o.warmDone, c.warmTime + o.warmTime}
+	return counts{c.calls + o.calls, c.failures + o.failures, c.warmCalls + o.warmCalls, c.warmTime + o.warmTime}
 }
 
 // sides holds the sums for the target version and for the others.
@@ -52,86 +56,119 @@
 
 // Judgment is the comparison of the target version with the others.
 type Judgment struct {
-	Calls, OtherCalls float64 // since the start
-	Failures          float64 // of the target version
-	ExpectedFailures  float64 // if it failed as often as the others on the same routes
-	// Slowdown is the mean run time of the recent warm calls as a multiple of that of
-	// the others on the same routes, from Compared calls.
+	Calls            float64 // to the target version since the start
+	Failures         float64 // of the target version
+	ExpectedFailures float64 // if it failed as often as the others on the same routes
+	// Slowdown is the mean run time of the warm calls as a multiple of that of the others
+	// on the same routes, from Compared calls. It is that of the window that looks worst.
 	Slowdown, Compared float64
 	Bad                bool
 	Doubtful           bool // not bad, but the share must not rise
 	Reason             string
 }
 
-// judge compares the newest sample with an earlier one, from which run times count.
-func judge(now, before sample) Judgment {
+const (
+	// minBadFailures is the number of failures that are never judged as chance.
+	minBadFailures = 4
+	// doubtfulFailures is the part of failures from which a single one is doubtful.
+	doubtfulFailures = 0.025
+	// toleratedSlowdown is the slowdown that counts as no difference: servers of one
+	// service run on machines that differ in speed.
+	toleratedSlowdown = 1.4
+	// shortSlowdown is the slowdown in the shortest window from which a version is slow.
+	// A machine that is slowed down for 600 ms is 2.5 times slower.
+	shortSlowdown = 3
+)
+
+// Limits of the evidence: the negative logarithm of the probability that a good version
+// looks so bad by chance. The comparison is made some hundred times in a roll-out, for
+// several routes and windows.
+const (
+	badFailures      = 5.5
+	badSlowness      = 8
+	badRouteSlowness = 9
+	doubtfulSlowness = 3
+)
+
+// judge compares the versions. Run times count since each of the earlier samples, of
+// which the last is the newest.
+func judge(now sample, before []sample) Judgment {
 	var j Judgment
-	var actual, expected, worst float64
 	for name, r := range now.routes {
+		expected := r.target.calls * (r.others.failures + 0.2) / (r.others.calls + 20)
 		j.Calls += r.target.calls
-		j.OtherCalls += r.others.calls
 		j.Failures += r.target.failures
-		j.ExpectedFailures += r.target.calls * (r.others.failures + 0.2) / (r.others.calls + 20)
-		recent := sides{r.target.minus(before.routes[name].target), r.others.minus(before.routes[name].others)}
+		j.ExpectedFailures += expected
+		if excess(r.target.failures, expected) {
+			j.Bad, j.Reason = true, fmt.Sprintf("route %s: %.0f of %.0f calls failed, %.1f expected", name, r.target.failures, r.target.calls, expected)
+		}
+	}
+	if excess(j.Failures, j.ExpectedFailures) {
+		j.Bad, j.Reason = true, fmt.Sprintf("%.0f of %.0f calls failed, %.1f expected", j.Failures, j.Calls, j.ExpectedFailures)
+	}
+	few := j.Failures > 0 && j.Failures > doubtfulFailures*j.Calls && j.Failures > 4*j.ExpectedFailures
+	j.Doubtful = few || j.Failures > 1+2*j.ExpectedFailures
+	worst := 0.0
+	for i, earlier := range before {
+		worst = max(worst, j.compareRunTimes(now, earlier, i == len(before)-1, worst))
+	}
+	j.Doubtful = !j.Bad && (j.Doubtful || worst >= doubtfulSlowness)
+	return j
+}
+
+// compareRunTimes compares the run times since an earlier sample, and returns the
+// evidence. worst is that of other windows.
+func (j *Judgment) compareRunTimes(now, earlier sample, shortest bool, worst float64) float64 {
+	minSlowdown := 0.0
+	if shortest {
+		minSlowdown = shortSlowdown
+	}
+	var units, calls, found float64
+	for name, r := range now.routes {
+		recent := sides{r.target.minus(earlier.routes[name].target), r.others.minus(earlier.routes[name].others)}
 		reference := recent.others
-		if reference.warmDone < minRouteCalls {
+		if reference.warmCalls < minRouteCalls {
 			reference = r.others
 		}
-		if reference.warmDone < minRouteCalls || reference.warmTime <= 0 {
+		if reference.warmCalls < minRouteCalls || reference.warmTime <= 0 {
 			continue
 		}
-		units := recent.target.warmTime / (reference.warmTime / reference.warmDone)
-		actual += units
-		expected += recent.target.warmDone
-		if failures, limit := r.target.failures, r.target.calls*(r.others.failures+0.2)/(r.others.calls+20); exceeds(failures, limit) {
-			j.Bad, j.Reason = true, fmt.Sprintf("route %s: %.0f of %.0f calls failed, %.1f expected", name, failures, r.target.calls, limit)
-		}
-		worst = max(worst, slowness(units, recent.target.warmDone))
-		if slowness(units, recent.target.warmDone) >= 1 && recent.target.warmDone >= minSlowCalls {
-			j.Bad, j.Reason = true, fmt.Sprintf("route %s: %.1f times slower in %.0f calls", name, units/max(recent.target.warmDone, 1), recent.target.warmDone)
+		u, n := recent.target.warmTime/(reference.warmTime/reference.warmCalls), recent.target.warmCalls
+		units, calls = units+u, calls+n
+		s := slowness(u, n)
+		found = max(found, s+badSlowness-badRouteSlowness)
+		if s >= badRouteSlowness && u >= minSlowdown*n {
+			j.Bad, j.Reason = true, fmt.Sprintf("route %s: %.1f times slower in %.0f calls", name, u/max(n, 1), n)
 		}
 	}
-	j.Slowdown, j.Compared = actual/max(expected, 1), expected
-	if slowness(actual, expected) >= 1 {
-		j.Bad, j.Reason = true, fmt.Sprintf("%.1f times slower in %.0f calls", j.Slowdown, j.Compared)
+	s := slowness(units, calls)
+	found = max(found, s)
+	if found >= worst {
+		j.Slowdown, j.Compared = units/max(calls, 1), calls
 	}
-	if exceeds(j.Failures, j.ExpectedFailures) {
-		j.Bad, j.Reason = true, fmt.Sprintf("%.0f of %.0f calls failed, %.1f expected", j.Failures, j.Calls, j.ExpectedFailures)
+	if s >= badSlowness && units >= minSlowdown*calls {
+		j.Bad, j.Reason = true, fmt.Sprintf("%.1f times slower in %.0f calls", units/max(calls, 1), calls)
 	}
-	j.Doubtful = !j.Bad && (j.Failures > 1+2*j.ExpectedFailures || max(slowness(actual, expected), worst) >= doubtfulSlowness)
-	return j
+	return found
 }
 
-const (
-	// minBadFailures is the number of failures that are never judged as chance. With
-	// fewer, a server that is stopped with calls in flight would count as bad.
-	minBadFailures = 4
-	// slowFactor is the mean run time, as a multiple of that of the other versions, from
-	// which a version is slow. Servers of one service differ by less than that on
-	// average, and a machine that is slowed down for 600 ms shifts the mean of a window
-	// by less.
-	slowFactor = 1.7
-	// slowDeviations is the number of standard deviations of the mean, for run times
-	// that are distributed exponentially, by which it must exceed slowFactor.
-	slowDeviations = 1.5
-	minSlowCalls   = 8
-	// doubtfulSlowness is the slowness from which the share does not rise.
-	doubtfulSlowness = 0.75
-)
-
-// exceeds reports whether so many failures are not a matter of chance.
-func exceeds(failures, expected float64) bool {
-	return failures >= minBadFailures && failures > 2*expected+3*math.Sqrt(expected)
+// excess reports whether so many failures are not a matter of chance, by the Chernoff
+// bound of the Poisson distribution.
+func excess(failures, expected float64) bool {
+	if failures < minBadFailures || failures <= expected {
+		return false
+	}
+	return failures*math.Log(failures/expected)-failures+expected >= badFailures
 }
 
-// slowness compares the run time of calls, in units of the mean of the others, with the
-// limit for that number of calls. From 1 on, the version is slow.
+// slowness returns the evidence that calls which together took so many mean run times of
+// the others are slow. It is the Chernoff bound of the sum of exponentially distributed
+// run times that are slower by toleratedSlowdown.
 func slowness(units, calls float64) float64 {
-	// Calls that take several times longer end rarely; the time of those in flight
-	// counts as if one more had ended.
 	n := max(calls, 1)
-	if units < minSlowCalls {
+	x := units / n / toleratedSlowdown
+	if x <= 1 {
 		return 0
 	}
-	return units / n / (slowFactor * (1 + slowDeviations/math.Sqrt(n)))
+	return n * (x - 1 - math.Log(x))
 }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -55,6 +55,9 @@
 // AllCalls is the share of a version that gets all calls.
 const AllCalls Share = 1000
 
+// part returns the share as a number from 0 to 1.
+func (s Share) part() float64 { return float64(s) / float64(AllCalls) }
+
 // Revision is the revision of the stored row of a roll-out. Each write increases it.
 type Revision uint64
 
@@ -121,11 +124,13 @@
 	Route    document.RouteName
 	Calls    uint32 // sent to the server
 	Failures uint32 // responses that are failures
-	// WarmDone and WarmUS count the calls that began after the server had warmed up:
-	// those that have ended, and the run time of all, in microseconds. The run time
-	// includes that of the calls in flight so far, so that calls that never end count.
-	WarmDone uint32
-	WarmUS   uint64
+	// WarmDone, WarmInFlight and WarmUS count the calls that began after the server had
+	// warmed up: those that have ended, those in flight, and the run time of all, in
+	// microseconds. The run time includes that of the calls in flight so far, so that
+	// calls that never end count.
+	WarmDone     uint32
+	WarmInFlight uint32
+	WarmUS       uint64
 }
 
 // ServerEvidence is the evidence of a gate about one of its servers.
@@ -135,6 +140,7 @@
 	ID       backend.ServerID
 	Version  backend.Version
 	Closed   bool // the gate refuses calls to the server because of the roll-out
+	Warm     bool // the server has warmed up
 	InFlight uint32
 	Routes   []RouteEvidence
 }
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -73,6 +73,15 @@
 
 	mu       sync.Mutex // serializes Apply and Evidence
 	sequence uint64
+	warmAt   sync.Map // backend.ServerID to time.Time, of servers that have stated it
+}
+
+// SetWarmUp records how long a server still warms up. Servers that never state it are
+// assumed to warm up for warmUpTime.
+func (t *Tracker) SetWarmUp(id backend.ServerID, now time.Time, remaining time.Duration) {
+	if remaining > 0 {
+		t.warmAt.Store(id, now.Add(remaining))
+	}
 }
 
 // trackedService is the state of the last roll-out of a service.
@@ -163,7 +172,7 @@
 		r = &trackedRoute{}
 		server.routes[route] = r
 	}
-	c := &TrackedCall{service: s, server: server, route: r, start: now, warm: server.warm(row, now)}
+	c := &TrackedCall{service: s, server: server, route: r, start: now, warm: t.warm(server, row, now)}
 	server.inFlight++
 	r.calls++
 	if c.warm {
@@ -191,9 +200,12 @@
 	return server
 }
 
-// warm reports whether the server has started long enough ago. The time since it was
-// first seen counts if it states no start.
-func (s *trackedServer) warm(row backend.Server, now time.Time) bool {
+// warm reports whether a server has warmed up. If it states neither that nor its start,
+// the time since it was first seen counts.
+func (t *Tracker) warm(s *trackedServer, row backend.Server, now time.Time) bool {
+	if at, ok := t.warmAt.Load(row.ID); ok {
+		return !now.Before(at.(time.Time))
+	}
 	if row.Started != 0 {
 		return now.UnixMilli()-row.Started >= warmUpTime.Milliseconds()
 	}
@@ -243,7 +255,7 @@
 				e = &Evidence{Service: row.Service, Revision: s.applied.Revision, Sequence: t.sequence}
 				byService[row.Service] = e
 			}
-			e.Servers = append(e.Servers, s.evidence(row, now))
+			e.Servers = append(e.Servers, t.evidence(s, row, now))
 		}
 		s.mu.Unlock()
 	}
@@ -254,14 +266,14 @@
 	return all
 }
 
-func (s *trackedService) evidence(row backend.Server, now time.Time) ServerEvidence {
+func (t *Tracker) evidence(s *trackedService, row backend.Server, now time.Time) ServerEvidence {
 	server := s.server(row, now)
-	e := ServerEvidence{ID: row.ID, Version: row.Version, InFlight: server.inFlight, Closed: !s.permits(row.Version, server, now)}
+	e := ServerEvidence{ID: row.ID, Version: row.Version, InFlight: server.inFlight, Closed: !s.permits(row.Version, server, now), Warm: t.warm(server, row, now)}
 	for name, r := range server.routes {
 		running := time.Duration(r.warmInFlight)*now.Sub(s.origin) - r.warmStartSum
 		e.Routes = append(e.Routes, RouteEvidence{
 			Route: name, Calls: r.calls, Failures: r.failures,
-			WarmDone: r.warmDone, WarmUS: uint64(max(0, (r.warmTime + running).Microseconds())),
+			WarmDone: r.warmDone, WarmInFlight: uint32(r.warmInFlight), WarmUS: uint64(max(0, (r.warmTime + running).Microseconds())),
 		})
 	}
 	slices.SortFunc(e.Routes, func(a, b RouteEvidence) int { return cmp.Compare(a.Route, b.Route) })
