--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -316,8 +316,8 @@
 	if e.Latency > 0 && r.readMaxWait == 0 {
 		c.recordReadLatency(e.Latency)
 	}
+	c.receiveOrders(e, r.lastReadFailed)
 	r.lastReadFailed, r.yieldedAt = false, time.Time{}
-	c.receiveOrders(e)
 	r.nextReadAt = c.now
 	n := e.Manifest.Number
 	if n == 0 {
--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -28,6 +28,8 @@
 	// rolloutCallTimeout is the time after which a read or write without a result counts
 	// as failed.
 	rolloutCallTimeout = 4 * time.Second
+	// maxOrderAge bounds the assumed age of an order that is found late.
+	maxOrderAge = 8 * time.Second
 	// verdictInterval is the time between two refreshes of verdicts by the reader, which
 	// reach hosts that have missed earlier ones. After recentVerdict it is
 	// oldVerdictInterval.
@@ -39,7 +41,7 @@
 // rolloutState holds the known roll-outs, and what this host needs to lead them.
 type rolloutState struct {
 	known       map[backend.ServiceName]*knownRollout
-	orders      map[backend.ServiceName]rollout.Order // newest order of each service that this host has read
+	orders      map[backend.ServiceName]readOrder // newest order of each service that this host has read
 	controllers map[backend.ServiceName]*ledRollout   // roll-outs that this host leads
 
 	isReader      bool
@@ -52,8 +54,17 @@
 	verdictsAt    time.Time
 }
 
+// readOrder is an order with the earliest time at which it can have been written.
+type readOrder struct {
+	rollout.Order
+	since time.Time
+}
+
 // knownRollout is the newest known state of the roll-out of a service.
-type knownRollout struct{ rollout.Applied }
+type knownRollout struct {
+	rollout.Applied
+	stored rollout.Stored // newest known row that is stored
+}
 
 // startedAt returns the local time at which the order was first read.
 func (k *knownRollout) startedAt() time.Time {
@@ -74,7 +85,7 @@
 
 func (r *rolloutState) init() {
 	r.known = make(map[backend.ServiceName]*knownRollout)
-	r.orders = make(map[backend.ServiceName]rollout.Order)
+	r.orders = make(map[backend.ServiceName]readOrder)
 	r.controllers = make(map[backend.ServiceName]*ledRollout)
 	r.ordersMissing = true
 }
@@ -98,7 +109,14 @@
 			continue
 		}
 		c.noteRollout(old, u)
-		c.rollouts.known[u.Row.Service] = &knownRollout{rollout.Applied{Update: u, At: c.now}}
+		k := &knownRollout{Applied: rollout.Applied{Update: u, At: c.now}, stored: rollout.Stored{Row: u.Row, Revision: u.Revision}}
+		if u.Provisional {
+			k.stored = rollout.Stored{}
+			if old != nil {
+				k.stored = old.stored
+			}
+		}
+		c.rollouts.known[u.Row.Service] = k
 		if led := c.rollouts.controllers[u.Row.Service]; led != nil && u.Revision > led.Revision() && from != noSender {
 			delete(c.rollouts.controllers, u.Row.Service) // another host leads it now
 		}
@@ -160,19 +178,36 @@
 }
 
 // receiveOrders takes over the orders that a read of the head row returned.
-func (c *Core) receiveOrders(e ReadHeadResult) {
+func (c *Core) receiveOrders(e ReadHeadResult, afterFailure bool) {
 	if e.OrdersMissing {
 		c.rollouts.ordersMissing = true
 	}
+	since := c.now
+	if afterFailure {
+		since = c.ordersKnownAt()
+	}
 	for _, o := range e.Orders {
-		c.addOrder(o)
+		c.addOrder(o, since)
 	}
 }
 
-func (c *Core) addOrder(o rollout.Order) {
+// ordersKnownAt returns the time up to which some host has read all orders. An order
+// that is found without the feed, or after failed reads, can be as old as that.
+func (c *Core) ordersKnownAt() time.Time {
+	return later(c.reader.confirmedAt, c.now.Add(-maxOrderAge))
+}
+
+func (c *Core) addOrder(o rollout.Order, since time.Time) {
 	if old, ok := c.rollouts.orders[o.Service]; !ok || o.Number > old.Number {
-		c.rollouts.orders[o.Service] = o
+		c.rollouts.orders[o.Service] = readOrder{o, since}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // runRollouts reads orders and leads roll-outs if this host is the reader, and goes on
@@ -226,7 +261,7 @@
 	ordered := make(map[backend.ServiceName]bool)
 	for _, o := range e.Orders {
 		ordered[o.Service] = true
-		c.addOrder(o)
+		c.addOrder(o, c.ordersKnownAt())
 	}
 	var updates []rollout.Update
 	for _, s := range e.Rows {
@@ -242,7 +277,7 @@
 		}
 		updates = append(updates, u)
 		if s.Row.State == rollout.Running && !ordered[s.Row.Service] {
-			c.addOrder(rollout.Order{Service: s.Row.Service, Target: s.Row.Target, Number: s.Row.Order + 1, Withdrawn: true})
+			c.addOrder(rollout.Order{Service: s.Row.Service, Target: s.Row.Target, Number: s.Row.Order + 1, Withdrawn: true}, c.now)
 		}
 	}
 	c.mergeRollouts(updates, noSender)
@@ -266,9 +301,9 @@
 		o := c.rollouts.orders[name]
 		var current rollout.Stored
 		if k := c.rollouts.known[name]; k != nil {
-			current = rollout.Stored{Row: k.Row, Revision: k.Revision}
+			current = k.stored
 		}
-		row, changed := rollout.Follow(current.Row, o, c.now)
+		row, changed := rollout.Follow(current.Row, o.Order, o.since)
 		if !changed {
 			continue
 		}
@@ -279,7 +314,23 @@
 		}
 		row.Leader = c.config.Self.ID
 		c.writeRollout(led, row)
+		c.publishProvisional(row, current)
+	}
+}
+
+// publishProvisional makes an order known to all hosts before its row is stored.
+func (c *Core) publishProvisional(row rollout.Row, current rollout.Stored) {
+	if row.State != rollout.Running || row.Started == current.Row.Started {
+		return
+	}
+	u := rollout.Update{Row: row, Revision: current.Revision, Refresh: 1, Provisional: true}
+	if k := c.rollouts.known[row.Service]; k != nil {
+		if k.Provisional && k.Row.Started == row.Started && c.now.Sub(k.At) < rollout.RefreshInterval {
+			return
+		}
+		u.Refresh = k.Refresh + 1
 	}
+	c.mergeRollouts([]rollout.Update{u}, noSender)
 }
 
 func (c *Core) newLed(s rollout.Stored, started time.Time) *ledRollout {
@@ -289,8 +340,8 @@
 // takeOver leads the running roll-outs whose leader is silent.
 func (c *Core) takeOver() {
 	for name, k := range c.rollouts.known {
-		if k.Row.State == rollout.Running && c.rollouts.controllers[name] == nil && c.now.Sub(k.At) >= takeOverAfter {
-			c.rollouts.controllers[name] = c.newLed(rollout.Stored{Row: k.Row, Revision: k.Revision}, k.startedAt())
+		if !k.Provisional && k.Row.State == rollout.Running && c.rollouts.controllers[name] == nil && c.now.Sub(k.At) >= takeOverAfter {
+			c.rollouts.controllers[name] = c.newLed(k.stored, k.startedAt())
 			c.recordEvent(TimelineEvent{Kind: "rollout-taken-over", Host: k.Row.Leader, Detail: k.Row.String()})
 		}
 	}
--- a/internal/pool/rollout.go
+++ b/internal/pool/rollout.go
@@ -63,7 +63,7 @@
 		return p.chooseAmong(s, call, func(server *poolServer) bool { return permitted(server.row.Version) })
 	}
 	target := func(server *poolServer) bool {
-		return server.row.Version == row.Target && permitted(row.Target) && r.active[server.row.ID]
+		return server.row.Version == row.Target && permitted(row.Target) && (row.Share == rollout.AllCalls || r.active[server.row.ID])
 	}
 	others := func(server *poolServer) bool {
 		return server.row.Version != row.Target && permitted(server.row.Version)
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -80,6 +80,7 @@
 	stepUsed float64 // calls to the target version at the start of the step
 	used     float64
 	judgment Judgment
+	bad      string // reason of a roll-back that is decided but not written yet
 	hold     bool
 	failures uint32 // FailureLimit of the updates
 	active   []backend.ServerID
@@ -122,9 +123,13 @@
 // Update returns the next refresh of the state.
 func (c *Controller) Update(now time.Time) Update {
 	c.refresh++
+	active := c.active
+	if c.row.Share == AllCalls {
+		active = nil // all servers, which would make the message large
+	}
 	return Update{
 		Row: c.row, Revision: c.revision, Refresh: c.refresh, AgeMS: uint32(max(0, now.Sub(c.started).Milliseconds())),
-		Hold: c.hold, Active: c.active, FailureLimit: c.failures,
+		Hold: c.hold, Active: active, FailureLimit: c.failures,
 	}
 }
 
@@ -188,13 +193,16 @@
 			before = append(before, c.samples[i])
 		}
 	}
-	c.judgment = judge(current, before)
-	c.hold = c.judgment.Bad
+	c.judgment = judge(current, before, c.row.Share == AllCalls)
+	if c.judgment.Bad && c.bad == "" {
+		c.bad = c.judgment.Reason
+	}
+	c.hold = c.bad != ""
 	rate = c.rate(current)
 	if n := len(c.samples); n == 0 || now.Sub(c.samples[n-1].at) >= sampleInterval {
 		c.samples = append(c.samples, current)
 	}
-	if !c.judgment.Bad {
+	if !c.hold {
 		c.raiseFailureLimit()
 	}
 	c.chooseActive(servers)
@@ -270,12 +278,12 @@
 	next.Leader = c.self
 	left := c.started.Add(c.row.Duration()).Sub(now)
 	switch {
-	case c.judgment.Bad:
-		return c.rollBack(next, c.judgment.Reason), true
+	case c.bad != "":
+		return c.rollBack(next, c.bad), true
 	case left <= 0 && (!c.row.Closing || left <= -closingTime):
-		return c.rollBack(next, "not completed by the deadline"), true
+		return c.decideBad(next, "not completed by the deadline"), true
 	case c.judgment.Doubtful && c.used+c.row.Share.part()*rate*detectionTime.Seconds() > c.budget(current, rate, left):
-		return c.rollBack(next, "no calls left to clear a doubt: "+c.figures()), true
+		return c.decideBad(next, "no calls left to clear a doubt: "+c.figures()), true
 	case c.row.Closing:
 		if !c.judgment.Doubtful && c.othersClosed(now, servers, left) {
 			next.State, next.Reason = Completed, c.figures()
@@ -304,6 +312,12 @@
 	return fmt.Sprintf("%.0f calls, %.0f failed, %.1f expected, run time %.2f of the others in %.0f calls", j.Calls, j.Failures, j.ExpectedFailures, j.Slowdown, j.Compared)
 }
 
+// decideBad rolls back, whatever the evidence becomes until that is written.
+func (c *Controller) decideBad(next Row, reason string) Row {
+	c.bad, c.hold = reason, true
+	return c.rollBack(next, reason)
+}
+
 func (c *Controller) rollBack(next Row, reason string) Row {
 	next.State, next.Share, next.Closing, next.Reason = RolledBack, 0, false, reason
 	next.Step++
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -103,11 +103,15 @@
 	AgeMS    uint32 // milliseconds since the order was first read
 	// Hold stops the calls to the target version.
 	Hold bool
-	// Active lists the servers of the target version that get its share.
+	// Active lists the servers of the target version that get its share. It is empty if
+	// that are all calls, which go to all its servers.
 	Active []backend.ServerID
 	// FailureLimit is the number of failures of a server of the target version from
 	// which its gate refuses further calls.
 	FailureLimit uint32
+	// Provisional is set while the row is not stored yet. Then its share is 0, so that
+	// hosts know of an order while the store does not take the row.
+	Provisional bool
 }
 
 // Supersedes reports whether u replaces o. The revision comes first, so that a leader
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -21,6 +21,9 @@
 	ClosedExpiry = 4 * time.Second
 	// RefreshInterval is the time between two refreshes of a running roll-out.
 	RefreshInterval = 300 * time.Millisecond
+	// EvidenceInterval is the time between two reports of a gate without servers of the
+	// target version.
+	EvidenceInterval = 300 * time.Millisecond
 	// warmUpTime is the time after its start for which a server may be slow.
 	warmUpTime = 5 * time.Second
 )
@@ -89,7 +92,10 @@
 	mu      sync.Mutex
 	applied Applied
 	origin  time.Time // reference of the sums of start times
-	servers map[backend.ServerID]*trackedServer
+	// reportedAt is the time of the last evidence, and reported the failures in it.
+	reportedAt time.Time
+	reported   uint32
+	servers    map[backend.ServerID]*trackedServer
 }
 
 type trackedServer struct {
@@ -182,6 +188,24 @@
 	return c, true
 }
 
+// evidenceDue reports whether evidence is due. That about the target version is due
+// more often than that about the others.
+func (s *trackedService) evidenceDue(row backend.Server, now time.Time) bool {
+	interval := EvidenceInterval
+	if row.Version == s.applied.Row.Target {
+		interval /= 3
+	}
+	return s.applied.closing(now) || s.failures() != s.reported || now.Sub(s.reportedAt) >= interval
+}
+
+// failures returns the number of failures of all servers.
+func (s *trackedService) failures() (n uint32) {
+	for _, server := range s.servers {
+		n += server.failures
+	}
+	return n
+}
+
 // permits reports whether a server may get a call. A server of the target version gets
 // none after too many failures, until the leader has judged them.
 func (s *trackedService) permits(v backend.Version, server *trackedServer, now time.Time) bool {
@@ -233,7 +257,8 @@
 }
 
 // Evidence returns the evidence about the servers of this host in running roll-outs,
-// without host and incarnation.
+// without host and incarnation. It is due every EvidenceInterval, or at once after
+// failures or while the roll-out is closing.
 func (t *Tracker) Evidence(now time.Time, own []backend.Server) []Evidence {
 	services := t.services.Load()
 	if services == nil {
@@ -242,12 +267,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	byService := make(map[backend.ServiceName]*Evidence)
+	due := make(map[backend.ServiceName]bool)
+	for _, row := range own {
+		if s := (*services)[row.Service]; s != nil {
+			s.mu.Lock()
+			due[row.Service] = due[row.Service] || s.evidenceDue(row, now)
+			s.mu.Unlock()
+		}
+	}
 	for _, row := range own {
 		s := (*services)[row.Service]
-		if s == nil {
+		if s == nil || !due[row.Service] {
 			continue
 		}
 		s.mu.Lock()
+		s.reportedAt, s.reported = now, s.failures()
 		if s.applied.Row.State == Running {
 			e := byService[row.Service]
 			if e == nil {
