Take over roll-outs within two seconds of a failure

A dead leader was replaced only when it was suspected, 3 s later, and a leader that lost the store kept its roll-out: good versions missed their deadline. Now the first hosts near the store take over a roll-out whose refreshes are missing or say that the leader's writes fail. A step that lasts longer than planned stops when a bad version would have got its calls.

--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -46,6 +46,7 @@
 	ownZoneReads     int // reads of the records of the own zone
 	tableWrites      int // rows written to the table by the fleet
 	records          map[host.ID]HostRecord
+	rollouts         *simRollouts // nil without roll-outs
 }
 
 // failer is the part of testing.T and rapid.T that the checks need.
@@ -172,6 +173,9 @@
 func (n *simNetwork) executeEffect(h *simHost, effect Effect) {
 	tableDelay := n.tableLatency(h)
 	tableDown := n.tableDown || n.tableUnreachable(h.row)
+	if n.rollouts != nil && n.rollouts.execute(h, effect, tableDown) {
+		return
+	}
 	switch e := effect.(type) {
 	case SendMessage:
 		n.transmit(h, e)
--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -20,6 +20,16 @@
 	// takeOverAfter is the age of the last refresh from which the reader takes over a
 	// roll-out that another host leads: several refreshes were lost.
 	takeOverAfter = 1000 * time.Millisecond
+	// takeOverDelayPerRank is added for each reader rank. Hosts up to maxTakeOverRank take
+	// over, since it takes seconds until a dead reader is suspected. The revision of the
+	// row lets one of them win.
+	takeOverDelayPerRank = 300 * time.Millisecond
+	maxTakeOverRank      = 3
+	// directPerZone is the number of hosts of each zone that get refreshes directly.
+	directPerZone = 2
+	// stuckAfter is how long the writes of a leader must fail before it asks others to
+	// take over.
+	stuckAfter = 300 * time.Millisecond
 	// abandonAfter is how long the writes of a leader must fail before it leaves the
 	// roll-out to the reader, if that is another host.
 	abandonAfter = 1500 * time.Millisecond
@@ -41,10 +51,11 @@
 // rolloutState holds the known roll-outs, and what this host needs to lead them.
 type rolloutState struct {
 	known       map[backend.ServiceName]*knownRollout
-	orders      map[backend.ServiceName]readOrder // newest order of each service that this host has read
-	controllers map[backend.ServiceName]*ledRollout   // roll-outs that this host leads
+	orders      map[backend.ServiceName]readOrder   // newest order of each service that this host has read
+	controllers map[backend.ServiceName]*ledRollout // roll-outs that this host leads
 
 	isReader      bool
+	rank          int // reader rank of this host
 	rankCheckedAt time.Time
 	ordersMissing bool // orders may have changed that this host has not read
 	read          bool // the orders and rows were read since this host is the reader
@@ -63,7 +74,8 @@
 // knownRollout is the newest known state of the roll-out of a service.
 type knownRollout struct {
 	rollout.Applied
-	stored rollout.Stored // newest known row that is stored
+	stored     rollout.Stored // newest known row that is stored
+	stuckSince time.Time      // start of the refreshes with Stuck
 }
 
 // startedAt returns the local time at which the order was first read.
@@ -116,6 +128,9 @@
 				k.stored = old.stored
 			}
 		}
+		if k.stuckSince = c.now; old != nil && old.Stuck {
+			k.stuckSince = old.stuckSince
+		}
 		c.rollouts.known[u.Row.Service] = k
 		if led := c.rollouts.controllers[u.Row.Service]; led != nil && u.Revision > led.Revision() && from != noSender {
 			delete(c.rollouts.controllers, u.Row.Service) // another host leads it now
@@ -220,7 +235,8 @@
 	}
 	if c.now.Sub(r.rankCheckedAt) >= rankInterval {
 		r.rankCheckedAt = c.now
-		r.isReader = c.readerRank() == 0
+		r.rank = c.readerRank()
+		r.isReader = r.rank == 0
 		r.read = r.read && r.isReader
 	}
 	if r.isReader {
@@ -228,9 +244,11 @@
 	}
 	if r.isReader && r.read {
 		c.followOrders()
-		c.takeOver()
 		c.refreshVerdicts()
 	}
+	if r.isReader || r.rank <= maxTakeOverRank && c.selfRow().NearTable {
+		c.takeOver()
+	}
 	for _, name := range slices.Sorted(maps.Keys(r.controllers)) {
 		c.lead(name, r.controllers[name])
 	}
@@ -340,7 +358,10 @@
 // takeOver leads the running roll-outs whose leader is silent.
 func (c *Core) takeOver() {
 	for name, k := range c.rollouts.known {
-		if !k.Provisional && k.Row.State == rollout.Running && c.rollouts.controllers[name] == nil && c.now.Sub(k.At) >= takeOverAfter {
+		delay := time.Duration(c.rollouts.rank) * takeOverDelayPerRank
+		silent := c.now.Sub(k.At) >= takeOverAfter+delay
+		stuck := k.Stuck && c.now.Sub(k.stuckSince) >= delay && c.mayCallTable() && k.Row.Leader != c.config.Self.ID
+		if (silent || stuck) && !k.Provisional && k.Row.State == rollout.Running && c.rollouts.controllers[name] == nil {
 			c.rollouts.controllers[name] = c.newLed(k.stored, k.startedAt())
 			c.recordEvent(TimelineEvent{Kind: "rollout-taken-over", Host: k.Row.Leader, Detail: k.Row.String()})
 		}
@@ -376,7 +397,7 @@
 	if led.writing != nil && c.now.Sub(led.writeAt) > rolloutCallTimeout {
 		c.writeFailed(led)
 	}
-	if !led.failingFrom.IsZero() && c.now.Sub(led.failingFrom) > abandonAfter && !c.rollouts.isReader {
+	if !led.failingFrom.IsZero() && c.now.Sub(led.failingFrom) > abandonAfter && !c.rollouts.isReader && led.writing == nil {
 		delete(c.rollouts.controllers, name)
 		return
 	}
@@ -387,7 +408,8 @@
 			c.writeRollout(led, row)
 		}
 	}
-	if led.Row().State == rollout.Running && (led.Held() != led.held || c.now.Sub(led.refreshedAt) >= rollout.RefreshInterval) {
+	own := led.Row().Leader == c.config.Self.ID
+	if own && led.Row().State == rollout.Running && (led.Held() != led.held || c.now.Sub(led.refreshedAt) >= rollout.RefreshInterval) {
 		c.refreshRollout(led)
 	}
 	if led.Row().State > rollout.Running && led.writing == nil && !c.now.Before(led.retryAt) {
@@ -402,7 +424,19 @@
 		return
 	}
 	led.refreshedAt, led.held = c.now, led.Held()
-	c.mergeRollouts([]rollout.Update{led.Update(c.now)}, noSender)
+	u := led.Update(c.now)
+	u.Stuck = !led.failingFrom.IsZero() && c.now.Sub(led.failingFrom) > stuckAfter
+	c.mergeRollouts([]rollout.Update{u}, noSender)
+	// The tree is broken while the root of a zone or region is dead, so some hosts of
+	// each zone get the state directly.
+	for _, zone := range slices.Sorted(maps.Keys(c.overlay.preferredByZone)) {
+		order := c.overlay.preferredByZone[zone]
+		for _, e := range order[:min(len(order), directPerZone)] {
+			if e.row.ID != c.config.Self.ID {
+				c.send(e.row.ControlAddr, message.Rollouts{Updates: []rollout.Update{u}})
+			}
+		}
+	}
 }
 
 // serversOf returns the servers of a service.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -27,9 +27,14 @@
 	detectionTime = 550 * time.Millisecond
 	// evidenceLifetime is the age from which the evidence of a host is not current.
 	evidenceLifetime = 700 * time.Millisecond
+	// silentTime is the age of the evidence of a host from which its servers get no calls.
+	silentTime = time.Second
 	// suspectTime is the time before the deadline from which the roll-out does not wait
 	// for the gates of suspect hosts.
 	suspectTime = 600 * time.Millisecond
+	// giveUpTime is the time before the deadline from which a roll-out that is not closing
+	// can't be completed any more.
+	giveUpTime = 500 * time.Millisecond
 	// closingTime is how long after the deadline a roll-out that is closing may still be
 	// completed.
 	closingTime = 3 * time.Second
@@ -38,7 +43,7 @@
 	// it is noticed. probeBudget is the part of the permitted calls beyond that which the
 	// target version gets before the share rises.
 	raiseCost   = 950 * time.Millisecond
-	probeBudget = 0.9
+	probeBudget = 0.65
 	// minProbePart is the least part of the permitted calls before the share rises.
 	minProbePart = 0.1
 	// coldPart is the part of that which servers get while they warm up. Their run
@@ -92,6 +97,26 @@
 	Evidence
 	at      time.Time
 	earlier map[document.RouteName]sides
+	recent  []callCount // of the last rateWindow
+}
+
+// callCount is the number of calls to the servers of a host at a time.
+type callCount struct {
+	at    time.Time
+	calls float64
+}
+
+// calls returns the number of calls to the servers of the host.
+func (h *hostEvidence) calls() (n float64) {
+	for _, r := range h.earlier {
+		n += r.target.calls + r.others.calls
+	}
+	for _, s := range h.Servers {
+		for _, r := range s.Routes {
+			n += float64(r.Calls)
+		}
+	}
+	return n
 }
 
 // New returns the controller of a stored roll-out that was started at the given time.
@@ -150,6 +175,7 @@
 		c.add(h.earlier, h.Evidence)
 	}
 	h.Evidence, h.at = e, now
+	h.recent = append(slices.DeleteFunc(h.recent, func(n callCount) bool { return now.Sub(n.at) > rateWindow }), callCount{now, h.calls()})
 }
 
 // add adds the evidence of a host to sums by route.
@@ -197,27 +223,37 @@
 	if c.judgment.Bad && c.bad == "" {
 		c.bad = c.judgment.Reason
 	}
-	c.hold = c.bad != ""
-	rate = c.rate(current)
+	rate = c.rate()
+	c.hold = c.bad != "" || c.overspent(now, current, rate)
 	if n := len(c.samples); n == 0 || now.Sub(c.samples[n-1].at) >= sampleInterval {
 		c.samples = append(c.samples, current)
 	}
-	if !c.hold {
+	if c.bad == "" {
 		c.raiseFailureLimit()
 	}
-	c.chooseActive(servers)
+	c.chooseActive(now, servers)
 	return current, rate
 }
 
 // rate returns the calls per second of the service.
-func (c *Controller) rate(current sample) float64 {
-	for _, s := range c.samples {
-		if d := current.at.Sub(s.at); d <= rateWindow && d > 0 {
-			now, before := current.total(), s.total()
-			return max(0, now.target.calls+now.others.calls-before.target.calls-before.others.calls) / d.Seconds()
+func (c *Controller) rate() (rate float64) {
+	for _, h := range c.hosts {
+		if n := len(h.recent); n > 1 {
+			rate += (h.recent[n-1].calls - h.recent[0].calls) / h.recent[n-1].at.Sub(h.recent[0].at).Seconds()
 		}
 	}
-	return 0
+	return rate
+}
+
+// overspent reports whether the target version gets no more calls because it has got
+// those that a bad one may get. This happens when a step lasts longer than planned,
+// for example because the leader changed.
+func (c *Controller) overspent(now time.Time, current sample, rate float64) bool {
+	if c.row.Share == 0 || c.row.Share == AllCalls {
+		return false
+	}
+	left := c.started.Add(c.row.Duration()).Sub(now)
+	return c.used+c.row.Share.part()*rate*sampleInterval.Seconds() > c.budget(current, rate, left)
 }
 
 // raiseFailureLimit permits further failures of servers whose failures were judged as
@@ -245,10 +281,12 @@
 // chooseActive chooses the servers of the target version that get its share: as many as
 // then have the load of a normal server, so that a version that is bad under load shows
 // it while its share is small.
-func (c *Controller) chooseActive(servers []Server) {
+func (c *Controller) chooseActive(now time.Time, servers []Server) {
 	var ready []backend.ServerID
 	for _, s := range servers {
-		if s.Row.Version == c.row.Target && c.usable(s) {
+		h := c.hosts[s.Row.Host]
+		silent := h != nil && now.Sub(h.at) > silentTime
+		if s.Row.Version == c.row.Target && c.usable(s) && !silent {
 			ready = append(ready, s.Row.ID)
 		}
 	}
@@ -280,7 +318,7 @@
 	switch {
 	case c.bad != "":
 		return c.rollBack(next, c.bad), true
-	case left <= 0 && (!c.row.Closing || left <= -closingTime):
+	case left <= giveUpTime && !c.row.Closing, left <= -closingTime:
 		return c.decideBad(next, "not completed by the deadline"), true
 	case c.judgment.Doubtful && c.used+c.row.Share.part()*rate*detectionTime.Seconds() > c.budget(current, rate, left):
 		return c.decideBad(next, "no calls left to clear a doubt: "+c.figures()), true
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -112,6 +112,9 @@
 	// Provisional is set while the row is not stored yet. Then its share is 0, so that
 	// hosts know of an order while the store does not take the row.
 	Provisional bool
+	// Stuck is set while the writes of the leader fail, so that a host that reaches the
+	// store takes over.
+	Stuck bool
 }
 
 // Supersedes reports whether u replaces o. The revision comes first, so that a leader
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -15,6 +15,10 @@
 	// Expiry is the age of the last refresh from which hosts send no calls to the target
 	// version of a running roll-out. The leader refreshes every RefreshInterval.
 	Expiry = 1200 * time.Millisecond
+	// RaisedExpiry replaces Expiry from raisedShare on, since more calls are sent until
+	// it has passed.
+	RaisedExpiry = 800 * time.Millisecond
+	raisedShare  = 100
 	// ClosedExpiry is the age of the last refresh from which the gates of the other
 	// versions accept calls again when the roll-out is closing. It is longer than the
 	// time that the write of the verdict may take.
@@ -37,8 +41,11 @@
 // Share returns the share of the target version at a time.
 func (a Applied) Share(now time.Time) Share {
 	limit := Expiry
-	if a.Row.Closing {
+	switch {
+	case a.Row.Closing:
 		limit = ClosedExpiry
+	case a.Row.Share >= raisedShare:
+		limit = RaisedExpiry
 	}
 	switch {
 	case a.Row.State == Completed:
