Test that roll-outs wait for regions that can't be reached

A completion stops the former servers at once; a region behind a broken link may still send calls to them. Its hosts stay alive for the others, so their gates' confirmation is missing and the roll-out is rolled back at its deadline. Verified by TestRolloutWaitsForRegions.

--- a/internal/fleet/rolloutlead.go
+++ b/internal/fleet/rolloutlead.go
@@ -104,6 +104,8 @@
 			continue
 		}
 		e := c.hosts.get(s.Host)
+		// Hosts of a zone that can't be reached stay alive here, so that a roll-out is not
+		// completed without their gates.
 		if e == nil || !e.live() || e.row.Stamp.Incarnation != s.Stamp.Incarnation {
 			continue
 		}
--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -261,7 +261,7 @@
 	if r.readPending && c.now.Sub(r.readAt) > rolloutCallTimeout {
 		r.readPending = false
 	}
-	if r.readPending || r.read && !r.ordersMissing || c.now.Before(r.readRetryAt) {
+	if r.readPending || r.read && !r.ordersMissing || c.now.Before(r.readRetryAt) || c.now.Sub(r.readAt) < rolloutRetryDelay {
 		return
 	}
 	r.readPending, r.readAt, r.ordersMissing = true, c.now, false
--- a/internal/fleet/rollouts_test.go
+++ b/internal/fleet/rollouts_test.go
@@ -327,6 +327,21 @@
 	}
 }
 
+// Guards against a completion, after which the former servers are stopped, while a
+// region that can't be reached still uses them.
+func TestRolloutWaitsForRegions(t *testing.T) {
+	r := newSimRollouts(t, 4)
+	r.start()
+	r.advance(6 * time.Second)
+	region := r.leader().row.Region
+	r.n.partitioned = func(a, b host.Row) bool { return a.Region != b.Region }
+	r.n.tableUnreachable = func(h host.Row) bool { return h.Region != region }
+	r.advance(simDuration)
+	if len(r.verdicts) != 1 || r.verdicts[0] != rollout.RolledBack {
+		t.Errorf("got verdicts %v, want a roll-back:\n%s", r.verdicts, strings.Join(r.steps, "\n"))
+	}
+}
+
 // Guards against a share that stays in effect at a host that receives no refreshes.
 func TestRolloutExpires(t *testing.T) {
 	r := newSimRollouts(t, 3)
