--- a/internal/connection/cost.go
+++ b/internal/connection/cost.go
@@ -19,10 +19,10 @@
 	// lineCost is a header line in the parsed header and in its copy: the key, the
 	// value, the slice and the map entry of up to twice its size, and the entry that
 	// sorts the encoded message.
-	lineCost = 320
+	lineCost = 256
 	// byteCost is the number of copies of a header byte: the header as received, the
-	// values, the encoded message with its buffer of up to twice its size.
-	byteCost = 4
+	// values, and the encoded message of an attempt and of a hedged one.
+	byteCost = 5
 	// bodyCost is the number of copies of a buffered body byte: the connection and the
 	// call each buffer it.
 	bodyCost = 2
--- a/internal/connection/memory.go
+++ b/internal/connection/memory.go
@@ -13,12 +13,14 @@
 	// connectionShare is the divisor of the free memory that one connection may hold.
 	connectionShare = 16
 	// callerShare is the multiple of the free memory that one caller address may hold.
-	// All callers of a host may share one address, which then gets 4/5 of the limit.
-	callerShare = 4
-	// soleShare is the divisor of the limit up to which a connection without other
-	// requests gets a reservation on an idle daemon. A header of 64 KB of the most
-	// expensive kind needs it.
-	soleShare = 4
+	// All callers of a host may share one address, which then gets 8/9 of what
+	// connections leave. With 4, the expensive requests of one connection that
+	// connectionShare admits kept out the ordinary ones of others.
+	callerShare = 8
+	// idleShare is the divisor of the limit up to which all requests together get their
+	// reservations whoever holds them. The most expensive header of 64 KB with a body
+	// needs it on a host with little memory.
+	idleShare = 4
 	// connectionReserve is the divisor of the limit that connections leave to requests.
 	connectionReserve = 4
 	// overcommitShare is the divisor of the limit by which responses may exceed it
@@ -142,7 +144,8 @@
 	if m.config.Connections > 0 && len(m.accounts) >= m.config.Connections {
 		return true
 	}
-	return m.config.Limit > 0 && m.used+cost > m.config.Limit-m.config.Limit/connectionReserve
+	limit, connections := m.config.Limit, m.used-m.requests
+	return limit > 0 && (m.used+cost > limit || connections+cost > limit-limit/connectionReserve)
 }
 
 // evict closes one of the longest idle connections and reports whether there is one.
@@ -225,9 +228,9 @@
 	switch {
 	case limit == 0:
 		return Granted
-	case n > limit/soleShare:
+	case n > limit/idleShare:
 		return RequestTooCostly
-	case a.requests == 0 && m.requests+n <= limit/soleShare && n <= free:
+	case m.requests+n <= limit/idleShare && n <= free:
 		return Granted
 	case (a.requests+n)*connectionShare > free:
 		return ConnectionAtLimit
