--- a/internal/connection/header.go
+++ b/internal/connection/header.go
@@ -55,12 +55,12 @@
 
 // openAccount reserves the memory of the connection and reports whether there is room.
 func (c *conn) openAccount() bool {
-	cost := connectionCost
+	info := connectionInfo{addr: remoteIP(c.raw), cost: connectionCost, peer: c.server.config.Peers, close: func() { go c.abort() }}
 	if c.server.config.TLS != nil {
-		cost += tlsCost
+		info.cost += tlsCost
 	}
 	var r Refusal
-	c.account, r = c.server.config.Memory.open(remoteIP(c.raw), cost, func() { go c.abort() })
+	c.account, r = c.server.config.Memory.open(info)
 	if r == Granted {
 		return true
 	}
--- a/internal/connection/memory.go
+++ b/internal/connection/memory.go
@@ -68,7 +68,8 @@
 	condemned int // bytes of accounts whose connections are being closed
 	accounts  map[*account]bool
 	callers   map[netip.Addr]*callerAccount
-	idle      *list.List // of *account, the longest idle first
+	idle      *list.List // of *account of callers, the longest idle first
+	idlePeers *list.List // of *account of other daemons, the longest idle first
 	refused   map[Refusal]uint64
 }
 
@@ -89,8 +90,9 @@
 	memory    *Memory
 	addr      netip.Addr
 	caller    *callerAccount
-	fixed     int // bytes of the connection itself
-	requests  int // bytes of requests and responses
+	fixed     int  // bytes of the connection itself
+	requests  int  // bytes of requests and responses
+	peer      bool // of another daemon
 	idle      *list.Element
 	condemned bool
 	close     func()
@@ -100,7 +102,7 @@
 func NewMemory(c MemoryConfig) *Memory {
 	return &Memory{
 		config: c, accounts: make(map[*account]bool), callers: make(map[netip.Addr]*callerAccount),
-		idle: list.New(), refused: make(map[Refusal]uint64),
+		idle: list.New(), idlePeers: list.New(), refused: make(map[Refusal]uint64),
 	}
 }
 
@@ -118,25 +120,33 @@
 	return m.refused[r]
 }
 
+// connectionInfo describes a new connection.
+type connectionInfo struct {
+	addr  netip.Addr
+	cost  int    // bytes
+	peer  bool   // it comes from another daemon
+	close func() // must not block
+}
+
 // open reserves a new connection, which is idle. If there are too many, it closes an
-// idle one, or refuses the new one. closeConn must not block.
-func (m *Memory) open(addr netip.Addr, cost int, closeConn func()) (*account, Refusal) {
+// idle one, or refuses the new one.
+func (m *Memory) open(c connectionInfo) (*account, Refusal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.lacksRoom(cost) && !m.evict() {
+	if m.lacksRoom(c.cost) && !m.evict(m.idle) && !m.evict(m.idlePeers) {
 		m.refused[NoConnection]++
 		return nil, NoConnection
 	}
-	caller := m.callers[addr]
+	caller := m.callers[c.addr]
 	if caller == nil {
 		caller = new(callerAccount)
-		m.callers[addr] = caller
+		m.callers[c.addr] = caller
 	}
-	a := &account{memory: m, addr: addr, caller: caller, fixed: cost, close: closeConn}
+	a := &account{memory: m, addr: c.addr, caller: caller, fixed: c.cost, peer: c.peer, close: c.close}
 	caller.connections++
 	m.accounts[a] = true
-	m.used += cost
-	a.idle = m.idle.PushBack(a)
+	m.used += c.cost
+	a.enterIdle()
 	return a, Granted
 }
 
@@ -148,10 +158,12 @@
 	return limit > 0 && (m.used+cost > limit || connections+cost > limit-limit/connectionReserve)
 }
 
-// evict closes one of the longest idle connections and reports whether there is one.
-func (m *Memory) evict() bool {
+// evict closes one of the longest idle connections of a list and reports whether there
+// is one. Those of other daemons are closed last, because a call that is sent on one at
+// that moment has an unknown outcome.
+func (m *Memory) evict(idle *list.List) bool {
 	var victim *account
-	e := m.idle.Front()
+	e := idle.Front()
 	for range evictionCandidates {
 		if e == nil {
 			break
@@ -191,9 +203,22 @@
 	}
 }
 
+func (a *account) idleList() *list.List {
+	if a.peer {
+		return a.memory.idlePeers
+	}
+	return a.memory.idle
+}
+
+func (a *account) enterIdle() {
+	if a.idle == nil && !a.condemned {
+		a.idle = a.idleList().PushBack(a)
+	}
+}
+
 func (a *account) leaveIdle() {
 	if a.idle != nil {
-		a.memory.idle.Remove(a.idle)
+		a.idleList().Remove(a.idle)
 		a.idle = nil
 	}
 }
@@ -299,7 +324,7 @@
 		return
 	}
 	a.add(-n)
-	if a.requests == 0 && a.idle == nil && !a.condemned {
-		a.idle = m.idle.PushBack(a)
+	if a.requests == 0 {
+		a.enterIdle()
 	}
 }
--- a/internal/connection/memory_test.go
+++ b/internal/connection/memory_test.go
@@ -23,7 +23,7 @@
 
 func (m *memoryModel) open(addr netip.Addr) (*account, Refusal) {
 	var a *account
-	a, r := m.memory.open(addr, connectionCost, func() { m.closed[a] = true })
+	a, r := m.memory.open(connectionInfo{addr: addr, cost: connectionCost, close: func() { m.closed[a] = true }})
 	if r == Granted {
 		m.held[a] = nil
 		m.order = append(m.order, a)
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -43,6 +43,9 @@
 	// Memory bounds what the connections and their requests hold. Servers of a
 	// process share it. Nil sets no limit.
 	Memory *Memory
+	// Peers is set if the clients are other daemons. Their idle connections are closed
+	// for new ones only if no caller has an idle one.
+	Peers bool
 	// Refuse writes the response to a request that Memory refused. The request has
 	// not reached Handler, and its connection ends with the response. Nil writes
 	// RefusalStatus and Retry-After.
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -35,7 +35,7 @@
 		l.IdleTimeout = 2 * gateIdleTimeout
 		return l
 	}
-	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: limits, TLS: t, Log: c.Log, Memory: c.Memory, Refuse: refuseGateCallForMemory})
+	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: limits, TLS: t, Log: c.Log, Memory: c.Memory, Peers: true, Refuse: refuseGateCallForMemory})
 }
 
 // memoryRetryAfter is when callers should repeat a request that was refused for lack of
