Reserve bodies as they arrive, and size the limits for ordinary callers

Cause: the buffer of a body was counted twice from its start, and the list of idle connections allocated for every request. The soft limit left a third of the memory of larger hosts unused.

Change: the call's copy of a body is reserved when it has arrived. A body is allocated at once while requests hold little memory. The idle list does not allocate.

--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -144,8 +144,9 @@
 	return stream, nil
 }
 
-// firstBodyBuffer is the size in bytes of the first buffer for a body. It grows as
-// the body arrives, because a client may announce a body that it never sends.
+// firstBodyBuffer is the size in bytes of the first buffer for a body if requests hold
+// much memory. The rest is reserved when that much has arrived, because a client may
+// announce a body that it never sends.
 const firstBodyBuffer = 8 << 10
 
 // bufferBody reads a body up to BufferLimit bytes completely, and BufferLimit+1 bytes
@@ -155,13 +156,26 @@
 	if r.ContentLength >= 0 {
 		most = int(min(int64(most), r.ContentLength))
 	}
+	// The call copies the body when it has arrived completely. For a short one, both
+	// copies are reserved at once.
+	copies := bodyCost
+	if most > firstBodyBuffer {
+		copies = 1
+	}
 	var data []byte
 	for len(data) < most {
 		if len(data) == cap(data) {
-			size := min(max(2*cap(data), firstBodyBuffer), most)
-			if err := c.reserve(bodyCost * (size - cap(data))); err != nil {
-				return nil, err
+			size := min(max(4*cap(data), firstBodyBuffer), most)
+			whole := size
+			if r.ContentLength >= 0 {
+				whole = most
+			}
+			reserved, refusal := c.account.reserveBetween(copies*(size-cap(data)), copies*(whole-cap(data)))
+			if refusal != Granted {
+				return nil, &refusedError{refusal}
 			}
+			c.reserved += reserved
+			size = cap(data) + reserved/copies
 			data = append(make([]byte, 0, size), data...)
 		}
 		n, err := r.Body.Read(data[len(data):cap(data)])
@@ -173,8 +187,12 @@
 			return nil, err
 		}
 	}
+	extra := (bodyCost - copies) * len(data)
 	if len(r.Trailer) > 0 && len(data) <= BufferLimit {
-		return data, c.reserve(fieldsCost(r.Trailer))
+		extra += fieldsCost(r.Trailer)
+	}
+	if extra == 0 {
+		return data, nil
 	}
-	return data, nil
+	return data, c.reserve(extra)
 }
--- a/internal/connection/memory.go
+++ b/internal/connection/memory.go
@@ -1,7 +1,6 @@
 package connection
 
 import (
-	"container/list"
 	"net/netip"
 	"sync"
 )
@@ -68,8 +67,8 @@
 	condemned int // bytes of accounts whose connections are being closed
 	accounts  map[*account]bool
 	callers   map[netip.Addr]*callerAccount
-	idle      *list.List // of *account of callers, the longest idle first
-	idlePeers *list.List // of *account of other daemons, the longest idle first
+	idle      idleList // of callers
+	idlePeers idleList // of other daemons
 	refused   map[Refusal]uint64
 }
 
@@ -93,16 +92,47 @@
 	fixed     int  // bytes of the connection itself
 	requests  int  // bytes of requests and responses
 	peer      bool // of another daemon
-	idle      *list.Element
+	open      bool
 	condemned bool
 	close     func()
+
+	idle       bool // in the list of idle connections
+	prev, next *account
+}
+
+// idleList is a list of idle connections, the longest idle first. Unlike that of
+// container/list it does not allocate, because every request leaves and enters it.
+type idleList struct{ first, last *account }
+
+func (l *idleList) add(a *account) {
+	a.idle, a.prev, a.next = true, l.last, nil
+	if l.last != nil {
+		l.last.next = a
+	} else {
+		l.first = a
+	}
+	l.last = a
+}
+
+func (l *idleList) remove(a *account) {
+	if a.prev != nil {
+		a.prev.next = a.next
+	} else {
+		l.first = a.next
+	}
+	if a.next != nil {
+		a.next.prev = a.prev
+	} else {
+		l.last = a.prev
+	}
+	a.idle, a.prev, a.next = false, nil, nil
 }
 
 // NewMemory returns an accounting without connections.
 func NewMemory(c MemoryConfig) *Memory {
 	return &Memory{
 		config: c, accounts: make(map[*account]bool), callers: make(map[netip.Addr]*callerAccount),
-		idle: list.New(), idlePeers: list.New(), refused: make(map[Refusal]uint64),
+		refused: make(map[Refusal]uint64),
 	}
 }
 
@@ -133,7 +163,7 @@
 func (m *Memory) open(c connectionInfo) (*account, Refusal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.lacksRoom(c.cost) && !m.evict(m.idle) && !m.evict(m.idlePeers) {
+	if m.lacksRoom(c.cost) && !m.evict(&m.idle) && !m.evict(&m.idlePeers) {
 		m.refused[NoConnection]++
 		return nil, NoConnection
 	}
@@ -142,7 +172,7 @@
 		caller = new(callerAccount)
 		m.callers[c.addr] = caller
 	}
-	a := &account{memory: m, addr: c.addr, caller: caller, fixed: c.cost, peer: c.peer, close: c.close}
+	a := &account{memory: m, addr: c.addr, caller: caller, fixed: c.cost, peer: c.peer, open: true, close: c.close}
 	caller.connections++
 	m.accounts[a] = true
 	m.used += c.cost
@@ -161,18 +191,12 @@
 // evict closes one of the longest idle connections of a list and reports whether there
 // is one. Those of other daemons are closed last, because a call that is sent on one at
 // that moment has an unknown outcome.
-func (m *Memory) evict(idle *list.List) bool {
-	var victim *account
-	e := idle.Front()
-	for range evictionCandidates {
-		if e == nil {
-			break
-		}
-		a := e.Value.(*account)
-		if victim == nil || a.caller.connections > victim.caller.connections {
+func (m *Memory) evict(idle *idleList) bool {
+	victim, n := idle.first, 0
+	for a := idle.first; a != nil && n < evictionCandidates; a = a.next {
+		if n++; a.caller.connections > victim.caller.connections {
 			victim = a
 		}
-		e = e.Next()
 	}
 	if victim == nil {
 		return false
@@ -186,9 +210,10 @@
 // remove ends the account. The caller must hold the lock of the memory.
 func (a *account) remove() {
 	m := a.memory
-	if !m.accounts[a] {
+	if !a.open {
 		return
 	}
+	a.open = false
 	delete(m.accounts, a)
 	a.leaveIdle()
 	m.used -= a.fixed + a.requests
@@ -203,23 +228,22 @@
 	}
 }
 
-func (a *account) idleList() *list.List {
+func (a *account) idleList() *idleList {
 	if a.peer {
-		return a.memory.idlePeers
+		return &a.memory.idlePeers
 	}
-	return a.memory.idle
+	return &a.memory.idle
 }
 
 func (a *account) enterIdle() {
-	if a.idle == nil && !a.condemned {
-		a.idle = a.idleList().PushBack(a)
+	if !a.idle && !a.condemned {
+		a.idleList().add(a)
 	}
 }
 
 func (a *account) leaveIdle() {
-	if a.idle != nil {
-		a.idleList().Remove(a.idle)
-		a.idle = nil
+	if a.idle {
+		a.idleList().remove(a)
 	}
 }
 
@@ -232,31 +256,46 @@
 
 // reserve reserves bytes for a request. The connection then counts as busy.
 func (a *account) reserve(n int) Refusal {
+	_, r := a.reserveBetween(n, n)
+	return r
+}
+
+// reserveBetween reserves most bytes if few are in use by requests, otherwise least. It
+// returns how many it reserved.
+func (a *account) reserveBetween(least, most int) (int, Refusal) {
 	m := a.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.accounts[a] {
-		return NoConnection
+	if !a.open {
+		return 0, NoConnection
+	}
+	n := least
+	if m.hasRoom(most) {
+		n = most
 	}
 	if r := a.admit(n); r != Granted {
 		m.refused[r]++
-		return r
+		return 0, r
 	}
 	a.leaveIdle()
 	a.add(n)
-	return Granted
+	return n, Granted
+}
+
+// hasRoom reports whether the requests hold so little that thresholds don't matter.
+func (m *Memory) hasRoom(n int) bool {
+	limit := m.config.Limit
+	return limit == 0 || m.requests+n <= limit/idleShare && n <= limit-m.used
 }
 
 func (a *account) admit(n int) Refusal {
 	m := a.memory
 	limit, free := m.config.Limit, m.config.Limit-m.used
 	switch {
-	case limit == 0:
+	case m.hasRoom(n):
 		return Granted
 	case n > limit/idleShare:
 		return RequestTooCostly
-	case m.requests+n <= limit/idleShare && n <= free:
-		return Granted
 	case (a.requests+n)*connectionShare > free:
 		return ConnectionAtLimit
 	case a.caller.requests+n > callerShare*free:
@@ -282,7 +321,7 @@
 	m := a.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.accounts[a] {
+	if !a.open {
 		return
 	}
 	a.leaveIdle()
@@ -320,7 +359,7 @@
 	m := a.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.accounts[a] {
+	if !a.open {
 		return
 	}
 	a.add(-n)
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -15,12 +15,13 @@
 	"github.com/peridotlb/peridotlb/internal/connection"
 )
 
-// Shares of the memory of the process. For a host with 184 MB they give a soft limit
-// of 120 MB and 67 MB for requests.
+// Parts of the memory of the process. For a host with 184 MB they give a soft limit of
+// 120 MB and 67 MB for requests.
 const (
-	// softMemoryShare is the share of the memory that the Go runtime may use before it
-	// collects garbage more often. The rest is the program's own pages, which the
-	// runtime does not count, and what the runtime exceeds its limit by.
+	// maxMemoryMargin and softMemoryShare determine what is left beside the soft limit of
+	// the Go runtime: the program's own pages, which the runtime does not count, and what
+	// it exceeds its limit by. Attacks exceeded it by up to 20 MB.
+	maxMemoryMargin = 64e6 // bytes
 	softMemoryShare = 0.65
 	// baseMemory is what the runtime uses without calls, in bytes.
 	baseMemory = 24e6
@@ -41,7 +42,9 @@
 )
 
 // softMemoryLimit returns the soft memory limit of the runtime in bytes.
-func softMemoryLimit(memoryMB float64) int64 { return int64(memoryMB * 1e6 * softMemoryShare) }
+func softMemoryLimit(memoryMB float64) int64 {
+	return int64(max(memoryMB*1e6*softMemoryShare, memoryMB*1e6-maxMemoryMargin))
+}
 
 // requestsMemory returns the bytes that connections and requests of callers may hold.
 func requestsMemory(memoryMB, explicitMB float64) int {
