Remove a race from the test of bodies that arrive slowly

Cause: TestBodyIsChargedAsItArrives read the memory in use after the connection was opened, so that the connection was sometimes included and the test waited for more than it would be charged.

Change: it reads it before.

--- a/internal/connection/limit_test.go
+++ b/internal/connection/limit_test.go
@@ -148,13 +148,14 @@
 func TestBodyIsChargedAsItArrives(t *testing.T) {
 	m, addr := startLimited(t, func(http.ResponseWriter, *http.Request) {}, connection.MemoryConfig{Limit: 8 << 20})
 	start := func() (c *rawClient, before int) {
-		c, before = newRawClient(t, addr), m.Use().Used
+		before = m.Use().Used
+		c = newRawClient(t, addr)
 		c.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n")
 		// The connection, the request and the first buffer of the body.
 		waitFor(t, "a reservation", func() bool { return m.Use().Used > before+(33<<10) })
 		return c, before
 	}
-	for m.Use().Used < 2<<20 {
+	for m.Use().Used < 3<<20 { // more than a quarter of the limit is held by requests
 		start()
 	}
 	c, before := start()
--- a/internal/connection/memory_test.go
+++ b/internal/connection/memory_test.go
@@ -135,11 +135,16 @@
 // and of the caller itself.
 func TestCheapRequestsPassExpensiveOnes(t *testing.T) {
 	m := newMemoryModel(MemoryConfig{Limit: testLimit})
+	granted := 0
 	for range 500 {
 		a, _ := m.open(callerAddr(1))
 		for a.reserve(1<<20) == Granted {
+			granted++
 		}
 	}
+	if granted == 0 {
+		t.Error("expensive requests on an idle daemon: got none granted")
+	}
 	for caller := 1; caller <= 2; caller++ {
 		a, _ := m.open(callerAddr(caller))
 		if got := a.reserve(headerCost(500, 10)); got != Granted {
