Test pipelined headers of which more was received than the next one needs

Cause: with the rest of an earlier buffer dropped in receiveLongHeader, all tests of the connection package passed.

Change: TestPipelinedLongHeaders also sends long headers before short ones.

Measured: with the rest dropped, it fails at response 17 (991 lines instead of 1250).

--- a/internal/connection/limit_test.go
+++ b/internal/connection/limit_test.go
@@ -110,21 +110,29 @@
 	}
 }
 
-// Guards against pipelined long headers of which one takes bytes of the next.
+// Guards against pipelined long headers of which one takes bytes of the next, also when
+// more was received than the next header needs.
 func TestPipelinedLongHeaders(t *testing.T) {
 	_, addr := startLimited(t, func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprint(w, r.URL.Path, " ", len(r.Header["A"]))
 	}, connection.MemoryConfig{Limit: 1 << 30})
-	c := newRawClient(t, addr)
-	var all strings.Builder
-	for i := range 30 {
-		fmt.Fprintf(&all, "GET /%d HTTP/1.1\r\nHost: x\r\n%s\r\n", i, costlyLines(1000*i))
-	}
-	go func() { _, _ = io.WriteString(c.Conn, all.String()) }()
-	for i := range 30 {
-		want := fmt.Sprintf("/%d %d", i, 250*i)
-		if _, got := c.receive(); got != want {
-			t.Fatalf("response %d: got %q, want %q", i, got, want)
+	for round := range 20 {
+		c := newRawClient(t, addr)
+		var all strings.Builder
+		var want []string
+		for i := range 30 {
+			size := 1000 * i
+			if round > 0 {
+				size = 5000 + 28000*((i+1)%15/14) // one header that needs a large buffer before 14 that don't
+			}
+			fmt.Fprintf(&all, "GET /%d HTTP/1.1\r\nHost: x\r\n%s\r\n", i, costlyLines(size))
+			want = append(want, fmt.Sprintf("/%d %d", i, size/4))
+		}
+		go func() { _, _ = io.WriteString(c.Conn, all.String()) }()
+		for i := range want {
+			if _, got := c.receive(); got != want[i] {
+				t.Fatalf("response %d: got %q, want %q", i, got, want[i])
+			}
 		}
 	}
 }
