Close idle connections of control listeners before busy ones

Cause: a control listener at its limit closed the oldest connection even while its request ran, and connections hid CloseWrite from net/http, which needs it to deliver the response to a request that it did not read to the end.

Change: the listener follows the state of its connections and closes an idle one.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -309,7 +309,8 @@
 		if srv.control == nil {
 			continue
 		}
-		srv.listener = newLimitedListener(srv.listener, controlConnections(d.descriptors))
+		limited := newLimitedListener(srv.listener, controlConnections(d.descriptors))
+		srv.listener, srv.control.ConnState = limited, limited.recordState
 		srv.control.ErrorLog = stdlog.New(httpLogWriter{d.log.Named("http")}, "", 0)
 	}
 	return nil
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -2,10 +2,8 @@
 
 import (
 	"math"
-	"net"
 	"net/http"
 	"runtime/debug"
-	"sync"
 	"syscall"
 	"time"
 
@@ -115,57 +113,3 @@
 		ReadTimeout: controlReadTimeout, IdleTimeout: controlIdleTimeout,
 	}
 }
-
-// limitedListener bounds the open connections of a listener. Beyond the limit it closes
-// the oldest one, so that connections that do nothing can't keep others out.
-type limitedListener struct {
-	net.Listener
-	limit int
-
-	mu   sync.Mutex
-	open []*limitedConn // the oldest first
-}
-
-// limitedConn is a connection of a limitedListener.
-type limitedConn struct {
-	net.Conn
-	listener *limitedListener
-}
-
-func newLimitedListener(l net.Listener, limit int) *limitedListener {
-	return &limitedListener{Listener: l, limit: limit}
-}
-
-// Accept implements net.Listener.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &limitedConn{Conn: raw, listener: l}
-	l.mu.Lock()
-	var oldest *limitedConn
-	if len(l.open) >= l.limit {
-		oldest = l.open[0]
-	}
-	l.open = append(l.open, c)
-	l.mu.Unlock()
-	if oldest != nil {
-		_ = oldest.Close()
-	}
-	return c, nil
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	l := c.listener
-	l.mu.Lock()
-	for i, other := range l.open {
-		if other == c {
-			l.open = append(l.open[:i], l.open[i+1:]...)
-			break
-		}
-	}
-	l.mu.Unlock()
-	return c.Conn.Close()
-}
