--- a/test/flood/main.go
+++ b/test/flood/main.go
@@ -18,6 +18,7 @@
 	flag.IntVar(&c.MemoryMB, "memory-mb", 184, "memory of the host")
 	flag.IntVar(&c.Descriptors, "descriptors", 4100, "file descriptors of the daemon")
 	flag.IntVar(&c.HeaderBytes, "header-bytes", 16384, "header limit of the configuration")
+	flag.StringVar(&c.Listener, "listener", "outbound", "listener that is attacked: outbound or inbound")
 	connections := flag.Int("connections", 60, "attacking connections")
 	duration := flag.Duration("duration", 6*time.Second, "duration of each attack")
 	only := flag.String("only", "", "run only the attacks whose names contain this text")
--- a/test/flood/run.go
+++ b/test/flood/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -64,7 +65,7 @@
 		}
 	}()
 	attack(attackConfig{
-		addr: s.ports["outbound"], connections: c.connections, duration: duration,
+		addr: s.ports[cmp.Or(config.Listener, "outbound")], connections: c.connections, duration: duration,
 		request: c.pattern.send(c.lines(config.HeaderBytes - headerMargin)), respond: c.pattern.respond,
 	})
 	close(stop)
--- a/test/flood/site.go
+++ b/test/flood/site.go
@@ -25,7 +25,8 @@
 	Template    string // path of deploy/daemon.conf
 	MemoryMB    int
 	Descriptors int
-	HeaderBytes int // limit of the configuration
+	HeaderBytes int    // limit of the configuration
+	Listener    string // that is attacked: outbound for the entry, inbound for the gate; empty for outbound
 }
 
 // site is a store, one daemon and one backend server, which runs in this process.
