Warn about entries of a document that have no effect

Cause: a route that another one hides, a service without a route and settings that contradict each other were accepted without a word.

Change: "document check" prints warnings for documents without faults: routes and services that never get a call, a target above the timeout, a retry that does not fit, a timeout above the limits of callers, connections below slots. The exit code stays 0.

--- a/internal/command/documentcheck/documentcheck.go
+++ b/internal/command/documentcheck/documentcheck.go
@@ -28,7 +28,7 @@
 	fs.BoolVar(&o.JSON, "json", false, "print JSON")
 	return command.NewCommand(command.Spec{
 		Path: "document check", Operands: "FILE", MinOperands: 1, MaxOperands: 1,
-		Short:    "Check a document file without a daemon; prints every fault as file:line:column: message.",
+		Short:    "Check a document file without a daemon; prints every fault as file:line:column: message, and warnings about entries without effect.",
 		Examples: []string{"peridotlb document check mesh.yaml"},
 	}, fs, func(_ context.Context, operands []string) error {
 		o.File = operands[0]
@@ -55,18 +55,25 @@
 	if err != nil && !errors.As(err, &faults) {
 		return err
 	}
+	warnings := []string{}
+	if len(faults) == 0 {
+		warnings = append(warnings, document.Warnings(d)...)
+	}
 	if o.JSON {
 		list := []Fault{}
 		for _, f := range faults {
 			list = append(list, Fault(f))
 		}
-		if err := command.WriteJSON(o.Streams, map[string]any{"faults": list}); err != nil {
+		if err := command.WriteJSON(o.Streams, map[string]any{"faults": list, "warnings": warnings}); err != nil {
 			return err
 		}
 	} else {
 		for _, f := range faults {
 			fmt.Fprintln(o.Streams.Out, f.Error())
 		}
+		for _, w := range warnings {
+			fmt.Fprintf(o.Streams.Out, "%s: warning: %s\n", o.File, w)
+		}
 	}
 	if len(faults) > 0 {
 		return command.Error{Code: command.ExitRefused, Hint: fmt.Sprintf("correct the %d faults of %s and check again", len(faults), o.File)}
