Follow the linter in the tests of quotas

Renames a variable with the suffix Second and drops names of unused parameters; make lint reported both. No change of behaviour; go test ./internal/quota -run 'Lease|Share|Bound': ok.

--- a/internal/quota/lease_test.go
+++ b/internal/quota/lease_test.go
@@ -116,7 +116,7 @@
 	alive := []Host{{ID: "second", Capacity: 8}, {ID: "b"}}
 	core.SetFleet(start, Fleet{Alive: append([]Host{{ID: "first", Capacity: 9}}, alive...), Known: 3})
 	group := uint8(core.organisations["a"].group)
-	var returnAskedAt, lentToSecond time.Duration
+	var returnAskedAt, lentAgainAt time.Duration
 	var before uint64      // time of the last request before the owner changed
 	var leaseEnd time.Time // of the lease of the first owner
 	for at := time.Duration(0); at < 6*time.Second; at += 10 * time.Millisecond {
@@ -147,16 +147,16 @@
 				returnAskedAt = at // not answered, but an older message is
 				core.Receive(now, message.QuotaAnswer{Group: group, Host: "first", Run: 1, SentAt: 1, RequestAt: before})
 				continue
-			case m.LeaseUS > 0 && to == "second" && lentToSecond == 0:
-				lentToSecond = at
+			case m.LeaseUS > 0 && to == "second" && lentAgainAt == 0:
+				lentAgainAt = at
 			}
 			if to != "first" || at < 3*time.Second {
 				core.Receive(now, message.QuotaAnswer{Group: group, Host: to, Run: 1, SentAt: uint64(at.Microseconds()), RequestAt: m.SentAt})
 			}
 		}
 	}
-	if returnAskedAt == 0 || lentToSecond == 0 || start.Add(lentToSecond).Before(leaseEnd) {
-		t.Errorf("got the return of the share asked after %v and the share lent again after %v, want not before %v", returnAskedAt, lentToSecond, leaseEnd.Sub(start))
+	if returnAskedAt == 0 || lentAgainAt == 0 || start.Add(lentAgainAt).Before(leaseEnd) {
+		t.Errorf("got the return of the share asked after %v and the share lent again after %v, want not before %v", returnAskedAt, lentAgainAt, leaseEnd.Sub(start))
 	}
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -69,10 +69,10 @@
 					n.start(o)
 				}
 			case "suspect":
-				n.believe(h, func(o *simHost) bool { return n.random.IntN(2) == 0 })
+				n.believe(h, func(*simHost) bool { return n.random.IntN(2) == 0 })
 			case "suspect all":
 				for _, o := range n.hosts {
-					n.believe(o, func(o *simHost) bool { return n.random.IntN(2) == 0 })
+					n.believe(o, func(*simHost) bool { return n.random.IntN(2) == 0 })
 				}
 			case "leave":
 				if h.up {
