Build the names of withheld trailers once

The two maps are now built with the handler.

go test ./internal/proxy -run 'Organi|Trailer|Forward|Unauth': ok.

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -18,6 +18,9 @@
 	metrics *callMetrics
 	gate    *gateHandler
 	callIDs *callIDGenerator
+	// withheld has the names of trailers that are not passed on, for versions without and
+	// with organisations.
+	withheld, withheldWithKeys map[string]bool
 }
 
 // ServeHTTP handles a request from a caller.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -156,7 +156,11 @@
 }
 
 func newEntryHandler(c Config, g *gateHandler) *entryHandler {
-	return &entryHandler{config: c, metrics: g.metrics, gate: g, callIDs: newCallIDGenerator()}
+	name := c.Dialect.organisationHeader()
+	return &entryHandler{
+		config: c, metrics: g.metrics, gate: g, callIDs: newCallIDGenerator(),
+		withheld: map[string]bool{name: true}, withheldWithKeys: map[string]bool{name: true, headerAuthorization: true},
+	}
 }
 
 // NewGate returns the handler for calls from other daemons, including those that
