--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -221,3 +221,28 @@
 		core.Take(now, "customer-0")
 	}
 }
+
+// TestPlannedStopOfOwner guards against a group without tokens while its owner stops as
+// planned: the hosts take their shares back and lend them to the next owner.
+func TestPlannedStopOfOwner(t *testing.T) {
+	m := newModel(2, 70)
+	m.advance(5 * time.Second)
+	for range 3 {
+		owner := m.byID[m.hosts[0].core.borrowers[0].owner]
+		m.execute(owner, owner.core.Leave(m.clock(owner)))
+		for _, h := range m.hosts {
+			m.believe(h, func(o *simHost) bool { return o.up && o != owner })
+		}
+		m.advance(2 * time.Second)
+		m.stop(owner)
+		m.advance(time.Second)
+		m.start(owner)
+		m.updateFleets()
+		m.advance(5 * time.Second)
+	}
+	m.log(t, "three planned restarts of owners")
+	if all, _ := m.loss(); all >= maxRefusedBelow {
+		t.Errorf("got %.4f refused below the quotas, want less than %v", all, maxRefusedBelow)
+	}
+	m.checkBound(t)
+}
