Tell callers over a quota when tokens can be expected

Retry-After was at most 150 ms, the time for which a host does not ask its owner again. Under a constant overload nearly every repeated call was refused again. It is now the time in which the bucket makes up for what was missing lately, up to 2 s; the time between two questions of a host is computed apart and is as before.

--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -318,7 +318,7 @@
 		return
 	}
 	retry := time.Duration(g.RetryUS) * time.Microsecond
-	d.retryAt, d.deniedUntil = c.now.Add(retry), c.now.Add(min(max(retry, minDenial), maxDenial))
+	d.retryAt, d.deniedUntil = c.now.Add(retry), c.now.Add(c.denial(o.limit, retry))
 	for _, w := range d.waiting {
 		c.decide(w.ticket, d.refusal(c.now))
 	}
--- a/internal/quota/lease_test.go
+++ b/internal/quota/lease_test.go
@@ -208,3 +208,21 @@
 		t.Error("got no decisions about requests that waited")
 	}
 }
+
+// TestRetryAfter guards against a caller that is told to return much too early under a
+// constant overload, or much too late after a single request over the quota.
+func TestRetryAfter(t *testing.T) {
+	for missing, want := range map[uint32]time.Duration{1: 100 * time.Millisecond, 500: maxRetryAfter} {
+		core := New(Config{Self: "a", Run: 1, Started: start, Bound: testBound})
+		core.SetLimits(start, map[document.OrganisationName]Limit{"a": {Rate: 10}})
+		o := core.organisations["a"]
+		core.owners[o.group].share = 1
+		retry := core.retryAfter(o, float64(missing))
+		if retry != want {
+			t.Errorf("%d tokens missing: got %v, want %v", missing, retry, want)
+		}
+		if got := core.denial(o.limit, retry); got < minDenial || got > maxDenial {
+			t.Errorf("%d tokens missing: got a denial of %v", missing, got)
+		}
+	}
+}
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -184,17 +184,22 @@
 	return g
 }
 
-// retryAfter returns the time until a host that lacks tokens should ask again: until the
-// bucket has made up for all that was missing lately. Under a constant overload all hosts
-// would otherwise ask all the time. It is at most half of the time in which the bucket
-// fills, so that no tokens lapse at the owner.
+// retryAfter returns the time until a request that got no token should be repeated: until
+// the bucket has made up for all that was missing lately.
 func (c *Core) retryAfter(o *organisation, missing float64) time.Duration {
 	b := &o.bucket
 	b.missing = b.missing*math.Exp(-c.now.Sub(b.missingAt).Seconds()) + missing
 	b.missingAt = c.now
 	rate := max(float64(o.limit.Rate)*c.owners[o.group].share, 0.1)
-	seconds := min(b.missing/rate, (o.limit.Burst+burstPart*c.allowance(o.limit))/float64(o.limit.Rate)/2)
-	return min(max(time.Duration(seconds*float64(time.Second)), minDenial), maxDenial)
+	return min(max(time.Duration(b.missing/rate*float64(time.Second)), minDenial), maxRetryAfter)
+}
+
+// denial returns for how long a host that lacks tokens does not ask again. Under a
+// constant overload all hosts would otherwise ask all the time. It is at most half of the
+// time in which the bucket of the owner fills, so that no tokens lapse there.
+func (c *Core) denial(l Limit, retry time.Duration) time.Duration {
+	fill := (l.Burst + burstPart*c.allowance(l)) / float64(l.Rate)
+	return max(min(retry, maxDenial, time.Duration(fill/2*float64(time.Second))), minDenial)
 }
 
 // Share returns the part of the quota of an organisation that is lent to this host.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -65,6 +65,8 @@
 	// busiest owner, and 0.03%, 0.12% and 1.34% of the requests below the quota of the
 	// worst organisation were refused.
 	minDenial, maxDenial = 10 * time.Millisecond, 150 * time.Millisecond
+	// maxRetryAfter bounds the time after which a request over the quota should be repeated.
+	maxRetryAfter = 2 * time.Second
 	// unavailableRetry is the time after which a request that got no token because no
 	// owner answered should be repeated.
 	unavailableRetry = 500 * time.Millisecond
