--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -19,6 +19,9 @@
 	gate    *gateHandler
 	callIDs *callIDGenerator
 	nested  nestedCalls
+	// withheld has the names of trailers that are not passed on, for versions without and
+	// with organisations.
+	withheld, withheldWithKeys map[string]bool
 }
 
 // ServeHTTP handles a request from a caller.
