Keep roll-outs bounded when all daemons restart

A daemon that starts knew no roll-outs and sent calls to both versions alike, and the calls that a bad version had got were forgotten with the gates' counters. Now a starting daemon uses only the version that has been in use for longest until a peer or the store has told it the roll-outs, and the row holds the calls so far.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -214,6 +214,9 @@
 		FleetRetryBudget: pool.FleetRetryBudget{Ratio: s.RetryRatio, ExtraRetries: s.RetryExtra, Window: s.RetryWindow},
 		OnEject:          func(id backend.ServerID, t time.Duration) { d.callEvent(proxy.EjectedEvent(id, t)) },
 	})
+	if d.environment.Rollouts == nil {
+		d.pool.SetInformed()
+	}
 	d.claims = claim.New(claim.Config{Table: d.platform, Retention: s.OutcomeRetention})
 	d.acceptor = submission.New(submission.Config{Platform: d.platform, Retention: s.OutcomeRetention, CachedVersion: d.retained.get, NewestVersion: d.retained.newest})
 	d.metrics = newDaemonMetrics(set, d)
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -55,6 +55,7 @@
 // applyRollouts puts the known roll-outs into effect at the entry and the gate.
 func (l *loop) applyRollouts(all []rollout.Applied) {
 	l.tracker.Apply(all)
+	defer l.pool.SetInformed()
 	shares := make([]pool.Rollout, 0, len(all))
 	for _, a := range all {
 		l.metrics.observeRollout(a, time.Now())
--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -54,6 +54,7 @@
 	orders      map[backend.ServiceName]readOrder   // newest order of each service that this host has read
 	controllers map[backend.ServiceName]*ledRollout // roll-outs that this host leads
 
+	informed      bool // a peer or the store has stated the roll-outs since the start
 	isReader      bool
 	rank          int // reader rank of this host
 	rankCheckedAt time.Time
@@ -115,6 +116,8 @@
 // them.
 func (c *Core) mergeRollouts(updates []rollout.Update, from netip.AddrPort) {
 	var newer []rollout.Update
+	first := !c.rollouts.informed
+	c.rollouts.informed = true
 	for _, u := range updates {
 		old := c.rollouts.known[u.Row.Service]
 		if u.Row.Service == "" || u.Row.State < rollout.Running || u.Row.State > rollout.RolledBack || old != nil && !u.Supersedes(old.Update) {
@@ -137,7 +140,7 @@
 		}
 		newer = append(newer, u)
 	}
-	if len(newer) == 0 {
+	if len(newer) == 0 && !first {
 		return
 	}
 	for _, e := range c.neighbors() {
@@ -156,9 +159,9 @@
 	c.recordEvent(TimelineEvent{Kind: "rollout-" + u.Row.State.String(), Detail: u.Row.String()})
 }
 
-// sendRollouts sends the known roll-outs to a host that joins.
+// sendRollouts sends the known roll-outs to a host that joins, also if there are none.
 func (c *Core) sendRollouts(to netip.AddrPort) {
-	if len(c.rollouts.known) == 0 {
+	if c.config.Rollouts == nil || !c.rollouts.informed {
 		return
 	}
 	var all []rollout.Update
--- a/internal/fleet/rollouts_test.go
+++ b/internal/fleet/rollouts_test.go
@@ -238,6 +238,16 @@
 			r.n.stop(h)
 			return func() { r.trackers[h] = new(rollout.Tracker); r.applied[h] = rollout.Applied{}; r.n.start(h) }
 		}, time.Second},
+		{"all hosts restart", func(r *simRollouts) func() {
+			for _, h := range r.n.hosts {
+				r.n.stop(h)
+				r.trackers[h], r.applied[h] = new(rollout.Tracker), rollout.Applied{}
+				r.n.start(h)
+				r.n.schedule(h, 300*time.Millisecond, ServerAnnounced{Server: r.server(h, "v1")})
+				r.n.schedule(h, max(300*time.Millisecond, time.Second-r.n.now.Sub(r.ordered)), ServerAnnounced{Server: r.server(h, "v2")})
+			}
+			return func() {}
+		}, 0},
 		{"leader pauses", func(r *simRollouts) func() {
 			h := r.leader()
 			h.paused = true
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -66,6 +66,7 @@
 	leaving    sync.Map // backend.ServerID to *leavingServer
 	routeStats routeStats
 	rollouts   atomic.Pointer[map[backend.ServiceName]*Rollout]
+	informed   atomic.Bool // the roll-outs are known
 	daemons    daemonSet
 }
 
@@ -165,9 +166,12 @@
 	}
 	var c *candidate
 	var sel *selection
-	if r := p.rolloutOf(call.Service); r != nil {
+	switch r := p.rolloutOf(call.Service); {
+	case r != nil:
 		c, sel = p.chooseByVersion(s, call, r)
-	} else {
+	case s.mixed && !p.informed.Load():
+		c, sel = p.chooseOldest(s, call)
+	default:
 		c, sel = p.choose(s, call)
 	}
 	if c == nil {
--- a/internal/pool/rollout.go
+++ b/internal/pool/rollout.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -43,6 +44,36 @@
 	p.rollouts.Store(&next)
 }
 
+// SetInformed records that the roll-outs are known. Before, a daemon that starts sends
+// calls only to the version of a service that has been in use for longest: a roll-out may
+// be running that permits few calls to the other one.
+func (p *Pool) SetInformed() { p.informed.Store(true) }
+
+// setOldest determines whether servers of several versions are ready, and the version
+// whose first server started first.
+func (s *service) setOldest(ready []*poolServer) {
+	var first *poolServer
+	for _, server := range ready {
+		if first == nil || cmp.Or(cmp.Compare(server.row.Started, first.row.Started), cmp.Compare(server.row.Version, first.row.Version)) < 0 {
+			first = server
+		}
+	}
+	if first != nil {
+		s.oldest = first.row.Version
+		s.mixed = slices.ContainsFunc(ready, func(server *poolServer) bool { return server.row.Version != s.oldest })
+	}
+}
+
+// chooseOldest chooses a server of the version that has been in use for longest, or
+// another one if that has none.
+func (p *Pool) chooseOldest(s *service, call Call) (*candidate, *selection) {
+	c, sel := p.chooseAmong(s, call, func(server *poolServer) bool { return server.row.Version == s.oldest })
+	if c == nil {
+		return p.choose(s, call)
+	}
+	return c, sel
+}
+
 // rolloutOf returns the roll-out of a service, or nil.
 func (p *Pool) rolloutOf(name backend.ServiceName) *Rollout {
 	all := p.rollouts.Load()
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -27,8 +27,10 @@
 	suspect            []*poolServer // servers on suspect hosts
 	serverCount        int           // number of servers in all tiers
 	retryBudget        *retryBudget
-	refusedRetryBudget *retryBudget // for calls that were refused and not run
-	ejectMu            *sync.Mutex  // serializes ejections of the service
+	refusedRetryBudget *retryBudget    // for calls that were refused and not run
+	ejectMu            *sync.Mutex     // serializes ejections of the service
+	mixed              bool            // servers of several versions are ready
+	oldest             backend.Version // of these, the one whose first server started first
 }
 
 // poolServer is a server in a view.
@@ -127,6 +129,7 @@
 		}
 	}
 	p.assignTiers(s, alive)
+	s.setOldest(alive)
 	s.ejectMu.Lock()
 	defer s.ejectMu.Unlock()
 	for _, group := range [][]*poolServer{s.subset, s.tiers[tierRegion], s.tiers[tierRemote]} {
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -73,22 +73,26 @@
 // Controller decides about the roll-out of one service. It is not safe for concurrent
 // use.
 type Controller struct {
-	limits   Limits
-	self     host.ID
-	row      Row
-	revision Revision
-	refresh  uint32
-	started  time.Time
-	stepAt   time.Time // when the current step was written
-	hosts    map[host.ID]*hostEvidence
-	samples  []sample
-	stepUsed float64 // calls to the target version at the start of the step
-	used     float64
-	judgment Judgment
-	bad      string // reason of a roll-back that is decided but not written yet
-	hold     bool
-	failures uint32 // FailureLimit of the updates
-	active   []backend.ServerID
+	limits              Limits
+	self                host.ID
+	row                 Row
+	revision            Revision
+	refresh             uint32
+	started             time.Time
+	createdAt           time.Time
+	stepAt              time.Time // when the current step was written
+	hosts               map[host.ID]*hostEvidence
+	samples             []sample
+	stepUsed            float64 // calls to the target version at the start of the step
+	used                float64
+	calls               float64 // of the service
+	lostCalls, lostUsed float64 // that gates have forgotten
+	lostKnown           bool
+	judgment            Judgment
+	bad                 string // reason of a roll-back that is decided but not written yet
+	hold                bool
+	failures            uint32 // FailureLimit of the updates
+	active              []backend.ServerID
 }
 
 // hostEvidence is the newest report of a host, and the counts of earlier runs of its
@@ -121,7 +125,7 @@
 
 // New returns the controller of a stored roll-out that was started at the given time.
 func New(l Limits, self host.ID, s Stored, started, now time.Time) *Controller {
-	return &Controller{limits: l, self: self, row: s.Row, revision: s.Revision, started: started, stepAt: now, hosts: make(map[host.ID]*hostEvidence), failures: initialFailureLimit}
+	return &Controller{limits: l, self: self, row: s.Row, revision: s.Revision, started: started, createdAt: now, stepAt: now, hosts: make(map[host.ID]*hostEvidence), failures: initialFailureLimit}
 }
 
 // initialFailureLimit is the number of failures after which a gate stops calls to the
@@ -209,9 +213,9 @@
 }
 
 // observe updates the judgment and what follows from it without a write.
-func (c *Controller) observe(now time.Time, servers []Server) (current sample, rate float64) {
-	current = c.sample(now)
-	c.used = current.total().target.calls
+func (c *Controller) observe(now time.Time, servers []Server) (rate float64) {
+	current := c.sample(now)
+	c.countCalls(now, current)
 	c.samples = slices.DeleteFunc(c.samples, func(s sample) bool { return now.Sub(s.at) > slices.Max(windows) })
 	before := []sample{{at: c.started}}
 	for _, w := range windows {
@@ -224,7 +228,7 @@
 		c.bad = c.judgment.Reason
 	}
 	rate = c.rate()
-	c.hold = c.bad != "" || c.overspent(now, current, rate)
+	c.hold = c.bad != "" || c.overspent(now, rate)
 	if n := len(c.samples); n == 0 || now.Sub(c.samples[n-1].at) >= sampleInterval {
 		c.samples = append(c.samples, current)
 	}
@@ -232,7 +236,7 @@
 		c.raiseFailureLimit()
 	}
 	c.chooseActive(now, servers)
-	return current, rate
+	return rate
 }
 
 // rate returns the calls per second of the service.
@@ -248,12 +252,25 @@
 // overspent reports whether the target version gets no more calls because it has got
 // those that a bad one may get. This happens when a step lasts longer than planned,
 // for example because the leader changed.
-func (c *Controller) overspent(now time.Time, current sample, rate float64) bool {
+func (c *Controller) overspent(now time.Time, rate float64) bool {
 	if c.row.Share == 0 || c.row.Share == AllCalls {
 		return false
 	}
 	left := c.started.Add(c.row.Duration()).Sub(now)
-	return c.used+c.row.Share.part()*rate*sampleInterval.Seconds() > c.budget(current, rate, left)
+	return c.used+c.row.Share.part()*rate*sampleInterval.Seconds() > c.budget(rate, left)
+}
+
+// countCalls counts the calls. A new leader compares what the gates report with what its
+// predecessor has stored: if all daemons have restarted, nothing else remembers the
+// earlier calls.
+func (c *Controller) countCalls(now time.Time, current sample) {
+	t := current.total()
+	calls, used := t.target.calls+t.others.calls, t.target.calls
+	if !c.lostKnown {
+		c.lostCalls, c.lostUsed = max(0, float64(c.row.Calls)-calls), max(0, float64(c.row.Used)-used)
+		c.lostKnown = now.Sub(c.createdAt) >= evidenceLifetime
+	}
+	c.calls, c.used = calls+c.lostCalls, used+c.lostUsed
 }
 
 // raiseFailureLimit permits further failures of servers whose failures were judged as
@@ -311,16 +328,16 @@
 	if c.row.State != Running {
 		return Row{}, false
 	}
-	current, rate := c.observe(now, servers)
+	rate := c.observe(now, servers)
 	next := c.row
-	next.Leader = c.self
+	next.Leader, next.Calls, next.Used = c.self, uint32(max(float64(next.Calls), c.calls)), uint32(max(float64(next.Used), c.used))
 	left := c.started.Add(c.row.Duration()).Sub(now)
 	switch {
 	case c.bad != "":
 		return c.rollBack(next, c.bad), true
 	case left <= giveUpTime && !c.row.Closing, left <= -closingTime:
 		return c.decideBad(next, "not completed by the deadline"), true
-	case c.judgment.Doubtful && c.used+c.row.Share.part()*rate*detectionTime.Seconds() > c.budget(current, rate, left):
+	case c.judgment.Doubtful && c.used+c.row.Share.part()*rate*detectionTime.Seconds() > c.budget(rate, left):
 		return c.decideBad(next, "no calls left to clear a doubt: "+c.figures()), true
 	case c.row.Closing:
 		if !c.judgment.Doubtful && c.othersClosed(now, servers, left) {
@@ -329,14 +346,14 @@
 			return next, true
 		}
 	case c.row.Share == AllCalls:
-		enough := c.used-c.stepUsed >= enoughCalls || left < commitTime || c.used+rate*detectionTime.Seconds() > c.budget(current, rate, left)
+		enough := c.used-c.stepUsed >= enoughCalls || left < commitTime || c.used+rate*detectionTime.Seconds() > c.budget(rate, left)
 		if enough && !c.judgment.Doubtful && c.settled(now, servers) {
 			next.Closing, next.Reason = true, c.figures()
 			next.Step++
 			return next, true
 		}
 	default:
-		if share := c.nextShare(now, current, rate, left, servers); share > c.row.Share {
+		if share := c.nextShare(now, rate, left, servers); share > c.row.Share {
 			next.Share, next.Reason = share, c.figures()
 			next.Step++
 			return next, true
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -82,6 +82,9 @@
 	Barred []backend.Version
 	Leader host.ID // host that wrote the row
 	Reason string  // figures that decided the step, or the reason of the verdict
+	// Calls and Used are the numbers of calls of the service, and of those to the target
+	// version, when the row was written. They count if the gates have lost their counters.
+	Calls, Used uint32
 	// Direct is set if the roll-out was started through the operator API, so that there
 	// is no order in the store.
 	Direct bool
--- a/internal/rollout/steps.go
+++ b/internal/rollout/steps.go
@@ -10,11 +10,11 @@
 
 // nextShare returns the share that the evidence and the budget permit now, or 0 if the
 // share stays.
-func (c *Controller) nextShare(now time.Time, current sample, rate float64, left time.Duration, servers []Server) Share {
+func (c *Controller) nextShare(now time.Time, rate float64, left time.Duration, servers []Server) Share {
 	if len(c.active) == 0 || rate <= 0 || !c.settled(now, servers) {
 		return 0
 	}
-	budget := c.budget(current, rate, left)
+	budget := c.budget(rate, left)
 	if left > raiseTime {
 		return c.probeShare(budget, rate, left, servers)
 	}
@@ -80,9 +80,8 @@
 
 // budget returns the number of calls that a bad version may get in all, by the calls
 // so far and those that are expected until the deadline.
-func (c *Controller) budget(current sample, rate float64, left time.Duration) float64 {
-	total := current.total()
-	expected := total.target.calls + total.others.calls + rate*max(0, left.Seconds())
+func (c *Controller) budget(rate float64, left time.Duration) float64 {
+	expected := c.calls + rate*max(0, left.Seconds())
 	return budgetMargin * (c.limits.ExposureShare*expected + c.limits.ExposureSlack)
 }
 
