--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,7 +119,8 @@
 
 // RolloutStore keeps the orders of operators and the rows of roll-outs.
 type RolloutStore interface {
-	// ReadRollouts returns all orders and all rows.
+	// ReadRollouts returns all orders and all rows. It must read the rows first, since a
+	// running roll-out without an order counts as withdrawn.
 	ReadRollouts(ctx context.Context) ([]rollout.Order, []rollout.Stored, error)
 	// WriteRollout writes a row, and what operators see of it, if the row has the given
 	// revision; zero requires that there is none. The outcome is as for
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -27,6 +27,9 @@
 	detectionTime = 550 * time.Millisecond
 	// evidenceLifetime is the age from which the evidence of a host is not current.
 	evidenceLifetime = 700 * time.Millisecond
+	// soleTime is how long a leader has known servers of the target version only before
+	// the roll-out is completed. A daemon that starts knows all servers by then.
+	soleTime = 3 * time.Second
 	// silentTime is the age of the evidence of a host from which its servers get no calls.
 	silentTime = time.Second
 	// suspectTime is the time before the deadline from which the roll-out does not wait
@@ -339,6 +342,9 @@
 		return c.decideBad(next, "not completed by the deadline"), true
 	case c.judgment.Doubtful && c.used+c.row.Share.part()*rate*detectionTime.Seconds() > c.budget(rate, left):
 		return c.decideBad(next, "no calls left to clear a doubt: "+c.figures()), true
+	case c.row.Share == 0 && now.Sub(c.createdAt) >= soleTime && c.sole(servers):
+		next.State, next.Reason = Completed, "no server of another version"
+		return next, true
 	case c.row.Closing:
 		if !c.judgment.Doubtful && c.othersClosed(now, servers, left) {
 			next.State, next.Reason = Completed, c.figures()
--- a/internal/rollout/steps.go
+++ b/internal/rollout/steps.go
@@ -106,6 +106,12 @@
 	return len(c.active) > 0
 }
 
+// sole reports whether the service only has servers of the target version, so that there
+// is nothing to move.
+func (c *Controller) sole(servers []Server) bool {
+	return len(servers) > 0 && !slices.ContainsFunc(servers, func(s Server) bool { return s.Row.Version != c.row.Target && s.Row.State != backend.Gone })
+}
+
 // enoughServers reports whether the target version can take the calls of the others.
 func (c *Controller) enoughServers(servers []Server) bool {
 	var target, others float64
--- a/internal/rollout/tracker_test.go
+++ b/internal/rollout/tracker_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// Guards against an order for the version that is in use already, whose roll-back would
+// leave the service without servers.
+func TestOrderForOnlyVersion(t *testing.T) {
+	start := time.Unix(1000, 0)
+	leader := New(DefaultLimits(), "a", Stored{Row: Row{Service: "stock", Target: "v2", State: Running, DurationMS: 15000, Leader: "a"}, Revision: 1}, start, start)
+	servers := []Server{{Row: backend.Server{ID: "i-1", Host: "a", Service: "stock", Version: "v2", State: backend.Ready}, Alive: true}}
+	if got, _ := leader.Next(start.Add(soleTime-1), servers); got.State != Running {
+		t.Errorf("before the servers are known: got %v, want running", got)
+	}
+	if got, _ := leader.Next(start.Add(soleTime), servers); got.State != Completed {
+		t.Errorf("got %v, want completed", got)
+	}
+}
+
 // Guards against a completion, by which the former servers are stopped, before their
 // gates have confirmed that they are closed and idle.
 func TestCompletionWaitsForGates(t *testing.T) {
