Wait at the entry until the link can take another large response

Cause: the entry refused calls whenever more than 250 ms of large responses were on their way, also those that wait at a gate.

Change: a call that can be in time is admitted, and its attempt is sent when at most 250 ms are on their way, the earliest target first. The time left is stated to the gate after that wait. A call that all gates refuse for their links ends with link-full and its Retry-After.

--- a/internal/bandwidth/bandwidth.go
+++ b/internal/bandwidth/bandwidth.go
@@ -58,6 +58,8 @@
 // commitment is a message that was admitted.
 type commitment struct {
 	left    float64 // bytes that were not transferred yet
+	begun   bool    // the message was asked for; only with a backlog
+	ready   time.Duration
 	due     time.Time
 	expires time.Time
 }
@@ -65,7 +67,8 @@
 // ledger holds the commitments of one direction of a link. It has no clock.
 type ledger struct {
 	rate        float64       // of the link, bytes per second
-	backlog     time.Duration // longest time to transfer what is committed; 0 for no limit
+	backlog     time.Duration // longest time to transfer what has begun; 0 for no limit
+	begun       float64       // bytes left of the commitments that have begun
 	commitments map[*commitment]struct{}
 	committed   float64 // bytes left of all commitments
 	smallRate   float64 // moving rate of small messages at smallAt, bytes per second
@@ -129,16 +132,13 @@
 	default:
 		allowed = time.Duration(targetShare*float64(d.Target.Sub(now))) - own
 	}
-	if l.backlog > 0 {
-		allowed = min(allowed, d.Ready+l.backlog)
-	}
 	return wait - max(allowed, 0)
 }
 
 // commit commits a message unconditionally.
 func (l *ledger) commit(now time.Time, d Demand) *commitment {
 	expected := max(d.Ready, l.wait(now)) + l.duration(now, d.Size.High)
-	c := &commitment{left: d.Size.Mean, due: d.Target, expires: now.Add(stallFactor*expected + stallTime)}
+	c := &commitment{left: d.Size.Mean, ready: d.Ready, due: d.Target, expires: now.Add(stallFactor*expected + stallTime)}
 	if c.due.IsZero() {
 		c.due = d.Deadline
 	}
@@ -150,11 +150,28 @@
 	return c
 }
 
+// begin begins a message if what has begun can be transferred within the backlog after
+// the message is ready. It reports whether it did.
+func (l *ledger) begin(now time.Time, c *commitment) bool {
+	l.expire(now)
+	if l.begun > 0 && l.duration(now, l.begun) > c.ready+l.backlog {
+		return false
+	}
+	if _, ok := l.commitments[c]; ok && !c.begun {
+		c.begun = true
+		l.begun += c.left
+	}
+	return true
+}
+
 // resize replaces the expected rest of a message.
 func (l *ledger) resize(c *commitment, left float64) {
 	if _, ok := l.commitments[c]; ok {
 		left = max(left, 0)
 		l.committed += left - c.left
+		if c.begun {
+			l.begun += left - c.left
+		}
 		c.left = left
 	}
 }
@@ -174,7 +191,7 @@
 	l.resize(c, 0)
 	delete(l.commitments, c)
 	if len(l.commitments) == 0 {
-		l.committed = 0 // removes accumulated rounding errors
+		l.committed, l.begun = 0, 0 // removes accumulated rounding errors
 	}
 }
 
--- a/internal/bandwidth/link.go
+++ b/internal/bandwidth/link.go
@@ -14,6 +14,9 @@
 	PieceBytes = 16 << 10
 	// catchUpTime is the time that pacing makes up for when a timer fires late.
 	catchUpTime = 20 * time.Millisecond
+	// beginInterval is the time after which waiting messages are looked at again when
+	// none has ended, because commitments expire.
+	beginInterval = 50 * time.Millisecond
 )
 
 // FullError is returned for a message that would not arrive in time.
@@ -120,6 +123,15 @@
 	return d.ledger.committed
 }
 
+// Begin waits until the message may be asked for, so that no more than the backlog is on
+// its way to this host. Messages that are due earlier come first.
+func (t *Transfer) Begin(ctx context.Context) error {
+	if t == nil {
+		return nil
+	}
+	return t.wait(ctx, 0)
+}
+
 // SetLeft replaces the expected bytes that the message has still to transfer.
 func (t *Transfer) SetLeft(bytes int64) {
 	if t == nil {
@@ -138,6 +150,7 @@
 	t.direction.mu.Lock()
 	defer t.direction.mu.Unlock()
 	t.direction.ledger.arrive(t.direction.now(), t.commitment, float64(left))
+	t.direction.grant()
 }
 
 // Done records transferred bytes.
@@ -148,6 +161,7 @@
 	t.direction.mu.Lock()
 	defer t.direction.mu.Unlock()
 	t.direction.ledger.resize(t.commitment, t.commitment.left-float64(bytes))
+	t.direction.grant()
 }
 
 // End ends the transfer. It may be called repeatedly.
@@ -158,6 +172,7 @@
 	t.direction.mu.Lock()
 	defer t.direction.mu.Unlock()
 	t.direction.ledger.release(t.commitment)
+	t.direction.grant()
 }
 
 // Send waits until the next bytes of the message may be sent, and records them as
@@ -166,6 +181,11 @@
 	if t == nil {
 		return nil
 	}
+	return t.wait(ctx, bytes)
+}
+
+// wait waits for the turn of a piece.
+func (t *Transfer) wait(ctx context.Context, bytes int) error {
 	d := t.direction
 	p := &piece{transfer: t, bytes: bytes, granted: make(chan struct{})}
 	d.mu.Lock()
@@ -191,6 +211,15 @@
 func (d *Direction) grant() {
 	now := d.now()
 	for len(d.waiting) > 0 {
+		if d.ledger.backlog > 0 {
+			if !d.ledger.begin(now, d.waiting[0].transfer.commitment) {
+				d.grantAfter(beginInterval)
+				return
+			}
+			close(d.waiting[0].granted)
+			d.waiting = slices.Delete(d.waiting, 0, 1)
+			continue
+		}
 		if wait := d.freeAt.Sub(now); wait > 0 {
 			d.grantAfter(wait)
 			return
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -140,7 +140,7 @@
 	choice, err := x.chooseServer(r.failure)
 	if err != nil {
 		r.noRetry = x.retryCount() > 0
-		if r.failure != nil && r.failure.notRun {
+		if r.failure != nil && r.failure.notRun && r.failure.reason != reasonLinkFull {
 			r.failure = x.noServerFailure(err)
 		}
 		return x.endIfNoneRunning(r)
--- a/internal/proxy/bandwidth.go
+++ b/internal/proxy/bandwidth.go
@@ -214,9 +214,10 @@
 	return err
 }
 
-// admitReceiving commits the link for the response of an attempt at another host. It
-// returns nil without accounting, and for responses that are expected to be small.
-func (x *exchange) admitReceiving(choice *pool.Choice) (*bandwidth.Transfer, *failure) {
+// admitReceiving commits the link for the response of an attempt at another host, and
+// waits until the response may be asked for. It returns nil without accounting, and for
+// responses that are expected to be small.
+func (x *exchange) admitReceiving(ctx context.Context, choice *pool.Choice) (*bandwidth.Transfer, *failure) {
 	link := x.entry.config.Bandwidth
 	if link == nil {
 		return nil, nil
@@ -225,10 +226,14 @@
 	if !size.Large() {
 		return nil, nil
 	}
-	t, err := link.Receiving.Admit(demand(size, choice.ExpectedRunTime, x.targetTime, x.call.deadline))
+	t, err := link.Receiving.Admit(demand(size, choice.ExpectedWait+choice.ExpectedRunTime, x.targetTime, x.call.deadline))
 	if err != nil {
 		return nil, linkFailure(reasonEntryLinkFull, err)
 	}
+	if err := t.Begin(ctx); err != nil {
+		t.End()
+		return nil, linkFailure(reasonEntryLinkFull, err)
+	}
 	return t, nil
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -276,6 +276,20 @@
 
 // sendRemote sends the call to the gate of another host.
 func (x *exchange) sendRemote(ctx context.Context, choice *pool.Choice, q gate.Call) gateResult {
+	sending, f := x.admitSending()
+	if f != nil {
+		return gateResult{failure: f}
+	}
+	defer sending.End()
+	receiving, f := x.admitReceiving(ctx, choice)
+	if f != nil {
+		return gateResult{failure: f}
+	}
+	// The wait for the link has taken time, which the gate must not count as left.
+	if x.remaining() <= 0 {
+		receiving.End()
+		return gateResult{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
+	}
 	fields := []connection.Field{
 		{Name: HeaderTimeoutMS, Value: formatMilliseconds(x.remaining())},
 		{Name: HeaderServer, Value: string(choice.Server.ID)},
@@ -286,15 +300,6 @@
 	if q.Notice.Limited {
 		fields = append(fields, connection.Field{Name: HeaderNoticedLimit, Value: strconv.FormatFloat(q.Notice.Limit, 'f', -1, 64)})
 	}
-	sending, f := x.admitSending()
-	if f != nil {
-		return gateResult{failure: f}
-	}
-	defer sending.End()
-	receiving, f := x.admitReceiving(choice)
-	if f != nil {
-		return gateResult{failure: f}
-	}
 	m := x.call.buildMessage(fields...)
 	s := send(ctx, x.entry.config.Transports.gates, choice.GateAddr, m, connection.Options{})
 	if s.err != nil {
