--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -288,6 +288,20 @@
 
 // sendRemote sends the call to the gate of another host.
 func (x *exchange) sendRemote(ctx context.Context, choice *pool.Choice, q gate.Call, runBy time.Time) gateResult {
+	sending, f := x.admitSending()
+	if f != nil {
+		return gateResult{failure: f}
+	}
+	defer sending.End()
+	receiving, f := x.admitReceiving(ctx, choice)
+	if f != nil {
+		return gateResult{failure: f}
+	}
+	// The wait for the link has taken time, which the gate must not count as left.
+	if x.remaining() <= 0 {
+		receiving.End()
+		return gateResult{failure: &failure{reason: reasonDeadline, notRun: true, refused: true}}
+	}
 	fields := []connection.Field{
 		{Name: HeaderTimeoutMS, Value: formatMilliseconds(x.remaining())},
 		{Name: HeaderServer, Value: string(choice.Server.ID)},
@@ -301,15 +315,6 @@
 	if !runBy.IsZero() {
 		fields = append(fields, connection.Field{Name: HeaderRunWithin, Value: formatMilliseconds(runBy.Sub(x.now()))})
 	}
-	sending, f := x.admitSending()
-	if f != nil {
-		return gateResult{failure: f}
-	}
-	defer sending.End()
-	receiving, f := x.admitReceiving(choice)
-	if f != nil {
-		return gateResult{failure: f}
-	}
 	m := x.call.buildMessage(fields...)
 	s := send(ctx, x.entry.config.Transports.gates, choice.GateAddr, m, connection.Options{})
 	if s.err != nil {
