Confirm slowness by further calls before a roll-back

A good version was rolled back in TestRolloutOfGoodVersion at a load average of 35: 10 calls that a stalled machine had made slow at once were evidence enough. A version that looks slow is now doubtful until half as many further calls are slow too.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -92,7 +92,8 @@
 	lostCalls, lostUsed float64 // that gates have forgotten
 	lostKnown           bool
 	judgment            Judgment
-	bad                 string // reason of a roll-back that is decided but not written yet
+	slowAt              float64 // WarmCalls when the version began to look slow; 0 if it does not
+	bad                 string  // reason of a roll-back that is decided but not written yet
 	hold                bool
 	failures            uint32 // FailureLimit of the updates
 	active              []backend.ServerID
@@ -227,6 +228,7 @@
 		}
 	}
 	c.judgment = judge(current, before, c.row.Share == AllCalls)
+	c.confirmSlowness()
 	if c.judgment.Bad && c.bad == "" {
 		c.bad = c.judgment.Reason
 	}
@@ -263,6 +265,21 @@
 	return c.used+c.row.Share.part()*rate*sampleInterval.Seconds() > c.budget(rate, left)
 }
 
+// confirmSlowness makes a version that looks slow only doubtful until further calls are
+// slow too. A machine that stops for a moment makes many calls slow at once.
+func (c *Controller) confirmSlowness() {
+	j := &c.judgment
+	switch {
+	case !j.Slow:
+		c.slowAt = 0
+	case c.slowAt == 0:
+		c.slowAt = max(j.WarmCalls, 1)
+	}
+	if j.Slow && j.WarmCalls < c.slowAt+max(minSlowCalls, c.slowAt/2) && !excess(j.Failures, j.ExpectedFailures) {
+		j.Bad, j.Doubtful = false, true
+	}
+}
+
 // countCalls counts the calls. A new leader compares what the gates report with what its
 // predecessor has stored: if all daemons have restarted, nothing else remembers the
 // earlier calls.
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -62,7 +62,9 @@
 	// Slowdown is the mean run time of the warm calls as a multiple of that of the others
 	// on the same routes, from Compared calls. It is that of the window that looks worst.
 	Slowdown, Compared float64
+	WarmCalls          float64 // to the target version since the start
 	Bad                bool
+	Slow               bool // bad because of its run times
 	Doubtful           bool // not bad, but the share must not rise
 	Reason             string
 }
@@ -106,6 +108,7 @@
 	for name, r := range now.routes {
 		expected := r.target.calls * (r.others.failures + 0.2) / (r.others.calls + 20)
 		j.Calls += r.target.calls
+		j.WarmCalls += r.target.warmCalls
 		j.Failures += r.target.failures
 		j.ExpectedFailures += expected
 		if excess(r.target.failures, expected) {
@@ -151,7 +154,7 @@
 			found = max(found, slowness(u, n, tolerated)-routeMargin)
 		}
 		if n >= minSlowCalls && slowness(u, n, toleratedSlowdown) >= badRouteSlowness && u >= minSlowdown*n {
-			j.Bad, j.Reason = true, fmt.Sprintf("route %s: %.1f times slower in %.0f calls", name, u/max(n, 1), n)
+			j.Bad, j.Slow, j.Reason = true, true, fmt.Sprintf("route %s: %.1f times slower in %.0f calls", name, u/max(n, 1), n)
 		}
 	}
 	found = max(found, slowness(units, calls, tolerated))
@@ -159,7 +162,7 @@
 		j.Slowdown, j.Compared = units/max(calls, 1), calls
 	}
 	if calls >= minSlowCalls && slowness(units, calls, toleratedSlowdown) >= badSlowness && units >= minSlowdown*calls {
-		j.Bad, j.Reason = true, fmt.Sprintf("%.1f times slower in %.0f calls", units/max(calls, 1), calls)
+		j.Bad, j.Slow, j.Reason = true, true, fmt.Sprintf("%.1f times slower in %.0f calls", units/max(calls, 1), calls)
 	}
 	return found
 }
