--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -55,7 +55,8 @@
 	// OnHealth receives the results of health probes; true means healthy. It also
 	// receives true when a server is no longer probed. With nil, nothing is probed.
 	OnHealth func(backend.ServerID, bool)
-	// OnWarmUp receives how long servers that state it are still slow; it may be nil.
+	// OnWarmUp receives the remaining warm-up time of servers that state it; it may be
+	// nil.
 	OnWarmUp func(backend.ServerID, time.Duration)
 	Now      func() time.Time // nil uses time.Now
 }
--- a/internal/announcement/registry.go
+++ b/internal/announcement/registry.go
@@ -42,7 +42,7 @@
 type Announcement struct {
 	Server     backend.Server // without host, stamp, start time and sequence
 	HealthPath string
-	WarmUp     time.Duration // for which the server is still slow; 0 when it is not, or states nothing
+	WarmUp     time.Duration // remaining time for which the server is slow; 0 if it is not, or states none
 	Started    time.Time
 	Sequence   uint64
 }
@@ -65,10 +65,9 @@
 }
 
 // Renew applies an announcement of a backend server on this host, or returns an error
-// if it can't be used. If the state is
-// draining or gone, Renew waits until that is persisted. If it is not persisted
-// within persistTimeout, the announcement is in effect, and Renew returns an error
-// that wraps ErrNotPersisted.
+// if it can't be used. If the state is draining or gone, Renew waits until that is
+// persisted. If it is not persisted within persistTimeout, the announcement is in
+// effect, and Renew returns an error that wraps ErrNotPersisted.
 func (a *API) Renew(ctx context.Context, n Announcement) error {
 	if err := n.Server.Check(); err != nil {
 		return fmt.Errorf("announcement: %w", err)
--- a/internal/backend/encoding.go
+++ b/internal/backend/encoding.go
@@ -9,9 +9,9 @@
 	"github.com/peridotlb/peridotlb/internal/host"
 )
 
-// unversionedRow is the encoding of a row without a version. It is also the encoding
-// of releases that know no versions, so that their records and messages can be read,
-// and they can read those of servers that state no version.
+// unversionedRow is the encoding of a row without a version. Releases that know no
+// versions use the same encoding: their rows can be read here, and they can read the
+// rows of servers that state no version.
 type unversionedRow struct {
 	_ struct{} `cbor:",toarray"`
 
--- a/internal/host/check.go
+++ b/internal/host/check.go
@@ -33,9 +33,9 @@
 	return nil
 }
 
-// CheckAddr returns an error for an address that can't be connected to. A missing one has
-// port 0. A zone, which is
-// free text, must be a name too.
+// CheckAddr returns an error for an address that can't be connected to. An address that
+// is missing counts as one with port 0. An IPv6 zone is free text and must satisfy
+// CheckName.
 func CheckAddr(a netip.AddrPort) error {
 	switch ip := a.Addr(); {
 	case a.Port() == 0:
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -14,21 +14,21 @@
 
 // borrower is the state of a host that needs tokens of a group.
 type borrower struct {
-	candidates []host.ID // in the order in which they are taken as owners
+	candidates []host.ID // in order of preference as owners
 	avoidUntil map[host.ID]time.Time
-	avoided    map[host.ID]int // how often in succession a host was avoided
+	avoided    map[host.ID]int // number of times in succession that a host was avoided
 
-	owner  host.ID
-	sentAt time.Time // of the last request; zero if none was sent to this owner
-	open   bool      // the last request has no answer yet
-	misses int
-	heard  heard // last answer of the owner
+	owner      host.ID
+	sentAt     time.Time // of the last request; zero if none was sent to this owner
+	open       bool      // the last request has no answer yet
+	misses     int
+	lastAnswer answerStamp
 
 	lease lease
 }
 
-// heard is the last answer of an owner.
-type heard struct {
+// answerStamp identifies the last answer of an owner.
+type answerStamp struct {
 	run, sentAt uint64
 	at          time.Time // when it arrived; zero if there was none
 }
@@ -197,7 +197,7 @@
 		return
 	}
 	slices.SortFunc(demands, func(x, y message.QuotaDemand) int { return cmp.Compare(x.Organisation, y.Organisation) })
-	m := c.newRequest(group, b.heard)
+	m := c.newRequest(group, b.lastAnswer)
 	m.Demands = demands
 	c.lend(b, &m)
 	b.sentAt, b.open = c.now, true
@@ -208,21 +208,21 @@
 	c.effects = append(c.effects, Send{To: b.owner, Message: m})
 }
 
-func (c *Core) newRequest(group int, h heard) message.QuotaRequest {
+func (c *Core) newRequest(group int, last answerStamp) message.QuotaRequest {
 	return message.QuotaRequest{
 		Group: uint8(group), Host: c.config.Self, Run: c.config.Run, SentAt: c.sinceStart(c.now),
-		OwnerRun: h.run, OwnerSentAt: h.sentAt, FleetSize: uint32(c.size),
+		OwnerRun: last.run, OwnerSentAt: last.sentAt, FleetSize: uint32(c.size),
 	}
 }
 
 // lend adds a lease to a request, if the share is free or already lent to this run of
 // the owner.
 func (c *Core) lend(b *borrower, m *message.QuotaRequest) {
-	until := b.heard.at.Add(leaseTime)
-	if b.heard.at.IsZero() || !c.mayLend() || !c.now.Before(until) {
+	until := b.lastAnswer.at.Add(leaseTime)
+	if b.lastAnswer.at.IsZero() || !c.mayLend() || !c.now.Before(until) {
 		return
 	}
-	same := b.lease.to == b.owner && b.lease.run == b.heard.run
+	same := b.lease.to == b.owner && b.lease.run == b.lastAnswer.run
 	if !same && (c.now.Before(b.lease.until) || c.now.Before(c.sizeStableAt)) {
 		return
 	}
@@ -230,7 +230,7 @@
 	if same && until.Before(b.lease.until) {
 		until = b.lease.until
 	}
-	b.lease = lease{to: b.owner, run: b.heard.run, until: until}
+	b.lease = lease{to: b.owner, run: b.lastAnswer.run, until: until}
 }
 
 // endLease asks the host that has the share to return it, if another host is the owner
@@ -238,7 +238,7 @@
 func (c *Core) endLease(group int) {
 	b := &c.borrowers[group]
 	l := &b.lease
-	newOwner := b.owner != l.to && !b.heard.at.IsZero()
+	newOwner := b.owner != l.to && !b.lastAnswer.at.IsZero()
 	if !c.now.Before(l.until) || !newOwner && !c.leaving || c.now.Before(b.avoidUntil[l.to]) {
 		return
 	}
@@ -246,7 +246,7 @@
 		return
 	}
 	l.endSentAt = c.now
-	m := c.newRequest(group, heard{run: l.run})
+	m := c.newRequest(group, answerStamp{run: l.run})
 	if l.to == c.config.Self {
 		c.handleAnswer(c.answer(m))
 		return
@@ -265,7 +265,7 @@
 		}
 	}
 	if owner != b.owner {
-		b.owner, b.sentAt, b.open, b.misses, b.heard = owner, time.Time{}, false, 0, heard{}
+		b.owner, b.sentAt, b.open, b.misses, b.lastAnswer = owner, time.Time{}, false, 0, answerStamp{}
 	}
 }
 
@@ -281,8 +281,8 @@
 		}
 		b.misses = 0
 		delete(b.avoided, m.Host)
-		if m.Run > b.heard.run || m.Run == b.heard.run && m.SentAt >= b.heard.sentAt {
-			b.heard = heard{run: m.Run, sentAt: m.SentAt, at: c.now}
+		if m.Run > b.lastAnswer.run || m.Run == b.lastAnswer.run && m.SentAt >= b.lastAnswer.sentAt {
+			b.lastAnswer = answerStamp{run: m.Run, sentAt: m.SentAt, at: c.now}
 		}
 	}
 	requestedAt := c.fromStart(m.RequestAt)
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -27,8 +27,8 @@
 	fleetSize   int
 }
 
-// olderThan reports whether a request was sent after the newest one. Messages can
-// overtake each other, and an old one must not renew a lease that was ended.
+// olderThan reports whether the newest known request of the lender is older than m.
+// Messages can overtake each other, and an old one must not renew a lease that was ended.
 func (l *lender) olderThan(m message.QuotaRequest) bool {
 	return m.Run > l.run || m.Run == l.run && m.SentAt > l.sentAt
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -60,10 +60,9 @@
 	// of an organisation on this host need several in this time.
 	prefetchTime = 100 * time.Millisecond
 	// A host that got fewer tokens than it needs asks again after the time that the owner
-	// names, within these bounds. In the
-	// model with 70 hosts, 100, 150 and 250 ms gave 1,168, 971 and 910 messages/s at the
-	// busiest owner, and 0.03%, 0.12% and 1.34% of the requests below the quota of the
-	// worst organisation were refused.
+	// names, within these bounds. In the model with 70 hosts, upper bounds of 100, 150 and
+	// 250 ms gave 1,168, 971 and 910 messages/s at the busiest owner, and 0.03%, 0.12% and
+	// 1.34% of the requests below the quota of the worst organisation were refused.
 	minDenial, maxDenial = 10 * time.Millisecond, 150 * time.Millisecond
 	// maxRetryAfter bounds the time after which a request over the quota should be repeated.
 	maxRetryAfter = 2 * time.Second
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -27,8 +27,9 @@
 	detectionTime = 550 * time.Millisecond
 	// evidenceLifetime is the age from which the evidence of a host is not current.
 	evidenceLifetime = 700 * time.Millisecond
-	// soleTime is how long a leader has known servers of the target version only before
-	// the roll-out is completed. A daemon that starts knows all servers by then.
+	// soleTime is the time after which a leader that knows only servers of the target
+	// version completes the roll-out without steps. A daemon that starts knows all
+	// servers by then.
 	soleTime = 3 * time.Second
 	// silentTime is the age of the evidence of a host from which its servers get no calls.
 	silentTime = time.Second
@@ -41,21 +42,21 @@
 	// closingTime is how long after the deadline a roll-out that is closing may still be
 	// completed.
 	closingTime = 3 * time.Second
-	// raiseCost is the time for which the target version would get all calls of the
-	// service until a bad one is stopped in the last step: in the steps before, and until
-	// it is noticed. probeBudget is the part of the permitted calls beyond that which the
-	// target version gets before the share rises.
+	// raiseCost bounds the calls to a bad version that is stopped in the last step, as the
+	// time in which the service gets as many: the calls of the steps before, and those
+	// until the fault is noticed. probeBudget is the part of the remaining permitted calls
+	// that the target version gets before the share rises.
 	raiseCost   = 950 * time.Millisecond
 	probeBudget = 0.65
 	// minProbePart is the least part of the permitted calls before the share rises.
 	minProbePart = 0.1
-	// coldPart is the part of that which servers get while they warm up. Their run
-	// times say nothing about the version.
+	// coldPart is the part of the calls before the rise that servers get while they warm
+	// up. Their run times say nothing about the version.
 	coldPart = 0.25
 	// maxProbeShare is the largest share before the rise.
 	maxProbeShare = 300
 	// normalLoad is the load of a server of the target version before all calls have
-	// moved, as a multiple of the load that it has then.
+	// moved, as a multiple of its load afterwards.
 	normalLoad = 1.1
 	// enoughCalls is the number of calls after the last step from which the roll-out
 	// does not wait for more evidence.
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -8,8 +8,8 @@
 	"github.com/peridotlb/peridotlb/internal/document"
 )
 
-// windows are the times over which run times are compared, in addition to the whole
-// roll-out. The shorter one notices a version that becomes slow while its share rises,
+// windows are the periods over which run times are compared, in addition to the whole
+// roll-out. The shorter one detects a version that becomes slow while its share rises,
 // the longer one averages out slowdowns of single machines of 600 ms.
 var windows = []time.Duration{2500 * time.Millisecond, 900 * time.Millisecond}
 
@@ -60,7 +60,8 @@
 	Failures         float64 // of the target version
 	ExpectedFailures float64 // if it failed as often as the others on the same routes
 	// Slowdown is the mean run time of the warm calls as a multiple of that of the others
-	// on the same routes, from Compared calls. It is that of the window that looks worst.
+	// on the same routes, from Compared calls. It is that of the window with the strongest
+	// evidence of a slowdown.
 	Slowdown, Compared float64
 	WarmCalls          float64 // to the target version since the start
 	Bad                bool
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -111,7 +111,7 @@
 	// Hold stops the calls to the target version.
 	Hold bool
 	// Active lists the servers of the target version that get its share. It is empty if
-	// that are all calls, which go to all its servers.
+	// the target version gets all calls, which go to all its servers.
 	Active []backend.ServerID
 	// FailureLimit is the number of failures of a server of the target version from
 	// which its gate refuses further calls.
