Clarify comments and names of the call path and the accounting

Rewords comments in capacity, connection, daemon, gate, pool, proxy, bandwidth and the flood test that were figurative or referred to a preceding comment for their meaning. Renames unexported identifiers: condemned bytes and accounts are now closingBytes and closing, blindContrast is defaultGrowth, and the pattern lists of the flood test are shapePatterns and otherPatterns. memory_test.go follows the renamed fields; its checks are the same. Behaviour, log lines, settings and metrics are the same.

--- a/internal/bandwidth/bandwidth.go
+++ b/internal/bandwidth/bandwidth.go
@@ -58,7 +58,7 @@
 // commitment is a message that was admitted.
 type commitment struct {
 	left    float64 // bytes that were not transferred yet
-	begun   bool    // the message was asked for; only with a backlog
+	begun   bool    // the message was requested; only with a backlog
 	ready   time.Duration
 	due     time.Time
 	expires time.Time
--- a/internal/bandwidth/link.go
+++ b/internal/bandwidth/link.go
@@ -14,8 +14,8 @@
 	PieceBytes = 16 << 10
 	// catchUpTime is the time that pacing makes up for when a timer fires late.
 	catchUpTime = 20 * time.Millisecond
-	// beginInterval is the time after which waiting messages are looked at again when
-	// none has ended, because commitments expire.
+	// beginInterval is the time after which waiting messages are checked again when none
+	// has ended, because commitments expire.
 	beginInterval = 50 * time.Millisecond
 )
 
@@ -123,7 +123,7 @@
 	return d.ledger.committed
 }
 
-// Begin waits until the message may be asked for, so that no more than the backlog is on
+// Begin waits until the message may be requested, so that no more than the backlog is on
 // its way to this host. Messages that are due earlier come first.
 func (t *Transfer) Begin(ctx context.Context) error {
 	if t == nil {
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -20,20 +20,20 @@
 	// startShare is the share of the announced slots that a server gets at first.
 	startShare = 1.0 / 3
 	// maxElasticity is the elasticity from which more concurrent calls are not worth
-	// it. With 1, the last slots of a server whose throughput hardly grows would make
-	// its calls slower for nothing.
+	// it. With 1, the last slots of a server whose throughput hardly grows would slow
+	// down its calls without a gain in throughput.
 	maxElasticity = 0.75
 	// shrinkError and growError are the largest standard errors of the elasticity with
 	// which the number changes. A withheld slot costs throughput, so that growing needs
 	// less evidence.
 	shrinkError = 0.25
 	growError   = 0.4
-	// keepError is the same for evidence that confirms the number. It is larger, because
-	// a trial costs throughput.
+	// keepError is the largest standard error of evidence that confirms the number. It is
+	// larger, because a trial costs throughput.
 	keepError = 0.6
 	// minSuspicion is the growth of the logarithm of the run time over that of the
-	// unloaded server from which fewer concurrent calls are tried. It spares a server
-	// that takes all its slots well the cost of trying.
+	// unloaded server from which fewer concurrent calls are tried. A server that handles
+	// calls in all its slots well would otherwise lose throughput to such trials.
 	minSuspicion = 0.18
 	// rampTime is the longest time between two steps of the first growth, so that a
 	// server with few calls is ready for more after some seconds.
@@ -41,15 +41,16 @@
 	// maxRampGrowth is the growth at which the first growth after the start ends. A dozen
 	// calls per level have a standard error of about 0.2.
 	maxRampGrowth = 0.5
-	// blindContrast is assumed for the growth if the unloaded run time is unknown.
-	blindContrast = 0.5
+	// defaultGrowth is the growth that is assumed if the unloaded run time is unknown.
+	defaultGrowth = 0.5
 	// leastContrast is the least difference of the logarithms that a trial with fewer
 	// concurrent calls aims at. With 0.1, twelve pairs gave a standard error of 0.5.
 	leastContrast = 0.3
-	// mostContrast is the largest one, and growthShare its share of the growth of the run
-	// times: by the whole growth, the server would have no contention left.
+	// mostContrast is the largest such difference. growthShare is the part of the growth
+	// of the run times that the difference is set to: with all of it, the server would
+	// have no contention left.
 	mostContrast, growthShare = 1.1, 0.9
-	// upContrast is the same for trials with more concurrent calls.
+	// upContrast is the difference that a trial with more concurrent calls aims at.
 	upContrast = 0.35
 	// minContrast is the least difference of the logarithms of the concurrency within a
 	// pair. With less, demand did not use the slots.
@@ -85,7 +86,7 @@
 // not safe for concurrent use.
 type Learner struct {
 	slots, learned int
-	step           int // of the next growth; doubles while the number grows
+	step           int // next increase of the number; doubles while the number grows
 	excess         int // number from which a trial reduced it
 	excessUntil    time.Time
 	ramping        bool // the first growth after the start; needs no trials
@@ -132,8 +133,8 @@
 type Run struct {
 	Route   document.RouteName
 	RunTime time.Duration
-	// Percent is how long work takes on the machine of the server at this moment, as it
-	// stated; 100 is usual and 0 unknown.
+	// Percent is the time that work currently takes on the machine of the server, in
+	// percent of the usual time, as the server reported it. 0 means unknown.
 	Percent float64
 }
 
@@ -233,8 +234,8 @@
 	return s
 }
 
-// ramp grows the number after the start by one for as many calls, or after rampTime, as
-// long as run times don't grow with it.
+// ramp increases the number by one whenever that many calls have ended, or after
+// rampTime, until run times grow with it.
 func (l *Learner) ramp(now time.Time) {
 	if !l.ramping {
 		return
@@ -267,7 +268,7 @@
 	}
 	growth, known := l.runTimes.growth(l.learned, l.slots)
 	if !known {
-		growth = blindContrast
+		growth = defaultGrowth
 	}
 	mayShrink := l.learned >= 2 && !now.Before(l.shrink.next) && growth >= minSuspicion
 	mayGrow := l.learned < l.slots && !now.Before(l.grow.next)
--- a/internal/capacity/nested.go
+++ b/internal/capacity/nested.go
@@ -15,7 +15,7 @@
 	// two or fewer would be seen in one case of 70.
 	minIdleExpected = 8
 	// maxIdleRatio is the ratio of seen to expected calls up to which a route counts as
-	// nested. It is not 0, since servers finish their work after a caller has left.
+	// nested. It is not 0, since servers finish their work after a caller has disconnected.
 	maxIdleRatio = 0.2
 	// maxIdleExpected bounds the memory of a route, so that it follows changes.
 	maxIdleExpected = 64
--- a/internal/capacity/trial.go
+++ b/internal/capacity/trial.go
@@ -166,7 +166,7 @@
 }
 
 // collect adds the pairs whose calls have all ended. A pair without its longest calls
-// would make the interval that came last look fast.
+// would make the later interval appear faster.
 func (t *trial) collect(variance float64) {
 	rest := t.open[:0]
 	for _, p := range t.open {
--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -54,7 +54,7 @@
 	// expectsContinue is set until the first read, if the client waits for the 100
 	// Continue response before it sends the body.
 	expectsContinue bool
-	// The first BufferLimit bytes must arrive until a common deadline, as if they were
+	// The first BufferLimit bytes must arrive by a common deadline, as if they were
 	// read before the handler runs. Otherwise a slow client could hold a request for as
 	// long as it sends a byte within each timeout.
 	firstBytes         int64 // still to be read until firstBytesDeadline
--- a/internal/connection/cost.go
+++ b/internal/connection/cost.go
@@ -5,8 +5,8 @@
 	"net/http"
 )
 
-// Costs of requests in bytes. TestCostsAreUpperBounds compares them with what the
-// allocator hands out.
+// Costs of requests in bytes. TestCostsAreUpperBounds compares them with the memory
+// that is allocated.
 const (
 	// connectionCost is the read buffer, the goroutine and the structures of a
 	// connection, and its share of the poller.
--- a/internal/connection/header.go
+++ b/internal/connection/header.go
@@ -35,7 +35,7 @@
 
 func (e *refusedError) Error() string { return "no memory for the request: " + string(e.reason) }
 
-// remoteIP returns the address by which callers are told apart. An IPv6 host usually
+// remoteIP returns the address that identifies a caller. An IPv6 host usually
 // has the whole /64 network.
 func remoteIP(raw net.Conn) netip.Addr {
 	tcp, ok := raw.RemoteAddr().(*net.TCPAddr)
--- a/internal/connection/memory.go
+++ b/internal/connection/memory.go
@@ -61,15 +61,15 @@
 type Memory struct {
 	config MemoryConfig
 
-	mu        sync.Mutex
-	used      int // bytes, including those of connections
-	requests  int // bytes of requests and responses
-	condemned int // bytes of accounts whose connections are being closed
-	accounts  map[*account]bool
-	callers   map[netip.Addr]*callerAccount
-	idle      idleList // of callers
-	idlePeers idleList // of other daemons
-	refused   map[Refusal]uint64
+	mu           sync.Mutex
+	used         int // bytes, including those of connections
+	requests     int // bytes of requests and responses
+	closingBytes int // bytes of accounts whose connections are being closed
+	accounts     map[*account]bool
+	callers      map[netip.Addr]*callerAccount
+	idle         idleList // of callers
+	idlePeers    idleList // of other daemons
+	refused      map[Refusal]uint64
 }
 
 // MemoryUse is the state of a Memory.
@@ -86,15 +86,15 @@
 
 // account is what one connection holds.
 type account struct {
-	memory    *Memory
-	addr      netip.Addr
-	caller    *callerAccount
-	fixed     int  // bytes of the connection itself
-	requests  int  // bytes of requests and responses
-	peer      bool // of another daemon
-	open      bool
-	condemned bool
-	close     func()
+	memory   *Memory
+	addr     netip.Addr
+	caller   *callerAccount
+	fixed    int  // bytes of the connection itself
+	requests int  // bytes of requests and responses
+	peer     bool // of another daemon
+	open     bool
+	closing  bool
+	close    func()
 
 	idle       bool // in the list of idle connections
 	prev, next *account
@@ -219,8 +219,8 @@
 	m.used -= a.fixed + a.requests
 	m.requests -= a.requests
 	a.caller.requests -= a.requests
-	if a.condemned {
-		m.condemned -= a.fixed + a.requests
+	if a.closing {
+		m.closingBytes -= a.fixed + a.requests
 	}
 	a.requests = 0
 	if a.caller.connections--; a.caller.connections == 0 {
@@ -236,7 +236,7 @@
 }
 
 func (a *account) enterIdle() {
-	if !a.idle && !a.condemned {
+	if !a.idle && !a.closing {
 		a.idleList().add(a)
 	}
 }
@@ -310,8 +310,8 @@
 	a.memory.requests += n
 	a.caller.requests += n
 	a.requests += n
-	if a.condemned {
-		a.memory.condemned += n
+	if a.closing {
+		a.memory.closingBytes += n
 	}
 }
 
@@ -327,27 +327,27 @@
 	a.leaveIdle()
 	a.add(n)
 	limit := m.config.Limit
-	for limit > 0 && m.used-m.condemned > limit+limit/overcommitShare {
-		if !m.condemnLargest() {
+	for limit > 0 && m.used-m.closingBytes > limit+limit/overcommitShare {
+		if !m.closeLargest() {
 			return
 		}
 	}
 }
 
-// condemnLargest closes the connection whose requests hold most. Its bytes stay in use
+// closeLargest closes the connection whose requests hold most. Its bytes stay in use
 // until it has ended.
-func (m *Memory) condemnLargest() bool {
+func (m *Memory) closeLargest() bool {
 	var largest *account
 	for a := range m.accounts {
-		if !a.condemned && (largest == nil || a.requests > largest.requests) {
+		if !a.closing && (largest == nil || a.requests > largest.requests) {
 			largest = a
 		}
 	}
 	if largest == nil || largest.requests == 0 {
 		return false
 	}
-	largest.condemned = true
-	m.condemned += largest.fixed + largest.requests
+	largest.closing = true
+	m.closingBytes += largest.fixed + largest.requests
 	m.refused[Aborted]++
 	largest.close()
 	return true
--- a/internal/connection/memory_test.go
+++ b/internal/connection/memory_test.go
@@ -82,7 +82,7 @@
 		for a := range m.held {
 			m.end(a)
 		}
-		if got := m.memory.Use(); got.Used != 0 || got.Connections != 0 || len(m.memory.callers) != 0 || m.memory.condemned != 0 {
+		if got := m.memory.Use(); got.Used != 0 || got.Connections != 0 || len(m.memory.callers) != 0 || m.memory.closingBytes != 0 {
 			t.Fatalf("after the end of all connections: got %+v, want nothing in use", got)
 		}
 	})
@@ -126,7 +126,7 @@
 	if got := m.memory.Use().Used; got != used {
 		t.Fatalf("bytes in use: got %d, want %d", got, used)
 	}
-	if got, want := used-m.memory.condemned, testLimit+testLimit/overcommitShare; got > want {
+	if got, want := used-m.memory.closingBytes, testLimit+testLimit/overcommitShare; got > want {
 		t.Fatalf("bytes that are not being freed: got %d, want at most %d", got, want)
 	}
 }
@@ -196,7 +196,7 @@
 	if m.closed[small] {
 		t.Error("connection with a usual response: got closed, want it open")
 	}
-	if got, want := m.memory.used-m.memory.condemned, testLimit+testLimit/overcommitShare; got > want {
+	if got, want := m.memory.used-m.memory.closingBytes, testLimit+testLimit/overcommitShare; got > want {
 		t.Errorf("bytes that are not being freed: got %d, want at most %d", got, want)
 	}
 }
--- a/internal/connection/message.go
+++ b/internal/connection/message.go
@@ -9,12 +9,12 @@
 )
 
 // framingHeaders are the headers that encode derives from the message itself. Those
-// that a caller sent must not be added to them: with two lengths, a server can take
-// another end of the request than was meant.
+// that a caller sent must not be added to them: with two lengths, a server may see
+// the end of the request elsewhere (request smuggling).
 var framingHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
 
 // replacedHeaders returns the names in Header that are not sent, because encode writes
-// headers of the same names. Of two timeouts, a server may take the caller's.
+// headers of the same names. With two timeouts, a server may apply the caller's.
 func (m *Message) replacedHeaders() map[string]bool {
 	replaced := framingHeaders
 	for _, f := range m.Fields {
--- a/internal/daemon/environment.go
+++ b/internal/daemon/environment.go
@@ -18,8 +18,7 @@
 	// Versions provides versions that operators write outside the product; nil
 	// when versions come from submissions.
 	Versions VersionSource
-	// Rollouts is where orders of roll-outs are read and their rows are kept; nil if
-	// there are none.
+	// Rollouts stores the orders and the rows of roll-outs; nil if there are none.
 	Rollouts RolloutStore
 	// Dialect sets the names of the call headers.
 	Dialect proxy.Dialect
--- a/internal/daemon/limitedlistener.go
+++ b/internal/daemon/limitedlistener.go
@@ -8,8 +8,8 @@
 )
 
 // limitedListener bounds the open connections of an HTTP server. For a new one it closes
-// the oldest idle one, or the oldest if none is idle, so that connections that do
-// nothing can't keep others out.
+// the oldest idle one, or the oldest if none is idle, so that inactive connections
+// can't block new ones.
 type limitedListener struct {
 	net.Listener
 	limit int
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -71,7 +71,7 @@
 }
 
 // limitMemory sets the soft memory limit of the runtime and returns the accounting for
-// callers' requests. A lower limit from the environment remains.
+// callers' requests. A lower limit that GOMEMLIMIT sets is kept.
 func (d *Daemon) limitMemory() *connection.Memory {
 	s := d.settings
 	if soft := softMemoryLimit(s.MemoryMB); soft < debug.SetMemoryLimit(-1) {
--- a/internal/daemon/quotas.go
+++ b/internal/daemon/quotas.go
@@ -33,7 +33,7 @@
 type quotas struct {
 	log  *zap.Logger
 	set  *metrics.Set
-	wake chan struct{} // signalled when run must call Tick before it would
+	wake chan struct{} // signalled when run must call Tick earlier than planned
 
 	mu        sync.Mutex
 	send      func(netip.AddrPort, message.Message) // nil until the link is open
@@ -119,8 +119,8 @@
 	}
 }
 
-// receive handles a message of another daemon. It reports whether it is one of the
-// quotas.
+// receive handles a message of another daemon. It reports whether the message
+// belongs to the quotas.
 func (q *quotas) receive(from netip.AddrPort, m message.Message) bool {
 	switch m.(type) {
 	case message.QuotaRequest, message.QuotaAnswer:
--- a/internal/gate/learned.go
+++ b/internal/gate/learned.go
@@ -64,7 +64,7 @@
 }
 
 // ObserveRun records the time that the server took for the call. A call without it
-// says nothing about the capacity of the server.
+// is not used to learn the capacity of the server.
 func (p *Permit) ObserveRun(r capacity.Run) {
 	if p.learned == nil {
 		return
--- a/internal/pool/rollout.go
+++ b/internal/pool/rollout.go
@@ -103,7 +103,8 @@
 	if share < rollout.AllCalls && (call.AlreadyCounted || len(call.Tried) > 0) || !r.next(share) {
 		c, sel := p.chooseAmong(s, call, others)
 		if (c == nil || c.avoided) && row.Share == rollout.AllCalls {
-			// This host has missed that the others are closed. The gates know it.
+			// The state that this host knows has expired, and the gates of the other
+			// versions may have closed since. The gate of the target version decides.
 			if t, targetSel := p.chooseAmong(s, call, target); t != nil && (c == nil || !t.avoided) {
 				return t, targetSel
 			}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -108,7 +108,7 @@
 func (x *exchange) startAttempt(ctx context.Context, choice *pool.Choice) {
 	a := &attempt{choice: choice, start: x.now()}
 	ctx, a.cancel = context.WithCancel(ctx)
-	// An attempt beside another one, or after one that may have run, can make the call
+	// An attempt concurrent with another, or after one that may have run, can make the call
 	// run twice.
 	runsAgain := x.mayHaveRun || len(x.running) > 0
 	x.startedAttempts++
--- a/internal/proxy/bandwidth.go
+++ b/internal/proxy/bandwidth.go
@@ -99,7 +99,7 @@
 	return result
 }
 
-// pace makes a large reply be sent at the rate of the link.
+// pace limits the sending of a large reply to the rate of the link.
 func (g *gateHandler) pace(ctx context.Context, c *call, q gate.Call, transfer *bandwidth.Transfer, result *gateResult) {
 	link, reply := g.config.Bandwidth, result.reply
 	size := reply.size()
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -19,7 +19,7 @@
 	Caller    string // service of the host on which the call originated
 	Limit     string // calls per second that the responding server accepts from all daemons together
 	// ServerLoad is the load of the responding server: its running and waiting calls,
-	// its slots and, optionally, how long work takes on its machine, in percent.
+	// its slots and, optionally, the time that work takes on its machine, in percent of the usual.
 	ServerLoad string
 	Leaving    string // "1" in the responses of a server that is about to end
 	// Organisation names the organisation of a call to servers. Only the entry sets it.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -48,8 +48,8 @@
 	// HeaderLeaving is "1" in the responses of a backend server that is about to end.
 	HeaderLeaving = "Peridotlb-Leaving"
 	// HeaderServerLoad is the load that a backend server states in its responses:
-	// <running>,<waiting>,<slots>[,<percent>]. The percentage is how long work takes on
-	// its machine at this moment; 100 is usual.
+	// <running>,<waiting>,<slots>[,<percent>]. The percentage is the time that work
+	// currently takes on its machine, relative to the usual time.
 	HeaderServerLoad = "Peridotlb-Server-Load"
 	// HeaderOrganisation names the organisation of a call to its backend server.
 	HeaderOrganisation = "Peridotlb-Organisation"
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -15,7 +15,7 @@
 	Handler http.Handler
 	Limits  func() connection.Limits // of NewEntryServer; nil uses the defaults. NewGateServer ignores it.
 	// HeaderFirst reports whether calls can be refused by their header, so that their
-	// bodies should not be read before. NewGateServer ignores it.
+	// bodies should not be read first. NewGateServer ignores it.
 	HeaderFirst func() bool
 	Log         *zap.Logger
 	Memory      *connection.Memory // shared by the entry and the gate; nil sets no limit
--- a/test/flood/attack.go
+++ b/test/flood/attack.go
@@ -78,16 +78,16 @@
 // requestFields are the header lines that every request needs.
 const requestFields = "Host: " + requestHost + "\r\nX-Attempt-Id: flood\r\n"
 
-// holds are the ways in which the requests with a shape are kept in memory.
-var holds = []pattern{
+// shapePatterns are the ways in which requests with a header shape are kept in memory.
+var shapePatterns = []pattern{
 	{name: "a body that never arrives", send: func(lines string) string { return post("/stock/a", "Content-Length: 60000\r\n"+lines, "") }},
 	{name: "30 pipelined requests", respond: true, send: func(lines string) string {
 		return strings.Repeat("GET /stock/a HTTP/1.1\r\n"+requestFields+lines+"\r\n", pipelined)
 	}},
 }
 
-// others are patterns that do not depend on a header shape.
-var others = []pattern{
+// otherPatterns do not depend on a header shape.
+var otherPatterns = []pattern{
 	{name: "header without an end", send: func(lines string) string { return "GET /stock/a HTTP/1.1\r\n" + lines }},
 	{name: "unread responses", send: func(string) string {
 		return strings.Repeat("GET "+largePath+" HTTP/1.1\r\n"+requestFields+"\r\n", pipelined)
@@ -140,7 +140,8 @@
 
 const (
 	reconnectDelay = 50 * time.Millisecond
-	// receiveBuffer keeps the system from taking unread responses off the daemon.
+	// receiveBuffer is small, so that the kernel does not accept many unread responses
+	// and the daemon has to keep them.
 	receiveBuffer = 4 << 10
 )
 
@@ -174,7 +175,7 @@
 		if err := <-sent; err != nil {
 			return err
 		}
-		// The response of a closed connection is found without reading it.
+		// The closing of the connection is detected without reading its responses.
 		return waitForClose(ctx, conn)
 	}
 	in := bufio.NewReader(conn)
--- a/test/flood/run.go
+++ b/test/flood/run.go
@@ -19,26 +19,26 @@
 	peakMemory  int // bytes
 	descriptors int // largest number that was seen
 	alive       bool
-	served      error // of an ordinary request afterwards
+	served      error // error of an ordinary request afterwards; nil if it was answered
 }
 
 const (
 	// headerMargin is left of the header limit for the request line and the headers
 	// that a pattern adds.
 	headerMargin    = 200
-	descriptorPause = 20 * time.Millisecond // between two looks at the descriptors
+	descriptorPause = 20 * time.Millisecond // between two counts of the descriptors
 	serviceTimeout  = 30 * time.Second
 )
 
 // attackCases returns every pattern with every shape that it depends on.
 func attackCases(connections int) []attackCase {
 	var all []attackCase
-	for _, h := range holds {
+	for _, h := range shapePatterns {
 		for _, s := range shapes {
 			all = append(all, attackCase{name: s.name + ", " + h.name, pattern: h, lines: s.lines, connections: connections})
 		}
 	}
-	for _, p := range others {
+	for _, p := range otherPatterns {
 		all = append(all, attackCase{name: p.name, pattern: p, lines: shapes[0].lines, connections: connections})
 	}
 	return all
