--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -18,6 +18,7 @@
 	"github.com/peridotlb/peridotlb/internal/command/documentsubmit"
 	"github.com/peridotlb/peridotlb/internal/command/explain"
 	"github.com/peridotlb/peridotlb/internal/command/keyscreate"
+	"github.com/peridotlb/peridotlb/internal/command/organisationlist"
 	"github.com/peridotlb/peridotlb/internal/command/routelist"
 	"github.com/peridotlb/peridotlb/internal/command/sectionlist"
 	"github.com/peridotlb/peridotlb/internal/command/sectionshow"
@@ -39,6 +40,7 @@
 		status.New(s),
 		command.NewGroup("server", "List backend servers.", serverlist.New(s)),
 		command.NewGroup("route", "List routes.", routelist.New(s)),
+		command.NewGroup("organisation", "List and show organisations.", organisationlist.New(s), organisationlist.NewShow(s)),
 		timeline.New(s),
 		explain.New(s),
 		command.NewGroup("keys", "Create certificates and keys.", keyscreate.New(s)),
--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -98,7 +98,7 @@
 // there is a fault.
 type itemLabel struct {
 	section SectionName
-	kind    string // "service", "route" or empty
+	kind    string // "service", "route", "organisation" or empty
 	name    string
 }
 
@@ -124,9 +124,10 @@
 	services := c.checkItems(d)
 	c.checkServiceReferences(d, func(s backend.ServiceName) bool { _, ok := services[s]; return ok })
 	c.checkOverlaps(d)
+	c.checkOrganisations(d)
 }
 
-// checkItems checks each section, service and route on its own, and that names
+// checkItems checks each section, service, route and organisation on its own, and that names
 // are unique. It returns the section of each service.
 func (c *checker) checkItems(d Document) map[backend.ServiceName]SectionName {
 	sections := map[SectionName]bool{}
@@ -165,6 +166,11 @@
 			}
 			routes[r.Name] = s.Name
 		}
+		for j, o := range s.Organisations {
+			if !skip {
+				c.checkOrganisation(location{section: i + 1, itemKind: organisationItem, item: j + 1}, itemLabel{s.Name, "organisation", string(o.Name)}, o)
+			}
+		}
 	}
 	return services
 }
--- a/internal/document/encode.go
+++ b/internal/document/encode.go
@@ -41,6 +41,7 @@
 		s.Routes[i].Methods = sortedOrNil(s.Routes[i].Methods)
 		s.Routes[i].Split = emptyToNil(s.Routes[i].Split)
 	}
+	s.Organisations = canonicalOrganisations(s.Organisations)
 	slices.SortStableFunc(s.Routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
 	return s
 }
--- a/internal/document/format.go
+++ b/internal/document/format.go
@@ -76,6 +76,12 @@
 	for _, r := range s.Routes {
 		w.writeRoute(r)
 	}
+	if len(s.Organisations) > 0 {
+		w.writeLine(4, "organisations:")
+	}
+	for _, o := range s.Organisations {
+		w.writeOrganisation(o)
+	}
 }
 
 func (w *yamlWriter) writeLimits(l Limits) {
@@ -119,8 +125,32 @@
 	if r.AtMostOnce {
 		w.writeLine(8, "at-most-once: true")
 	}
+	if r.Public {
+		w.writeLine(8, "public: true")
+	}
+}
+
+func (w *yamlWriter) writeOrganisation(o Organisation) {
+	w.writeLine(6, "- name: "+formatScalar(string(o.Name)))
+	digests := make([]string, len(o.KeyDigests))
+	for i, k := range o.KeyDigests {
+		digests[i] = strconv.Quote(k.String())
+	}
+	w.writeLine(8, "key-digests: ["+strings.Join(digests, ", ")+"]")
+	if o.Priority != nil {
+		w.writeLine(8, "priority: "+strconv.Itoa(int(*o.Priority)))
+	}
+	if o.RatePerSecond != 0 {
+		w.writeLine(8, "rate-per-second: "+formatNumber(float64(o.RatePerSecond)))
+	}
+	if o.Burst != 0 {
+		w.writeLine(8, "burst: "+formatNumber(o.Burst))
+	}
 }
 
+// formatNumber formats a number without an exponent.
+func formatNumber(f float64) string { return strconv.FormatFloat(f, 'f', -1, 64) }
+
 // formatScalar quotes a string if YAML could read it as another type.
 func formatScalar(s string) string {
 	if plainScalarPattern.MatchString(s) && !reservedWords[strings.ToLower(s)] {
--- a/internal/document/incremental.go
+++ b/internal/document/incremental.go
@@ -62,6 +62,7 @@
 	c.checkItems(changedPart)
 	c.checkServiceReferences(changedPart, func(s backend.ServiceName) bool { return services[s] })
 	c.checkOverlaps(changedPart)
+	c.checkOrganisations(d)
 	return len(c.faults) == 0 && !added.conflictsWith(d)
 }
 
--- a/internal/document/location.go
+++ b/internal/document/location.go
@@ -7,6 +7,7 @@
 	noItem itemKind = iota
 	serviceItem
 	routeItem
+	organisationItem
 )
 
 // location identifies a part of a document: the whole document, a section, an
--- a/internal/document/model.go
+++ b/internal/document/model.go
@@ -32,6 +32,9 @@
 	Routes   []Route     `cbor:"4,keyasint"`
 	// Limits restricts the requests of all callers. At most one section has it.
 	Limits *Limits `cbor:"5,keyasint,omitempty"`
+	// Organisations restrict who may use the routes that are not public. Without any
+	// organisation in the document, nobody needs a key.
+	Organisations []Organisation `cbor:"6,keyasint,omitempty"`
 }
 
 // Limits restricts the requests of callers. A zero field means the default of the
@@ -85,6 +88,8 @@
 	// Priority decides which routes are served first when a service is
 	// overloaded; 0 is the highest.
 	Priority uint8 `cbor:"13,keyasint,omitempty"`
+	// Public routes need no key of an organisation.
+	Public bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Share is the weight of one service in a split route.
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -265,6 +265,14 @@
 				}
 			})
 		},
+		"organisations": func(list location, n ast.Node) {
+			dec.decodeSequence(list, n, func(_ int, n ast.Node) {
+				at := location{section: at.section, itemKind: organisationItem, item: len(s.Organisations) + 1}
+				if v, ok := dec.decodeOrganisation(at, n); ok {
+					s.Organisations = append(s.Organisations, v)
+				}
+			})
+		},
 	})
 	if !ok {
 		delete(dec.invalid, at) // the next section gets this location
@@ -306,6 +314,7 @@
 		"priority":     uintField(dec, &v.Priority, 255),
 		"paid":         dec.boolField(&v.Paid),
 		"at-most-once": dec.boolField(&v.AtMostOnce),
+		"public":       dec.boolField(&v.Public),
 	})
 	if !ok {
 		delete(dec.invalid, at)
--- a/internal/operator/api/oas_client_gen.go
+++ b/internal/operator/api/oas_client_gen.go
@@ -46,6 +46,12 @@
 	//
 	// GET /v1/versions/{number}
 	GetVersion(ctx context.Context, params GetVersionParams) (*Document, error)
+	// ListOrganisations invokes listOrganisations operation.
+	//
+	// Organisations of the current version, by name, with the number of their keys.
+	//
+	// GET /v1/organisations
+	ListOrganisations(ctx context.Context) (*ListOrganisationsOK, error)
 	// ListRoutes invokes listRoutes operation.
 	//
 	// Routes of the current version, by path prefix.
@@ -472,6 +478,82 @@
 	return result, nil
 }
 
+// ListOrganisations invokes listOrganisations operation.
+//
+// Organisations of the current version, by name, with the number of their keys.
+//
+// GET /v1/organisations
+func (c *Client) ListOrganisations(ctx context.Context) (*ListOrganisationsOK, error) {
+	res, err := c.sendListOrganisations(ctx)
+	return res, err
+}
+
+func (c *Client) sendListOrganisations(ctx context.Context) (res *ListOrganisationsOK, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/organisations"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, ListOrganisationsOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListOrganisationsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListRoutes invokes listRoutes operation.
 //
 // Routes of the current version, by path prefix.
--- a/internal/operator/api/oas_handlers_gen.go
+++ b/internal/operator/api/oas_handlers_gen.go
@@ -562,6 +562,132 @@
 	}
 }
 
+// handleListOrganisationsRequest handles listOrganisations operation.
+//
+// Organisations of the current version, by name, with the number of their keys.
+//
+// GET /v1/organisations
+func (s *Server) handleListOrganisationsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListOrganisationsOperation,
+			ID:   "listOrganisations",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, ListOrganisationsOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+
+	var response *ListOrganisationsOK
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListOrganisationsOperation,
+			OperationSummary: "",
+			OperationID:      "listOrganisations",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *ListOrganisationsOK
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListOrganisations(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListOrganisations(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FailedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListOrganisationsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListRoutesRequest handles listRoutes operation.
 //
 // Routes of the current version, by path prefix.
--- a/internal/operator/api/oas_json_gen.go
+++ b/internal/operator/api/oas_json_gen.go
@@ -1456,6 +1456,129 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *ListOrganisationsOK) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *ListOrganisationsOK) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("version")
+		e.UInt64(s.Version)
+	}
+	{
+		e.FieldStart("organisations")
+		e.ArrStart()
+		for _, elem := range s.Organisations {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfListOrganisationsOK = [2]string{
+	0: "version",
+	1: "organisations",
+}
+
+// Decode decodes ListOrganisationsOK from json.
+func (s *ListOrganisationsOK) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode ListOrganisationsOK to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "version":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Version = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "organisations":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.Organisations = make([]OrganisationEntry, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem OrganisationEntry
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Organisations = append(s.Organisations, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"organisations\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode ListOrganisationsOK")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfListOrganisationsOK) {
+					name = jsonFieldsNameOfListOrganisationsOK[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *ListOrganisationsOK) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *ListOrganisationsOK) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *ListRoutesOK) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1914,6 +2037,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes bool as json.
+func (o OptBool) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Bool(bool(o.Value))
+}
+
+// Decode decodes bool from json.
+func (o *OptBool) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptBool to nil")
+	}
+	o.Set = true
+	v, err := d.Bool()
+	if err != nil {
+		return err
+	}
+	o.Value = bool(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptBool) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptBool) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes time.Time as json.
 func (o OptDateTime) Encode(e *jx.Encoder, format func(*jx.Encoder, time.Time)) {
 	if !o.Set {
@@ -1949,6 +2107,41 @@
 	return s.Decode(d, json.NewTimeDecoder("2006-01-02T15:04:05.999999999Z07:00"))
 }
 
+// Encode encodes float64 as json.
+func (o OptFloat64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Float64(float64(o.Value))
+}
+
+// Decode decodes float64 from json.
+func (o *OptFloat64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptFloat64 to nil")
+	}
+	o.Set = true
+	v, err := d.Float64()
+	if err != nil {
+		return err
+	}
+	o.Value = float64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptFloat64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptFloat64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int as json.
 func (o OptInt) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -2054,6 +2247,204 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *OrganisationEntry) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *OrganisationEntry) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("section")
+		e.Str(s.Section)
+	}
+	{
+		e.FieldStart("team")
+		e.Str(s.Team)
+	}
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("keys")
+		e.Int(s.Keys)
+	}
+	{
+		if s.Priority.Set {
+			e.FieldStart("priority")
+			s.Priority.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("rate-per-second")
+		e.Float64(s.RatePerSecond)
+	}
+	{
+		e.FieldStart("burst")
+		e.Float64(s.Burst)
+	}
+}
+
+var jsonFieldsNameOfOrganisationEntry = [7]string{
+	0: "section",
+	1: "team",
+	2: "name",
+	3: "keys",
+	4: "priority",
+	5: "rate-per-second",
+	6: "burst",
+}
+
+// Decode decodes OrganisationEntry from json.
+func (s *OrganisationEntry) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode OrganisationEntry to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "section":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Section = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"section\"")
+			}
+		case "team":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Team = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"team\"")
+			}
+		case "name":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "keys":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int()
+				s.Keys = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"keys\"")
+			}
+		case "priority":
+			if err := func() error {
+				s.Priority.Reset()
+				if err := s.Priority.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"priority\"")
+			}
+		case "rate-per-second":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Float64()
+				s.RatePerSecond = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rate-per-second\"")
+			}
+		case "burst":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Float64()
+				s.Burst = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"burst\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode OrganisationEntry")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b01101111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfOrganisationEntry) {
+					name = jsonFieldsNameOfOrganisationEntry[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *OrganisationEntry) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OrganisationEntry) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Pong) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2550,13 +2941,24 @@
 			e.ArrEnd()
 		}
 	}
+	{
+		if s.Organisations != nil {
+			e.FieldStart("organisations")
+			e.ArrStart()
+			for _, elem := range s.Organisations {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfSection = [4]string{
+var jsonFieldsNameOfSection = [5]string{
 	0: "name",
 	1: "team",
 	2: "services",
 	3: "routes",
+	4: "organisations",
 }
 
 // Decode decodes Section from json.
@@ -2626,6 +3028,23 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"routes\"")
 			}
+		case "organisations":
+			if err := func() error {
+				s.Organisations = make([]SectionOrganisation, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem SectionOrganisation
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Organisations = append(s.Organisations, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"organisations\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -2682,6 +3101,182 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *SectionOrganisation) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *SectionOrganisation) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("key-digests")
+		e.ArrStart()
+		for _, elem := range s.KeyDigests {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+	{
+		if s.Priority.Set {
+			e.FieldStart("priority")
+			s.Priority.Encode(e)
+		}
+	}
+	{
+		if s.RatePerSecond.Set {
+			e.FieldStart("rate-per-second")
+			s.RatePerSecond.Encode(e)
+		}
+	}
+	{
+		if s.Burst.Set {
+			e.FieldStart("burst")
+			s.Burst.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfSectionOrganisation = [5]string{
+	0: "name",
+	1: "key-digests",
+	2: "priority",
+	3: "rate-per-second",
+	4: "burst",
+}
+
+// Decode decodes SectionOrganisation from json.
+func (s *SectionOrganisation) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode SectionOrganisation to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "key-digests":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.KeyDigests = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.KeyDigests = append(s.KeyDigests, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"key-digests\"")
+			}
+		case "priority":
+			if err := func() error {
+				s.Priority.Reset()
+				if err := s.Priority.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"priority\"")
+			}
+		case "rate-per-second":
+			if err := func() error {
+				s.RatePerSecond.Reset()
+				if err := s.RatePerSecond.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rate-per-second\"")
+			}
+		case "burst":
+			if err := func() error {
+				s.Burst.Reset()
+				if err := s.Burst.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"burst\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode SectionOrganisation")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfSectionOrganisation) {
+					name = jsonFieldsNameOfSectionOrganisation[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *SectionOrganisation) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *SectionOrganisation) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *SectionRoute) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2725,9 +3320,15 @@
 		e.FieldStart("paid")
 		e.Bool(s.Paid)
 	}
+	{
+		if s.Public.Set {
+			e.FieldStart("public")
+			s.Public.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfSectionRoute = [7]string{
+var jsonFieldsNameOfSectionRoute = [8]string{
 	0: "name",
 	1: "path-prefix",
 	2: "methods",
@@ -2735,6 +3336,7 @@
 	4: "timeout",
 	5: "retries",
 	6: "paid",
+	7: "public",
 }
 
 // Decode decodes SectionRoute from json.
@@ -2837,6 +3439,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"paid\"")
 			}
+		case "public":
+			if err := func() error {
+				s.Public.Reset()
+				if err := s.Public.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"public\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/operator/api/oas_operations_gen.go
+++ b/internal/operator/api/oas_operations_gen.go
@@ -6,15 +6,16 @@
 type OperationName = string
 
 const (
-	GetDocumentOperation    OperationName = "GetDocument"
-	GetSectionOperation     OperationName = "GetSection"
-	GetStatusOperation      OperationName = "GetStatus"
-	GetVersionOperation     OperationName = "GetVersion"
-	ListRoutesOperation     OperationName = "ListRoutes"
-	ListSectionsOperation   OperationName = "ListSections"
-	ListServersOperation    OperationName = "ListServers"
-	ListVersionsOperation   OperationName = "ListVersions"
-	PingOperation           OperationName = "Ping"
-	QueryTimelineOperation  OperationName = "QueryTimeline"
-	SubmitDocumentOperation OperationName = "SubmitDocument"
+	GetDocumentOperation       OperationName = "GetDocument"
+	GetSectionOperation        OperationName = "GetSection"
+	GetStatusOperation         OperationName = "GetStatus"
+	GetVersionOperation        OperationName = "GetVersion"
+	ListOrganisationsOperation OperationName = "ListOrganisations"
+	ListRoutesOperation        OperationName = "ListRoutes"
+	ListSectionsOperation      OperationName = "ListSections"
+	ListServersOperation       OperationName = "ListServers"
+	ListVersionsOperation      OperationName = "ListVersions"
+	PingOperation              OperationName = "Ping"
+	QueryTimelineOperation     OperationName = "QueryTimeline"
+	SubmitDocumentOperation    OperationName = "SubmitDocument"
 )
--- a/internal/operator/api/oas_response_decoders_gen.go
+++ b/internal/operator/api/oas_response_decoders_gen.go
@@ -381,6 +381,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeListOrganisationsResponse(resp *http.Response) (res *ListOrganisationsOK, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ListOrganisationsOK
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FailedStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Error
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &FailedStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeListRoutesResponse(resp *http.Response) (res *ListRoutesOK, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/operator/api/oas_response_encoders_gen.go
+++ b/internal/operator/api/oas_response_encoders_gen.go
@@ -94,6 +94,27 @@
 	return nil
 }
 
+func encodeListOrganisationsResponse(response *ListOrganisationsOK, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListRoutesResponse(response *ListRoutesOK, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/internal/operator/api/oas_router_gen.go
+++ b/internal/operator/api/oas_router_gen.go
@@ -14,31 +14,34 @@
 	rn1AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn14AllowedHeaders = map[string]string{
+	rn9AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn9AllowedHeaders = map[string]string{
+	rn15AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn10AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
+	rn11AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
 	rn4AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn12AllowedHeaders = map[string]string{
+	rn13AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn6AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn16AllowedHeaders = map[string]string{
+	rn17AllowedHeaders = map[string]string{
 		"POST": "Authorization,Content-Type",
 	}
-	rn15AllowedHeaders = map[string]string{
+	rn16AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn13AllowedHeaders = map[string]string{
+	rn14AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn8AllowedHeaders = map[string]string{
@@ -122,6 +125,31 @@
 					return
 				}
 
+			case 'o': // Prefix: "organisations"
+
+				if l := len("organisations"); len(elem) >= l && elem[0:l] == "organisations" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleListOrganisationsRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: rn9AllowedHeaders,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 'p': // Prefix: "ping"
 
 				if l := len("ping"); len(elem) >= l && elem[0:l] == "ping" {
@@ -138,7 +166,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn14AllowedHeaders,
+							allowedHeaders: rn15AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -163,7 +191,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn9AllowedHeaders,
+							allowedHeaders: rn10AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -211,7 +239,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "GET",
-									allowedHeaders: rn10AllowedHeaders,
+									allowedHeaders: rn11AllowedHeaders,
 									acceptPost:     "",
 									acceptPatch:    "",
 								})
@@ -274,7 +302,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "GET",
-									allowedHeaders: rn12AllowedHeaders,
+									allowedHeaders: rn13AllowedHeaders,
 									acceptPost:     "",
 									acceptPatch:    "",
 								})
@@ -326,7 +354,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn16AllowedHeaders,
+								allowedHeaders: rn17AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -353,7 +381,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn15AllowedHeaders,
+							allowedHeaders: rn16AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -377,7 +405,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn13AllowedHeaders,
+							allowedHeaders: rn14AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -549,6 +577,31 @@
 					}
 				}
 
+			case 'o': // Prefix: "organisations"
+
+				if l := len("organisations"); len(elem) >= l && elem[0:l] == "organisations" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = ListOrganisationsOperation
+						r.summary = ""
+						r.operationID = "listOrganisations"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/organisations"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 'p': // Prefix: "ping"
 
 				if l := len("ping"); len(elem) >= l && elem[0:l] == "ping" {
--- a/internal/operator/api/oas_schemas_gen.go
+++ b/internal/operator/api/oas_schemas_gen.go
@@ -610,6 +610,31 @@
 	}
 }
 
+type ListOrganisationsOK struct {
+	Version       uint64              `json:"version"`
+	Organisations []OrganisationEntry `json:"organisations"`
+}
+
+// GetVersion returns the value of Version.
+func (s *ListOrganisationsOK) GetVersion() uint64 {
+	return s.Version
+}
+
+// GetOrganisations returns the value of Organisations.
+func (s *ListOrganisationsOK) GetOrganisations() []OrganisationEntry {
+	return s.Organisations
+}
+
+// SetVersion sets the value of Version.
+func (s *ListOrganisationsOK) SetVersion(val uint64) {
+	s.Version = val
+}
+
+// SetOrganisations sets the value of Organisations.
+func (s *ListOrganisationsOK) SetOrganisations(val []OrganisationEntry) {
+	s.Organisations = val
+}
+
 type ListRoutesOK struct {
 	Version uint64       `json:"version"`
 	Routes  []RouteEntry `json:"routes"`
@@ -688,6 +713,52 @@
 	s.Versions = val
 }
 
+// NewOptBool returns new OptBool with value set to v.
+func NewOptBool(v bool) OptBool {
+	return OptBool{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptBool is optional bool.
+type OptBool struct {
+	Value bool
+	Set   bool
+}
+
+// IsSet returns true if OptBool was set.
+func (o OptBool) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptBool) Reset() {
+	var v bool
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptBool) SetTo(v bool) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptBool) Get() (v bool, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptBool) Or(d bool) bool {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptDateTime returns new OptDateTime with value set to v.
 func NewOptDateTime(v time.Time) OptDateTime {
 	return OptDateTime{
@@ -734,6 +805,52 @@
 	return d
 }
 
+// NewOptFloat64 returns new OptFloat64 with value set to v.
+func NewOptFloat64(v float64) OptFloat64 {
+	return OptFloat64{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptFloat64 is optional float64.
+type OptFloat64 struct {
+	Value float64
+	Set   bool
+}
+
+// IsSet returns true if OptFloat64 was set.
+func (o OptFloat64) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptFloat64) Reset() {
+	var v float64
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptFloat64) SetTo(v float64) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptFloat64) Get() (v float64, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptFloat64) Or(d float64) float64 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt returns new OptInt with value set to v.
 func NewOptInt(v int) OptInt {
 	return OptInt{
@@ -872,6 +989,90 @@
 	return d
 }
 
+// Ref: #/components/schemas/OrganisationEntry
+type OrganisationEntry struct {
+	Section string `json:"section"`
+	Team    string `json:"team"`
+	Name    string `json:"name"`
+	// Number of keys.
+	Keys int `json:"keys"`
+	// Absent if the priority of the route applies.
+	Priority OptInt `json:"priority"`
+	// 0 means no limit.
+	RatePerSecond float64 `json:"rate-per-second"`
+	Burst         float64 `json:"burst"`
+}
+
+// GetSection returns the value of Section.
+func (s *OrganisationEntry) GetSection() string {
+	return s.Section
+}
+
+// GetTeam returns the value of Team.
+func (s *OrganisationEntry) GetTeam() string {
+	return s.Team
+}
+
+// GetName returns the value of Name.
+func (s *OrganisationEntry) GetName() string {
+	return s.Name
+}
+
+// GetKeys returns the value of Keys.
+func (s *OrganisationEntry) GetKeys() int {
+	return s.Keys
+}
+
+// GetPriority returns the value of Priority.
+func (s *OrganisationEntry) GetPriority() OptInt {
+	return s.Priority
+}
+
+// GetRatePerSecond returns the value of RatePerSecond.
+func (s *OrganisationEntry) GetRatePerSecond() float64 {
+	return s.RatePerSecond
+}
+
+// GetBurst returns the value of Burst.
+func (s *OrganisationEntry) GetBurst() float64 {
+	return s.Burst
+}
+
+// SetSection sets the value of Section.
+func (s *OrganisationEntry) SetSection(val string) {
+	s.Section = val
+}
+
+// SetTeam sets the value of Team.
+func (s *OrganisationEntry) SetTeam(val string) {
+	s.Team = val
+}
+
+// SetName sets the value of Name.
+func (s *OrganisationEntry) SetName(val string) {
+	s.Name = val
+}
+
+// SetKeys sets the value of Keys.
+func (s *OrganisationEntry) SetKeys(val int) {
+	s.Keys = val
+}
+
+// SetPriority sets the value of Priority.
+func (s *OrganisationEntry) SetPriority(val OptInt) {
+	s.Priority = val
+}
+
+// SetRatePerSecond sets the value of RatePerSecond.
+func (s *OrganisationEntry) SetRatePerSecond(val float64) {
+	s.RatePerSecond = val
+}
+
+// SetBurst sets the value of Burst.
+func (s *OrganisationEntry) SetBurst(val float64) {
+	s.Burst = val
+}
+
 // Ref: #/components/schemas/Pong
 type Pong struct {
 	Release string `json:"release"`
@@ -1020,10 +1221,11 @@
 
 // Ref: #/components/schemas/Section
 type Section struct {
-	Name     string           `json:"name"`
-	Team     string           `json:"team"`
-	Services []SectionService `json:"services"`
-	Routes   []SectionRoute   `json:"routes"`
+	Name          string                `json:"name"`
+	Team          string                `json:"team"`
+	Services      []SectionService      `json:"services"`
+	Routes        []SectionRoute        `json:"routes"`
+	Organisations []SectionOrganisation `json:"organisations"`
 }
 
 // GetName returns the value of Name.
@@ -1046,6 +1248,11 @@
 	return s.Routes
 }
 
+// GetOrganisations returns the value of Organisations.
+func (s *Section) GetOrganisations() []SectionOrganisation {
+	return s.Organisations
+}
+
 // SetName sets the value of Name.
 func (s *Section) SetName(val string) {
 	s.Name = val
@@ -1066,6 +1273,74 @@
 	s.Routes = val
 }
 
+// SetOrganisations sets the value of Organisations.
+func (s *Section) SetOrganisations(val []SectionOrganisation) {
+	s.Organisations = val
+}
+
+// Ref: #/components/schemas/SectionOrganisation
+type SectionOrganisation struct {
+	Name string `json:"name"`
+	// SHA-256 digests of the keys, as hexadecimal digits.
+	KeyDigests []string `json:"key-digests"`
+	// Replaces the priority of routes.
+	Priority OptInt `json:"priority"`
+	// Requests per second over all hosts; 0 means no limit.
+	RatePerSecond OptFloat64 `json:"rate-per-second"`
+	// Requests beyond the rate.
+	Burst OptFloat64 `json:"burst"`
+}
+
+// GetName returns the value of Name.
+func (s *SectionOrganisation) GetName() string {
+	return s.Name
+}
+
+// GetKeyDigests returns the value of KeyDigests.
+func (s *SectionOrganisation) GetKeyDigests() []string {
+	return s.KeyDigests
+}
+
+// GetPriority returns the value of Priority.
+func (s *SectionOrganisation) GetPriority() OptInt {
+	return s.Priority
+}
+
+// GetRatePerSecond returns the value of RatePerSecond.
+func (s *SectionOrganisation) GetRatePerSecond() OptFloat64 {
+	return s.RatePerSecond
+}
+
+// GetBurst returns the value of Burst.
+func (s *SectionOrganisation) GetBurst() OptFloat64 {
+	return s.Burst
+}
+
+// SetName sets the value of Name.
+func (s *SectionOrganisation) SetName(val string) {
+	s.Name = val
+}
+
+// SetKeyDigests sets the value of KeyDigests.
+func (s *SectionOrganisation) SetKeyDigests(val []string) {
+	s.KeyDigests = val
+}
+
+// SetPriority sets the value of Priority.
+func (s *SectionOrganisation) SetPriority(val OptInt) {
+	s.Priority = val
+}
+
+// SetRatePerSecond sets the value of RatePerSecond.
+func (s *SectionOrganisation) SetRatePerSecond(val OptFloat64) {
+	s.RatePerSecond = val
+}
+
+// SetBurst sets the value of Burst.
+func (s *SectionOrganisation) SetBurst(val OptFloat64) {
+	s.Burst = val
+}
+
 // Ref: #/components/schemas/SectionRoute
 type SectionRoute struct {
 	Name       string `json:"name"`
@@ -1077,6 +1352,8 @@
 	Timeout string `json:"timeout"`
 	Retries int    `json:"retries"`
 	Paid    bool   `json:"paid"`
+	// Needs no key of an organisation.
+	Public OptBool `json:"public"`
 }
 
 // GetName returns the value of Name.
@@ -1114,6 +1391,11 @@
 	return s.Paid
 }
 
+// GetPublic returns the value of Public.
+func (s *SectionRoute) GetPublic() OptBool {
+	return s.Public
+}
+
 // SetName sets the value of Name.
 func (s *SectionRoute) SetName(val string) {
 	s.Name = val
@@ -1149,6 +1431,11 @@
 	s.Paid = val
 }
 
+// SetPublic sets the value of Public.
+func (s *SectionRoute) SetPublic(val OptBool) {
+	s.Public = val
+}
+
 // Ref: #/components/schemas/SectionService
 type SectionService struct {
 	Name        string `json:"name"`
--- a/internal/operator/api/oas_security_gen.go
+++ b/internal/operator/api/oas_security_gen.go
@@ -35,17 +35,18 @@
 
 // operationRolesBearer is a private map storing roles per operation.
 var operationRolesBearer = map[string][]string{
-	GetDocumentOperation:    []string{},
-	GetSectionOperation:     []string{},
-	GetStatusOperation:      []string{},
-	GetVersionOperation:     []string{},
-	ListRoutesOperation:     []string{},
-	ListSectionsOperation:   []string{},
-	ListServersOperation:    []string{},
-	ListVersionsOperation:   []string{},
-	PingOperation:           []string{},
-	QueryTimelineOperation:  []string{},
-	SubmitDocumentOperation: []string{},
+	GetDocumentOperation:       []string{},
+	GetSectionOperation:        []string{},
+	GetStatusOperation:         []string{},
+	GetVersionOperation:        []string{},
+	ListOrganisationsOperation: []string{},
+	ListRoutesOperation:        []string{},
+	ListSectionsOperation:      []string{},
+	ListServersOperation:       []string{},
+	ListVersionsOperation:      []string{},
+	PingOperation:              []string{},
+	QueryTimelineOperation:     []string{},
+	SubmitDocumentOperation:    []string{},
 }
 
 // GetRolesForBearer returns the required roles for the given operation.
--- a/internal/operator/api/oas_server_gen.go
+++ b/internal/operator/api/oas_server_gen.go
@@ -32,6 +32,12 @@
 	//
 	// GET /v1/versions/{number}
 	GetVersion(ctx context.Context, params GetVersionParams) (*Document, error)
+	// ListOrganisations implements listOrganisations operation.
+	//
+	// Organisations of the current version, by name, with the number of their keys.
+	//
+	// GET /v1/organisations
+	ListOrganisations(ctx context.Context) (*ListOrganisationsOK, error)
 	// ListRoutes implements listRoutes operation.
 	//
 	// Routes of the current version, by path prefix.
--- a/internal/operator/api/oas_validators_gen.go
+++ b/internal/operator/api/oas_validators_gen.go
@@ -123,6 +123,46 @@
 	}
 }
 
+func (s *ListOrganisationsOK) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Organisations == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Organisations {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "organisations",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *ListRoutesOK) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -266,6 +306,40 @@
 	return nil
 }
 
+func (s *OrganisationEntry) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.RatePerSecond)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "rate-per-second",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Burst)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "burst",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Refused) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -425,6 +499,138 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		var failures []validate.FieldError
+		for i, elem := range s.Organisations {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "organisations",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *SectionOrganisation) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.KeyDigests == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "key-digests",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Priority.Get(); ok {
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        true,
+					Max:           255,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(value)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "priority",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.RatePerSecond.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        true,
+					Max:           1e+06,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    nil,
+					Pattern:       nil,
+				}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "rate-per-second",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Burst.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        true,
+					Max:           1e+06,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    nil,
+					Pattern:       nil,
+				}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "burst",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
--- a/internal/operator/convert.go
+++ b/internal/operator/convert.go
@@ -22,13 +22,16 @@
 	for _, r := range s.Routes {
 		out.Routes = append(out.Routes, routeToAPI(r))
 	}
+	for _, o := range s.Organisations {
+		out.Organisations = append(out.Organisations, organisationToAPI(o))
+	}
 	return out
 }
 
 func routeToAPI(r document.Route) api.SectionRoute {
 	return api.SectionRoute{
 		Name: string(r.Name), PathPrefix: r.PathPrefix, Methods: r.Methods, Service: string(r.Service),
-		Timeout: r.Timeout.String(), Retries: int(r.Retries), Paid: r.Paid,
+		Timeout: r.Timeout.String(), Retries: int(r.Retries), Paid: r.Paid, Public: api.OptBool{Value: r.Public, Set: r.Public},
 	}
 }
 
@@ -55,9 +58,16 @@
 		out.Routes = append(out.Routes, document.Route{
 			Name: document.RouteName(r.Name), PathPrefix: r.PathPrefix, Methods: fromStrings[string](r.Methods),
 			Service: backend.ServiceName(r.Service), Timeout: duration("timeout", r.Name, r.Timeout),
-			Retries: uint8(r.Retries), Paid: r.Paid,
+			Retries: uint8(r.Retries), Paid: r.Paid, Public: r.Public.Or(false),
 		})
 	}
+	for _, o := range s.Organisations {
+		organisation, err := organisationFromAPI(o)
+		if err != nil {
+			faults = append(faults, document.Fault{Message: fmt.Sprintf("section %q: organisation %q: %v", s.Name, o.Name, err)})
+		}
+		out.Organisations = append(out.Organisations, organisation)
+	}
 	if len(faults) > 0 {
 		return document.Section{}, faults
 	}
