--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -18,6 +18,10 @@
 	"github.com/peridotlb/peridotlb/internal/command/documentsubmit"
 	"github.com/peridotlb/peridotlb/internal/command/explain"
 	"github.com/peridotlb/peridotlb/internal/command/keyscreate"
+	"github.com/peridotlb/peridotlb/internal/command/rolloutabort"
+	"github.com/peridotlb/peridotlb/internal/command/rolloutlist"
+	"github.com/peridotlb/peridotlb/internal/command/rolloutstart"
+	"github.com/peridotlb/peridotlb/internal/command/rolloutwatch"
 	"github.com/peridotlb/peridotlb/internal/command/routelist"
 	"github.com/peridotlb/peridotlb/internal/command/sectionlist"
 	"github.com/peridotlb/peridotlb/internal/command/sectionshow"
@@ -38,6 +42,10 @@
 		command.NewGroup("section", "List and show sections.", sectionlist.New(s), sectionshow.New(s)),
 		status.New(s),
 		command.NewGroup("server", "List backend servers.", serverlist.New(s)),
+		command.NewGroup(
+			"rollout", "Start, watch and abort roll-outs of versions.",
+			rolloutstart.New(s), rolloutlist.New(s), rolloutwatch.New(s), rolloutabort.New(s),
+		),
 		command.NewGroup("route", "List routes.", routelist.New(s)),
 		timeline.New(s),
 		explain.New(s),
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -30,6 +30,7 @@
 	submissionsUnknown     *metrics.Counter
 	claims                 map[string]*metrics.Counter // by outcome
 	hosts                  map[host.State]*metrics.Gauge
+	set                    *metrics.Set
 	unreachableZones       *metrics.Gauge // zones that this daemon can't reach
 	lastCrossRegionMessage atomic.Int64   // Unix time in ns of the last message from another region
 }
@@ -87,6 +88,7 @@
 		return time.Until(c.Leaf.NotAfter).Seconds()
 	})
 	m := &daemonMetrics{
+		set:                 set,
 		applied:             set.NewGauge("peridotlb_version_applied", nil),
 		applyDelay:          set.NewGauge("peridotlb_version_apply_delay_seconds", nil),
 		stepDuration:        set.NewSummary("peridotlb_core_step_seconds"),
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -92,6 +92,8 @@
 		c.handleWriteRecordResult(e)
 	case EvidenceCollected:
 		c.forwardEvidence(e.Evidence)
+	case RolloutRequested:
+		c.requestRollout(e.Order)
 	case ReadRolloutsResult:
 		c.handleReadRolloutsResult(e)
 	case WriteRolloutResult:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -88,6 +88,9 @@
 // without host and incarnation.
 type EvidenceCollected struct{ Evidence []rollout.Evidence }
 
+// RolloutRequested contains an order from the operator API, without a number.
+type RolloutRequested struct{ Order rollout.Order }
+
 // ReadRolloutsResult is the result of ReadRollouts: all orders and rows.
 type ReadRolloutsResult struct {
 	Orders []rollout.Order
@@ -212,6 +215,7 @@
 func (ShutdownRequested) isEvent() {}
 
 func (EvidenceCollected) isEvent()  {}
+func (RolloutRequested) isEvent()   {}
 func (ReadRolloutsResult) isEvent() {}
 func (WriteRolloutResult) isEvent() {}
 
--- a/internal/fleet/rollouts_test.go
+++ b/internal/fleet/rollouts_test.go
@@ -282,6 +282,67 @@
 	}
 }
 
+// Guards against roll-outs without a verdict, or with a completion, when the servers of
+// the target version never appear, all leave or are not enough, and against a completion
+// that is missed because some restart. The roll-out of another service must not matter.
+func TestRolloutFollowsServers(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		want  rollout.State
+		leave func(*simRollouts, int) bool // which servers of the target version leave
+		at    time.Duration
+		back  bool // they return 2 s later
+	}{
+		{"never appear", rollout.RolledBack, func(*simRollouts, int) bool { return true }, 1500 * time.Millisecond, false},
+		{"all leave while probed", rollout.RolledBack, func(*simRollouts, int) bool { return true }, 7 * time.Second, false},
+		{"all leave while the share rises", rollout.RolledBack, func(*simRollouts, int) bool { return true }, 10600 * time.Millisecond, false},
+		{"most leave", rollout.RolledBack, func(_ *simRollouts, i int) bool { return i > 2 }, 5 * time.Second, false},
+		{"some leave", rollout.Completed, func(_ *simRollouts, i int) bool { return i < 3 }, 5 * time.Second, false},
+		{"all restart", rollout.Completed, func(*simRollouts, int) bool { return true }, 3 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := newSimRollouts(t, 2)
+			r.start()
+			r.advance(c.at)
+			announce := func(state backend.State) {
+				for i, h := range r.n.hosts {
+					if c.leave(r, i) {
+						s := r.server(h, "v2")
+						s.State = state
+						r.n.schedule(h, 0, ServerAnnounced{Server: s})
+					}
+				}
+			}
+			announce(backend.Gone)
+			r.advance(2 * time.Second)
+			if c.back {
+				announce(backend.Ready)
+			}
+			r.advance(simDuration - c.at)
+			if len(r.verdicts) != 1 || r.verdicts[0] != c.want {
+				t.Errorf("got verdicts %v, want %v:\n%s", r.verdicts, c.want, strings.Join(r.steps, "\n"))
+			}
+		})
+	}
+}
+
+// Guards against a share that stays in effect at a host that receives no refreshes.
+func TestRolloutExpires(t *testing.T) {
+	r := newSimRollouts(t, 3)
+	r.start()
+	r.advance(8 * time.Second)
+	cut := r.n.hosts[len(r.n.hosts)-1]
+	if r.applied[cut].Share(r.n.now) == 0 {
+		t.Fatal("got share 0 after 8 s, want more")
+	}
+	r.n.partitioned = func(a, b host.Row) bool { return a.ID == cut.row.ID || b.ID == cut.row.ID }
+	r.advance(rollout.Expiry + rollout.RefreshInterval)
+	if got := r.applied[cut].Share(r.n.now); got != 0 {
+		t.Errorf("got share %d at a host without refreshes, want 0", got)
+	}
+}
+
 func (r *simRollouts) check(t *testing.T) {
 	t.Helper()
 	want := rollout.Completed
--- a/internal/operator/api/oas_client_gen.go
+++ b/internal/operator/api/oas_client_gen.go
@@ -22,6 +22,12 @@
 
 // Invoker invokes operations described by OpenAPI v3 specification.
 type Invoker interface {
+	// AbortRollout invokes abortRollout operation.
+	//
+	// Rolls back the running roll-out of a service.
+	//
+	// POST /v1/rollouts/{service}/abort
+	AbortRollout(ctx context.Context, params AbortRolloutParams) (*Rollout, error)
 	// GetDocument invokes getDocument operation.
 	//
 	// The document of the current version.
@@ -46,6 +52,12 @@
 	//
 	// GET /v1/versions/{number}
 	GetVersion(ctx context.Context, params GetVersionParams) (*Document, error)
+	// ListRollouts invokes listRollouts operation.
+	//
+	// The last roll-out of each service, by service.
+	//
+	// GET /v1/rollouts
+	ListRollouts(ctx context.Context) (*ListRolloutsOK, error)
 	// ListRoutes invokes listRoutes operation.
 	//
 	// Routes of the current version, by path prefix.
@@ -82,6 +94,13 @@
 	//
 	// GET /v1/timeline
 	QueryTimeline(ctx context.Context, params QueryTimelineParams) (*Timeline, error)
+	// StartRollout invokes startRollout operation.
+	//
+	// Starts the roll-out of a version of a service. It replaces a running roll-out to another version. A
+	// version with a verdict keeps it.
+	//
+	// POST /v1/rollouts
+	StartRollout(ctx context.Context, request *RolloutOrder) (*Rollout, error)
 	// SubmitDocument invokes submitDocument operation.
 	//
 	// Submits changed and removed sections of the team of the token. Repeating a submission with the same
@@ -132,6 +151,101 @@
 	return u
 }
 
+// AbortRollout invokes abortRollout operation.
+//
+// Rolls back the running roll-out of a service.
+//
+// POST /v1/rollouts/{service}/abort
+func (c *Client) AbortRollout(ctx context.Context, params AbortRolloutParams) (*Rollout, error) {
+	res, err := c.sendAbortRollout(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendAbortRollout(ctx context.Context, params AbortRolloutParams) (res *Rollout, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [3]string
+	pathParts[0] = "/v1/rollouts/"
+	{
+		// Encode "service" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "service",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Service))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/abort"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, AbortRolloutOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeAbortRolloutResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetDocument invokes getDocument operation.
 //
 // The document of the current version.
@@ -472,6 +586,82 @@
 	return result, nil
 }
 
+// ListRollouts invokes listRollouts operation.
+//
+// The last roll-out of each service, by service.
+//
+// GET /v1/rollouts
+func (c *Client) ListRollouts(ctx context.Context) (*ListRolloutsOK, error) {
+	res, err := c.sendListRollouts(ctx)
+	return res, err
+}
+
+func (c *Client) sendListRollouts(ctx context.Context) (res *ListRolloutsOK, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/rollouts"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, ListRolloutsOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListRolloutsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListRoutes invokes listRoutes operation.
 //
 // Routes of the current version, by path prefix.
@@ -1107,6 +1297,95 @@
 	return result, nil
 }
 
+// StartRollout invokes startRollout operation.
+//
+// Starts the roll-out of a version of a service. It replaces a running roll-out to another version. A
+// version with a verdict keeps it.
+//
+// POST /v1/rollouts
+func (c *Client) StartRollout(ctx context.Context, request *RolloutOrder) (*Rollout, error) {
+	res, err := c.sendStartRollout(ctx, request)
+	return res, err
+}
+
+func (c *Client) sendStartRollout(ctx context.Context, request *RolloutOrder) (res *Rollout, err error) {
+	// Validate request before sending.
+	if err := func() error {
+		if err := request.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return res, errors.Wrap(err, "validate")
+	}
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/rollouts"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodeStartRolloutRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, StartRolloutOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeStartRolloutResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // SubmitDocument invokes submitDocument operation.
 //
 // Submits changed and removed sections of the team of the token. Repeating a submission with the same
--- a/internal/operator/api/oas_handlers_gen.go
+++ b/internal/operator/api/oas_handlers_gen.go
@@ -28,6 +28,147 @@
 
 func recordError(string, error) {}
 
+// handleAbortRolloutRequest handles abortRollout operation.
+//
+// Rolls back the running roll-out of a service.
+//
+// POST /v1/rollouts/{service}/abort
+func (s *Server) handleAbortRolloutRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: AbortRolloutOperation,
+			ID:   "abortRollout",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, AbortRolloutOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeAbortRolloutParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Rollout
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    AbortRolloutOperation,
+			OperationSummary: "",
+			OperationID:      "abortRollout",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "service",
+					In:   "path",
+				}: params.Service,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = AbortRolloutParams
+			Response = *Rollout
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackAbortRolloutParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.AbortRollout(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.AbortRollout(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FailedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeAbortRolloutResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetDocumentRequest handles getDocument operation.
 //
 // The document of the current version.
@@ -562,6 +703,132 @@
 	}
 }
 
+// handleListRolloutsRequest handles listRollouts operation.
+//
+// The last roll-out of each service, by service.
+//
+// GET /v1/rollouts
+func (s *Server) handleListRolloutsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListRolloutsOperation,
+			ID:   "listRollouts",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, ListRolloutsOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+
+	var response *ListRolloutsOK
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListRolloutsOperation,
+			OperationSummary: "",
+			OperationID:      "listRollouts",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *ListRolloutsOK
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListRollouts(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListRollouts(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FailedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListRolloutsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListRoutesRequest handles listRoutes operation.
 //
 // Routes of the current version, by path prefix.
@@ -1391,6 +1658,148 @@
 	}
 }
 
+// handleStartRolloutRequest handles startRollout operation.
+//
+// Starts the roll-out of a version of a service. It replaces a running roll-out to another version. A
+// version with a verdict keeps it.
+//
+// POST /v1/rollouts
+func (s *Server) handleStartRolloutRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: StartRolloutOperation,
+			ID:   "startRollout",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, StartRolloutOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodeStartRolloutRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response *Rollout
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    StartRolloutOperation,
+			OperationSummary: "",
+			OperationID:      "startRollout",
+			Body:             request,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = *RolloutOrder
+			Params   = struct{}
+			Response = *Rollout
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.StartRollout(ctx, request)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.StartRollout(ctx, request)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FailedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeStartRolloutResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleSubmitDocumentRequest handles submitDocument operation.
 //
 // Submits changed and removed sections of the team of the token. Repeating a submission with the same
--- a/internal/operator/api/oas_json_gen.go
+++ b/internal/operator/api/oas_json_gen.go
@@ -1456,6 +1456,112 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *ListRolloutsOK) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *ListRolloutsOK) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("rollouts")
+		e.ArrStart()
+		for _, elem := range s.Rollouts {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfListRolloutsOK = [1]string{
+	0: "rollouts",
+}
+
+// Decode decodes ListRolloutsOK from json.
+func (s *ListRolloutsOK) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode ListRolloutsOK to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "rollouts":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Rollouts = make([]Rollout, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Rollout
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Rollouts = append(s.Rollouts, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rollouts\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode ListRolloutsOK")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfListRolloutsOK) {
+					name = jsonFieldsNameOfListRolloutsOK[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *ListRolloutsOK) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *ListRolloutsOK) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *ListRoutesOK) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2385,6 +2491,443 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Rollout) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Rollout) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("target")
+		e.Str(s.Target)
+	}
+	{
+		e.FieldStart("state")
+		s.State.Encode(e)
+	}
+	{
+		e.FieldStart("step")
+		e.Int(s.Step)
+	}
+	{
+		e.FieldStart("share")
+		e.Float64(s.Share)
+	}
+	{
+		e.FieldStart("closing")
+		e.Bool(s.Closing)
+	}
+	{
+		e.FieldStart("held")
+		e.Bool(s.Held)
+	}
+	{
+		e.FieldStart("age")
+		e.Str(s.Age)
+	}
+	{
+		e.FieldStart("duration")
+		e.Str(s.Duration)
+	}
+	{
+		e.FieldStart("leader")
+		e.Str(s.Leader)
+	}
+	{
+		e.FieldStart("detail")
+		e.Str(s.Detail)
+	}
+}
+
+var jsonFieldsNameOfRollout = [11]string{
+	0:  "service",
+	1:  "target",
+	2:  "state",
+	3:  "step",
+	4:  "share",
+	5:  "closing",
+	6:  "held",
+	7:  "age",
+	8:  "duration",
+	9:  "leader",
+	10: "detail",
+}
+
+// Decode decodes Rollout from json.
+func (s *Rollout) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Rollout to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "service":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "target":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Target = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"target\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				if err := s.State.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		case "step":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int()
+				s.Step = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"step\"")
+			}
+		case "share":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Float64()
+				s.Share = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"share\"")
+			}
+		case "closing":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Bool()
+				s.Closing = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"closing\"")
+			}
+		case "held":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Bool()
+				s.Held = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"held\"")
+			}
+		case "age":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Str()
+				s.Age = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"age\"")
+			}
+		case "duration":
+			requiredBitSet[1] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Duration = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"duration\"")
+			}
+		case "leader":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Leader = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"leader\"")
+			}
+		case "detail":
+			requiredBitSet[1] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Detail = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"detail\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Rollout")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11111111,
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfRollout) {
+					name = jsonFieldsNameOfRollout[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Rollout) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Rollout) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *RolloutOrder) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *RolloutOrder) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("target")
+		e.Str(s.Target)
+	}
+	{
+		e.FieldStart("duration")
+		e.Str(s.Duration)
+	}
+}
+
+var jsonFieldsNameOfRolloutOrder = [3]string{
+	0: "service",
+	1: "target",
+	2: "duration",
+}
+
+// Decode decodes RolloutOrder from json.
+func (s *RolloutOrder) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode RolloutOrder to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "service":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "target":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Target = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"target\"")
+			}
+		case "duration":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Duration = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"duration\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode RolloutOrder")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfRolloutOrder) {
+					name = jsonFieldsNameOfRolloutOrder[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *RolloutOrder) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *RolloutOrder) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes RolloutState as json.
+func (s RolloutState) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes RolloutState from json.
+func (s *RolloutState) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode RolloutState to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch RolloutState(v) {
+	case RolloutStateRunning:
+		*s = RolloutStateRunning
+	case RolloutStateCompleted:
+		*s = RolloutStateCompleted
+	case RolloutStateRolledBack:
+		*s = RolloutStateRolledBack
+	default:
+		*s = RolloutState(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s RolloutState) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *RolloutState) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *RouteEntry) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/internal/operator/api/oas_operations_gen.go
+++ b/internal/operator/api/oas_operations_gen.go
@@ -6,15 +6,18 @@
 type OperationName = string
 
 const (
+	AbortRolloutOperation   OperationName = "AbortRollout"
 	GetDocumentOperation    OperationName = "GetDocument"
 	GetSectionOperation     OperationName = "GetSection"
 	GetStatusOperation      OperationName = "GetStatus"
 	GetVersionOperation     OperationName = "GetVersion"
+	ListRolloutsOperation   OperationName = "ListRollouts"
 	ListRoutesOperation     OperationName = "ListRoutes"
 	ListSectionsOperation   OperationName = "ListSections"
 	ListServersOperation    OperationName = "ListServers"
 	ListVersionsOperation   OperationName = "ListVersions"
 	PingOperation           OperationName = "Ping"
 	QueryTimelineOperation  OperationName = "QueryTimeline"
+	StartRolloutOperation   OperationName = "StartRollout"
 	SubmitDocumentOperation OperationName = "SubmitDocument"
 )
--- a/internal/operator/api/oas_parameters_gen.go
+++ b/internal/operator/api/oas_parameters_gen.go
@@ -15,6 +15,91 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// AbortRolloutParams is parameters of abortRollout operation.
+type AbortRolloutParams struct {
+	Service string
+}
+
+func unpackAbortRolloutParams(packed middleware.Parameters) (params AbortRolloutParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "service",
+			In:   "path",
+		}
+		params.Service = packed[key].(string)
+	}
+	return params
+}
+
+func decodeAbortRolloutParams(args [1]string, argsEscaped bool, r *http.Request) (params AbortRolloutParams, _ error) {
+	// Decode path: service.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "service",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Service = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     256,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Service)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "service",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // GetSectionParams is parameters of getSection operation.
 type GetSectionParams struct {
 	Name string
--- a/internal/operator/api/oas_request_decoders_gen.go
+++ b/internal/operator/api/oas_request_decoders_gen.go
@@ -14,6 +14,85 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s *Server) decodeStartRolloutRequest(r *http.Request) (
+	req *RolloutOrder,
+	rawBody []byte,
+	close func() error,
+	rerr error,
+) {
+	var closers []func() error
+	close = func() error {
+		var merr error
+		// Close in reverse order, to match defer behavior.
+		for i := len(closers) - 1; i >= 0; i-- {
+			c := closers[i]
+			merr = errors.Join(merr, c())
+		}
+		return merr
+	}
+	defer func() {
+		if rerr != nil {
+			rerr = errors.Join(rerr, close())
+		}
+	}()
+	ct, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		return req, rawBody, close, errors.Wrap(err, "parse media type")
+	}
+	switch {
+	case ct == "application/json":
+		if r.ContentLength == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+		buf, err := io.ReadAll(r.Body)
+		defer func() {
+			_ = r.Body.Close()
+		}()
+		if err != nil {
+			return req, rawBody, close, err
+		}
+
+		// Reset the body to allow for downstream reading.
+		r.Body = io.NopCloser(bytes.NewBuffer(buf))
+
+		if len(buf) == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+
+		rawBody = append(rawBody, buf...)
+		d := jx.DecodeBytes(buf)
+
+		var request RolloutOrder
+		if err := func() error {
+			if err := request.Decode(d); err != nil {
+				return err
+			}
+			if err := d.Skip(); err != io.EOF {
+				return errors.New("unexpected trailing data")
+			}
+			return nil
+		}(); err != nil {
+			err = &ogenerrors.DecodeBodyError{
+				ContentType: ct,
+				Body:        buf,
+				Err:         err,
+			}
+			return req, rawBody, close, err
+		}
+		if err := func() error {
+			if err := request.Validate(); err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return req, rawBody, close, errors.Wrap(err, "validate")
+		}
+		return &request, rawBody, close, nil
+	default:
+		return req, rawBody, close, validate.InvalidContentType(ct)
+	}
+}
+
 func (s *Server) decodeSubmitDocumentRequest(r *http.Request) (
 	req *Submission,
 	rawBody []byte,
--- a/internal/operator/api/oas_request_encoders_gen.go
+++ b/internal/operator/api/oas_request_encoders_gen.go
@@ -10,6 +10,20 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
+func encodeStartRolloutRequest(
+	req *RolloutOrder,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
+
 func encodeSubmitDocumentRequest(
 	req *Submission,
 	r *http.Request,
--- a/internal/operator/api/oas_response_decoders_gen.go
+++ b/internal/operator/api/oas_response_decoders_gen.go
@@ -13,6 +13,98 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func decodeAbortRolloutResponse(resp *http.Response) (res *Rollout, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Rollout
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FailedStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Error
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &FailedStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeGetDocumentResponse(resp *http.Response) (res *Document, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -381,6 +473,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeListRolloutsResponse(resp *http.Response) (res *ListRolloutsOK, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ListRolloutsOK
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FailedStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Error
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &FailedStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeListRoutesResponse(resp *http.Response) (res *ListRoutesOK, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -924,6 +1108,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeStartRolloutResponse(resp *http.Response) (res *Rollout, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Rollout
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FailedStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Error
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &FailedStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeSubmitDocumentResponse(resp *http.Response) (res SubmitDocumentRes, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/operator/api/oas_response_encoders_gen.go
+++ b/internal/operator/api/oas_response_encoders_gen.go
@@ -10,6 +10,27 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
+func encodeAbortRolloutResponse(response *Rollout, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetDocumentResponse(response *Document, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
@@ -94,6 +115,27 @@
 	return nil
 }
 
+func encodeListRolloutsResponse(response *ListRolloutsOK, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListRoutesResponse(response *ListRoutesOK, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
@@ -212,6 +254,27 @@
 	return nil
 }
 
+func encodeStartRolloutResponse(response *Rollout, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeSubmitDocumentResponse(response SubmitDocumentRes, w http.ResponseWriter) error {
 	switch response := response.(type) {
 	case *Accepted:
--- a/internal/operator/api/oas_router_gen.go
+++ b/internal/operator/api/oas_router_gen.go
@@ -11,37 +11,44 @@
 )
 
 var (
-	rn1AllowedHeaders = map[string]string{
+	rn5AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn14AllowedHeaders = map[string]string{
+	rn19AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn9AllowedHeaders = map[string]string{
+	rn12AllowedHeaders = map[string]string{
+		"GET":  "Authorization",
+		"POST": "Authorization,Content-Type",
+	}
+	rn3AllowedHeaders = map[string]string{
+		"POST": "Authorization",
+	}
+	rn14AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn10AllowedHeaders = map[string]string{
+	rn15AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn4AllowedHeaders = map[string]string{
+	rn7AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn12AllowedHeaders = map[string]string{
+	rn17AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn6AllowedHeaders = map[string]string{
+	rn9AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn16AllowedHeaders = map[string]string{
+	rn21AllowedHeaders = map[string]string{
 		"POST": "Authorization,Content-Type",
 	}
-	rn15AllowedHeaders = map[string]string{
+	rn20AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn13AllowedHeaders = map[string]string{
+	rn18AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn8AllowedHeaders = map[string]string{
+	rn11AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 )
@@ -113,7 +120,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn1AllowedHeaders,
+							allowedHeaders: rn5AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -138,7 +145,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn14AllowedHeaders,
+							allowedHeaders: rn19AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -147,29 +154,121 @@
 					return
 				}
 
-			case 'r': // Prefix: "routes"
+			case 'r': // Prefix: "ro"
 
-				if l := len("routes"); len(elem) >= l && elem[0:l] == "routes" {
+				if l := len("ro"); len(elem) >= l && elem[0:l] == "ro" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
-					switch r.Method {
-					case "GET":
-						s.handleListRoutesRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "GET",
-							allowedHeaders: rn9AllowedHeaders,
-							acceptPost:     "",
-							acceptPatch:    "",
-						})
+					break
+				}
+				switch elem[0] {
+				case 'l': // Prefix: "llouts"
+
+					if l := len("llouts"); len(elem) >= l && elem[0:l] == "llouts" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						switch r.Method {
+						case "GET":
+							s.handleListRolloutsRequest([0]string{}, elemIsEscaped, w, r)
+						case "POST":
+							s.handleStartRolloutRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET,POST",
+								allowedHeaders: rn12AllowedHeaders,
+								acceptPost:     "application/json",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "service"
+						// Match until "/"
+						idx := strings.IndexByte(elem, '/')
+						if idx < 0 {
+							idx = len(elem)
+						}
+						args[0] = elem[:idx]
+						elem = elem[idx:]
+
+						if len(elem) == 0 {
+							break
+						}
+						switch elem[0] {
+						case '/': // Prefix: "/abort"
+
+							if l := len("/abort"); len(elem) >= l && elem[0:l] == "/abort" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch r.Method {
+								case "POST":
+									s.handleAbortRolloutRequest([1]string{
+										args[0],
+									}, elemIsEscaped, w, r)
+								default:
+									s.notAllowed(w, r, notAllowedParams{
+										allowedMethods: "POST",
+										allowedHeaders: rn3AllowedHeaders,
+										acceptPost:     "",
+										acceptPatch:    "",
+									})
+								}
+
+								return
+							}
+
+						}
+
+					}
+
+				case 'u': // Prefix: "utes"
+
+					if l := len("utes"); len(elem) >= l && elem[0:l] == "utes" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleListRoutesRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: rn14AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
 					}
 
-					return
 				}
 
 			case 's': // Prefix: "s"
@@ -211,7 +310,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "GET",
-									allowedHeaders: rn10AllowedHeaders,
+									allowedHeaders: rn15AllowedHeaders,
 									acceptPost:     "",
 									acceptPatch:    "",
 								})
@@ -247,7 +346,7 @@
 								default:
 									s.notAllowed(w, r, notAllowedParams{
 										allowedMethods: "GET",
-										allowedHeaders: rn4AllowedHeaders,
+										allowedHeaders: rn7AllowedHeaders,
 										acceptPost:     "",
 										acceptPatch:    "",
 									})
@@ -274,7 +373,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "GET",
-									allowedHeaders: rn12AllowedHeaders,
+									allowedHeaders: rn17AllowedHeaders,
 									acceptPost:     "",
 									acceptPatch:    "",
 								})
@@ -301,7 +400,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "GET",
-								allowedHeaders: rn6AllowedHeaders,
+								allowedHeaders: rn9AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -326,7 +425,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn16AllowedHeaders,
+								allowedHeaders: rn21AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -353,7 +452,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn15AllowedHeaders,
+							allowedHeaders: rn20AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -377,7 +476,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn13AllowedHeaders,
+							allowedHeaders: rn18AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -413,7 +512,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "GET",
-								allowedHeaders: rn8AllowedHeaders,
+								allowedHeaders: rn11AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -574,29 +673,126 @@
 					}
 				}
 
-			case 'r': // Prefix: "routes"
+			case 'r': // Prefix: "ro"
 
-				if l := len("routes"); len(elem) >= l && elem[0:l] == "routes" {
+				if l := len("ro"); len(elem) >= l && elem[0:l] == "ro" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
-					switch method {
-					case "GET":
-						r.name = ListRoutesOperation
-						r.summary = ""
-						r.operationID = "listRoutes"
-						r.operationGroup = ""
-						r.pathPattern = "/v1/routes"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
+					break
+				}
+				switch elem[0] {
+				case 'l': // Prefix: "llouts"
+
+					if l := len("llouts"); len(elem) >= l && elem[0:l] == "llouts" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						switch method {
+						case "GET":
+							r.name = ListRolloutsOperation
+							r.summary = ""
+							r.operationID = "listRollouts"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/rollouts"
+							r.args = args
+							r.count = 0
+							return r, true
+						case "POST":
+							r.name = StartRolloutOperation
+							r.summary = ""
+							r.operationID = "startRollout"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/rollouts"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "service"
+						// Match until "/"
+						idx := strings.IndexByte(elem, '/')
+						if idx < 0 {
+							idx = len(elem)
+						}
+						args[0] = elem[:idx]
+						elem = elem[idx:]
+
+						if len(elem) == 0 {
+							break
+						}
+						switch elem[0] {
+						case '/': // Prefix: "/abort"
+
+							if l := len("/abort"); len(elem) >= l && elem[0:l] == "/abort" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch method {
+								case "POST":
+									r.name = AbortRolloutOperation
+									r.summary = ""
+									r.operationID = "abortRollout"
+									r.operationGroup = ""
+									r.pathPattern = "/v1/rollouts/{service}/abort"
+									r.args = args
+									r.count = 1
+									return r, true
+								default:
+									return
+								}
+							}
+
+						}
+
+					}
+
+				case 'u': // Prefix: "utes"
+
+					if l := len("utes"); len(elem) >= l && elem[0:l] == "utes" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = ListRoutesOperation
+							r.summary = ""
+							r.operationID = "listRoutes"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/routes"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
 					}
+
 				}
 
 			case 's': // Prefix: "s"
--- a/internal/operator/api/oas_schemas_gen.go
+++ b/internal/operator/api/oas_schemas_gen.go
@@ -610,6 +610,20 @@
 	}
 }
 
+type ListRolloutsOK struct {
+	Rollouts []Rollout `json:"rollouts"`
+}
+
+// GetRollouts returns the value of Rollouts.
+func (s *ListRolloutsOK) GetRollouts() []Rollout {
+	return s.Rollouts
+}
+
+// SetRollouts sets the value of Rollouts.
+func (s *ListRolloutsOK) SetRollouts(val []Rollout) {
+	s.Rollouts = val
+}
+
 type ListRoutesOK struct {
 	Version uint64       `json:"version"`
 	Routes  []RouteEntry `json:"routes"`
@@ -981,6 +995,224 @@
 
 func (*Refused) submitDocumentRes() {}
 
+// Ref: #/components/schemas/Rollout
+type Rollout struct {
+	Service string       `json:"service"`
+	Target  string       `json:"target"`
+	State   RolloutState `json:"state"`
+	Step    int          `json:"step"`
+	// Part of the calls that the target version gets.
+	Share float64 `json:"share"`
+	// Servers of other versions get no more calls.
+	Closing bool `json:"closing"`
+	// Calls to the target version are stopped.
+	Held bool `json:"held"`
+	// Time since the order.
+	Age      string `json:"age"`
+	Duration string `json:"duration"`
+	// Host that decides.
+	Leader string `json:"leader"`
+	// Figures that decided the step or the verdict.
+	Detail string `json:"detail"`
+}
+
+// GetService returns the value of Service.
+func (s *Rollout) GetService() string {
+	return s.Service
+}
+
+// GetTarget returns the value of Target.
+func (s *Rollout) GetTarget() string {
+	return s.Target
+}
+
+// GetState returns the value of State.
+func (s *Rollout) GetState() RolloutState {
+	return s.State
+}
+
+// GetStep returns the value of Step.
+func (s *Rollout) GetStep() int {
+	return s.Step
+}
+
+// GetShare returns the value of Share.
+func (s *Rollout) GetShare() float64 {
+	return s.Share
+}
+
+// GetClosing returns the value of Closing.
+func (s *Rollout) GetClosing() bool {
+	return s.Closing
+}
+
+// GetHeld returns the value of Held.
+func (s *Rollout) GetHeld() bool {
+	return s.Held
+}
+
+// GetAge returns the value of Age.
+func (s *Rollout) GetAge() string {
+	return s.Age
+}
+
+// GetDuration returns the value of Duration.
+func (s *Rollout) GetDuration() string {
+	return s.Duration
+}
+
+// GetLeader returns the value of Leader.
+func (s *Rollout) GetLeader() string {
+	return s.Leader
+}
+
+// GetDetail returns the value of Detail.
+func (s *Rollout) GetDetail() string {
+	return s.Detail
+}
+
+// SetService sets the value of Service.
+func (s *Rollout) SetService(val string) {
+	s.Service = val
+}
+
+// SetTarget sets the value of Target.
+func (s *Rollout) SetTarget(val string) {
+	s.Target = val
+}
+
+// SetState sets the value of State.
+func (s *Rollout) SetState(val RolloutState) {
+	s.State = val
+}
+
+// SetStep sets the value of Step.
+func (s *Rollout) SetStep(val int) {
+	s.Step = val
+}
+
+// SetShare sets the value of Share.
+func (s *Rollout) SetShare(val float64) {
+	s.Share = val
+}
+
+// SetClosing sets the value of Closing.
+func (s *Rollout) SetClosing(val bool) {
+	s.Closing = val
+}
+
+// SetHeld sets the value of Held.
+func (s *Rollout) SetHeld(val bool) {
+	s.Held = val
+}
+
+// SetAge sets the value of Age.
+func (s *Rollout) SetAge(val string) {
+	s.Age = val
+}
+
+// SetDuration sets the value of Duration.
+func (s *Rollout) SetDuration(val string) {
+	s.Duration = val
+}
+
+// SetLeader sets the value of Leader.
+func (s *Rollout) SetLeader(val string) {
+	s.Leader = val
+}
+
+// SetDetail sets the value of Detail.
+func (s *Rollout) SetDetail(val string) {
+	s.Detail = val
+}
+
+// Ref: #/components/schemas/RolloutOrder
+type RolloutOrder struct {
+	Service string `json:"service"`
+	// Version that the backend servers announce.
+	Target string `json:"target"`
+	// Time within which it is completed or rolled back, for example 15s.
+	Duration string `json:"duration"`
+}
+
+// GetService returns the value of Service.
+func (s *RolloutOrder) GetService() string {
+	return s.Service
+}
+
+// GetTarget returns the value of Target.
+func (s *RolloutOrder) GetTarget() string {
+	return s.Target
+}
+
+// GetDuration returns the value of Duration.
+func (s *RolloutOrder) GetDuration() string {
+	return s.Duration
+}
+
+// SetService sets the value of Service.
+func (s *RolloutOrder) SetService(val string) {
+	s.Service = val
+}
+
+// SetTarget sets the value of Target.
+func (s *RolloutOrder) SetTarget(val string) {
+	s.Target = val
+}
+
+// SetDuration sets the value of Duration.
+func (s *RolloutOrder) SetDuration(val string) {
+	s.Duration = val
+}
+
+type RolloutState string
+
+const (
+	RolloutStateRunning    RolloutState = "running"
+	RolloutStateCompleted  RolloutState = "completed"
+	RolloutStateRolledBack RolloutState = "rolled-back"
+)
+
+// AllValues returns all RolloutState values.
+func (RolloutState) AllValues() []RolloutState {
+	return []RolloutState{
+		RolloutStateRunning,
+		RolloutStateCompleted,
+		RolloutStateRolledBack,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s RolloutState) MarshalText() ([]byte, error) {
+	switch s {
+	case RolloutStateRunning:
+		return []byte(s), nil
+	case RolloutStateCompleted:
+		return []byte(s), nil
+	case RolloutStateRolledBack:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *RolloutState) UnmarshalText(data []byte) error {
+	switch RolloutState(data) {
+	case RolloutStateRunning:
+		*s = RolloutStateRunning
+		return nil
+	case RolloutStateCompleted:
+		*s = RolloutStateCompleted
+		return nil
+	case RolloutStateRolledBack:
+		*s = RolloutStateRolledBack
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 // Ref: #/components/schemas/RouteEntry
 type RouteEntry struct {
 	Section string       `json:"section"`
--- a/internal/operator/api/oas_security_gen.go
+++ b/internal/operator/api/oas_security_gen.go
@@ -35,16 +35,19 @@
 
 // operationRolesBearer is a private map storing roles per operation.
 var operationRolesBearer = map[string][]string{
+	AbortRolloutOperation:   []string{},
 	GetDocumentOperation:    []string{},
 	GetSectionOperation:     []string{},
 	GetStatusOperation:      []string{},
 	GetVersionOperation:     []string{},
+	ListRolloutsOperation:   []string{},
 	ListRoutesOperation:     []string{},
 	ListSectionsOperation:   []string{},
 	ListServersOperation:    []string{},
 	ListVersionsOperation:   []string{},
 	PingOperation:           []string{},
 	QueryTimelineOperation:  []string{},
+	StartRolloutOperation:   []string{},
 	SubmitDocumentOperation: []string{},
 }
 
--- a/internal/operator/api/oas_server_gen.go
+++ b/internal/operator/api/oas_server_gen.go
@@ -8,6 +8,12 @@
 
 // Handler handles operations described by OpenAPI v3 specification.
 type Handler interface {
+	// AbortRollout implements abortRollout operation.
+	//
+	// Rolls back the running roll-out of a service.
+	//
+	// POST /v1/rollouts/{service}/abort
+	AbortRollout(ctx context.Context, params AbortRolloutParams) (*Rollout, error)
 	// GetDocument implements getDocument operation.
 	//
 	// The document of the current version.
@@ -32,6 +38,12 @@
 	//
 	// GET /v1/versions/{number}
 	GetVersion(ctx context.Context, params GetVersionParams) (*Document, error)
+	// ListRollouts implements listRollouts operation.
+	//
+	// The last roll-out of each service, by service.
+	//
+	// GET /v1/rollouts
+	ListRollouts(ctx context.Context) (*ListRolloutsOK, error)
 	// ListRoutes implements listRoutes operation.
 	//
 	// Routes of the current version, by path prefix.
@@ -68,6 +80,13 @@
 	//
 	// GET /v1/timeline
 	QueryTimeline(ctx context.Context, params QueryTimelineParams) (*Timeline, error)
+	// StartRollout implements startRollout operation.
+	//
+	// Starts the roll-out of a version of a service. It replaces a running roll-out to another version. A
+	// version with a verdict keeps it.
+	//
+	// POST /v1/rollouts
+	StartRollout(ctx context.Context, req *RolloutOrder) (*Rollout, error)
 	// SubmitDocument implements submitDocument operation.
 	//
 	// Submits changed and removed sections of the team of the token. Repeating a submission with the same
--- a/internal/operator/api/oas_validators_gen.go
+++ b/internal/operator/api/oas_validators_gen.go
@@ -123,6 +123,46 @@
 	}
 }
 
+func (s *ListRolloutsOK) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Rollouts == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Rollouts {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "rollouts",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *ListRoutesOK) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -300,6 +340,111 @@
 	return nil
 }
 
+func (s *Rollout) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.State.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "state",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Share)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "share",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *RolloutOrder) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     1,
+			MinLengthSet:  true,
+			MaxLength:     256,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Service)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "service",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     1,
+			MinLengthSet:  true,
+			MaxLength:     256,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Target)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "target",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s RolloutState) Validate() error {
+	switch s {
+	case "running":
+		return nil
+	case "completed":
+		return nil
+	case "rolled-back":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *RouteEntry) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -7,6 +7,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/rollout"
 	"github.com/peridotlb/peridotlb/internal/submission"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
@@ -57,8 +58,30 @@
 	Servers(ctx context.Context) ([]Server, error)
 	// Timeline returns matching events of all daemons in the order of stamps.
 	Timeline(ctx context.Context, q Query) (Timeline, error)
+	// Rollouts returns the last roll-out of each service, as this daemon knows it.
+	Rollouts(ctx context.Context) ([]Rollout, error)
+	// StartRollout starts a roll-out and returns it when it is stored. The error is
+	// ErrRolloutRefused if the target has a verdict, and ErrNoRollouts if the platform
+	// has no roll-outs.
+	StartRollout(ctx context.Context, o rollout.Order) (Rollout, error)
+	// AbortRollout rolls a running roll-out back and returns it when that is stored, or
+	// ErrRolloutRefused if there is none.
+	AbortRollout(ctx context.Context, service backend.ServiceName) (Rollout, error)
 }
 
+// Rollout is the state of a roll-out.
+type Rollout struct {
+	rollout.Update
+	Age time.Duration // since the order
+}
+
+// Errors of StartRollout and AbortRollout.
+var (
+	ErrNoRollouts     = errors.New("this platform has no roll-outs")
+	ErrRolloutRefused = errors.New("no change: the version has a verdict, or no roll-out is running")
+	ErrRolloutUnknown = errors.New("the roll-out was not stored yet")
+)
+
 // Status is the state of the fleet.
 type Status struct {
 	Head    version.Number // highest version number that this daemon has heard of
--- a/internal/operator/operatortest/backend.go
+++ b/internal/operator/operatortest/backend.go
@@ -10,9 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/operator"
+	"github.com/peridotlb/peridotlb/internal/rollout"
 	"github.com/peridotlb/peridotlb/internal/submission"
 	"github.com/peridotlb/peridotlb/internal/version"
 )
@@ -32,6 +34,8 @@
 	Zones []Zone
 	// BackendServers is the result of Servers.
 	BackendServers []operator.Server
+	// StoredRollouts is the result of Rollouts.
+	StoredRollouts []operator.Rollout
 	// Events are the events that Timeline filters.
 	Events     []operator.Event
 	Unanswered []host.ID
@@ -237,6 +241,41 @@
 	return b.BackendServers, b.checkAvailable()
 }
 
+// Rollouts implements operator.Backend.
+func (b *Backend) Rollouts(context.Context) ([]operator.Rollout, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.StoredRollouts, b.checkAvailable()
+}
+
+// StartRollout implements operator.Backend.
+func (b *Backend) StartRollout(_ context.Context, o rollout.Order) (operator.Rollout, error) {
+	return b.follow(o)
+}
+
+// AbortRollout implements operator.Backend.
+func (b *Backend) AbortRollout(_ context.Context, service backend.ServiceName) (operator.Rollout, error) {
+	return b.follow(rollout.Order{Service: service, Withdrawn: true})
+}
+
+func (b *Backend) follow(o rollout.Order) (operator.Rollout, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := slices.IndexFunc(b.StoredRollouts, func(r operator.Rollout) bool { return r.Row.Service == o.Service })
+	if i < 0 {
+		b.StoredRollouts = append(b.StoredRollouts, operator.Rollout{})
+		i = len(b.StoredRollouts) - 1
+	}
+	o.Number = b.StoredRollouts[i].Row.Order + 1
+	row, changed := rollout.Follow(b.StoredRollouts[i].Row, o, b.LastAccepted)
+	if !changed {
+		b.StoredRollouts = slices.DeleteFunc(b.StoredRollouts, func(r operator.Rollout) bool { return r.Row.Service == "" })
+		return operator.Rollout{}, operator.ErrRolloutRefused
+	}
+	b.StoredRollouts[i].Row = row
+	return b.StoredRollouts[i], b.checkAvailable()
+}
+
 // Timeline implements operator.Backend.
 func (b *Backend) Timeline(_ context.Context, q operator.Query) (operator.Timeline, error) {
 	b.mu.Lock()
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -38,7 +38,7 @@
 		next.Order, next.DurationMS = o.Number, duration
 		return next, true
 	}
-	next := Row{Service: o.Service, Target: o.Target, Order: o.Number, Started: now.UnixMilli(), DurationMS: uint32(o.Duration.Milliseconds()), State: Running}
+	next := Row{Service: o.Service, Target: o.Target, Order: o.Number, Started: now.UnixMilli(), DurationMS: uint32(o.Duration.Milliseconds()), State: Running, Direct: o.Direct}
 	barred := current.Barred
 	if running {
 		barred = with(barred, current.Target)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -22,6 +22,7 @@
 	Duration  time.Duration
 	Number    OrderNumber
 	Withdrawn bool // the operator has withdrawn the order
+	Direct    bool // from the operator API
 }
 
 // State is the state of a roll-out. Completed and RolledBack are verdicts, which never
@@ -80,7 +81,10 @@
 	// former versions, after one that was rolled back its target.
 	Barred []backend.Version
 	Leader host.ID // host that wrote the row
-	Reason string  // of the verdict
+	Reason string  // figures that decided the step, or the reason of the verdict
+	// Direct is set if the roll-out was started through the operator API, so that there
+	// is no order in the store.
+	Direct bool
 }
 
 // Duration returns the duration of the order.
