--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -19,6 +19,10 @@
 	"github.com/peridotlb/peridotlb/internal/command/explain"
 	"github.com/peridotlb/peridotlb/internal/command/keyscreate"
 	"github.com/peridotlb/peridotlb/internal/command/organisationlist"
+	"github.com/peridotlb/peridotlb/internal/command/rolloutabort"
+	"github.com/peridotlb/peridotlb/internal/command/rolloutlist"
+	"github.com/peridotlb/peridotlb/internal/command/rolloutstart"
+	"github.com/peridotlb/peridotlb/internal/command/rolloutwatch"
 	"github.com/peridotlb/peridotlb/internal/command/routelist"
 	"github.com/peridotlb/peridotlb/internal/command/sectionlist"
 	"github.com/peridotlb/peridotlb/internal/command/sectionshow"
@@ -39,6 +43,10 @@
 		command.NewGroup("section", "List and show sections.", sectionlist.New(s), sectionshow.New(s)),
 		status.New(s),
 		command.NewGroup("server", "List backend servers.", serverlist.New(s)),
+		command.NewGroup(
+			"rollout", "Start, watch and abort roll-outs of versions.",
+			rolloutstart.New(s), rolloutlist.New(s), rolloutwatch.New(s), rolloutabort.New(s),
+		),
 		command.NewGroup("route", "List routes.", routelist.New(s)),
 		command.NewGroup("organisation", "List and show organisations.", organisationlist.New(s), organisationlist.NewShow(s)),
 		timeline.New(s),
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -30,6 +30,7 @@
 	submissionsUnknown     *metrics.Counter
 	claims                 map[string]*metrics.Counter // by outcome
 	hosts                  map[host.State]*metrics.Gauge
+	set                    *metrics.Set
 	unreachableZones       *metrics.Gauge // zones that this daemon can't reach
 	lastCrossRegionMessage atomic.Int64   // Unix time in ns of the last message from another region
 }
@@ -90,6 +91,7 @@
 	set.NewGauge("peridotlb_slots_learned", func() float64 { learned, _ := d.gate.LearnedSlots(); return float64(learned) })
 	addMemoryMetrics(set, d.memory)
 	m := &daemonMetrics{
+		set:                 set,
 		applied:             set.NewGauge("peridotlb_version_applied", nil),
 		applyDelay:          set.NewGauge("peridotlb_version_apply_delay_seconds", nil),
 		stepDuration:        set.NewSummary("peridotlb_core_step_seconds"),
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -316,6 +316,7 @@
 	if e.Latency > 0 && r.readMaxWait == 0 {
 		c.recordReadLatency(e.Latency)
 	}
+	c.receiveOrders(e, r.lastReadFailed)
 	r.lastReadFailed, r.yieldedAt = false, time.Time{}
 	r.nextReadAt = c.now
 	n := e.Manifest.Number
@@ -416,6 +417,7 @@
 		c.setFloor(m.Number)
 	}
 	if m.Position > c.reader.lastHead.position {
+		c.rollouts.ordersMissing = true // this host did not read the changes in between
 		c.reader.lastHead = headState{m.Position, m.Number}
 	}
 	c.yieldReaderRole(at)
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -65,6 +65,8 @@
 	KindHeadConfirmation
 	KindQuotaRequest
 	KindQuotaAnswer
+	KindRollouts
+	KindRolloutEvidence
 )
 
 // kinds maps each kind to its name in logs and to the zero value of its type.
@@ -90,6 +92,8 @@
 	KindHeadConfirmation: {"confirm", HeadConfirmation{}},
 	KindQuotaRequest:     {"quota-request", QuotaRequest{}},
 	KindQuotaAnswer:      {"quota-answer", QuotaAnswer{}},
+	KindRollouts:         {"rollouts", Rollouts{}},
+	KindRolloutEvidence:  {"rollout-evidence", RolloutEvidence{}},
 }
 
 var kindOfType = func() map[reflect.Type]Kind {
--- a/internal/operator/api/oas_operations_gen.go
+++ b/internal/operator/api/oas_operations_gen.go
@@ -6,16 +6,19 @@
 type OperationName = string
 
 const (
+	AbortRolloutOperation      OperationName = "AbortRollout"
 	GetDocumentOperation       OperationName = "GetDocument"
 	GetSectionOperation        OperationName = "GetSection"
 	GetStatusOperation         OperationName = "GetStatus"
 	GetVersionOperation        OperationName = "GetVersion"
 	ListOrganisationsOperation OperationName = "ListOrganisations"
+	ListRolloutsOperation      OperationName = "ListRollouts"
 	ListRoutesOperation        OperationName = "ListRoutes"
 	ListSectionsOperation      OperationName = "ListSections"
 	ListServersOperation       OperationName = "ListServers"
 	ListVersionsOperation      OperationName = "ListVersions"
 	PingOperation              OperationName = "Ping"
 	QueryTimelineOperation     OperationName = "QueryTimeline"
+	StartRolloutOperation      OperationName = "StartRollout"
 	SubmitDocumentOperation    OperationName = "SubmitDocument"
 )
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -139,7 +139,7 @@
 	f := &failure{
 		reason: reason, notRun: notRun, refused: notRun && reason != reasonServerUnreachable,
 		serverFull:        reason == reasonServerFull || reason == reasonServerLimited || reason == reasonQueueTimeout || reason == reasonLinkFull,
-		serverUnavailable: reason == reasonDraining || reason == reasonSuspended || reason == reasonNotReady,
+		serverUnavailable: reason == reasonDraining || reason == reasonVersion || reason == reasonSuspended || reason == reasonNotReady,
 		noRetry:           h.Get(HeaderNoRetry) == "true",
 	}
 	if reason == reasonLinkFull {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/pool"
 	"github.com/peridotlb/peridotlb/internal/quota"
+	"github.com/peridotlb/peridotlb/internal/rollout"
 	"github.com/peridotlb/peridotlb/internal/route"
 )
 
@@ -109,8 +110,9 @@
 	Routes     func() *route.Table // returns nil if no version is applied yet
 	Pool       Pool
 	Gate       *gate.Gate
-	Claims     Claims // nil refuses paid calls
-	Quotas     Quotas // nil disables quotas
+	Claims     Claims           // nil refuses paid calls
+	Quotas     Quotas           // nil disables quotas
+	Rollouts   *rollout.Tracker // nil without roll-outs
 	Transports *Transports
 	Bandwidth  *bandwidth.Link  // nil admits calls without regard to the link of this host
 	Now        func() time.Time // nil uses time.Now
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -128,6 +128,8 @@
 		durationSetting("quota-window", "5s", time.Second, time.Minute, "Window over which the requests of an organisation are bounded. Set the same value on all daemons, as for the next two.", func(d *Daemon) *time.Duration { return &d.QuotaWindow }),
 		numberSetting("quota-overrun", "0.1", 0.02, 10, "Part by which the requests of an organisation that run in a window may exceed its rate and burst. A smaller part makes tokens expire sooner.", func(d *Daemon) *float64 { return &d.QuotaOverrun }),
 		numberSetting("quota-slack", "20", 0, 1e6, "Requests of an organisation that may run in a window beyond that.", func(d *Daemon) *float64 { return &d.QuotaSlack }),
+		numberSetting("rollout-exposure-share", "0.1", 0.001, 1, "Calls that a bad version may get in a roll-out, as a share of the calls of its service.", func(d *Daemon) *float64 { return &d.RolloutShare }),
+		numberSetting("rollout-exposure-slack", "50", 0, 1e6, "Calls that a bad version may get in a roll-out in addition to the share.", func(d *Daemon) *float64 { return &d.RolloutSlack }),
 		durationSetting("announce-lease", "3s", time.Second, time.Minute, "A backend server that does not renew its announcement for this long gets no new work.", func(d *Daemon) *time.Duration { return &d.AnnounceLease }),
 		// Clients repeat a call within minutes, but a queue that is stopped over a long
 		// weekend repeats calls after days. 37 paid calls per second need 22 million rows
