Review: case 7, a planned stop breaks off unsafe requests

Cause: a stopping daemon admits requests in the second half of its drain timeout if six mean run times fit, and cancels what is left at the end.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x target/peridotlbd ] && [ -x bin/review-2/harness-2 ] || { echo "build first: the command of deploy/system.toml and review/build-2.sh"; exit 2; }
-exec bin/review-2/harness-2 --case caller-service --trouble=$trouble --record review/7/record.txt
+exec bin/review-2/harness-2 --case planned-stop --trouble=$trouble --record review/7/record.txt
