--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -104,7 +104,7 @@
 		case errors.Is(err, ErrBodyTooLarge):
 			// The client is still there, and the handler responds.
 		default:
-			b.conn.cancel()
+			b.conn.cancel(nil)
 		}
 	}
 	return n, err
--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -39,8 +39,8 @@
 	reader   *bufio.Reader
 	account  *account
 	reserved int             // bytes of the request that is being read
-	ctx      context.Context // ends when the client disconnects
-	cancel   context.CancelFunc
+	ctx      context.Context // ends when the client disconnects or the server cancels its requests
+	cancel   context.CancelCauseFunc
 
 	mu           sync.Mutex
 	inFlight     int        // requests read whose responses were not written yet
@@ -58,7 +58,7 @@
 	c.source = pendingReader{source: raw}
 	c.reader = bufio.NewReaderSize(&c.source, readBufferSize)
 	c.cond = sync.NewCond(&c.mu)
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
 }
 
@@ -74,7 +74,7 @@
 	c.closing = true
 	c.mu.Unlock()
 	_ = c.raw.Close()
-	c.cancel()
+	c.cancel(nil)
 }
 
 // closeWhenIdle closes the connection once the requests in flight are answered. The
@@ -107,7 +107,7 @@
 	defer c.server.removeConn(c)
 	defer c.account.end()
 	defer c.raw.Close()
-	defer c.cancel()
+	defer c.cancel(nil)
 	more := true
 	for more {
 		more = c.waitForRequest() && c.serveNext()
@@ -140,7 +140,7 @@
 		}
 		var e net.Error
 		if !errors.As(err, &e) || !e.Timeout() {
-			c.cancel() // the client has closed the connection
+			c.cancel(nil) // the client has closed the connection
 			return false
 		}
 		if c.inFlightCount() == 0 || c.isClosing() {
@@ -205,7 +205,7 @@
 	case errors.As(err, &e) && e.Timeout():
 		status = http.StatusRequestTimeout
 	case errors.As(err, &e), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		c.cancel()
+		c.cancel(nil)
 		return
 	}
 	c.server.config.Log.Info("Rejected a request that could not be read.", zap.Int("status", status), zap.String("error", withoutQuotation(err)), zap.Stringer("client", c.raw.RemoteAddr()))
@@ -339,7 +339,7 @@
 		var e net.Error
 		timeout := errors.As(err, &e) && e.Timeout()
 		if !timeout {
-			c.cancel()
+			c.cancel(nil)
 		}
 		break
 	}
--- a/internal/connection/response.go
+++ b/internal/connection/response.go
@@ -132,7 +132,7 @@
 func (w *response) write(p []byte) error {
 	_ = w.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := w.conn.raw.Write(p); err != nil {
-		w.conn.cancel()
+		w.conn.cancel(nil)
 		return err
 	}
 	return nil
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -227,12 +227,16 @@
 	}
 }
 
+// ErrCanceled is the cause of the end of a request's context after CancelInFlight.
+var ErrCanceled = errors.New("the server cancels the requests in flight")
+
 // CancelInFlight is called after Shutdown timed out. It cancels the contexts of the
-// requests in flight, so that their handlers respond and the finished responses
-// queued behind those are sent. It waits until no connection is left or ctx ends.
+// requests in flight with the cause ErrCanceled, so that their handlers respond and
+// the finished responses queued behind those are sent. It waits until no connection is
+// left or ctx ends.
 func (s *Server) CancelInFlight(ctx context.Context) error {
 	for _, c := range s.allConns() {
-		c.cancel()
+		c.cancel(ErrCanceled)
 	}
 	return s.waitForConns(ctx)
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -228,7 +228,7 @@
 	case f == nil && r.reply.status >= http.StatusInternalServerError:
 		outcome = pool.Failed
 	case f == nil:
-	case f.reason == reasonCallerGone, f.reason == reasonEntryLinkFull, f.reason == reasonOverQuota, f.reason == reasonNoToken, f.reason == reasonTokenExpired, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
+	case f.reason == reasonCallerGone, f.reason == reasonStopping, f.reason == reasonEntryLinkFull, f.reason == reasonOverQuota, f.reason == reasonNoToken, f.reason == reasonTokenExpired, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
 		outcome = pool.Abandoned
 	case f.reason == reasonGateUnreachable:
 		outcome = pool.Unreachable
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -217,6 +217,8 @@
 	switch err := ctx.Err(); {
 	case errors.Is(err, context.DeadlineExceeded):
 		return reasonDeadline
+	case errors.Is(context.Cause(ctx), connection.ErrCanceled):
+		return reasonStopping
 	case err != nil:
 		return reasonCallerGone
 	default:
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -1,9 +1,15 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/peridotlb/peridotlb/internal/connection"
 )
 
 // Guards against a stopping daemon that accepts a call shortly before its shutdown
@@ -58,3 +64,34 @@
 		t.Errorf("timeout of 20 s, 1 min left: got %d, want 200", r.StatusCode)
 	}
 }
+
+// TestCanceledCallNamesTheStop guards against a call that the stopping daemon breaks off
+// and reports like one whose caller has left, so that nobody can tell the two apart.
+func TestCanceledCallNamesTheStop(t *testing.T) {
+	started := make(chan struct{})
+	m := newMesh(t)
+	m.start(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+	}))
+	s := connection.NewServer(connection.ServerConfig{Handler: NewEntry(m.config)})
+	m.entry = httptest.NewUnstartedServer(nil)
+	defer m.entry.Close()
+	m.entry.URL = "http://" + m.entry.Listener.Addr().String()
+	go func() { _ = s.Serve(m.entry.Listener) }()
+	var stop sync.WaitGroup
+	defer stop.Wait()
+	stop.Go(func() {
+		<-started
+		ended, end := context.WithCancel(t.Context())
+		end()
+		_ = s.Shutdown(ended)
+		if err := s.CancelInFlight(context.Background()); err != nil {
+			t.Errorf("cancel the calls in flight: %v", err)
+		}
+	})
+	r := m.do("GET", "/stock", "")
+	if want := `"error":"daemon-stopping"`; r.StatusCode != http.StatusBadGateway || !strings.Contains(r.body, want) {
+		t.Errorf("got %d %s, want 502 with %s", r.StatusCode, r.body, want)
+	}
+}
