Accept calls late in a planned stop only if they end before it

Cause: the daemon compared six mean run times with the time left. A route whose calls mostly take 0.1 s and sometimes 3 s passes that check with calls that cannot end. The check also began at half of the drain timeout, which is 5 s with a drain timeout of 10 s, and calls forwarded by a daemon without a version were not checked.

Now a call is accepted after callerDrainTime (2.2 s), when callers that can leave have left, only if its deadline ends before calls are canceled. Only the deadline bounds a call, so nothing accepted after that time is broken off. A retry of an accepted call that may run once is held to the same. RunTimeMeasured of the pool has no other use and is removed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,7 +41,9 @@
 const (
 	// callerDrainTime is how long a stopping daemon keeps serving while it closes
 	// its connections as their responses complete. Callers poll its readiness once
-	// per second and stop using it after the second negative answer.
+	// per second and stop using it after the second negative answer. Of the calls of
+	// those that cannot stop using it, it accepts after this time only those that end
+	// within the drain timeout.
 	callerDrainTime = 2200 * time.Millisecond
 	// leavePropagationTime is how long the other daemons get to learn that this one
 	// leaves the fleet and to stop sending calls to its gate.
@@ -91,7 +93,7 @@
 	quotas           *quotas
 	metrics          *daemonMetrics
 	leaving          atomic.Bool
-	shutdownDeadline atomic.Pointer[time.Time] // time at which unfinished calls are canceled; nil until half of the drain timeout has passed
+	shutdownDeadline atomic.Pointer[time.Time] // time at which unfinished calls are canceled; nil until callerDrainTime has passed
 
 	environment Environment
 }
@@ -253,8 +255,8 @@
 	end := time.Now().Add(d.settings.DrainTimeout - closeReserve)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	time.AfterFunc(d.settings.DrainTimeout/2, func() { d.shutdownDeadline.Store(&end) })
 	sleep(ctx, callerDrainTime)
+	d.shutdownDeadline.Store(&end)
 	d.quotas.leave()
 	d.loop.post(ctx, fleet.ShutdownRequested{})
 	sleep(ctx, leavePropagationTime)
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -281,7 +281,13 @@
 // have applied it.
 func submit(t *testing.T, at *testDaemon, everywhere ...*testDaemon) {
 	t.Helper()
-	status, _, text := request(t, "POST", at.settings.OperatorAddress, "/v1/submissions", fmt.Sprintf(`{"id":"s-1","base":0,"document":%q}`, testDocument))
+	submitDocument(t, at, testDocument, everywhere...)
+}
+
+// submitDocument does the same for any document.
+func submitDocument(t *testing.T, at *testDaemon, document string, everywhere ...*testDaemon) {
+	t.Helper()
+	status, _, text := request(t, "POST", at.settings.OperatorAddress, "/v1/submissions", fmt.Sprintf(`{"id":"s-1","base":0,"document":%q}`, document))
 	if status != http.StatusOK || !strings.Contains(text, `"version":1`) {
 		t.Fatalf("submission: got %d %s, want version 1", status, text)
 	}
@@ -425,6 +431,47 @@
 	}
 }
 
+// TestStoppingDaemonAcceptsOnlyCallsThatEnd guards against a daemon with a long drain
+// timeout that accepts calls which can outlast it after its callers have been told that
+// it stops, and breaks them off at the end.
+func TestStoppingDaemonAcceptsOnlyCallsThatEnd(t *testing.T) {
+	t.Parallel()
+	daemons := startFleet(t, "pwani-a", "pwani-a")
+	d := daemons[1]
+	d.settings.DrainTimeout = 20 * time.Second
+	submitDocument(t, d, strings.Replace(testDocument, "timeout: 5s", "timeout: 18s", 1), d)
+	release := make(chan struct{})
+	d.announceServer(t, "stock-1", func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stock/slow" {
+			<-release
+		}
+	})
+	eventually(t, longWait, "calls", func() bool {
+		status, _, _ := request(t, "GET", d.settings.CallAddress, "/stock/ready", "")
+		return status == http.StatusOK
+	})
+	// The call in flight keeps the listener for calls open.
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer close(release)
+	calls.Go(func() { request(t, "GET", d.settings.CallAddress, "/stock/slow", "") })
+	eventually(t, longWait, "the slow call in flight", func() bool { return d.gate.Activity().Busy })
+	daemons[0].announceServer(t, "stock-0", func(http.ResponseWriter, *http.Request) {})
+	eventually(t, longWait, "the other server", func() bool {
+		servers, err := d.Servers(t.Context())
+		return err == nil && len(servers) == 2
+	})
+	go d.stop()
+	eventually(t, longWait, "the stop", d.leaving.Load)
+	if status, _, _ := request(t, "GET", d.settings.CallAddress, "/stock/early", ""); status != http.StatusOK {
+		t.Errorf("before callers are told: got %d, want 200", status)
+	}
+	time.Sleep(callerDrainTime + time.Second)
+	if status, h, text := request(t, "GET", d.settings.CallAddress, "/stock/late", ""); status != http.StatusServiceUnavailable || h.Get("Peridotlb-Not-Run") != "true" || !strings.Contains(text, "daemon-stopping") {
+		t.Errorf("after callers were told: got %d %s, want a refusal of the stopping daemon", status, text)
+	}
+}
+
 func timelineOf(t *testing.T, d *testDaemon, kind string) operator.Timeline {
 	t.Helper()
 	got, err := d.Timeline(t.Context(), operator.Query{Kind: kind})
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -99,9 +99,6 @@
 	// ExpectedWait is the expected wait for a slot, ExpectedRunTime the expected run
 	// time at the server.
 	ExpectedWait, ExpectedRunTime time.Duration
-	// RunTimeMeasured is set if ExpectedRunTime follows from calls of the route, and
-	// not from a default.
-	RunTimeMeasured bool
 	// TransferCost is the cost of transferring the bytes of the call to and from
 	// the server, in the units of the selection cost; for a call without a target,
 	// the cost of the tier.
@@ -187,7 +184,7 @@
 	server.state.inFlight.Add(1)
 	return &Choice{
 		Server: server.row, GateAddr: server.gateAddr, Local: server.row.Host == p.config.Self, MaxWait: sel.maxWait(c),
-		ExpectedWait: c.wait, ExpectedRunTime: c.runTime, RunTimeMeasured: p.routeStats.estimate(call.Route).measured, TransferCost: c.transferCost,
+		ExpectedWait: c.wait, ExpectedRunTime: c.runTime, TransferCost: c.transferCost,
 		Notice: server.state.notice(server.row), call: call, pool: p, poolServer: server,
 	}, nil
 }
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -17,9 +17,6 @@
 	maxRoutes = 8192
 	// defaultKilobytes is the assumed call size of a route without measurements.
 	defaultKilobytes = 2
-	// minMeasuredCalls is the number of calls from which the mean run time of a route
-	// counts as measured.
-	minMeasuredCalls = 8
 	bytesPerKilobyte = 1000
 )
 
@@ -41,7 +38,6 @@
 type routeEstimate struct {
 	runTime   time.Duration
 	kilobytes float64
-	measured  bool // the run time is the mean of enough calls
 }
 
 // estimate returns the averages of a route, or the defaults when it has no
@@ -58,7 +54,7 @@
 	if means.calls == 0 {
 		return routeEstimate{runTime: defaultRunTime, kilobytes: defaultKilobytes}
 	}
-	return routeEstimate{runTime: time.Duration(means.runTime), kilobytes: means.kilobytes, measured: means.calls >= minMeasuredCalls}
+	return routeEstimate{runTime: time.Duration(means.runTime), kilobytes: means.kilobytes}
 }
 
 // record adds the run time and the bytes of a call. It returns the ratio of the
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -24,10 +24,6 @@
 	maxHedgeTransferCost = 0.3
 )
 
-// completionFactor is the multiple of the expected run time within which a call
-// almost certainly completes. One in 500 takes longer.
-const completionFactor = 6
-
 // attempt is one attempt to send a call to one backend server.
 type attempt struct {
 	choice *pool.Choice
@@ -42,14 +38,13 @@
 // A hedged attempt may run in parallel with a slow one; the first response wins.
 func (x *exchange) run(ctx context.Context) attemptResult {
 	x.results = make(chan attemptResult, 1+maxGateRefusals+maxUnreachableGates+int(x.match.Route.Retries)+notRunRetries)
+	if f := x.entry.refuseBeforeShutdown(x.call); f != nil {
+		return attemptResult{gateResult: gateResult{failure: f}}
+	}
 	choice, err := x.chooseServer(nil)
 	if err != nil {
 		return attemptResult{gateResult: gateResult{failure: x.noServerFailure(err)}}
 	}
-	if f := x.refuseBeforeShutdown(choice); f != nil {
-		choice.Done(pool.Result{Outcome: pool.Abandoned})
-		return attemptResult{gateResult: gateResult{failure: f}}
-	}
 	defer x.cancelRunning()
 	slowAfter, hungAfter := x.hedgeDelays(choice)
 	hedgeTimer := time.NewTimer(slowAfter)
@@ -72,23 +67,6 @@
 	}
 }
 
-// refuseBeforeShutdown returns a failure for a call that might not complete before
-// this daemon cancels the calls in flight.
-func (x *exchange) refuseBeforeShutdown(choice *pool.Choice) *failure {
-	end := x.entry.config.ShutdownDeadline()
-	if end.IsZero() {
-		return nil
-	}
-	left, needed := end.Sub(x.now()), x.remaining()
-	if choice.RunTimeMeasured {
-		needed = min(needed, choice.ExpectedWait+completionFactor*choice.ExpectedRunTime)
-	}
-	if needed <= left {
-		return nil
-	}
-	return &failure{reason: reasonStopping, notRun: true, retryAfter: left}
-}
-
 // hedgeDelays returns the times after which a hedged attempt may start. hungAfter
 // is half of the remaining time; for a call with a latency target, it is at least
 // the time after which the server is presumed hung. For such a call, slowAfter may be
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -153,7 +153,7 @@
 func (x *exchange) takeRetry(ctx context.Context, r *attemptResult) bool {
 	provedNotRun := r.failure != nil && r.failure.notRun
 	switch {
-	case ctx.Err() != nil, x.remaining() <= 0, !x.call.body.resendable():
+	case ctx.Err() != nil, x.remaining() <= 0, !x.call.body.resendable(), !x.mayBeginLate():
 		return false
 	case r.failure != nil && r.failure.reason == reasonEntryLinkFull:
 		return false // any other host would respond over the same link
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -45,6 +45,10 @@
 		return
 	}
 	c := newCall(r, id, start.Add(timeout))
+	if f := e.refuseBeforeShutdown(c); f != nil {
+		e.writeFailure(w, id, f)
+		return
+	}
 	keys := r.Header.Values(headerIdempotencyKey)
 	if len(keys) > 0 {
 		// The caller may have listed the key as a hop-by-hop header.
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -22,7 +22,7 @@
 	}
 	p := pool.New(pool.Config{Self: "new", Zone: "a", Region: "r"})
 	p.Update(pool.View{Hosts: hosts[:len(daemons)]})
-	c := Config{Self: "new", Pool: p}
+	c := Config{Self: "new", Pool: p, ShutdownDeadline: m.config.ShutdownDeadline}
 	m.entry = httptest.NewServer(NewEntry(c))
 	m.t.Cleanup(m.entry.Close)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -131,9 +131,8 @@
 	// they run, the priority of these requests.
 	RankNestedCalls bool
 	// ShutdownDeadline returns when this daemon cancels the calls in flight, once
-	// this is so near that only calls that are likely to complete before are
-	// accepted. Until then, it returns the zero time. It is nil for a daemon that
-	// does not stop.
+	// only calls that end before are accepted. Until then, it returns the zero time.
+	// It is nil for a daemon that does not stop.
 	ShutdownDeadline func() time.Time
 }
 
