Keep requiring keys after the last organisation is removed

A document had one value for "no organisation left" and "keys are not used", and a nil directory means that calls need no keys.

--- a/internal/command/documentcheck/documentcheck.go
+++ b/internal/command/documentcheck/documentcheck.go
@@ -18,6 +18,7 @@
 type Options struct {
 	Streams command.Streams
 	File    string
+	Base    string // file of the document that File replaces; "" if unknown
 	JSON    bool
 }
 
@@ -25,11 +26,12 @@
 func New(s command.Streams) *ffcli.Command {
 	o := Options{Streams: s}
 	fs := command.NewFlagSet("document check")
+	fs.StringVar(&o.Base, "base", "", "`file` of the document that FILE replaces; also warns about the change")
 	fs.BoolVar(&o.JSON, "json", false, "print JSON")
 	return command.NewCommand(command.Spec{
 		Path: "document check", Operands: "FILE", MinOperands: 1, MaxOperands: 1,
 		Short:    "Check a document file without a daemon; prints every fault as file:line:column: message, and warnings about entries without effect.",
-		Examples: []string{"peridotlb document check mesh.yaml"},
+		Examples: []string{"peridotlb document check mesh.yaml", "peridotlb document check mesh.yaml --base current.yaml"},
 	}, fs, func(_ context.Context, operands []string) error {
 		o.File = operands[0]
 		return Run(o)
@@ -59,6 +61,13 @@
 	if len(faults) == 0 {
 		warnings = append(warnings, document.Warnings(d)...)
 	}
+	if len(faults) == 0 && o.Base != "" {
+		base, err := command.ReadDocument(o.Streams, o.Base)
+		if err != nil {
+			return err
+		}
+		warnings = append(warnings, document.ChangeWarnings(base, d)...)
+	}
 	if o.JSON {
 		list := []Fault{}
 		for _, f := range faults {
--- a/internal/command/documentsubmit/documentsubmit.go
+++ b/internal/command/documentsubmit/documentsubmit.go
@@ -216,6 +216,9 @@
 	if err != nil {
 		return change.Change{}, err
 	}
+	for _, w := range document.ChangeWarnings(base.Document, edited) {
+		fmt.Fprintf(sub.Streams.Err, "warning: %s\n", w)
+	}
 	own, otherTeams := all.SplitByTeam(base.Document, document.TeamName(pong.Team))
 	sub.result.Base = base.Number
 	sub.result.Changed, sub.result.Removed, sub.result.NotSent = []string{}, toStrings(own.Removed), toStrings(otherTeams)
--- a/internal/document/format.go
+++ b/internal/document/format.go
@@ -57,6 +57,9 @@
 	if s.Limits != nil {
 		w.writeLimits(*s.Limits)
 	}
+	if s.KeysRequired {
+		w.writeLine(4, "keys-required: true")
+	}
 	if len(s.Services) > 0 {
 		w.writeLine(4, "services:")
 	}
--- a/internal/document/model.go
+++ b/internal/document/model.go
@@ -3,6 +3,7 @@
 package document
 
 import (
+	"slices"
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
@@ -24,6 +25,11 @@
 	Sections []Section
 }
 
+// NeedsKeys reports whether calls need the key of an organisation.
+func (d Document) NeedsKeys() bool {
+	return slices.ContainsFunc(d.Sections, func(s Section) bool { return s.KeysRequired || len(s.Organisations) > 0 })
+}
+
 // Section is the part of the document that one team owns.
 type Section struct {
 	Name     SectionName `cbor:"1,keyasint"`
@@ -33,8 +39,12 @@
 	// Limits restricts the requests of all callers. At most one section has it.
 	Limits *Limits `cbor:"5,keyasint,omitempty"`
 	// Organisations restrict who may use the routes that are not public. Without any
-	// organisation in the document, nobody needs a key.
+	// organisation in the document, nobody needs a key unless KeysRequired is set.
 	Organisations []Organisation `cbor:"6,keyasint,omitempty"`
+	// KeysRequired makes calls of all sections need a key even if the document has no
+	// organisation. Without it, a version that takes the last organisation away would
+	// open all routes to everybody.
+	KeysRequired bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Limits restricts the requests of callers. A zero field means the default of the
--- a/internal/document/organisation_test.go
+++ b/internal/document/organisation_test.go
@@ -18,6 +18,7 @@
         rate-per-second: 2.5
         burst: 650
       - {name: other, key-digests: []}
+    keys-required: true
 `
 
 const (
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -246,9 +246,10 @@
 func (dec *decoder) decodeSection(at location, n ast.Node) (Section, bool) {
 	var s Section
 	ok := dec.decodeMapping(at, n, "section", map[string]fieldDecoder{
-		"name":   stringField(dec, &s.Name),
-		"team":   stringField(dec, &s.Team),
-		"limits": func(at location, n ast.Node) { s.Limits = dec.decodeLimits(at, n) },
+		"name":          stringField(dec, &s.Name),
+		"team":          stringField(dec, &s.Team),
+		"limits":        func(at location, n ast.Node) { s.Limits = dec.decodeLimits(at, n) },
+		"keys-required": dec.boolField(&s.KeysRequired),
 		"services": func(list location, n ast.Node) {
 			dec.decodeSequence(list, n, func(_ int, n ast.Node) {
 				at := location{section: at.section, itemKind: serviceItem, item: len(s.Services) + 1}
--- a/internal/document/warnings.go
+++ b/internal/document/warnings.go
@@ -31,6 +31,15 @@
 	return w.warnings
 }
 
+// ChangeWarnings returns what a document changes against an earlier one and probably
+// should not.
+func ChangeWarnings(from, to Document) []string {
+	if from.NeedsKeys() && !to.NeedsKeys() {
+		return []string{"the last organisation is taken away: calls of all routes need no key any more; set keys-required to refuse them instead"}
+	}
+	return nil
+}
+
 // pathKey is the key under which the routing table finds routes.
 type pathKey struct{ authority, prefix string }
 
--- a/internal/document/warnings_test.go
+++ b/internal/document/warnings_test.go
@@ -70,3 +70,18 @@
 		}
 	}
 }
+
+// TestChangeWarnings guards against a version that takes the last organisation away
+// without a word to the operator.
+func TestChangeWarnings(t *testing.T) {
+	with := Document{Sections: []Section{{Organisations: []Organisation{{Name: "acme"}}}}}
+	closed, open := Document{Sections: []Section{{KeysRequired: true}}}, Document{}
+	for _, c := range []struct {
+		from, to Document
+		want     int
+	}{{with, open, 1}, {closed, open, 1}, {with, closed, 0}, {with, with, 0}, {open, open, 0}, {open, with, 0}} {
+		if got := ChangeWarnings(c.from, c.to); len(got) != c.want {
+			t.Errorf("from %+v to %+v: got warnings %v, want %d", c.from, c.to, got, c.want)
+		}
+	}
+}
--- a/internal/operator/api/oas_json_gen.go
+++ b/internal/operator/api/oas_json_gen.go
@@ -3464,6 +3464,12 @@
 		e.FieldStart("team")
 		e.Str(s.Team)
 	}
+	{
+		if s.KeysRequired.Set {
+			e.FieldStart("keys-required")
+			s.KeysRequired.Encode(e)
+		}
+	}
 	{
 		if s.Services != nil {
 			e.FieldStart("services")
@@ -3496,12 +3502,13 @@
 	}
 }
 
-var jsonFieldsNameOfSection = [5]string{
+var jsonFieldsNameOfSection = [6]string{
 	0: "name",
 	1: "team",
-	2: "services",
-	3: "routes",
-	4: "organisations",
+	2: "keys-required",
+	3: "services",
+	4: "routes",
+	5: "organisations",
 }
 
 // Decode decodes Section from json.
@@ -3537,6 +3544,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"team\"")
 			}
+		case "keys-required":
+			if err := func() error {
+				s.KeysRequired.Reset()
+				if err := s.KeysRequired.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"keys-required\"")
+			}
 		case "services":
 			if err := func() error {
 				s.Services = make([]SectionService, 0)
--- a/internal/operator/api/oas_schemas_gen.go
+++ b/internal/operator/api/oas_schemas_gen.go
@@ -1453,8 +1453,10 @@
 
 // Ref: #/components/schemas/Section
 type Section struct {
-	Name          string                `json:"name"`
-	Team          string                `json:"team"`
+	Name string `json:"name"`
+	Team string `json:"team"`
+	// Calls need a key even if no organisation is left.
+	KeysRequired  OptBool               `json:"keys-required"`
 	Services      []SectionService      `json:"services"`
 	Routes        []SectionRoute        `json:"routes"`
 	Organisations []SectionOrganisation `json:"organisations"`
@@ -1470,6 +1472,11 @@
 	return s.Team
 }
 
+// GetKeysRequired returns the value of KeysRequired.
+func (s *Section) GetKeysRequired() OptBool {
+	return s.KeysRequired
+}
+
 // GetServices returns the value of Services.
 func (s *Section) GetServices() []SectionService {
 	return s.Services
@@ -1495,6 +1502,11 @@
 	s.Team = val
 }
 
+// SetKeysRequired sets the value of KeysRequired.
+func (s *Section) SetKeysRequired(val OptBool) {
+	s.KeysRequired = val
+}
+
 // SetServices sets the value of Services.
 func (s *Section) SetServices(val []SectionService) {
 	s.Services = val
--- a/internal/operator/convert.go
+++ b/internal/operator/convert.go
@@ -12,7 +12,7 @@
 
 // SectionToAPI converts a section for the operator API.
 func SectionToAPI(s document.Section) api.Section {
-	out := api.Section{Name: string(s.Name), Team: string(s.Team)}
+	out := api.Section{Name: string(s.Name), Team: string(s.Team), KeysRequired: api.OptBool{Value: s.KeysRequired, Set: s.KeysRequired}}
 	for _, v := range s.Services {
 		out.Services = append(out.Services, api.SectionService{
 			Name: string(v.Name), Slots: int(v.Slots), Connections: int(v.Connections),
@@ -47,7 +47,7 @@
 		}
 		return d
 	}
-	out := document.Section{Name: document.SectionName(s.Name), Team: document.TeamName(s.Team)}
+	out := document.Section{Name: document.SectionName(s.Name), Team: document.TeamName(s.Team), KeysRequired: s.KeysRequired.Or(false)}
 	for _, v := range s.Services {
 		out.Services = append(out.Services, document.Service{
 			Name: backend.ServiceName(v.Name), Slots: uint16(v.Slots), Connections: uint16(v.Connections),
--- a/internal/organisation/organisation.go
+++ b/internal/organisation/organisation.go
@@ -26,23 +26,22 @@
 	byDigest map[document.KeyDigest]*document.Organisation
 }
 
-// New returns the directory of a validated document, or nil if it has no organisations.
+// New returns the directory of a validated document, or nil if its calls need no key. A
+// document that requires keys and has no organisation has an empty directory, in which
+// every key is unknown.
 func New(d document.Document) *Directory {
-	var byDigest map[document.KeyDigest]*document.Organisation
+	if !d.NeedsKeys() {
+		return nil
+	}
+	byDigest := make(map[document.KeyDigest]*document.Organisation)
 	for i := range d.Sections {
 		for j := range d.Sections[i].Organisations {
-			if byDigest == nil {
-				byDigest = make(map[document.KeyDigest]*document.Organisation)
-			}
 			o := &d.Sections[i].Organisations[j]
 			for _, digest := range o.KeyDigests {
 				byDigest[digest] = o
 			}
 		}
 	}
-	if byDigest == nil {
-		return nil
-	}
 	return &Directory{byDigest: byDigest}
 }
 
--- a/internal/proxy/organisation.go
+++ b/internal/proxy/organisation.go
@@ -8,7 +8,7 @@
 )
 
 // authenticate returns the organisation of a call, or nil if the call needs none: if the
-// version has no organisations, or the route is public. A call without a route is not
+// version requires no keys, or the route is public. A call without a route is not
 // public.
 func authenticate(table *route.Table, m route.Match, r *http.Request) (*document.Organisation, *failure) {
 	directory := table.Organisations()
--- a/internal/proxy/organisation_test.go
+++ b/internal/proxy/organisation_test.go
@@ -106,6 +106,28 @@
 	}
 }
 
+// TestLastOrganisationIsRemoved guards against a version that requires keys, has no
+// organisation any more and lets every call with a removed, unknown or missing key run.
+func TestLastOrganisationIsRemoved(t *testing.T) {
+	m := newMesh(t).withOrganisation()
+	m.organisations, m.keysRequired = nil, true
+	m.start(echoIdentity)
+	for _, c := range []struct {
+		path, credentials string
+		status            int
+	}{
+		{"/stock", "Bearer " + testKey, 401},
+		{"/stock", "Bearer x", 401},
+		{"/stock", "", 401},
+		{"/open", "Bearer " + testKey, 200},
+	} {
+		got := m.do("GET", c.path, "", "Authorization", c.credentials)
+		if got.StatusCode != c.status || strings.Contains(got.body, testKey) {
+			t.Errorf("%s with %q: got %d %s, want %d without the key", c.path, c.credentials, got.StatusCode, got.body, c.status)
+		}
+	}
+}
+
 // Guards against trailers that name an organisation or hold a key, which servers may
 // merge into the header, whether they are announced or not.
 func TestTrailersCarryNoIdentity(t *testing.T) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -93,7 +93,8 @@
 // Number returns the version that the table was built from.
 func (t *Table) Number() version.Number { return t.number }
 
-// Organisations returns the organisations of the version, or nil if it has none. They
+// Organisations returns the organisations of the version, or nil if its calls need no
+// key. They
 // are a part of the table so that routes and keys of a version take effect together.
 func (t *Table) Organisations() *organisation.Directory { return t.organisations }
 
