Discard responses without a call id on reused connections

Any response of 300 and above without an id counted as that to the waiting request.

On a reused connection such a response is now discarded like a late one, the call waits for its own, and the connection is closed afterwards. On a new connection it can only belong to the call. With the built-in headers, which servers need not echo, a refusal without an id on a reused connection no longer proves that the call was not run.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -76,8 +76,9 @@
 	// MaxIdleConns bounds the idle connections to one address.
 	MaxIdleConns int
 	// Matches reports whether a response belongs to a request; nil accepts every
-	// response. A response that does not match is late and is discarded.
-	Matches func(m *Message, r *http.Response) bool
+	// response. reused is set if the connection had carried an earlier request. A
+	// response that does not match is late and is discarded.
+	Matches func(m *Message, r *http.Response, reused bool) bool
 	// Identifies reports whether a response states which request it belongs to; nil
 	// means that every response does. A connection is not reused after one that does
 	// not: a second copy of it could be taken for the response to a later request.
@@ -96,7 +97,7 @@
 // NewClient returns a client without open connections.
 func NewClient(c ClientConfig) *Client {
 	if c.Matches == nil {
-		c.Matches = func(*Message, *http.Response) bool { return true }
+		c.Matches = func(*Message, *http.Response, bool) bool { return true }
 	}
 	if c.Identifies == nil {
 		c.Identifies = func(*http.Response) bool { return true }
@@ -356,6 +357,7 @@
 // readMatchingResponse reads the response that belongs to the request.
 func (x *roundTrip) readMatchingResponse() (*http.Response, error) {
 	request := &http.Request{Method: x.message.Method}
+	identified := true // all responses read so far
 	for range maxResponsesRead {
 		r, err := x.readResponse(request)
 		if err != nil {
@@ -364,9 +366,10 @@
 		if r.StatusCode < http.StatusOK && r.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		if x.client.config.Matches(x.message, r) {
+		identified = identified && x.client.config.Identifies(r)
+		if x.client.config.Matches(x.message, r, x.reused) {
 			x.conn.setReuseDeadline(x.client.config.IdleTimeout, r)
-			r.Body = &responseBody{roundTrip: x, ReadCloser: r.Body, closeAfter: r.Close || !x.client.config.Identifies(r), sawEOF: r.Body == http.NoBody}
+			r.Body = &responseBody{roundTrip: x, ReadCloser: r.Body, closeAfter: r.Close || !identified, sawEOF: r.Body == http.NoBody}
 			return r, nil
 		}
 		if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
@@ -432,6 +435,13 @@
 	closed     bool
 }
 
+// Reused reports whether a response of Client.Send came on a connection that had
+// carried an earlier request.
+func Reused(r *http.Response) bool {
+	b, ok := r.Body.(*responseBody)
+	return ok && b.roundTrip.reused
+}
+
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -78,11 +78,13 @@
 
 // matches reports whether a response of a backend server belongs to a request. With
 // the built-in headers, servers need not echo the call id. If CallID is set, every
-// successful response must echo it.
-func (d Dialect) matches(m *connection.Message, r *http.Response) bool {
+// successful response must echo it. Any other response without it belongs to the request
+// only if the connection has carried no earlier one: a faulty server can send a second
+// response to the request before. The proper response still follows it then.
+func (d Dialect) matches(m *connection.Message, r *http.Response, reused bool) bool {
 	id := r.Header.Get(d.callIDHeader())
 	if id == "" {
-		return d.CallID == "" || r.StatusCode >= http.StatusMultipleChoices
+		return d.CallID == "" || !reused && r.StatusCode >= http.StatusMultipleChoices
 	}
 	return id == m.Header.Get(d.callIDHeader())
 }
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -425,6 +425,64 @@
 	}
 }
 
+// TestStrayResponseIsNotTakenForTheNext guards against a server that sends a second
+// response without an id after a proper one, late, when the next call is running: that
+// call would run at a second server too, or its caller would get the status of the stray
+// response.
+func TestStrayResponseIsNotTakenForTheNext(t *testing.T) {
+	named := Dialect{CallID: "Attempt", NotRun: "Not-Executed"}
+	for _, c := range []struct {
+		dialect      Dialect
+		stray        string
+		atMostOnce   bool
+		status, runs int
+	}{
+		{named, "503 Service Unavailable\r\nNot-Executed: 1", true, 200, 2},
+		{named, "503 Service Unavailable\r\nNot-Executed: 1", false, 200, 2},
+		{named, "421 Misdirected Request", true, 200, 2},
+		{named, "429 Too Many Requests\r\nNot-Executed: 1", true, 200, 2},
+		{named, "408 Request Timeout", true, 200, 2},
+		{named, "500 Internal Server Error", true, 200, 2},
+		{named, "404 Not Found", false, 200, 2},
+		// Servers need not echo the built-in id, so that the outcome is unknown.
+		{Dialect{}, "503 Service Unavailable\r\n" + HeaderNotRun + ": true", true, 502, 2},
+		{Dialect{}, "503 Service Unavailable\r\n" + HeaderNotRun + ": true", false, 200, 3},
+	} {
+		var runs atomic.Int64
+		serve := func(n int64, r *http.Request, conn net.Conn) bool {
+			if n > 1 {
+				fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", c.stray)
+			}
+			runs.Add(1)
+			time.Sleep(20 * time.Millisecond)
+			name := c.dialect.callIDHeader()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", name, r.Header.Get(name))
+			return true
+		}
+		sound := func(_ int64, r *http.Request, conn net.Conn) bool { return serve(1, r, conn) }
+		m := newMesh(t)
+		m.dialect, m.local = c.dialect, true
+		m.routes[0].AtMostOnce, m.routes[0].Retries = c.atMostOnce, 1
+		m.transports = NewTransports(TransportConfig{Dialect: c.dialect})
+		rows := m.rawRows(rawServer(t, serve))
+		m.startRows(rows, nil)
+		if got := m.do("GET", "/stock", "", "Attempt", "call-1"); got.StatusCode != http.StatusOK {
+			t.Fatalf("first call: got %d, want 200", got.StatusCode)
+		}
+		// A second server, to which the call could be sent again.
+		other := rows[0]
+		other.ID, other.Addr = "stock-1", rawServer(t, sound)
+		m.view.Servers = append(m.view.Servers, other)
+		m.pool.Update(m.view)
+		m.gate.Update(m.services(), m.view.Servers)
+		m.pool.SetHealth("stock-1", false) // the first server is preferred
+		got := m.do("GET", "/stock", "", "Attempt", "call-2")
+		if got.StatusCode != c.status || runs.Load() != int64(c.runs) {
+			t.Errorf("%q, at most once %t: got %d after %d runs of two calls, want %d after %d", c.stray, c.atMostOnce, got.StatusCode, runs.Load(), c.status, c.runs)
+		}
+	}
+}
+
 // TestDeadGatesAreSkipped guards against calls that fail while most daemons of a
 // service have died, and against calls that try the same dead daemons again and again.
 func TestDeadGatesAreSkipped(t *testing.T) {
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -171,7 +171,10 @@
 	reply, err := readReply(s.response, m, g.config.Dialect.CloseDelimited)
 	if notRun {
 		reply.close()
-		return gateResult{failure: &failure{reason: reasonServerRefused, notRun: true, refused: true}}
+		// With the built-in headers, a refusal without an id on a reused connection can be
+		// a second one of the call before, while the server runs this call.
+		proved := g.config.Dialect.identifies(s.response) || !connection.Reused(s.response)
+		return gateResult{failure: &failure{reason: reasonServerRefused, notRun: proved, refused: true}}
 	}
 	if err != nil {
 		return gateResult{failure: responseFailure(ctx, err)}
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -72,7 +72,7 @@
 	}
 	t.gates = connection.NewClient(connection.ClientConfig{
 		Dial: t.dialGate, IdleTimeout: gateIdleTimeout, MaxIdleConns: maxIdleGateConnections,
-		Matches: func(m *connection.Message, r *http.Response) bool {
+		Matches: func(m *connection.Message, r *http.Response, _ bool) bool {
 			// A connection carries one call at a time and ends with a refusal for lack of
 			// memory, so that the refusal belongs to this call.
 			return r.Header.Get(HeaderCallID) == m.Header.Get(HeaderCallID) || isMemoryRefusal(r.Header)
