--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -35,6 +35,15 @@
 	return len(s) <= MaxNameLength && s != "" && isLower(s[0]) && isHyphenated(s, func(b byte) bool { return isLower(b) || isDigit(b) })
 }
 
+// validForeignName reports whether s names a service or route of a version that was
+// accepted outside the product, whose names need not be in kebab case. It can be sent in
+// a header and used as a label.
+func validForeignName(s string) bool {
+	return s != "" && len(s) <= MaxNameLength && allBytes(s, func(b byte) bool {
+		return isLower(b) || isUpper(b) || isDigit(b) || strings.IndexByte("-_.", b) >= 0
+	})
+}
+
 func isLower(b byte) bool { return 'a' <= b && b <= 'z' }
 func isUpper(b byte) bool { return 'A' <= b && b <= 'Z' }
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
@@ -72,8 +81,17 @@
 
 // Check checks a document that was not parsed from a file. The error is of type
 // Faults, without positions.
-func Check(d Document) error {
+func Check(d Document) error { return check(newChecker(), d) }
+
+// CheckAccepted checks the document of a version that was accepted, possibly outside the
+// product. It is like Check, but names of services and routes need not be in kebab case.
+func CheckAccepted(d Document) error {
 	c := newChecker()
+	c.foreignNames = true
+	return check(c, d)
+}
+
+func check(c checker, d Document) error {
 	c.checkDocument(d)
 	if len(c.faults) == 0 && formattedSize(d) > MaxBytes {
 		c.addFault(location{}, "document is larger than %d bytes when formatted", MaxBytes)
@@ -92,6 +110,13 @@
 	// alreadyChecked reports whether the content of a section was checked in an earlier
 	// version; nil means that all sections must be checked.
 	alreadyChecked func(SectionName) bool
+	// foreignNames permits names of services and routes that are not in kebab case.
+	foreignNames bool
+}
+
+// validItemName reports whether s can be the name of a service or route.
+func (c *checker) validItemName(s string) bool {
+	return ValidName(s) || c.foreignNames && validForeignName(s)
 }
 
 // itemLabel names a part of the document in a message. It is only formatted if
@@ -198,7 +223,7 @@
 }
 
 func (c *checker) checkService(at location, label itemLabel, s Service) {
-	if !ValidName(string(s.Name)) {
+	if !c.validItemName(string(s.Name)) {
 		c.addNameFault(at.withField("name"), label.kindLabel(), string(s.Name))
 	}
 	if s.Slots == 0 {
@@ -221,7 +246,7 @@
 }
 
 func (c *checker) checkRoute(at location, label itemLabel, r Route) {
-	if !ValidName(string(r.Name)) {
+	if !c.validItemName(string(r.Name)) {
 		c.addNameFault(at.withField("name"), label.kindLabel(), string(r.Name))
 	}
 	if problem := pathPrefixProblem(r.PathPrefix); problem != "" {
--- a/internal/document/incremental.go
+++ b/internal/document/incremental.go
@@ -9,12 +9,13 @@
 // CheckIncremental checks a document that differs from base only in the changed
 // sections. The base must have been checked before, and both documents must be
 // canonical. Apart from the formatted size, which it does not check, it returns the
-// same faults as Check.
+// same faults as CheckAccepted.
 func CheckIncremental(base, d Document, changed func(SectionName) bool) error {
 	if len(base.Sections) > 0 && len(d.Sections) <= MaxSections && validIncrement(base, d, changed) {
 		return nil
 	}
 	c := newChecker()
+	c.foreignNames = true
 	c.alreadyChecked = func(n SectionName) bool { return !changed(n) }
 	c.checkDocument(d)
 	if len(c.faults) > 0 {
@@ -59,6 +60,7 @@
 		}
 	}
 	c := newChecker()
+	c.foreignNames = true
 	c.checkItems(changedPart)
 	c.checkServiceReferences(changedPart, func(s backend.ServiceName) bool { return services[s] })
 	c.checkOverlaps(changedPart)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,6 +2,7 @@
 package route
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -218,7 +219,7 @@
 	position := s.calls.Add(1) * goldenRatioStep
 	total := s.cumulativeWeights[len(s.cumulativeWeights)-1]
 	// The high half of the product scales the position to [0, total).
-	scaled := (position >> 32) * total >> 32
+	scaled, _ := bits.Mul64(position, total)
 	for i, end := range s.cumulativeWeights {
 		if scaled < end {
 			return s.services[i]
--- a/internal/version/assemble.go
+++ b/internal/version/assemble.go
@@ -38,7 +38,7 @@
 	}
 	// Check the document before the order of the manifest, so that a duplicate
 	// section name is reported as a fault of the document.
-	if err := document.Check(d); err != nil {
+	if err := document.CheckAccepted(d); err != nil {
 		return Snapshot{}, fmt.Errorf("create version %d: %w", n, err)
 	}
 	return assemble(m, blobs, d)
