Apply a version without the entries that can't be read

One entry of the operator's row that could not be read, such as a route of an unknown kind, kept the whole acknowledged version out of force, and after a restart of all hosts none had any version.

Such an entry is now recorded in the version's document with its reason, so that all hosts treat it alike. Calls of a route that can't be read get 503 as not run, neither the route of a shorter prefix nor the older version of it. If the place of a route or tenant is not known, calls without a route and calls with an unknown key get 503. Log, metric and peridotlb status name version, entry and reason. A version or table that can't be read as a whole still leaves the version before in force.

--- a/Makefile
+++ b/Makefile
@@ -37,4 +37,5 @@
 
 fuzz:
 	$(GO) test ./internal/document -run '^$$' -fuzz FuzzParse -fuzztime 5s
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime 5s
 	$(GO) test ./internal/message -run '^$$' -fuzz FuzzDecode -fuzztime 5s
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -27,7 +27,8 @@
 		Long: `Columns: region, availability zone, state (converged, converging, unreachable),
 head version, live hosts, hosts by applied version as VERSION:HOSTS, and some of
 the hosts that lack the head version. Counts of an unreachable zone may be old.
-On a terminal, a first line has the control traffic of the answering daemon.`,
+On a terminal, a first line has the control traffic of the answering daemon. Entries
+of its version that can't be read are listed on standard error.`,
 		Examples: []string{"peridotlb status", "peridotlb status --json"},
 	}, fs, func(ctx context.Context, _ []string) error {
 		return Run(ctx, o)
@@ -44,6 +45,11 @@
 		fmt.Fprintf(o.Streams.Out, "head version %d; control traffic of this daemon: sent %d B in %d packets, received %d B in %d packets\n",
 			s.Head, s.Traffic.SentBytes, s.Traffic.SentPackets, s.Traffic.ReceivedBytes, s.Traffic.ReceivedPackets)
 	}
+	if !o.JSON {
+		for _, e := range s.Unreadable {
+			fmt.Fprintf(o.Streams.Err, "unreadable: %s\n", e)
+		}
+	}
 	t := command.Table{Header: []string{"REGION", "ZONE", "STATE", "HEAD", "HOSTS", "APPLIED", "STRAGGLERS"}}
 	for _, z := range s.Zones {
 		applied := make([]string, len(z.Applied))
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 	"time"
 
@@ -171,9 +170,7 @@
 	if v := l.environment.Versions; v != nil {
 		start := time.Now()
 		changes, err := v.Newest(readCtx, e.After, e.MaxWait)
-		var unreadable *UnreadableError
-		if errors.As(err, &unreadable) {
-			l.log.Error("Skipped a version that can't be read; the previous one stays applied.", zap.Error(err))
+		if l.reportUnreadableVersion(err) {
 			err = nil
 		}
 		l.platform.recordTableResult(err)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -22,6 +22,8 @@
 // them.
 type daemonMetrics struct {
 	applied                *metrics.Gauge   // number of the applied version
+	unreadableEntries      *metrics.Gauge   // entries of the applied version that can't be read
+	unreadableVersions     *metrics.Counter // versions that can't be read as a whole
 	applyDelay             *metrics.Gauge   // seconds from the acceptance of the applied version until it was applied here
 	stepDuration           *metrics.Summary // seconds per step of the core
 	droppedMessages        *metrics.Counter // messages dropped because the queue of the core was full
@@ -93,6 +95,8 @@
 	m := &daemonMetrics{
 		set:                 set,
 		applied:             set.NewGauge("peridotlb_version_applied", nil),
+		unreadableEntries:   set.NewGauge("peridotlb_version_unreadable_entries", nil),
+		unreadableVersions:  set.NewCounter("peridotlb_versions_unreadable_total"),
 		applyDelay:          set.NewGauge("peridotlb_version_apply_delay_seconds", nil),
 		stepDuration:        set.NewSummary("peridotlb_core_step_seconds"),
 		droppedMessages:     set.NewCounter("peridotlb_core_messages_dropped_total"),
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -93,6 +93,7 @@
 	if err != nil {
 		return status, fmt.Errorf("read the core: %w", err)
 	}
+	status.Unreadable = d.unreadableEntries()
 	status.Zones = make([]operator.Zone, len(zones))
 	var group errgroup.Group
 	for i, z := range zones {
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -30,6 +30,7 @@
 	routes   atomic.Pointer[route.Table]
 	snapshot atomic.Pointer[version.Snapshot]
 	limits   atomic.Pointer[document.Limits] // of callers; nil when the document sets none
+	skipped  atomic.Pointer[skippedVersion]  // the last version that can't be read as a whole; nil if there was none
 
 	ownServers []backend.Server // of this host
 
@@ -61,6 +62,7 @@
 	r.routes.Store(route.New(s))
 	r.limits.Store(limitsOf(s.Document()))
 	r.snapshot.Store(&s)
+	c.reportUnreadableEntries(s)
 	c.metrics.applied.Set(float64(s.Number()))
 	c.metrics.applyDelay.Set(time.Since(time.UnixMilli(s.Manifest().AcceptedMS)).Seconds())
 }
--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -102,6 +102,37 @@
 	return nil
 }
 
+// CheckService checks a service of an accepted version on its own.
+func CheckService(s Service) error {
+	return checkItem(func(c *checker) {
+		c.checkService(location{}, itemLabel{alone: true, kind: "service", name: string(s.Name)}, s)
+	})
+}
+
+// CheckRoute checks a route of an accepted version on its own.
+func CheckRoute(r Route) error {
+	return checkItem(func(c *checker) {
+		c.checkRoute(location{}, itemLabel{alone: true, kind: "route", name: string(r.Name)}, r)
+	})
+}
+
+// CheckOrganisation checks an organisation on its own.
+func CheckOrganisation(o Organisation) error {
+	return checkItem(func(c *checker) {
+		c.checkOrganisation(location{}, itemLabel{alone: true, kind: "organisation", name: string(o.Name)}, o)
+	})
+}
+
+func checkItem(f func(*checker)) error {
+	c := newChecker()
+	c.foreignNames = true
+	f(&c)
+	if len(c.faults) > 0 {
+		return c.faults
+	}
+	return nil
+}
+
 // checker collects the faults of a document. The function report adds a fault,
 // with the position of the location if it is known.
 type checker struct {
@@ -123,12 +154,16 @@
 // there is a fault.
 type itemLabel struct {
 	section SectionName
-	kind    string // "service", "route", "organisation" or empty
+	kind    string // "service", "route", "organisation" or empty, which stands for the section
 	name    string
+	alone   bool // the section is not known
 }
 
 // String returns, for example, section "stock": service "bead-stock".
 func (l itemLabel) String() string {
+	if l.alone {
+		return fmt.Sprintf("%s %q", l.kind, l.name)
+	}
 	if l.kind == "" {
 		return fmt.Sprintf("section %q", l.section)
 	}
@@ -136,7 +171,12 @@
 }
 
 // kindLabel returns a label without the name of the item, which may be missing.
-func (l itemLabel) kindLabel() string { return fmt.Sprintf("section %q: %s", l.section, l.kind) }
+func (l itemLabel) kindLabel() string {
+	if l.alone {
+		return l.kind
+	}
+	return fmt.Sprintf("section %q: %s", l.section, l.kind)
+}
 
 func (c *checker) addFault(at location, format string, args ...any) {
 	c.report(&c.faults, at, fmt.Sprintf(format, args...))
@@ -172,7 +212,7 @@
 		for j, v := range s.Services {
 			at := location{section: i + 1, itemKind: serviceItem, item: j + 1}
 			if !skip {
-				c.checkService(at, itemLabel{s.Name, "service", string(v.Name)}, v)
+				c.checkService(at, itemLabel{section: s.Name, kind: "service", name: string(v.Name)}, v)
 			}
 			if other, ok := services[v.Name]; ok && v.Name != "" {
 				c.addFault(at.withField("name"), "%s: service %q is already defined in section %q", label, v.Name, other)
@@ -183,7 +223,7 @@
 		for j, r := range s.Routes {
 			at := location{section: i + 1, itemKind: routeItem, item: j + 1}
 			if !skip {
-				c.checkRoute(at, itemLabel{s.Name, "route", string(r.Name)}, r)
+				c.checkRoute(at, itemLabel{section: s.Name, kind: "route", name: string(r.Name)}, r)
 			}
 			if other, ok := routes[r.Name]; ok && r.Name != "" {
 				c.addFault(at.withField("name"), "%s: route %q is already defined in section %q", label, r.Name, other)
@@ -193,7 +233,7 @@
 		}
 		for j, o := range s.Organisations {
 			if !skip {
-				c.checkOrganisation(location{section: i + 1, itemKind: organisationItem, item: j + 1}, itemLabel{s.Name, "organisation", string(o.Name)}, o)
+				c.checkOrganisation(location{section: i + 1, itemKind: organisationItem, item: j + 1}, itemLabel{section: s.Name, kind: "organisation", name: string(o.Name)}, o)
 			}
 		}
 	}
@@ -260,10 +300,13 @@
 			c.addFault(element, "%s: method %q is listed twice", label, m)
 		}
 	}
-	c.checkDestination(at, label, r)
 	if !validAuthority(r.Authority) {
 		c.addFault(at.withField("authority"), "%s: authority %q is not a host name, with or without a port", label, r.Authority)
 	}
+	if r.Unreadable != "" {
+		return
+	}
+	c.checkDestination(at, label, r)
 	if r.Paid && r.AtMostOnce {
 		c.addFault(at.withField("at-most-once"), "%s: paid and at-most-once cannot be combined", label)
 	}
--- a/internal/document/encode.go
+++ b/internal/document/encode.go
@@ -42,6 +42,7 @@
 		s.Routes[i].Split = emptyToNil(s.Routes[i].Split)
 	}
 	s.Organisations = canonicalOrganisations(s.Organisations)
+	s.Unreadable = sortedOrNil(s.Unreadable)
 	slices.SortStableFunc(s.Routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
 	return s
 }
--- a/internal/document/format.go
+++ b/internal/document/format.go
@@ -54,6 +54,9 @@
 func (w *yamlWriter) writeSection(s Section) {
 	w.writeLine(2, "- name: "+formatScalar(string(s.Name)))
 	w.writeLine(4, "team: "+formatScalar(string(s.Team)))
+	for _, entry := range s.Unreadable {
+		w.writeLine(4, "# unreadable: "+strconv.Quote(entry))
+	}
 	if s.Limits != nil {
 		w.writeLimits(*s.Limits)
 	}
@@ -98,6 +101,10 @@
 // writeRoute writes a route. Rarely used keys are omitted if they have their
 // default value.
 func (w *yamlWriter) writeRoute(r Route) {
+	if r.Unreadable != "" {
+		w.writeLine(6, "# unreadable: "+strconv.Quote("route "+string(r.Name)+": "+r.Unreadable))
+		return
+	}
 	w.writeLine(6, "- name: "+formatScalar(string(r.Name)))
 	if r.Authority != "" {
 		w.writeLine(8, "authority: "+formatScalar(r.Authority))
--- a/internal/document/model.go
+++ b/internal/document/model.go
@@ -3,6 +3,7 @@
 package document
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -45,6 +46,30 @@
 	// organisation. Without it, a version that takes the last organisation away would
 	// open all routes to everybody.
 	KeysRequired bool `cbor:"7,keyasint,omitempty"`
+	// Unreadable names the entries that the source of the document holds and that could
+	// not be read, with the reason. While there are any, a call without a route and a
+	// call with an unknown key are refused as not run, since an entry may be for them.
+	Unreadable []string `cbor:"8,keyasint,omitempty"`
+}
+
+// UnreadableEntries returns all entries of the document that can't be read, with the
+// reasons.
+func (d Document) UnreadableEntries() []string {
+	var all []string
+	for _, s := range d.Sections {
+		all = append(all, s.Unreadable...)
+		for _, r := range s.Routes {
+			if r.Unreadable != "" {
+				all = append(all, fmt.Sprintf("route %s: %s", r.Name, r.Unreadable))
+			}
+		}
+	}
+	return all
+}
+
+// Complete reports whether every entry was read, or at least its place is known.
+func (d Document) Complete() bool {
+	return !slices.ContainsFunc(d.Sections, func(s Section) bool { return len(s.Unreadable) > 0 })
 }
 
 // Limits restricts the requests of callers. A zero field means the default of the
@@ -100,6 +125,10 @@
 	Priority uint8 `cbor:"13,keyasint,omitempty"`
 	// Public routes need no key of an organisation.
 	Public bool `cbor:"14,keyasint,omitempty"`
+	// Unreadable says why the rest of the route can't be read; empty if it can. Calls of
+	// such a route are refused: neither an older version of it nor another route with a
+	// shorter prefix may be taken for it.
+	Unreadable string `cbor:"15,keyasint,omitempty"`
 }
 
 // Share is the weight of one service in a split route.
@@ -113,6 +142,9 @@
 
 // Services returns the services that the route can send calls to.
 func (r *Route) Services() []backend.ServiceName {
+	if r.Unreadable != "" {
+		return nil
+	}
 	if len(r.Split) == 0 {
 		return []backend.ServiceName{r.Service}
 	}
--- a/internal/document/organisation.go
+++ b/internal/document/organisation.go
@@ -85,7 +85,7 @@
 	for i, s := range d.Sections {
 		for j, o := range s.Organisations {
 			at := location{section: i + 1, itemKind: organisationItem, item: j + 1}
-			label := itemLabel{s.Name, "organisation", string(o.Name)}
+			label := itemLabel{section: s.Name, kind: "organisation", name: string(o.Name)}
 			if other, ok := sections[o.Name]; ok && o.Name != "" {
 				c.addFault(at.withField("name"), "%s is already defined in section %q", label, other)
 				continue
--- a/internal/document/warnings.go
+++ b/internal/document/warnings.go
@@ -20,12 +20,12 @@
 	}
 	for _, s := range d.Sections {
 		for i := range s.Routes {
-			w.checkRoute(itemLabel{s.Name, "route", string(s.Routes[i].Name)}, &s.Routes[i])
+			w.checkRoute(itemLabel{section: s.Name, kind: "route", name: string(s.Routes[i].Name)}, &s.Routes[i])
 		}
 	}
 	for _, s := range d.Sections {
 		for i := range s.Services {
-			w.checkService(itemLabel{s.Name, "service", string(s.Services[i].Name)}, &s.Services[i])
+			w.checkService(itemLabel{section: s.Name, kind: "service", name: string(s.Services[i].Name)}, &s.Services[i])
 		}
 	}
 	return w.warnings
--- a/internal/operator/api/oas_json_gen.go
+++ b/internal/operator/api/oas_json_gen.go
@@ -4482,6 +4482,16 @@
 		e.FieldStart("head")
 		e.UInt64(s.Head)
 	}
+	{
+		if s.Unreadable != nil {
+			e.FieldStart("unreadable")
+			e.ArrStart()
+			for _, elem := range s.Unreadable {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
 	{
 		e.FieldStart("zones")
 		e.ArrStart()
@@ -4496,10 +4506,11 @@
 	}
 }
 
-var jsonFieldsNameOfStatus = [3]string{
+var jsonFieldsNameOfStatus = [4]string{
 	0: "head",
-	1: "zones",
-	2: "traffic",
+	1: "unreadable",
+	2: "zones",
+	3: "traffic",
 }
 
 // Decode decodes Status from json.
@@ -4523,8 +4534,27 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"head\"")
 			}
+		case "unreadable":
+			if err := func() error {
+				s.Unreadable = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Unreadable = append(s.Unreadable, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"unreadable\"")
+			}
 		case "zones":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				s.Zones = make([]ZoneStatus, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -4542,7 +4572,7 @@
 				return errors.Wrap(err, "decode field \"zones\"")
 			}
 		case "traffic":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				if err := s.Traffic.Decode(d); err != nil {
 					return err
@@ -4561,7 +4591,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000111,
+		0b00001101,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/operator/api/oas_schemas_gen.go
+++ b/internal/operator/api/oas_schemas_gen.go
@@ -1877,9 +1877,12 @@
 // Ref: #/components/schemas/Status
 type Status struct {
 	// Newest version known.
-	Head    uint64       `json:"head"`
-	Zones   []ZoneStatus `json:"zones"`
-	Traffic Traffic      `json:"traffic"`
+	Head uint64 `json:"head"`
+	// Entries of the applied version that can't be read, with the reason, and the newest version that
+	// can't be read as a whole.
+	Unreadable []string     `json:"unreadable"`
+	Zones      []ZoneStatus `json:"zones"`
+	Traffic    Traffic      `json:"traffic"`
 }
 
 // GetHead returns the value of Head.
@@ -1887,6 +1890,11 @@
 	return s.Head
 }
 
+// GetUnreadable returns the value of Unreadable.
+func (s *Status) GetUnreadable() []string {
+	return s.Unreadable
+}
+
 // GetZones returns the value of Zones.
 func (s *Status) GetZones() []ZoneStatus {
 	return s.Zones
@@ -1902,6 +1910,11 @@
 	s.Head = val
 }
 
+// SetUnreadable sets the value of Unreadable.
+func (s *Status) SetUnreadable(val []string) {
+	s.Unreadable = val
+}
+
 // SetZones sets the value of Zones.
 func (s *Status) SetZones(val []ZoneStatus) {
 	s.Zones = val
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -87,6 +87,9 @@
 	Head    version.Number // highest version number that this daemon has heard of
 	Zones   []Zone
 	Traffic Traffic
+	// Unreadable has the entries of the applied version that can't be read, and the
+	// newest version that can't be read as a whole.
+	Unreadable []string
 }
 
 // Zone is the state of one availability zone.
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -247,7 +247,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &api.Status{Head: uint64(s.Head), Zones: []api.ZoneStatus{}, Traffic: api.Traffic(s.Traffic)}
+	out := &api.Status{Head: uint64(s.Head), Unreadable: s.Unreadable, Zones: []api.ZoneStatus{}, Traffic: api.Traffic(s.Traffic)}
 	for _, z := range s.Zones {
 		zone := api.ZoneStatus{
 			Zone: string(z.Name), Region: string(z.Region), Hosts: z.Hosts,
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -100,12 +100,24 @@
 		return route.Match{}, &failure{reason: "bad-path", status: http.StatusBadRequest, notRun: true, hint: "the path must not contain . or .. segments"}
 	}
 	m, ok := table.Match(r.Method, r.Host, r.URL.Path)
+	if ok && m.Route.Unreadable != "" || !ok && !table.Complete() {
+		return m, unreadableEntryFailure()
+	}
 	if !ok {
 		return m, &failure{reason: "no-route", status: http.StatusNotFound, notRun: true, hint: "no route accepts this method and path"}
 	}
 	return m, nil
 }
 
+// unreadableEntryFailure returns the refusal of a call whose route or organisation may be
+// an entry of the version that can't be read.
+func unreadableEntryFailure() *failure {
+	return &failure{
+		reason: reasonUnreadable, notRun: true, retryAfter: maxRetryAfter,
+		hint: "an entry of the configuration that may be for this call can't be read; send the call again after the next version",
+	}
+}
+
 // hasDotSegment reports whether a backend server could resolve a path to another
 // path than the one that was matched.
 func hasDotSegment(path string) bool {
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -64,6 +64,9 @@
 	// reasonGateUnreachable means that the entry could not connect to the gate.
 	reasonGateUnreachable = "gate-unreachable"
 	reasonStopping        = "daemon-stopping"
+	// reasonUnreadable means that an entry of the version that can't be read may be for
+	// the call.
+	reasonUnreadable = "entry-unreadable"
 	// reasonMemory means that the requests of callers hold too much memory of the
 	// daemon that refused the call. It is decided before the header is parsed.
 	reasonMemory = "request-memory"
--- a/internal/proxy/organisation.go
+++ b/internal/proxy/organisation.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"errors"
 	"net/http"
 
 	"github.com/peridotlb/peridotlb/internal/document"
+	"github.com/peridotlb/peridotlb/internal/organisation"
 	"github.com/peridotlb/peridotlb/internal/route"
 )
 
@@ -16,6 +18,9 @@
 		return nil, nil
 	}
 	o, err := directory.Authenticate(r.Header[headerAuthorization])
+	if errors.Is(err, organisation.ErrUnknownKey) && !table.Complete() {
+		return nil, unreadableEntryFailure()
+	}
 	if err != nil {
 		return nil, &failure{reason: reasonUnauthorised, status: http.StatusUnauthorized, notRun: true, hint: err.Error()}
 	}
--- a/internal/proxy/organisation_test.go
+++ b/internal/proxy/organisation_test.go
@@ -128,6 +128,38 @@
 	}
 }
 
+// TestUnreadableEntryRefusesCalls guards against a call whose route or key may be an entry
+// of the version that can't be read, and that runs by another route, gets 404, or is told
+// that its key is not valid.
+func TestUnreadableEntryRefusesCalls(t *testing.T) {
+	for _, c := range []struct {
+		path, credentials string
+		unplaced          []string
+		status            int
+	}{
+		{"/stock/odd/x", "Bearer " + testKey, nil, 503}, // not the route of /stock
+		{"/stock/x", "Bearer " + testKey, nil, 200},
+		{"/elsewhere", "Bearer " + testKey, nil, 404},
+		{"/elsewhere", "Bearer " + testKey, []string{"route in row 3"}, 503},
+		{"/stock/x", "Bearer unknown", nil, 401},
+		{"/stock/x", "Bearer unknown", []string{"tenant in row 3"}, 503},
+		{"/stock/x", "", []string{"tenant in row 3"}, 401},
+		{"/stock/x", "Bearer " + testKey, []string{"tenant in row 3"}, 200},
+	} {
+		m := newMesh(t).withOrganisation()
+		m.routes = append(m.routes, document.Route{Name: "odd", PathPrefix: "/stock/odd/", Unreadable: "field kind"})
+		m.unreadable = c.unplaced
+		m.start(echoIdentity)
+		got := m.do("GET", c.path, "", "Authorization", c.credentials)
+		if got.StatusCode != c.status {
+			t.Errorf("%s with %q, unplaced %q: got %d, want %d", c.path, c.credentials, c.unplaced, got.StatusCode, c.status)
+		}
+		if got.StatusCode == 503 && (got.Header.Get(HeaderNotRun) != "true" || got.Header.Get("Retry-After") == "") {
+			t.Errorf("%s: got %v, want a refusal with the not-run and Retry-After headers", c.path, got.Header)
+		}
+	}
+}
+
 // Guards against trailers that name an organisation or hold a key, which servers may
 // merge into the header, whether they are announced or not.
 func TestTrailersCarryNoIdentity(t *testing.T) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -28,6 +28,7 @@
 	entries       []entry
 	longestPrefix int // length of the longest prefix in bytes
 	organisations *organisation.Directory
+	complete      bool
 }
 
 // prefixKey is the key of the routes with a path prefix: the Host header, or empty
@@ -60,7 +61,7 @@
 	for i := range d.Sections {
 		routes += len(d.Sections[i].Routes)
 	}
-	t := &Table{number: number, organisations: organisation.New(d), firstEntry: make(map[prefixKey]int32, routes), entries: make([]entry, 0, routes)}
+	t := &Table{number: number, organisations: organisation.New(d), complete: d.Complete(), firstEntry: make(map[prefixKey]int32, routes), entries: make([]entry, 0, routes)}
 	// Entries are added in reverse order, because add prepends to the list: of
 	// several routes with the same prefix, the first in the document is tried first.
 	for i := range slices.Backward(d.Sections) {
@@ -73,6 +74,11 @@
 
 func (t *Table) add(r *document.Route, services map[backend.ServiceName]*document.Service) {
 	e := entry{match: Match{Route: r, Service: services[r.Service]}}
+	if r.Unreadable != "" {
+		// Its calls must not get to a route with a shorter prefix.
+		t.insert(r, e)
+		return
+	}
 	if len(r.Split) > 0 {
 		if e.split = newWeightedSplit(r.Split, services); e.split == nil {
 			return
@@ -80,6 +86,10 @@
 	} else if e.match.Service == nil {
 		return
 	}
+	t.insert(r, e)
+}
+
+func (t *Table) insert(r *document.Route, e entry) {
 	key := prefixKey{normalizeAuthority(r.Authority), strings.TrimRight(r.PathPrefix, "/")}
 	t.longestPrefix = max(t.longestPrefix, len(key.prefix))
 	e.next = t.firstEntry[key]
@@ -99,12 +109,16 @@
 // are a part of the table so that routes and keys of a version take effect together.
 func (t *Table) Organisations() *organisation.Directory { return t.organisations }
 
+// Complete reports whether every entry of the version was read. If not, a call without a
+// route may have one.
+func (t *Table) Complete() bool { return t.complete }
+
 // Match returns the route with the longest matching path prefix that accepts the
 // method. Routes for the authority are preferred to routes for any authority. A
 // prefix matches whole path segments (/stock matches /stock/beads, but not
 // /stockings); with LiteralPrefix the path must also start with the exact prefix,
 // including a trailing slash. If the route is split, each call of Match advances to
-// the next service by weight.
+// the next service by weight. A route that can't be read has no service.
 func (t *Table) Match(method, authority, path string) (Match, bool) {
 	if path == "" || path[0] != '/' {
 		return Match{}, false
