Keep the call path's headers from being removed by Connection

The headers of a single connection were removed after the entry had set its own. X-Attempt-Id, and on the way back the seal and the notices of servers, could be lost likewise.

One table, headerRules, now says for each header of the call path who sets it and what happens to the value of a caller or a server, in headers and trailers; entry, gate and the way between hosts read it.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"maps"
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -29,13 +28,14 @@
 }
 
 // newCall copies the headers and the target of a request. The body is read later.
-func newCall(r *http.Request, id string, deadline time.Time) *call {
+func (t *headerTable) newCall(r *http.Request, id string, deadline time.Time) *call {
 	c := &call{id: id, method: r.Method, requestTarget: requestTarget(r), host: r.Host, deadline: deadline}
 	c.header = maps.Clone(r.Header)
-	stripHopByHop(c.header)
-	for _, name := range []string{HeaderTimeoutMS, HeaderNotRun, HeaderOutcome, HeaderLoad, HeaderServer, HeaderQueue, HeaderNoticedLimit, HeaderNoRetry, HeaderReplayed, HeaderReason, HeaderServerUS, HeaderForwarded, HeaderRunWithin} {
+	t.request.stripHopByHop(c.header)
+	for _, name := range t.request.removed {
 		delete(c.header, name)
 	}
+	c.withheld = t.request.withheld
 	c.header[HeaderCallID] = []string{id}
 	return c
 }
@@ -61,25 +61,6 @@
 	return strconv.FormatInt(max(1, d.Milliseconds()), 10)
 }
 
-// stripHopByHop removes the headers that apply to a single connection.
-func stripHopByHop(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(h, name)
-	}
-}
-
-// hopByHop lists the headers of RFC 9110 section 7.6.1, and Expect, which the
-// server has already answered.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
 // callIDGenerator generates ids that are unique across daemons. They consist of a
 // random prefix for the process and a counter.
 type callIDGenerator struct {
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -17,6 +17,7 @@
 	NotRun    string // set in the response of a server that did not run the call
 	Server    string // id of the server that may run the call
 	Caller    string // service of the host on which the call originated
+	Seal      string // proof of a server's response, for the caller
 	Limit     string // calls per second that the responding server accepts from all daemons together
 	// ServerLoad is the load of the responding server: its running and waiting calls,
 	// its slots and, optionally, the time that work takes on its machine, in percent of the usual.
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -19,9 +19,9 @@
 	gate    *gateHandler
 	callIDs *callIDGenerator
 	nested  nestedCalls
-	// withheld has the names of trailers that are not passed on, for versions without and
-	// with organisations.
-	withheld, withheldWithKeys map[string]bool
+	headers *headerTable
+	// withheldWithKeys has the names of trailers that are not passed on if calls need keys.
+	withheldWithKeys map[string]bool
 }
 
 // ServeHTTP handles a request from a caller.
@@ -67,7 +67,7 @@
 		e.writeFailure(w, id, f)
 		return
 	}
-	c := newCall(r, id, start.Add(timeout))
+	c := e.headers.newCall(r, id, start.Add(timeout))
 	c.route = match.Route.Name
 	e.identify(c, table, customer)
 	runBy, f := e.takeToken(r.Context(), customer)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -327,7 +327,7 @@
 	reason := h.Get(HeaderReason)
 	us, _ := strconv.ParseInt(h.Get(HeaderServerUS), 10, 64) // 0 if absent
 	result.serverTime = time.Duration(us) * time.Microsecond
-	reply, err := readReply(s.response, m, false)
+	reply, err := x.entry.headers.readReply(s.response, m, false)
 	switch {
 	case reason != "":
 		receiving.End()
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -44,16 +44,11 @@
 		e.writeFailure(w, id, f)
 		return
 	}
-	c := newCall(r, id, start.Add(timeout))
+	c := e.headers.newCall(r, id, start.Add(timeout))
 	if f := e.refuseBeforeShutdown(c); f != nil {
 		e.writeFailure(w, id, f)
 		return
 	}
-	keys := r.Header.Values(headerIdempotencyKey)
-	if len(keys) > 0 {
-		// The caller may have listed the key as a hop-by-hop header.
-		c.header[headerIdempotencyKey] = keys
-	}
 	// The other daemon checks the key of the call. The caller may have listed the
 	// header as a hop-by-hop header, and may not name an organisation itself.
 	delete(c.header, e.config.Dialect.organisationHeader())
@@ -120,7 +115,7 @@
 	}
 	h := s.response.Header
 	reason := h.Get(HeaderReason)
-	reply, err := readReply(s.response, m, false)
+	reply, err := x.entry.headers.readReply(s.response, m, false)
 	switch {
 	case reason == reasonNoVersion:
 		reply.close()
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -17,6 +17,7 @@
 type gateHandler struct {
 	config  Config
 	metrics *callMetrics
+	headers *headerTable
 	entry   *entryHandler // for calls forwarded by other daemons; nil at an entry
 }
 
@@ -47,7 +48,7 @@
 		})
 		return
 	}
-	c := newCall(r, id, g.config.Now().Add(time.Duration(ms)*time.Millisecond))
+	c := g.headers.newCall(r, id, g.config.Now().Add(time.Duration(ms)*time.Millisecond))
 	c.route = g.routeName(r)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
@@ -168,7 +169,7 @@
 	}
 	g.observeNotice(permit, s.response)
 	notRun := g.config.Dialect.reportsNotRun(s.response)
-	reply, err := readReply(s.response, m, g.config.Dialect.CloseDelimited)
+	reply, err := g.headers.readReply(s.response, m, g.config.Dialect.CloseDelimited)
 	if notRun {
 		reply.close()
 		// With the built-in headers, a refusal without an id on a reused connection can be
@@ -181,9 +182,10 @@
 	}
 	// Any other response shows that the server ran the call. A not-run header can
 	// then only come from a call further down the chain.
-	for _, name := range []string{HeaderNotRun, HeaderLoad, HeaderReason, HeaderServerUS, HeaderReplayed, HeaderCallID} {
+	for _, name := range g.headers.response.removed {
 		delete(reply.header, name)
 	}
+	delete(reply.header, HeaderCallID)
 	return gateResult{reply: reply, serverTime: g.config.Now().Sub(start)}
 }
 
--- a/internal/proxy/nested_test.go
+++ b/internal/proxy/nested_test.go
@@ -20,7 +20,7 @@
 		clock := func() time.Time { return now }
 		g := gate.New(gate.Config{Self: "self", Now: clock})
 		g.Update([]document.Service{{Name: "stock", Slots: 4, Connections: 4}}, []backend.Server{{ID: "s", Service: "stock", Host: "self", State: backend.Ready}})
-		e := newEntryHandler(Config{Gate: g, RankNestedCalls: enabled}.withDefaults(), &gateHandler{metrics: newCallMetrics(Config{}.withDefaults().Metrics)})
+		e := newEntryHandler(Config{Gate: g, RankNestedCalls: enabled}.withDefaults(), &gateHandler{metrics: newCallMetrics(Config{}.withDefaults().Metrics), headers: Dialect{}.headerTable()})
 		priorityOf := func(name document.RouteName) uint8 {
 			x := &exchange{match: route.Match{Route: &document.Route{Name: name, Priority: 2}}, start: now, priority: 2}
 			e.rankNested(x)
--- a/internal/proxy/organisation.go
+++ b/internal/proxy/organisation.go
@@ -31,7 +31,6 @@
 // It also applies to trailers, which backend servers may merge into the header.
 func (e *entryHandler) identify(c *call, table *route.Table, customer *document.Organisation) {
 	name := e.config.Dialect.organisationHeader()
-	c.withheld = e.withheld
 	delete(c.header, name)
 	directory := table.Organisations()
 	if directory == nil {
--- a/internal/proxy/paid.go
+++ b/internal/proxy/paid.go
@@ -40,8 +40,6 @@
 		})
 		return
 	}
-	// The caller may have listed the key as a hop-by-hop header.
-	x.call.header[headerIdempotencyKey] = keys
 	ctx = context.WithoutCancel(ctx)
 	runCtx, cancel := context.WithDeadline(ctx, x.call.deadline)
 	defer cancel()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -165,22 +166,20 @@
 func NewEntry(c Config) http.Handler {
 	c = c.withDefaults()
 	m := newCallMetrics(c.Metrics)
-	return newEntryHandler(c, &gateHandler{config: c, metrics: m})
+	return newEntryHandler(c, &gateHandler{config: c, metrics: m, headers: c.Dialect.headerTable()})
 }
 
 func newEntryHandler(c Config, g *gateHandler) *entryHandler {
-	name := c.Dialect.organisationHeader()
-	return &entryHandler{
-		config: c, metrics: g.metrics, gate: g, callIDs: newCallIDGenerator(),
-		withheld: map[string]bool{name: true}, withheldWithKeys: map[string]bool{name: true, headerAuthorization: true},
-	}
+	withKeys := maps.Clone(g.headers.request.withheld)
+	withKeys[headerAuthorization] = true
+	return &entryHandler{config: c, metrics: g.metrics, gate: g, callIDs: newCallIDGenerator(), headers: g.headers, withheldWithKeys: withKeys}
 }
 
 // NewGate returns the handler for calls from other daemons, including those that
 // daemons without a configuration version forward.
 func NewGate(c Config) http.Handler {
 	c = c.withDefaults()
-	g := &gateHandler{config: c, metrics: newCallMetrics(c.Metrics)}
+	g := &gateHandler{config: c, metrics: newCallMetrics(c.Metrics), headers: c.Dialect.headerTable()}
 	g.entry = newEntryHandler(c, g)
 	return g
 }
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -22,8 +22,9 @@
 	header   http.Header
 	buffered []byte
 	rest     io.ReadCloser
-	length   int64        // of the body; -1 if unknown
-	trailer  *http.Header // complete once the body was read
+	length   int64           // of the body; -1 if unknown
+	trailer  *http.Header    // complete once the body was read
+	withheld map[string]bool // names of trailers that are not passed on
 	hasBody  bool
 	sending  *pacedSending // nil sends the body at once
 	upload   *restReader   // of the request, which may still be sent while rest is read; nil if its body was short
@@ -32,13 +33,14 @@
 // readReply buffers the start of the response to a message. It closes the response on an error and
 // when the whole body is buffered. With closeDelimited, a response may end with its
 // connection.
-func readReply(resp *http.Response, m *connection.Message, closeDelimited bool) (*reply, error) {
+func (t *headerTable) readReply(resp *http.Response, m *connection.Message, closeDelimited bool) (*reply, error) {
 	r := &reply{
 		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, trailer: &resp.Trailer,
 		hasBody: m.Method != http.MethodHead && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified,
 	}
 	r.upload, _ = m.Rest.(*restReader)
-	stripHopByHop(r.header)
+	r.withheld = t.response.withheld
+	t.response.stripHopByHop(r.header)
 	err := r.bufferBody(resp, closeDelimited)
 	if err != nil || r.rest == nil {
 		_ = resp.Body.Close()
@@ -102,6 +104,9 @@
 	}
 	announced := make(map[string]bool, len(*r.trailer))
 	for name := range *r.trailer {
+		if r.withheld[name] {
+			continue
+		}
 		announced[name] = true
 		h.Add("Trailer", name)
 	}
@@ -113,6 +118,9 @@
 		r.relayBody(w)
 	}
 	for name, values := range *r.trailer {
+		if r.withheld[name] {
+			continue
+		}
 		if !announced[name] {
 			name = http.TrailerPrefix + name
 		}
