Notice a store that comes back from an older copy

The platform's store may come back from a copy some seconds old, give its versions out again and raise Store-Era. A position of the feed from before then skipped changes with lower versions: a version of the operator that was written after the return was never read once the store had passed the old position. Records of hosts that the store lost, with departures that had been acknowledged, were not written again until they changed.

A position now holds the era, and the feed of another era counts as dropped history, so that the row is read anew. Hosts that see a later era, in a read or in a confirmation by another host, write their record again within a second.

--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -324,6 +324,7 @@
 		n = request.after.number
 	}
 	if e.Position >= r.lastHead.position {
+		c.checkEra(e.Position)
 		r.lastHead = headState{e.Position, n}
 	}
 	asOf := request.currentAsOf(c.now, n > c.versions.highestKnown)
@@ -417,6 +418,7 @@
 		c.setFloor(m.Number)
 	}
 	if m.Position > c.reader.lastHead.position {
+		c.checkEra(m.Position)
 		c.rollouts.ordersMissing = true // this host did not read the changes in between
 		c.reader.lastHead = headState{m.Position, m.Number}
 	}
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/host"
+	"github.com/peridotlb/peridotlb/internal/version"
 )
 
 // HostRecord is what the platform table stores about a host, so that the fleet
@@ -36,6 +38,7 @@
 	loaded          bool       // the stored record is known
 	stored          HostRecord // last known content
 	missing         bool       // the table has no record
+	rewrite         bool       // the table may have lost the record
 	writePending    bool
 	retryAt         time.Time
 	lastTicket      uint64 // ticket of the last change that the record must contain
@@ -67,15 +70,34 @@
 		return
 	}
 	own := c.ownRecord()
-	if !r.missing && own.equal(r.stored) {
+	if !r.missing && !r.rewrite && own.equal(r.stored) {
 		c.confirmTickets()
 		return
 	}
-	r.writePending = true
+	r.writePending, r.rewrite = true, false
 	c.tableCallStarted()
 	c.emit(WriteRecord{Record: own, Ticket: r.lastTicket})
 }
 
+// rewriteSpread is the time over which the hosts write their records again after the
+// platform table has lost changes.
+const rewriteSpread = time.Second
+
+// checkEra notices that the platform has lost changes, and writes the record of this host
+// again: the lost one may have held departures that were acknowledged.
+func (c *Core) checkEra(p version.Position) {
+	last := c.reader.lastHead.position
+	if last == 0 || p.Era() <= last.Era() {
+		return
+	}
+	c.recordEvent(TimelineEvent{Kind: "platform-changes-lost", Detail: fmt.Sprintf("era %d after era %d", p.Era(), last.Era())})
+	c.hostRecord.rewrite = true
+	c.hostRecord.retryAt = c.now.Add(c.jitter(rewriteSpread))
+	for _, e := range c.hosts.dead {
+		e.recordDeletionRequested = false // a deleted record may be back
+	}
+}
+
 // confirmTickets reports that the platform table contains all changes of this
 // host.
 func (c *Core) confirmTickets() {
@@ -91,6 +113,7 @@
 	r.writePending = false
 	c.tableCallDone(e.Err)
 	if e.Err != nil {
+		r.rewrite = true // whether the table has the stored record is not known any more
 		r.retryAt = c.now.Add(writeRetryDelay/2 + c.jitter(writeRetryDelay))
 		c.recordEvent(TimelineEvent{Kind: "record-not-written", Detail: e.Err.Error()})
 		return
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -9,6 +9,7 @@
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/host"
 	"github.com/peridotlb/peridotlb/internal/message"
+	"github.com/peridotlb/peridotlb/internal/version"
 )
 
 // TestServerSurvivesRestarts guards against a backend server that is lost when
@@ -171,6 +172,56 @@
 	}
 }
 
+// TestRecordIsRewrittenInNewEra guards against a departure that was stored and
+// acknowledged, and that the platform table forgets when it comes back from an older
+// copy, on hosts that read the table and on those that learn of it from others.
+func TestRecordIsRewrittenInNewEra(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		now := time.Unix(1_800_000_000, 0)
+		self := host.Row{ID: "self", Zone: "a", Region: "r", ControlAddr: netip.MustParseAddrPort("10.0.0.1:7000")}
+		c := New(Config{Self: self, Started: now})
+		var written []HostRecord
+		step := func(e Event) {
+			now = now.Add(10 * time.Millisecond)
+			for _, effect := range c.Step(now, e) {
+				if w, ok := effect.(WriteRecord); ok {
+					written = append(written, w.Record)
+					c.Step(now, WriteRecordResult{Record: w.Record, Ticket: w.Ticket})
+				}
+			}
+		}
+		wait := func(d time.Duration) {
+			for end := now.Add(d); now.Before(end); {
+				step(Tick{})
+			}
+		}
+		learn := func(era, sequence uint64) {
+			p := version.NewPosition(era, sequence)
+			if reads {
+				step(ReadHeadResult{Position: p})
+				return
+			}
+			step(MessageReceived{From: netip.MustParseAddrPort("10.0.0.2:7000"), Message: message.HeadConfirmation{Position: p}})
+		}
+		step(Tick{})
+		step(ReadRecordsResult{})
+		step(ServerAnnounced{Server: backend.Server{ID: "s", Service: "bead-stock", State: backend.Gone, Started: 1, Sequence: 5}, Ticket: 1})
+		learn(3, 500)
+		wait(2 * time.Second)
+		written = nil
+		learn(3, 510)
+		wait(2 * time.Second)
+		if len(written) > 0 {
+			t.Errorf("reads %t, same era: got %d writes, want none", reads, len(written))
+		}
+		learn(4, 480)
+		wait(2 * time.Second)
+		if len(written) != 1 || len(written[0].Servers) != 1 || written[0].Servers[0].State != backend.Gone {
+			t.Errorf("reads %t, new era: got %v written, want the record with the departure once", reads, written)
+		}
+	}
+}
+
 // TestOwnRowsAreNotRestored guards against a daemon that takes a row which it published
 // itself, before a refutation, for one of an earlier run, and withdraws a server that
 // has returned since.
--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -13,9 +13,25 @@
 type Number uint64
 
 // Position is a position in the sequence of changes at a source of versions.
-// Zero precedes all changes.
+// Zero precedes all changes. A source that has lost changes begins a new era, in which it
+// gives out the same sequence numbers again. A position of a later era is greater.
 type Position uint64
 
+// sequenceBits is the number of low bits of a position that hold the sequence number. At
+// 16,000 changes per second they last for 34 years.
+const sequenceBits = 44
+
+// NewPosition returns the position of a sequence number in an era.
+func NewPosition(era, sequence uint64) Position {
+	return Position(era<<sequenceBits | sequence&(1<<sequenceBits-1))
+}
+
+// Era returns the era of the position.
+func (p Position) Era() uint64 { return uint64(p) >> sequenceBits }
+
+// Sequence returns the sequence number of the position in its era.
+func (p Position) Sequence() uint64 { return uint64(p) & (1<<sequenceBits - 1) }
+
 // Digest is the SHA-256 digest of a section's canonical encoding.
 type Digest [32]byte
 
--- a/test/platform/store/store.go
+++ b/test/platform/store/store.go
@@ -14,6 +14,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -61,6 +62,7 @@
 	connections  map[string]bool // by the client's address; true if the connection is silent
 	calls        int
 	start        time.Time
+	era          uint64 // how often the store was restored
 	mux          *http.ServeMux
 }
 
@@ -124,6 +126,12 @@
 	}
 }
 
+func (s *Store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 func (s *Store) isSilent(r *http.Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -145,6 +153,30 @@
 	s.apply(transaction{Writes: []row{{Table: table, Key: key, Value: value}}})
 }
 
+// Copy is the content of the store at one time.
+type Copy struct {
+	version uint64
+	rows    map[rowKey]row
+}
+
+// Copy returns a copy of the content, for Restore.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.version, maps.Clone(s.rows)}
+}
+
+// Restore replaces the content by an older copy. The store forgets what was written since,
+// gives the versions out again and begins a new era. Calls that wait get no response.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.rows, s.history, s.historyStart = c.version, maps.Clone(c.rows), nil, c.version
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // DropHistory discards the history of all changes so far, so that feeds from an
 // earlier version get the status 410.
 func (s *Store) DropHistory() {
@@ -196,6 +228,7 @@
 			return
 		}
 		maps.Copy(w.Header(), response.Header())
+		w.Header().Set("Store-Era", strconv.FormatUint(s.currentEra(), 10))
 		w.WriteHeader(response.Code)
 		_, _ = w.Write(response.Body.Bytes()) // an error means that the client has disconnected
 	}
@@ -332,7 +365,7 @@
 	deadline := time.After(min(time.Duration(wait)*time.Millisecond, maxWait))
 	for {
 		s.mu.Lock()
-		p, gone, changed := page{Rows: []row{}}, after < s.historyStart, s.changed
+		p, gone, changed := page{Rows: []row{}}, after < s.historyStart || after > s.version, s.changed
 		for _, h := range s.history {
 			if h.Table == q.Get("table_name") && h.Version > after {
 				p.Rows = append(p.Rows, h)
