Refuse queued calls whose key was removed meanwhile

A call that waited for a slot ran after a version without its key had come into force, because the key was checked only at the entry, before the wait.

A call now carries the start of its key's digest and the version in which the key was valid. The entry before each attempt and the gate before sending look it up in their own version if that is newer, and refuse the call as not run with 401 if the key is gone.

--- a/internal/organisation/organisation_test.go
+++ b/internal/organisation/organisation_test.go
@@ -45,7 +45,7 @@
 		{[]string{"Bearer key-1, Bearer key-1"}, organisation.ErrUnknownKey},
 		{[]string{"Bearer key-1 key-12"}, organisation.ErrUnknownKey},
 	} {
-		o, err := d.Authenticate(c.headers)
+		o, _, err := d.Authenticate(c.headers)
 		if !errors.Is(err, c.want) || (o != nil) != (c.want == nil) {
 			t.Errorf("%q: got %v and error %v, want error %v", c.headers, o, err, c.want)
 		}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -25,6 +25,7 @@
 	body          *body
 	deadline      time.Time
 	route         document.RouteName // for statistics; "" if it is unknown or not needed
+	key           *usedKey           // nil if the call needs none
 }
 
 // newCall copies the headers and the target of a request. The body is read later.
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -53,7 +53,7 @@
 		return
 	}
 	match, f := matchRoute(table, r)
-	customer, refusal := authenticate(table, match, r)
+	customer, key, refusal := authenticate(table, match, r)
 	if refusal != nil {
 		f = refusal
 	}
@@ -68,7 +68,7 @@
 		return
 	}
 	c := e.headers.newCall(r, id, start.Add(timeout))
-	c.route = match.Route.Name
+	c.route, c.key = match.Route.Name, key
 	e.identify(c, table, customer)
 	runBy, f := e.takeToken(r.Context(), customer)
 	if f != nil {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -162,7 +162,7 @@
 		return false
 	case !x.match.Route.Idempotent() && !provedNotRun:
 		return false
-	case provedNotRun && (r.failure.reason == reasonOverQuota || r.failure.reason == reasonNoToken):
+	case provedNotRun && (r.failure.reason == reasonOverQuota || r.failure.reason == reasonNoToken || r.failure.reason == reasonKeyRemoved):
 		return false
 	case provedNotRun && r.failure.reason == reasonGateUnreachable && x.unreachable <= maxUnreachableGates:
 		return true
@@ -200,6 +200,9 @@
 		f := *r.failure
 		f.notRun = !x.mayHaveRun
 		f.noRetry = r.noRetry
+		if f.reason == reasonKeyRemoved && f.notRun {
+			f.status, f.hint = http.StatusUnauthorized, "the key was removed while the call was waiting; the call was not run"
+		}
 		if x.call.body.tooLarge.Load() {
 			// The server got a part of the body and may have acted on it.
 			f.reason, f.status, f.hint = reasonTooLarge, http.StatusRequestEntityTooLarge, "the request body exceeds the limit of the configuration"
@@ -228,7 +231,7 @@
 	case f == nil && r.reply.status >= http.StatusInternalServerError:
 		outcome = pool.Failed
 	case f == nil:
-	case f.reason == reasonCallerGone, f.reason == reasonStopping, f.reason == reasonEntryLinkFull, f.reason == reasonOverQuota, f.reason == reasonNoToken, f.reason == reasonTokenExpired, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
+	case f.reason == reasonCallerGone, f.reason == reasonStopping, f.reason == reasonEntryLinkFull, f.reason == reasonOverQuota, f.reason == reasonNoToken, f.reason == reasonTokenExpired, f.reason == reasonKeyRemoved, f.reason == reasonDeadline && f.refused, x.timedOutEarly(r):
 		outcome = pool.Abandoned
 	case f.reason == reasonGateUnreachable:
 		outcome = pool.Unreachable
@@ -269,6 +272,9 @@
 // sendAttempt sends the call to one server, through the local gate or that of
 // another host.
 func (x *exchange) sendAttempt(ctx context.Context, choice *pool.Choice, runsAgain bool) gateResult {
+	if x.call.key.removed(x.entry.config.Routes()) {
+		return gateResult{failure: keyRemovedFailure()}
+	}
 	runBy, f := x.tokenFor(ctx, runsAgain)
 	if f != nil {
 		return gateResult{failure: f}
@@ -315,6 +321,9 @@
 	if !runBy.IsZero() {
 		fields = append(fields, connection.Field{Name: HeaderRunWithin, Value: formatMilliseconds(runBy.Sub(x.now()))})
 	}
+	if x.call.key != nil {
+		fields = append(fields, connection.Field{Name: HeaderKey, Value: x.call.key.text()})
+	}
 	m := x.call.buildMessage(fields...)
 	s := send(ctx, x.entry.config.Transports.gates, choice.GateAddr, m, connection.Options{})
 	if s.err != nil {
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -72,6 +72,9 @@
 	reasonMemory = "request-memory"
 	// reasonUnauthorised means that the call needs a key and has no valid one.
 	reasonUnauthorised = "unauthorised"
+	// reasonKeyRemoved means that a version without the key of the call came into force
+	// while the call was waiting.
+	reasonKeyRemoved = "key-removed"
 	// reasonOverQuota means that the quota of the organisation is used up, and
 	// reasonNoToken that no owner of the quota has answered.
 	reasonOverQuota = "over-quota"
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -49,7 +49,7 @@
 		return
 	}
 	c := g.headers.newCall(r, id, g.config.Now().Add(time.Duration(ms)*time.Millisecond))
-	c.route = g.routeName(r)
+	c.route, c.key = g.routeName(r), parseUsedKey(r.Header.Get(HeaderKey))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.body, err = readBody(r); err != nil {
@@ -160,6 +160,9 @@
 	if !runBy.IsZero() && !start.Before(runBy) {
 		return gateResult{failure: &failure{reason: reasonTokenExpired, notRun: true, refused: true}}
 	}
+	if c.key.removed(g.config.Routes()) {
+		return gateResult{failure: keyRemovedFailure()}
+	}
 	server := permit.Server()
 	m := c.buildMessage(g.config.Dialect.serverFields(string(server.ID), remaining)...)
 	g.metrics.sentToServers.Inc()
--- a/internal/proxy/headertable.go
+++ b/internal/proxy/headertable.go
@@ -43,6 +43,7 @@
 		{HeaderQueue, "entry, for the gate", removed, removed},
 		{HeaderNoticedLimit, "entry, for the gate", removed, removed},
 		{HeaderRunWithin, "entry, for the gate", removed, removed},
+		{HeaderKey, "entry, for the gate", removed, removed},
 		{HeaderForwarded, "entry without a version, for another entry", removed, removed},
 		{HeaderReason, "gate, for the entry", removed, removed},
 		{HeaderLoad, "gate, for the entry", removed, removed},
--- a/internal/proxy/headertable_test.go
+++ b/internal/proxy/headertable_test.go
@@ -150,7 +150,7 @@
 	}
 	for _, name := range []string{
 		HeaderCallID, HeaderTimeoutMS, HeaderNotRun, HeaderOutcome, HeaderLoad, HeaderServer, HeaderQueue, HeaderNoRetry, HeaderReplayed, HeaderForwarded,
-		HeaderReason, HeaderNoticedLimit, HeaderRunWithin, HeaderServerUS, headerIdempotencyKey, "A", "B", "C", "D", "E", "F", "G", "H", "I",
+		HeaderReason, HeaderNoticedLimit, HeaderRunWithin, HeaderKey, HeaderServerUS, headerIdempotencyKey, "A", "B", "C", "D", "E", "F", "G", "H", "I",
 	} {
 		if !found[name] {
 			t.Errorf("%s: got no rule", name)
--- a/internal/proxy/organisation_test.go
+++ b/internal/proxy/organisation_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -128,6 +129,48 @@
 	}
 }
 
+// TestQueuedCallOfRemovedKey guards against a call that waits for a slot while its key is
+// removed, and runs afterwards.
+func TestQueuedCallOfRemovedKey(t *testing.T) {
+	for _, local := range []bool{false, true} {
+		for _, removed := range []bool{true, false} {
+			running, release := make(chan struct{}, 2), make(chan struct{})
+			var runs atomic.Int64
+			m := newMesh(t).withOrganisation()
+			m.local, m.service.Slots = local, 1
+			m.start(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				runs.Add(1)
+				running <- struct{}{}
+				<-release
+			}))
+			key := []string{"Authorization", "Bearer " + testKey}
+			var calls sync.WaitGroup
+			calls.Go(func() { m.do("GET", "/stock/first", "", key...) })
+			<-running
+			var got response
+			calls.Go(func() { got = m.do("GET", "/stock/second", "", key...) })
+			for m.set.GetOrCreateGauge(`peridotlb_in_flight{side="entry"}`, nil).Get() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(50 * time.Millisecond) // until it is in the queue of the gate
+			want, wantRuns := http.StatusOK, int64(2)
+			if removed {
+				m.organisations[0].KeyDigests = nil
+				want, wantRuns = http.StatusUnauthorized, 1
+			}
+			m.setVersion(2)
+			close(release)
+			calls.Wait()
+			if got.StatusCode != want || runs.Load() != wantRuns {
+				t.Errorf("local %t, key removed %t: got %d after %d runs, want %d after %d", local, removed, got.StatusCode, runs.Load(), want, wantRuns)
+			}
+			if removed && got.Header.Get(HeaderNotRun) != "true" {
+				t.Errorf("local %t: got %v, want the not-run header", local, got.Header)
+			}
+		}
+	}
+}
+
 // TestUnreadableEntryRefusesCalls guards against a call whose route or key may be an entry
 // of the version that can't be read, and that runs by another route, gets 404, or is told
 // that its key is not valid.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -57,6 +57,9 @@
 	// HeaderRunWithin is the time in milliseconds within which a call must begin to run,
 	// because its token of the quota of its organisation expires then.
 	HeaderRunWithin = "Peridotlb-Run-Within-Ms"
+	// HeaderKey identifies the key of a call without revealing it, with the version in
+	// which it was valid: <version>,<start of the digest in hexadecimal>.
+	HeaderKey = "Peridotlb-Key"
 	// HeaderServerUS is the time that the backend server took, in microseconds.
 	HeaderServerUS = "Peridotlb-Server-Us"
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -25,6 +25,7 @@
 	"github.com/peridotlb/peridotlb/internal/platform"
 	"github.com/peridotlb/peridotlb/internal/pool"
 	"github.com/peridotlb/peridotlb/internal/route"
+	"github.com/peridotlb/peridotlb/internal/version"
 )
 
 // mesh is an entry on host "entry" and one host with a gate per backend server.
@@ -34,6 +35,7 @@
 	routes        []document.Route
 	organisations []document.Organisation
 	keysRequired  bool
+	table         atomic.Pointer[route.Table]
 	unreadable    []string
 	claims        Claims
 	quotas        Quotas
@@ -101,13 +103,18 @@
 	return netip.MustParseAddrPort(s.Listener.Addr().String())
 }
 
+// setVersion puts the current routes and organisations in force as a version.
+func (m *mesh) setVersion(n version.Number) {
+	m.table.Store(route.FromDocument(n, document.Document{Sections: []document.Section{{Name: "s", Services: m.services(), Routes: m.routes, Organisations: m.organisations, KeysRequired: m.keysRequired, Unreadable: m.unreadable}}}))
+}
+
 // startRows builds the mesh. gates overrides the gate addresses of individual
 // servers.
 func (m *mesh) startRows(rows []backend.Server, gates map[backend.ServerID]netip.AddrPort) *mesh {
 	services := m.services()
-	table := route.FromDocument(1, document.Document{Sections: []document.Section{{Name: "s", Services: services, Routes: m.routes, Organisations: m.organisations, KeysRequired: m.keysRequired, Unreadable: m.unreadable}}})
+	m.setVersion(1)
 	m.pool = pool.New(pool.Config{Self: "entry", Zone: "a", Region: "r", Now: m.now})
-	base := Config{Transports: m.transports, Routes: func() *route.Table { return table }, Claims: m.claims, Quotas: m.quotas, Events: m.recordEvent, Now: m.now, Dialect: m.dialect, Log: m.log}
+	base := Config{Transports: m.transports, Routes: m.table.Load, Claims: m.claims, Quotas: m.quotas, Events: m.recordEvent, Now: m.now, Dialect: m.dialect, Log: m.log}
 	hosts := []host.Row{{ID: "entry", Zone: "a", Region: "r"}}
 	for i, row := range rows {
 		if m.local {
