Remove the data races of the limited server in the gate's tests

TestLimitHolds and TestRestartedGateKeepsLimit appended to a slice from many goroutines and replaced the gate that they use, so that go test -race failed and a call could be lost from the count. The server's fields now have a lock, and each gate is passed to the goroutines that use it. The bounds are unchanged. go test -race ./internal/gate passes; before, both tests failed.

--- a/internal/gate/limit_test.go
+++ b/internal/gate/limit_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,22 +21,57 @@
 
 // limitedServer is a gate whose server names limits in its responses.
 type limitedServer struct {
-	gate   *Gate
+	gate *Gate
+
+	mu     sync.Mutex
 	limit  float64 // negative if the server names none
 	served []time.Time
 }
 
+// begin sets the limit and forgets the calls so far.
+func (s *limitedServer) begin(limit float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit, s.served = limit, nil
+}
+
+// serve records a call.
+func (s *limitedServer) serve() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served = append(s.served, time.Now())
+}
+
+// notice returns what the server states of itself.
+func (s *limitedServer) notice() Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Notice{Limited: s.limit >= 0, Limit: max(s.limit, 0)}
+}
+
+// calls returns the times of the calls since begin.
+func (s *limitedServer) calls() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.served)
+}
+
 // call sends one call, whose response names the present limit when it ends.
 func (s *limitedServer) call(c Call, runTime, timeout time.Duration) error {
+	return s.callThrough(s.gate, c, runTime, timeout)
+}
+
+// callThrough does the same with another gate.
+func (s *limitedServer) callThrough(g *Gate, c Call, runTime, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	p, err := s.gate.Admit(ctx, "s", c)
+	p, err := g.Admit(ctx, "s", c)
 	if err != nil {
 		return err
 	}
-	s.served = append(s.served, time.Now())
+	s.serve()
 	time.Sleep(runTime)
-	p.Observe(Notice{Limited: s.limit >= 0, Limit: max(s.limit, 0)})
+	p.Observe(s.notice())
 	p.Release()
 	return nil
 }
@@ -50,7 +87,7 @@
 			s := &limitedServer{gate: newGate(9, nil), limit: -1}
 			const callsPerSecond = 60
 			for _, period := range periods {
-				s.limit, s.served = period.limit, nil
+				s.begin(period.limit)
 				start := time.Now()
 				for time.Since(start) < period.duration {
 					c := Call{Priority: uint8(random.IntN(3)), Target: time.Now().Add(600 * time.Millisecond), MaxWait: time.Duration(random.IntN(1000)) * time.Millisecond, ExpectedRunTime: 100 * time.Millisecond}
@@ -61,7 +98,7 @@
 					time.Sleep(time.Duration(random.ExpFloat64() / callsPerSecond * float64(time.Second)))
 				}
 				if period.limit < 0 {
-					if got, want := len(s.served), 100; got < want {
+					if got, want := len(s.calls()), 100; got < want {
 						t.Errorf("seed %d, no limit: got %d calls in %v, want at least %d", seed, got, period.duration, want)
 					}
 					continue
@@ -81,13 +118,14 @@
 	t.Helper()
 	const window = 4 * time.Second
 	total := 0
-	for i, first := range s.served {
+	served := s.calls()
+	for i, first := range served {
 		if first.Before(from) {
 			continue
 		}
 		total++
 		n := 0
-		for _, at := range s.served[i:] {
+		for _, at := range served[i:] {
 			if at.Sub(first) < window {
 				n++
 			}
@@ -136,7 +174,7 @@
 			t.Fatal(err)
 		}
 		refused := 0
-		s.limit = -1
+		s.begin(-1)
 		for start := time.Now(); s.call(Call{}, 0, time.Second) != nil; refused++ {
 			if time.Since(start) > 10*time.Second {
 				t.Fatal("got no call to the server within 10 s")
@@ -179,12 +217,12 @@
 			s := &limitedServer{limit: limit}
 			c := Call{Notice: Notice{Limited: true, Limit: limit}}
 			for range 3 {
-				s.gate = newGate(18, nil)
+				g := newGate(18, nil)
 				for start := time.Now(); time.Since(start) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
-					go s.call(c, 200*time.Millisecond, time.Second)
+					go s.callThrough(g, c, 200*time.Millisecond, time.Second)
 				}
 			}
-			if got, want := float64(len(s.served)), limit*12+limit*limitBurst.Seconds()+3; got > want {
+			if got, want := float64(len(s.calls())), limit*12+limit*limitBurst.Seconds()+3; got > want {
 				t.Errorf("limit %v: got %v calls in 12 s, want at most %v", limit, got, want)
 			}
 			time.Sleep(time.Second)
