Count the idle time of a connection from its last response

An idle connection of a caller was closed idle_timeout_s after its last request had been read. After a long call the client was left with less than the announced time, and a request that it sent on the connection met the close. The reader sets its deadline when it begins to wait; the end of the last response now sets it anew, unless the next request has begun.

TestIdleTimeCountsFromResponse failed before (unexpected EOF 0.5 s after the response to a call of 0.8 s, with an idle timeout of 1 s).

--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -48,6 +48,7 @@
 	lastResponse *response  // the next response is written after this one
 	cond         *sync.Cond // signalled when inFlight falls and after the last response
 	closing      bool       // no further requests are read
+	awaiting     bool       // the reader waits for the first byte of the next request
 	// closeOnceIdle is set while the connection is to be closed after the responses in
 	// flight and none of them has announced that.
 	closeOnceIdle bool
@@ -132,9 +133,13 @@
 	}
 	for {
 		c.mu.Lock()
+		c.awaiting = true
 		c.setReadTimeout(c.nextRequestTimeout())
 		c.mu.Unlock()
 		_, err := c.reader.Peek(1)
+		c.mu.Lock()
+		c.awaiting = false
+		c.mu.Unlock()
 		if err == nil {
 			return !c.isClosing()
 		}
@@ -289,9 +294,14 @@
 	defer c.mu.Unlock()
 	c.inFlight--
 	c.cond.Signal()
-	if c.inFlight == 0 && c.closeOnceIdle {
+	switch {
+	case c.inFlight > 0:
+	case c.closeOnceIdle:
 		// The reader may be waiting for another request.
 		c.setReadTimeout(0)
+	case c.awaiting && !c.closing:
+		// The connection is idle from now on, and not since its last request was read.
+		c.setReadTimeout(c.nextRequestTimeout())
 	}
 }
 
--- a/internal/connection/server_test.go
+++ b/internal/connection/server_test.go
@@ -394,3 +394,27 @@
 		t.Errorf("got log %s, want lines without the key", got)
 	}
 }
+
+// TestIdleTimeCountsFromResponse guards against a connection that is closed while its
+// client may still use it: the idle timeout began when the last request was read, and a
+// long call took most of it.
+func TestIdleTimeCountsFromResponse(t *testing.T) {
+	limits := connection.DefaultLimits()
+	limits.IdleTimeout = time.Second
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			time.Sleep(800 * time.Millisecond)
+		}
+		fmt.Fprint(w, r.URL.Path)
+	}, limits)
+	c := newRawClient(t, addr)
+	for i, path := range []string{"/long", "/next", "/long", "/last"} {
+		if i > 0 {
+			time.Sleep(500 * time.Millisecond) // less than the idle timeout
+		}
+		c.send(getRequest(path))
+		if _, got := c.receive(); got != path {
+			t.Fatalf("request %d: got %q, want %q", i, got, path)
+		}
+	}
+}
