Do not route an encoded slash as a separator

Routes were matched on the decoded path, while the server gets the path as it was received. /stock/inner%2Fx reached the route of /stock/inner/, although it is one segment below /stock for the server, so that two spellings of a path reached different routes. An encoded slash or backslash now stays encoded for the match. Dot segments are still refused in any spelling of one encoding; twice encoded characters are passed on as they are.

TestSpellingsOfAPath failed before for /stock%2finner/x and /stock/inner%2Fx.

--- a/internal/proxy/bandwidth.go
+++ b/internal/proxy/bandwidth.go
@@ -29,7 +29,7 @@
 	if table == nil || g.config.Bandwidth == nil && !g.config.LearnedCapacity {
 		return ""
 	}
-	route := table.Route(r.Method, r.Host, r.URL.Path)
+	route := table.Route(r.Method, r.Host, routePath(r.URL))
 	if route == nil {
 		return ""
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"maps"
 	"net/http"
+	"net/url"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -50,6 +52,22 @@
 	return r.URL.RequestURI()
 }
 
+// routePath returns the path by which a call is routed. An encoded slash stays encoded: it is
+// a part of a segment for the server, which gets the path as it was received, and must not
+// lead to a route of a longer prefix.
+func routePath(u *url.URL) string {
+	if u.RawPath == "" {
+		return u.Path
+	}
+	text := encodedSlash.ReplaceAllString(u.RawPath, "%25$1")
+	if path, err := url.PathUnescape(text); err == nil {
+		return path
+	}
+	return u.Path
+}
+
+var encodedSlash = regexp.MustCompile(`%(2[fF]|5[cC])`)
+
 // buildMessage returns the request for one attempt, with additional header fields.
 func (c *call) buildMessage(fields ...connection.Field) *connection.Message {
 	m := &connection.Message{Method: c.method, Target: c.requestTarget, Authority: c.host, Header: c.header, Fields: fields}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -99,7 +99,7 @@
 	if hasDotSegment(r.URL.Path) {
 		return route.Match{}, &failure{reason: "bad-path", status: http.StatusBadRequest, notRun: true, hint: "the path must not contain . or .. segments"}
 	}
-	m, ok := table.Match(r.Method, r.Host, r.URL.Path)
+	m, ok := table.Match(r.Method, r.Host, routePath(r.URL))
 	if ok && m.Route.Unreadable != "" || !ok && !table.Complete() {
 		return m, unreadableEntryFailure()
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -297,3 +298,27 @@
 	m.now = func() time.Time { return now }
 	return now
 }
+
+// TestSpellingsOfAPath guards against two spellings of one path that reach different routes,
+// and against a route that the server would not see in the path that it gets.
+func TestSpellingsOfAPath(t *testing.T) {
+	m := newMesh(t)
+	m.routes = append(m.routes, document.Route{Name: "inner", PathPrefix: "/stock/inner/", LiteralPrefix: true, Service: "stock", Timeout: 5 * time.Second, Paid: true})
+	m.start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.RequestURI) }))
+	// Calls of the inner route without an idempotency key get 400.
+	for path, want := range map[string]int{
+		"/stock/inner/x": 400, "/stock/%69nner/x": 400, "/stock/inner%2Fx": 200, "/stock%2finner/x": 404, "/stock/inner%5Cx": 200,
+		"/stock/%2e%2e/inner/x": 400, "/stock/..%2finner/x": 400, "/stock/%252e%252e/x": 200, "/stock/inner%252Fx": 200, "/stock/a%20b": 200,
+	} {
+		conn, err := net.Dial("tcp", m.entry.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", path)
+		text, _ := io.ReadAll(conn)
+		_ = conn.Close()
+		if got := string(text); !strings.HasPrefix(got, fmt.Sprint("HTTP/1.1 ", want)) || want == 200 && !strings.HasSuffix(got, path) {
+			t.Errorf("%s: got %q, want %d, with the path unchanged at the server", path, got, want)
+		}
+	}
+}
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -26,7 +26,7 @@
 	if table == nil || err != nil {
 		return ""
 	}
-	m, ok := table.Match(c.method, c.host, u.Path)
+	m, ok := table.Match(c.method, c.host, routePath(u))
 	if !ok {
 		return ""
 	}
