Let gates accept the largest header of the configuration

A header between 64 KiB and a larger max_header_bytes got 502 if the chosen server was on another host, because the gate's listener kept the default limit and closed the connection. It now takes the limit of callers, plus 4 KiB for the headers that the entry adds.

TestLargeHeaderReachesOtherHosts failed before with 502 for 100 and 127 KiB.

--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -67,7 +67,7 @@
 	}
 	d.servers = []*server{
 		{name: "call-address", calls: proxy.NewEntryServer(proxy.ServerConfig{Handler: proxy.NewEntry(calls), Limits: d.callerLimits, HeaderFirst: d.routing.hasOrganisations, Log: d.log.Named("call"), Memory: d.memory})},
-		{name: "gate-address", calls: proxy.NewGateServer(proxy.ServerConfig{Handler: proxy.NewGate(calls), Log: d.log.Named("gate"), Memory: d.memory}, gateTLS)},
+		{name: "gate-address", calls: proxy.NewGateServer(proxy.ServerConfig{Handler: proxy.NewGate(calls), Limits: d.callerLimits, Log: d.log.Named("gate"), Memory: d.memory}, gateTLS)},
 		{name: "announce-address", control: newControlServer(d.announcementHandler())},
 		{name: "operator-address", control: operatorServer},
 		{name: "metrics-address", control: newControlServer(d.metricsHandler(set))},
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/claim"
+	"github.com/peridotlb/peridotlb/internal/connection"
 	"github.com/peridotlb/peridotlb/internal/document"
 	"github.com/peridotlb/peridotlb/internal/gate"
 	"github.com/peridotlb/peridotlb/internal/host"
@@ -322,3 +323,23 @@
 		}
 	}
 }
+
+// TestLargeHeaderReachesOtherHosts guards against a header within the limit of the
+// configuration that the gate of another host refuses.
+func TestLargeHeaderReachesOtherHosts(t *testing.T) {
+	limits := func() connection.Limits {
+		l := connection.DefaultLimits()
+		l.HeaderBytes = 128 << 10
+		return l
+	}
+	m := newMesh(t)
+	m.serveGate = func(h http.Handler) netip.AddrPort {
+		return serveConnections(t, NewGateServer(ServerConfig{Handler: h, Limits: limits}, nil))
+	}
+	m.start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, len(r.Header.Get("X-Large"))) }))
+	for _, size := range []int{1 << 10, 100 << 10, 127 << 10} {
+		if got := m.do("GET", "/stock", "", "X-Large", strings.Repeat("x", size)); got.StatusCode != http.StatusOK || got.body != fmt.Sprint(size) {
+			t.Errorf("header of %d bytes: got %d %s, want 200", size, got.StatusCode, got.body)
+		}
+	}
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -13,7 +13,9 @@
 // ServerConfig configures a listener of the call path.
 type ServerConfig struct {
 	Handler http.Handler
-	Limits  func() connection.Limits // of NewEntryServer; nil uses the defaults. NewGateServer ignores it.
+	// Limits of callers; nil uses the defaults. NewGateServer only takes the size of
+	// headers, and permits what daemons add.
+	Limits func() connection.Limits
 	// HeaderFirst reports whether calls can be refused by their header, so that their
 	// bodies should not be read first. NewGateServer ignores it.
 	HeaderFirst func() bool
@@ -26,6 +28,9 @@
 	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: c.Limits, HeaderFirst: c.HeaderFirst, Log: c.Log, Memory: c.Memory, Refuse: refuseForMemory})
 }
 
+// addedHeaderBytes bounds what an entry adds to the header of a call for the gate.
+const addedHeaderBytes = 4 << 10
+
 // NewGateServer returns a server for calls from other daemons. The TLS
 // configuration must require and verify client certificates; nil disables TLS.
 func NewGateServer(c ServerConfig, t *tls.Config) *connection.Server {
@@ -36,6 +41,10 @@
 	limits := func() connection.Limits {
 		l := connection.DefaultLimits()
 		l.IdleTimeout = 2 * gateIdleTimeout
+		if c.Limits != nil {
+			l.HeaderBytes = max(l.HeaderBytes, c.Limits().HeaderBytes)
+		}
+		l.HeaderBytes += addedHeaderBytes
 		return l
 	}
 	return connection.NewServer(connection.ServerConfig{Handler: c.Handler, Limits: limits, TLS: t, Log: c.Log, Memory: c.Memory, Peers: true, Refuse: refuseGateCallForMemory})
