Do not pass on a refusal without proof for calls that may run once

A server's own 408, 421, 429 or 503 without X-Not-Executed was passed on for an unsafe call. Callers of the platform take these statuses for the promise that the call was not run and send it again, although only the header states that. Such a response is now replaced by 502 with an unknown outcome, without the server's seal. Other statuses, calls that may run again and the product's own headers, where the not-run header is the promise, are as before.

TestRefusalWithoutProofIsNoPromise failed before for 408, 429 and 503.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -112,6 +112,11 @@
 	x.attemptLogs = append(x.attemptLogs, newAttemptLog(r, r.start.Sub(x.start)))
 	x.observeNotice(r)
 	x.recordAttempt(r)
+	if r.failure == nil && x.promisesWithoutProof(r.reply.status) {
+		r.reply.close()
+		r.reply, r.failure = nil, &failure{reason: reasonUnprovedRefusal}
+		return x.endIfNoneRunning(r)
+	}
 	if r.failure == nil && (!r.reply.hasRetryableStatus() || !x.match.Route.Idempotent()) {
 		return r, true
 	}
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -25,6 +25,9 @@
 	Leaving    string // "1" in the responses of a server that is about to end
 	// Organisation names the organisation of a call to servers. Only the entry sets it.
 	Organisation string
+	// StatusPromises is set if callers take the statuses 408, 421, 429 and 503 alone for a
+	// promise that the call was not run and never will be.
+	StatusPromises bool
 	// CloseDelimited accepts responses of backend servers that have no length and
 	// end when the server closes the connection. Truncated responses must then end
 	// with a reset. Otherwise such responses are rejected, because truncation could
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -146,6 +146,21 @@
 	c.AlreadyCounted, c.WaitForSlot = true, true
 }
 
+// promisesWithoutProof reports whether the caller would take a response of the server for
+// a promise that the call was not run, although the server did not say so. It may have run
+// the call, and the caller would send one that may run once again.
+func (x *exchange) promisesWithoutProof(status int) bool {
+	if !x.entry.config.Dialect.StatusPromises || x.match.Route.Idempotent() {
+		return false
+	}
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // takeRetry takes a retry from the budget and reports whether the call may be
 // retried. A call with a latency target that was refused by a full gate needs no
 // budget. takeRetry sets r.noRetry if retries are exhausted, so that callers up the
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -54,6 +54,9 @@
 	// the call.
 	reasonServerRefused = "server-refused"
 	reasonQueueTimeout  = "queue-timeout"
+	// reasonUnprovedRefusal means that the server answered a call that may run once with a
+	// status that promises that it was not run, but did not state that.
+	reasonUnprovedRefusal = "refusal-without-proof"
 	// reasonLinkFull means that the link of the gate has no room for the response in
 	// time, and reasonEntryLinkFull that the link of the entry has none.
 	reasonLinkFull          = "link-full"
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -425,6 +425,39 @@
 	}
 }
 
+// TestRefusalWithoutProofIsNoPromise guards against a caller that takes the status of a server
+// for the promise that an unsafe call was not run, and sends it again, although the server
+// ran it.
+func TestRefusalWithoutProofIsNoPromise(t *testing.T) {
+	for _, status := range []int{408, 429, 503, 500, 404} {
+		for _, c := range []struct{ promises, atMostOnce, proved bool }{{true, true, false}, {true, false, false}, {false, true, false}, {true, true, true}} {
+			m := newMesh(t)
+			m.dialect = Dialect{CallID: "Attempt", NotRun: "Not-Executed", StatusPromises: c.promises}
+			m.transports = NewTransports(TransportConfig{Dialect: m.dialect})
+			m.routes[0].AtMostOnce, m.routes[0].Retries = c.atMostOnce, 0
+			m.start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Attempt", r.Header.Get("Attempt"))
+				w.Header().Set("X-Seal", "s")
+				if c.proved {
+					w.Header().Set("Not-Executed", "1")
+				}
+				w.WriteHeader(status)
+			}))
+			want := status
+			switch {
+			case c.proved:
+				want = http.StatusServiceUnavailable
+			case c.promises && c.atMostOnce && status != 500 && status != 404:
+				want = http.StatusBadGateway
+			}
+			got := m.do("GET", "/stock", "", "Attempt", "call-1")
+			if got.StatusCode != want || (got.Header.Get("X-Seal") != "") != (want == status && !c.proved) {
+				t.Errorf("%+v, status %d: got %d with header %v, want %d", c, status, got.StatusCode, got.Header, want)
+			}
+		}
+	}
+}
+
 // TestStrayResponseIsNotTakenForTheNext guards against a server that sends a second
 // response without an id after a proper one, late, when the next call is running: that
 // call would run at a second server too, or its caller would get the status of the stray
