Add a soak: seeded faults that come in series and overlap

make soak runs a fleet of real processes under calls that keep their connections while daemons and backend servers are killed, stopped as planned and frozen, the platform is down, slow or loses responses, zones and regions are cut off, and versions change. A seed determines all faults. It checks while it runs and at its end that no paid action runs twice, that what was acknowledged ran, that what was refused did not, that no daemon ends by itself or outlasts its stop, that no host applies an older version, and that every host serves within 15 s of the last fault.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,12 @@
 BIN     := bin
 GOFILES := $(shell git ls-files -co --exclude-standard '*.go' | grep -v 'internal/operator/api/')
 JSON    ?=
+SEED    ?= 1
+SEEDS   ?= 1
+DURATION ?= 40s
 SHORT   ?=
 
-.PHONY: build test lint vet format generate demo bench fuzz
+.PHONY: build test lint vet format generate demo bench soak fuzz
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./test/...
@@ -35,6 +38,9 @@
 bench: build
 	$(BIN)/bench
 
+soak: build
+	$(BIN)/soak --seed=$(SEED) --seeds=$(SEEDS) --duration=$(DURATION)
+
 fuzz:
 	$(GO) test ./internal/document -run '^$$' -fuzz FuzzParse -fuzztime 5s
 	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime 5s
