--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -48,6 +48,10 @@
 	mesh  *mesh.Mesh
 	start time.Time
 
+	// processes is held for each host while a fault affects a process of it. A planned
+	// stop can take longer than its fault, and the next fault then waits.
+	processes []sync.Mutex
+
 	submitting sync.Mutex // held during a submission
 	submitted  int        // submissions so far
 	version    uint64     // newest accepted version
@@ -60,7 +64,7 @@
 
 // run runs a soak and returns the promises that were broken.
 func run(ctx context.Context, c config) ([]string, error) {
-	s := &soak{config: c, stopped: make(map[int]bool), reported: make(map[string]bool)}
+	s := &soak{config: c, processes: make([]sync.Mutex, c.hosts), stopped: make(map[int]bool), reported: make(map[string]bool)}
 	d := mesh.Kujaza
 	d.ServersPerService = []int{c.hosts / 3, c.hosts / 3, c.hosts - 2*(c.hosts/3)}
 	var err error
@@ -135,6 +139,10 @@
 
 // playEvent applies a fault and ends it.
 func (s *soak) playEvent(ctx context.Context, e event) {
+	if f, ok := e.fault.(processFault); ok {
+		s.processes[f.host].Lock()
+		defer s.processes[f.host].Unlock()
+	}
 	s.print("%s for %v", e.fault.describe(), e.duration.Round(time.Millisecond))
 	if err := s.apply(ctx, e.fault); err != nil {
 		s.violate("%s: %v", e.fault.describe(), err)
