--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -89,6 +89,9 @@
 	s.play(ctx)
 	s.checkRecovery(ctx)
 	result := calls.Stop()
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("run seed %d: %w", c.seed, err)
+	}
 	s.print("%d calls, %d failed, %d attempts refused, %d outcomes unknown, %d versions", result.Calls, result.Failed, result.Refused, result.Unknown, s.submitted)
 	if err := s.checkAll(result); err != nil {
 		return nil, err
