Do not take a part of a response for whole after a reset during an upload

Cause: one goroutine writes the upload while another reads the response. The system reports a reset once per connection. If the write gets it, the read gets the end of the stream, as after a sound close, and a body without a length ends there.

Change: such a body is whole only if no write on the connection has failed when its end is read. The reader interrupts a write in progress first, so that the result doesn't depend on which goroutine learns of the reset. A failed write also no longer closes the connection: a whole response with a length that was received before the reset could be lost.

TestWholeResponseBeforeResetIsRead failed before.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -141,6 +141,11 @@
 // the connection.
 var ErrResponseMismatch = errors.New("the response belongs to another request")
 
+// errCutWhileWriting is the error of a response without a length whose connection failed
+// while the request was being written: the end of the stream doesn't show that its body is
+// whole.
+var errCutWhileWriting = errors.New("the connection failed before the end of the response")
+
 // Options change how a request is sent.
 type Options struct {
 	// MaxIdleTime is the longest time for which a reused connection may have been
@@ -280,8 +285,9 @@
 	message   *Message
 	reused    bool
 	written   bool
-	stopWatch func() bool // stops watching the context
-	writeDone chan error  // result of the writing goroutine; nil if everything was written
+	stopWatch func() bool    // stops watching the context
+	writer    *requestWriter // nil if the request was written before the response is read
+	writeDone chan error     // result of the writing goroutine; nil if everything was written
 }
 
 func (x *roundTrip) run() (*http.Response, error) {
@@ -294,12 +300,13 @@
 	} else {
 		// The peer may respond before it has read the body.
 		x.written = true
+		x.writer = &requestWriter{raw: x.conn.raw}
 		x.writeDone = make(chan error, 1)
 		go func() {
 			err := x.writeRequest(head)
-			if err != nil {
-				// The peer would wait for the rest of the body, and its response
-				// would be invalid.
+			if err != nil && x.writer.failure() == nil {
+				// The body of the caller broke off. The peer would wait for the rest
+				// of it, and its response would be invalid.
 				_ = x.conn.raw.Close()
 			}
 			x.writeDone <- err
@@ -325,13 +332,13 @@
 
 func (x *roundTrip) writeRequest(head []byte) error {
 	m := x.message
-	if _, err := x.conn.raw.Write(head); err != nil {
+	if _, err := x.writer.Write(head); err != nil {
 		return err
 	}
-	var out io.Writer = x.conn.raw
+	var out io.Writer = x.writer
 	var chunks *chunkWriter
 	if m.Length < 0 {
-		chunks = &chunkWriter{to: x.conn.raw}
+		chunks = &chunkWriter{to: x.writer}
 		out = chunks
 	}
 	if len(m.Body) > 0 {
@@ -369,10 +376,13 @@
 		identified = identified && x.client.config.Identifies(r)
 		if x.client.config.Matches(x.message, r, x.reused) {
 			x.conn.setReuseDeadline(x.client.config.IdleTimeout, r)
-			r.Body = &responseBody{roundTrip: x, ReadCloser: r.Body, closeAfter: r.Close || !identified, sawEOF: r.Body == http.NoBody}
+			r.Body = &responseBody{
+				roundTrip: x, ReadCloser: r.Body, sawEOF: r.Body == http.NoBody,
+				closeAfter: r.Close || !identified, closeDelimited: isCloseDelimited(r),
+			}
 			return r, nil
 		}
-		if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+		if isCloseDelimited(r) {
 			return nil, ErrResponseMismatch
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBody+1))
@@ -386,6 +396,11 @@
 	return nil, ErrResponseMismatch
 }
 
+// isCloseDelimited reports whether the body of a response ends with its connection.
+func isCloseDelimited(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 func (x *roundTrip) readResponse(request *http.Request) (*http.Response, error) {
 	if _, err := x.conn.reader.Peek(1); err != nil {
 		if errors.Is(err, io.EOF) {
@@ -429,10 +444,11 @@
 // end.
 type responseBody struct {
 	io.ReadCloser
-	roundTrip  *roundTrip
-	closeAfter bool // the connection ends with the response or must not be reused
-	sawEOF     bool
-	closed     bool
+	roundTrip      *roundTrip
+	closeAfter     bool // the connection ends with the response or must not be reused
+	closeDelimited bool // the body ends with the connection
+	sawEOF         bool
+	closed         bool
 }
 
 // Reused reports whether a response of Client.Send came on a connection that had
@@ -445,7 +461,15 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.sawEOF = b.sawEOF || errors.Is(err, io.EOF)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if w := b.roundTrip.writer; b.closeDelimited && w != nil {
+		if cause := w.end(); cause != nil {
+			return n, fmt.Errorf("%w: %w", errCutWhileWriting, cause)
+		}
+	}
+	b.sawEOF = true
 	return n, err
 }
 
