Reset connections whose response without a length is broken off

A response to a client of HTTP/1.0 that has no length ends with its connection. When the handler broke it off, because its server did, the connection was closed soundly, and the client took the part for the whole. Found while looking for the cause of the fault with uploads on related paths.

The connection now lingers for no time while such a response is written, so that any close before its end resets it, also when the process is killed. The default is restored at its end.

TestAbortedCloseDelimitedResponse failed before: 65,575 bytes without an error.

--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -326,6 +326,18 @@
 	return last
 }
 
+// lingerInBackground is the default of a connection: Close returns at once, and the system
+// sends what was written.
+const lingerInBackground = -1
+
+// setLinger sets what Close does with bytes that were not sent yet; 0 discards them and
+// resets the connection.
+func (c *conn) setLinger(seconds int) {
+	if raw, ok := c.raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = raw.SetLinger(seconds)
+	}
+}
+
 // closeWrite tells the client that no more responses follow, and starts
 // lingerTimeout, within which the client should close the connection. It wakes
 // serve, which reads no further request.
--- a/internal/connection/response.go
+++ b/internal/connection/response.go
@@ -24,14 +24,16 @@
 	status int // 0 until WriteHeader
 	body   bytes.Buffer
 
-	isHead      bool // the method of the request is HEAD
-	http10      bool // the client speaks HTTP/1.0
-	closeAfter  bool // the connection ends with this response
-	streaming   bool // the header has been written
-	chunked     bool
-	aborted     bool
-	charged     int           // bytes that the request and its response hold in the account
-	requestBody *streamedBody // streamed body of the request; nil if there is none or it was read before the handler ran
+	isHead     bool // the method of the request is HEAD
+	http10     bool // the client speaks HTTP/1.0
+	closeAfter bool // the connection ends with this response
+	streaming  bool // the header has been written
+	chunked    bool
+	// closeDelimited is set while streaming if the body ends with the connection.
+	closeDelimited bool
+	aborted        bool
+	charged        int           // bytes that the request and its response hold in the account
+	requestBody    *streamedBody // streamed body of the request; nil if there is none or it was read before the handler ran
 
 	previous <-chan struct{} // closed when the previous response was written or aborted
 	done     chan struct{}   // closed when this response was written or aborted
@@ -104,6 +106,12 @@
 	if _, known := w.header["Content-Length"]; !known {
 		w.chunked = !w.http10
 		w.closeAfter = w.closeAfter || w.http10
+		w.closeDelimited = w.http10
+	}
+	if w.closeDelimited {
+		// Whatever ends the connection before the response is whole resets it, the end of
+		// the process included. Otherwise the client would take the part for the whole.
+		w.conn.setLinger(0)
 	}
 	head := w.encodeHeader()
 	if err := w.write(head); err != nil {
@@ -209,6 +217,9 @@
 		w.conn.abort()
 		return
 	}
+	if w.closeDelimited {
+		w.conn.setLinger(lingerInBackground)
+	}
 	if w.closeAfter {
 		w.conn.closeWrite()
 	}
--- a/internal/connection/server_test.go
+++ b/internal/connection/server_test.go
@@ -418,3 +418,26 @@
 		}
 	}
 }
+
+// Guards against ending a response like a whole one when its handler aborts it and its
+// end is the end of the connection, as for clients of HTTP/1.0.
+func TestAbortedCloseDelimitedResponse(t *testing.T) {
+	for _, aborted := range []bool{false, true} {
+		_, addr := start(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("x", connection.BufferLimit+1))
+			if aborted {
+				panic(http.ErrAbortHandler)
+			}
+		}, connection.DefaultLimits())
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(30 * time.Second)) // limits a test that hangs
+		fmt.Fprint(c, "GET / HTTP/1.0\r\n\r\n")
+		if data, err := io.ReadAll(c); (err != nil) != aborted {
+			t.Errorf("aborted %t: got %d bytes, error %v, want an error %t", aborted, len(data), err, aborted)
+		}
+		_ = c.Close()
+	}
+}
