Refuse responses whose header is not in the grammar of HTTP/1.1

With "Transfer-Encoding : chunked" the body had the sizes of the chunks, with "Content-Length : 4" the bytes behind the body, and the body of a response with status 000 was read as the answer if it looked like one.

Cause: responses were checked only by the parser of the standard library, which keeps a name with a blank as an unknown field and takes any three characters that convert to a number for a status. The client skipped each status below 200 as an interim response. A health endpoint with status 000 counted as healthy.

Change: internal/header checks the header of each response of a server or gate before it is parsed, interim ones included, and the names of trailers. The client receives the whole header first, with the code that the server side already had, in place of a limited reader. A malformed response ends as 502 bad-response with an unknown outcome.

--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,4 @@
 	$(GO) test ./internal/document -run '^$$' -fuzz FuzzParse -fuzztime 5s
 	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime 5s
 	$(GO) test ./internal/message -run '^$$' -fuzz FuzzDecode -fuzztime 5s
+	$(GO) test ./internal/header -run '^$$' -fuzz FuzzCheckResponse -fuzztime 5s
--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -20,6 +20,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/header"
 	"github.com/peridotlb/peridotlb/internal/host"
 )
 
@@ -281,7 +282,7 @@
 }
 
 // healthy probes a URL. Every response with a status below 500 counts as healthy,
-// including a redirect, which is not followed.
+// including a redirect, which is not followed. Bytes that are no response don't.
 func (a *API) healthy(ctx context.Context, url string) bool {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -292,7 +293,7 @@
 		return false
 	}
 	defer response.Body.Close()
-	return response.StatusCode < http.StatusInternalServerError
+	return header.CheckParsed(response) == nil && response.StatusCode < http.StatusInternalServerError
 }
 
 func (a *API) handleList(w http.ResponseWriter, _ *http.Request) {
--- a/internal/announcement/announcement_test.go
+++ b/internal/announcement/announcement_test.go
@@ -1,7 +1,10 @@
 package announcement
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -252,3 +255,35 @@
 		}
 	}
 }
+
+// Guards against taking a server in trouble for healthy whose response to a probe has a
+// status that doesn't exist, or a name of a field that is none.
+func TestUnsoundProbeResponse(t *testing.T) {
+	for text, want := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":             true,
+		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n":             false,
+		"HTTP/1.1 +20 OK\r\nContent-Length: 0\r\n\r\n":             false,
+		"HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 0\r\n\r\n":   false,
+		"HTTP/1.1 200 OK\r\nA : b\r\nContent-Length: 0\r\n\r\n":    false,
+		"HTTP/1.1 200 OK\r\nA\x01: b\r\nContent-Length: 0\r\n\r\n": false,
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, text)
+			}
+		}()
+		if got := newFixture().healthy(t.Context(), "http://"+l.Addr().String()); got != want {
+			t.Errorf("%q: got healthy %t, want %t", text, got, want)
+		}
+		_ = l.Close()
+	}
+}
--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +13,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/peridotlb/peridotlb/internal/header"
 )
 
 // Message is a request to send.
@@ -107,9 +108,8 @@
 
 // clientConn is a connection to a peer. It carries one request at a time.
 type clientConn struct {
+	headerReader
 	raw           net.Conn
-	headerLimit   headerLimitReader
-	reader        *bufio.Reader
 	addr          netip.AddrPort
 	used          bool
 	reusableUntil time.Time // not reused from then on
@@ -190,8 +190,9 @@
 	if err != nil {
 		return nil, err
 	}
-	cc := &clientConn{raw: raw, headerLimit: headerLimitReader{source: raw, remaining: -1}, addr: addr}
-	cc.reader = bufio.NewReaderSize(&cc.headerLimit, readBufferSize)
+	cc := &clientConn{raw: raw, addr: addr}
+	cc.source.source = raw
+	cc.reader = bufio.NewReaderSize(&cc.source, readBufferSize)
 	return cc, nil
 }
 
@@ -377,7 +378,7 @@
 		if x.client.config.Matches(x.message, r, x.reused) {
 			x.conn.setReuseDeadline(x.client.config.IdleTimeout, r)
 			r.Body = &responseBody{
-				roundTrip: x, ReadCloser: r.Body, sawEOF: r.Body == http.NoBody,
+				roundTrip: x, ReadCloser: r.Body, response: r, sawEOF: r.Body == http.NoBody,
 				closeAfter: r.Close || !identified, closeDelimited: isCloseDelimited(r),
 			}
 			return r, nil
@@ -401,6 +402,8 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
+// readResponse reads the header of a response. It returns an error for bytes that are not
+// one.
 func (x *roundTrip) readResponse(request *http.Request) (*http.Response, error) {
 	if _, err := x.conn.reader.Peek(1); err != nil {
 		if errors.Is(err, io.EOF) {
@@ -408,13 +411,20 @@
 		}
 		return nil, fmt.Errorf("wait for the response: %w", err)
 	}
-	// The parser itself reads a header of any size into memory.
-	limit := &x.conn.headerLimit
-	limit.remaining, limit.err = max(maxResponseHeader-x.conn.reader.Buffered(), 0), nil
+	// Headers are bounded, and one at a time is received. No account is charged.
+	data, _, err := x.conn.receive(maxResponseHeader, func(int) error { return nil })
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read the response: %w", err)
+	}
+	if err := header.CheckResponse(data); err != nil {
+		return nil, fmt.Errorf("check the response: %w", err)
+	}
 	r, err := http.ReadResponse(x.conn.reader, request)
-	limit.remaining = -1
 	if err != nil {
-		return nil, fmt.Errorf("read the response: %w", cmp.Or(limit.err, err))
+		return nil, fmt.Errorf("parse the response: %w", err)
 	}
 	return r, nil
 }
@@ -447,6 +457,7 @@
 	roundTrip      *roundTrip
 	closeAfter     bool // the connection ends with the response or must not be reused
 	closeDelimited bool // the body ends with the connection
+	response       *http.Response
 	sawEOF         bool
 	closed         bool
 }
@@ -469,6 +480,9 @@
 			return n, fmt.Errorf("%w: %w", errCutWhileWriting, cause)
 		}
 	}
+	if err := header.CheckNames(b.response.Trailer); err != nil {
+		return n, fmt.Errorf("check the trailer: %w", err)
+	}
 	b.sawEOF = true
 	return n, err
 }
@@ -506,5 +520,5 @@
 			return false
 		}
 	}
-	return x.conn.reader.Buffered() == 0
+	return x.conn.reader.Buffered() == 0 && !x.conn.source.hasPending()
 }
--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -33,10 +33,9 @@
 
 // conn is a connection from a client.
 type conn struct {
+	headerReader
 	server   *Server
 	raw      net.Conn
-	source   pendingReader
-	reader   *bufio.Reader
 	account  *account
 	reserved int             // bytes of the request that is being read
 	ctx      context.Context // ends when the client disconnects or the server cancels its requests
--- a/internal/connection/header.go
+++ b/internal/connection/header.go
@@ -1,6 +1,8 @@
 package connection
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +12,76 @@
 	"go.uber.org/zap"
 )
 
+var errHeaderTooLarge = errors.New("header is too large")
+
+// headerReader receives whole headers, so that they can be checked before they are parsed.
+type headerReader struct {
+	source pendingReader
+	reader *bufio.Reader // reads from source
+}
+
+// receive waits for the end of a header of up to limit bytes, and returns it. The header
+// stays in the reader, and the bytes are valid until the next read. reserve is called
+// before memory of the given size is allocated.
+func (r *headerReader) receive(limit int, reserve func(bytes int) error) ([]byte, headerScan, error) {
+	var scan headerScan
+	for {
+		n := r.reader.Buffered()
+		data, err := r.reader.Peek(n)
+		if err != nil {
+			return nil, scan, err
+		}
+		switch ended := scan.next(data); {
+		case ended && scan.size <= limit:
+			return data[:scan.size], scan, nil
+		case ended, n > limit:
+			return nil, scan, errHeaderTooLarge
+		case n == readBufferSize:
+			data, err = r.receiveLong(&scan, data, limit, reserve)
+			return data, scan, err
+		}
+		if _, err := r.reader.Peek(n + 1); err != nil {
+			return nil, scan, err
+		}
+	}
+}
+
+// receiveLong continues receive for a header that does not fit into the read buffer,
+// whose content is start.
+func (r *headerReader) receiveLong(scan *headerScan, start []byte, limit int, reserve func(bytes int) error) ([]byte, error) {
+	var data []byte
+	for ended := false; !ended; ended = scan.next(data) {
+		if len(data) > limit {
+			return nil, errHeaderTooLarge
+		}
+		if len(data) == cap(data) {
+			size := min(max(2*cap(data), 4*readBufferSize), max(limit, readBufferSize)+1)
+			if err := reserve(size - cap(data)); err != nil {
+				return nil, err
+			}
+			grown := make([]byte, len(data), size)
+			copy(grown, data)
+			data = grown
+		}
+		if len(data) == 0 {
+			data = append(data, start...)
+			// Everything that is discarded is in the buffer.
+			_, _ = r.reader.Discard(len(start))
+			continue
+		}
+		n, err := r.source.Read(data[len(data):cap(data)])
+		if n == 0 && err != nil {
+			return nil, fmt.Errorf("read the header: %w", err)
+		}
+		data = data[:len(data)+n]
+	}
+	if scan.size > limit {
+		return nil, errHeaderTooLarge
+	}
+	r.source.pending = append(data, r.source.pending...)
+	return data[:scan.size], nil
+}
+
 // pendingReader reads bytes that were already received before those of its source.
 type pendingReader struct {
 	source  io.Reader
@@ -81,60 +153,10 @@
 // receiveHeader waits for the end of a header of up to limit bytes and reserves the
 // memory that it takes when it is parsed. The header is then in the reader.
 func (c *conn) receiveHeader(limit int) error {
-	var scan headerScan
-	for {
-		n := c.reader.Buffered()
-		data, err := c.reader.Peek(n)
-		if err != nil {
-			return err
-		}
-		switch ended := scan.next(data); {
-		case ended && scan.size <= limit:
-			return c.reserve(headerCost(scan.size, scan.lines))
-		case ended, n > limit:
-			return errHeaderTooLarge
-		case n == readBufferSize:
-			return c.receiveLongHeader(&scan, data, limit)
-		}
-		if _, err := c.reader.Peek(n + 1); err != nil {
-			return err
-		}
-	}
-}
-
-// receiveLongHeader continues receiveHeader for a header that does not fit into the
-// read buffer, whose content is start.
-func (c *conn) receiveLongHeader(scan *headerScan, start []byte, limit int) error {
-	var data []byte
-	for ended := false; !ended; ended = scan.next(data) {
-		if len(data) > limit {
-			return errHeaderTooLarge
-		}
-		if len(data) == cap(data) {
-			size := min(max(2*cap(data), 4*readBufferSize), max(limit, readBufferSize)+1)
-			if err := c.reserve(size - cap(data)); err != nil {
-				return err
-			}
-			grown := make([]byte, len(data), size)
-			copy(grown, data)
-			data = grown
-		}
-		if len(data) == 0 {
-			data = append(data, start...)
-			// Everything that is discarded is in the buffer.
-			_, _ = c.reader.Discard(len(start))
-			continue
-		}
-		n, err := c.source.Read(data[len(data):cap(data)])
-		if n == 0 && err != nil {
-			return fmt.Errorf("read the header: %w", err)
-		}
-		data = data[:len(data)+n]
-	}
-	if scan.size > limit {
-		return errHeaderTooLarge
+	_, scan, err := c.receive(limit, c.reserve)
+	if err != nil {
+		return err
 	}
-	c.source.pending = append(data, c.source.pending...)
 	return c.reserve(headerCost(scan.size, scan.lines))
 }
 
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -42,14 +42,17 @@
 	reasonCallerGone     = "caller-gone"
 	reasonCallIDMismatch = "call-id-mismatch"
 	reasonResponseCut    = "response-cut"
-	reasonNoServer       = "no-server-available"
-	reasonNoRoom         = "no-room-in-time"
-	reasonServerFull     = "server-full"
-	reasonServerLimited  = "server-limited"
-	reasonDraining       = "server-draining"
-	reasonVersion        = "version-refused"
-	reasonSuspended      = "host-suspended"
-	reasonNotReady       = "server-not-ready"
+	// reasonBadResponse means that the bytes of the server or gate are no response that
+	// can be passed on.
+	reasonBadResponse   = "bad-response"
+	reasonNoServer      = "no-server-available"
+	reasonNoRoom        = "no-room-in-time"
+	reasonServerFull    = "server-full"
+	reasonServerLimited = "server-limited"
+	reasonDraining      = "server-draining"
+	reasonVersion       = "version-refused"
+	reasonSuspended     = "host-suspended"
+	reasonNotReady      = "server-not-ready"
 	// reasonServerRefused means that the server itself reported that it did not run
 	// the call.
 	reasonServerRefused = "server-refused"
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -11,6 +11,7 @@
 	"github.com/peridotlb/peridotlb/internal/backend"
 	"github.com/peridotlb/peridotlb/internal/connection"
 	"github.com/peridotlb/peridotlb/internal/gate"
+	"github.com/peridotlb/peridotlb/internal/header"
 )
 
 // gateHandler runs calls on the backend servers of this host.
@@ -199,8 +200,11 @@
 	if s.notRun {
 		f.reason = notSentReason
 	}
-	if errors.Is(s.err, connection.ErrResponseMismatch) {
+	switch {
+	case errors.Is(s.err, connection.ErrResponseMismatch):
 		f.reason = reasonCallIDMismatch
+	case errors.Is(s.err, header.ErrMalformed):
+		f.reason = reasonBadResponse
 	}
 	if r := contextReason(ctx); r != "" {
 		f.reason = r
@@ -214,8 +218,8 @@
 	f := &failure{reason: reasonResponseCut, err: err}
 	if r := contextReason(ctx); r != "" {
 		f.reason = r
-	} else if errors.Is(err, errNoLength) || errors.Is(err, errUpgrade) {
-		f.reason, f.hint = "bad-response", err.Error()
+	} else if errors.Is(err, errNoLength) || errors.Is(err, errUpgrade) || errors.Is(err, header.ErrMalformed) {
+		f.reason, f.hint = reasonBadResponse, err.Error()
 	}
 	return f
 }
