--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// Guards against a daemon that does not start because a template renders whole numbers
+// with a fraction or an exponent.
+func TestNumbersOfTemplates(t *testing.T) {
+	for _, text := range []string{"4100", "4100.0", "4.1e3"} {
+		t.Setenv("PERIDOTLB_FILE_DESCRIPTORS", text)
+		t.Setenv("PERIDOTLB_MEMORY_MB", "284.0")
+		d, err := settings.Parse(baseArgs(t, t.TempDir()))
+		if err != nil || d.FileDescriptors != 4100 || d.MemoryMB != 284 {
+			t.Errorf("%s: got %d descriptors, %v MB, error %v, want 4100 and 284", text, d.FileDescriptors, d.MemoryMB, err)
+		}
+	}
+	for _, text := range []string{"4100.5", "NaN", "Inf", "1e99", "-1"} {
+		t.Setenv("PERIDOTLB_FILE_DESCRIPTORS", text)
+		if _, err := settings.Parse(baseArgs(t, t.TempDir())); err == nil {
+			t.Errorf("%s: got no error", text)
+		}
+	}
+}
+
 // Verifies that faults in the settings are reported before the daemon runs.
 func TestFaults(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -280,14 +280,15 @@
 	return Setting{
 		Name: name, Default: def, Unit: unit, Range: fmt.Sprintf("%d to %d", low, high), Help: help,
 		apply: func(d *Daemon, s string) error {
-			v, err := strconv.Atoi(s)
-			if err != nil {
+			// Templates may render a whole number as 4100.0.
+			f, err := strconv.ParseFloat(s, 64)
+			if err != nil || f != math.Trunc(f) || math.IsInf(f, 0) {
 				return fmt.Errorf("%q is not a whole number", s)
 			}
-			*field(d) = v
-			if v < low || v > high {
-				return fmt.Errorf("%d is out of range %d to %d", v, low, high)
+			if f < float64(low) || f > float64(high) {
+				return fmt.Errorf("%s is out of range %d to %d", s, low, high)
 			}
+			*field(d) = int(f)
 			return nil
 		},
 	}
