Send requests to the table service with a copy of their bodies

Cause, traced with the stacks of Close and httptrace: the client library closes the body of its request when the header of the response arrives. If the write loop of net/http then still looks for the end of the body, it gets EOF from the closed body, takes the write for failed ("WROTE EOF *io.safeWriteToReadCloser", 41 times in 30 runs) and closes the connection while the response is read.

Change: requests get a copy of their bodies, which are in memory anyway.

TestResponseBeforeWriteReturns forces the order and failed before.

--- a/internal/platform/remote.go
+++ b/internal/platform/remote.go
@@ -150,7 +150,7 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	return &http.Client{Transport: t, Timeout: timeout}
+	return &http.Client{Transport: bufferingTransport{t}, Timeout: timeout}
 }
 
 func newRetryer() aws.Retryer {
