Refuse requests whose header is not in the grammar of HTTP/1.1

The cause of the malformed responses, on the side of requests: a blank in or after the name of a field was kept and the request was run. A server that ignores the blank reads another request than the one that was checked.

Requests now pass the check of internal/header when their header has arrived, before it is parsed, and trailers at the end of the body; what is not in the grammar gets 400 once, and the connection ends. Transfer-Encoding beside Content-Length or in HTTP/1.0, more than one Host, continued lines and versions other than HTTP/1.x are refused as well. Bytes above ASCII in a target are still passed on.

--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,4 @@
 	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime 5s
 	$(GO) test ./internal/message -run '^$$' -fuzz FuzzDecode -fuzztime 5s
 	$(GO) test ./internal/header -run '^$$' -fuzz FuzzCheckResponse -fuzztime 5s
+	$(GO) test ./internal/header -run '^$$' -fuzz FuzzCheckRequest -fuzztime 5s
--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/peridotlb/peridotlb/internal/header"
 )
 
 // BufferLimit is the size in bytes up to which a request body is read before the
@@ -38,6 +40,24 @@
 	return n, err
 }
 
+// checkedBody is a chunked request body whose trailer is checked at its end.
+type checkedBody struct {
+	io.ReadCloser
+	request *http.Request
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if err := header.CheckNames(b.request.Trailer); err != nil {
+		return n, fmt.Errorf("check the trailer: %w", err)
+	}
+	return n, err
+}
+
 // bufferedBody is a request body that was read completely before the handler runs.
 type bufferedBody struct{ *bytes.Reader }
 
@@ -172,6 +192,9 @@
 		}
 		r.Body = &limitedBody{ReadCloser: r.Body, remaining: limits.BodyBytes}
 	}
+	if r.ContentLength < 0 {
+		r.Body = &checkedBody{ReadCloser: r.Body, request: r}
+	}
 	c.setReadTimeout(limits.IdleTimeout)
 	expectsContinue := r.Header.Get("Expect") == "100-continue" && c.inFlightCount() == 0
 	arrived := r.ContentLength >= 0 && r.ContentLength <= int64(c.reader.Buffered())
--- a/internal/connection/header.go
+++ b/internal/connection/header.go
@@ -10,6 +10,8 @@
 	"net/netip"
 
 	"go.uber.org/zap"
+
+	"github.com/peridotlb/peridotlb/internal/header"
 )
 
 var errHeaderTooLarge = errors.New("header is too large")
@@ -150,13 +152,16 @@
 	return nil
 }
 
-// receiveHeader waits for the end of a header of up to limit bytes and reserves the
-// memory that it takes when it is parsed. The header is then in the reader.
+// receiveHeader waits for the end of a header of up to limit bytes, checks it and reserves
+// the memory that it takes when it is parsed. The header is then in the reader.
 func (c *conn) receiveHeader(limit int) error {
-	_, scan, err := c.receive(limit, c.reserve)
+	data, scan, err := c.receive(limit, c.reserve)
 	if err != nil {
 		return err
 	}
+	if err := header.CheckRequest(data); err != nil {
+		return fmt.Errorf("check the request: %w", err)
+	}
 	return c.reserve(headerCost(scan.size, scan.lines))
 }
 
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -20,6 +20,9 @@
 
 func malformed(what string) error { return fmt.Errorf("%w: %s", ErrMalformed, what) }
 
+// versionPrefix precedes the minor version.
+const versionPrefix = "HTTP/1."
+
 // Statuses outside of these bounds don't exist.
 const (
 	minStatus = 100
@@ -37,21 +40,46 @@
 	if err != nil {
 		return err
 	}
+	return f.check(line[len(versionPrefix)])
+}
+
+// CheckRequest checks the header of a request, from its request line to the empty line at
+// its end.
+func CheckRequest(data []byte) error {
+	line, rest := cutLine(data)
+	minor, err := checkRequestLine(line)
+	if err != nil {
+		return err
+	}
+	f, err := checkFields(rest)
+	if err != nil {
+		return err
+	}
+	if f.hosts > 1 {
+		return malformed("more than one Host")
+	}
+	return f.check(minor)
+}
+
+// checkRequestLine checks a request line and returns the digit of its minor version. The
+// parser checks the target further; its bytes above ASCII, which some clients send, are
+// passed on unchanged.
+func checkRequestLine(line []byte) (minor byte, err error) {
+	method, rest, _ := bytes.Cut(line, []byte(" "))
+	target, version, ok := bytes.Cut(rest, []byte(" "))
 	switch {
-	case !f.coding:
-		return nil
-	case f.length:
-		return malformed("Content-Length beside Transfer-Encoding")
-	case line[len("HTTP/1.")] == '0':
-		return malformed("Transfer-Encoding in HTTP/1.0")
+	case !ok || !isToken(method) || len(target) == 0 || !isText(target) || bytes.IndexByte(target, '\t') >= 0:
+		return 0, malformed("not a request line")
+	case len(version) != len(versionPrefix)+1 || !bytes.HasPrefix(version, []byte(versionPrefix)) || !isDigit(version[len(versionPrefix)]):
+		return 0, malformed("not a version of HTTP/1")
 	}
-	return nil
+	return version[len(versionPrefix)], nil
 }
 
 // checkStatusLine checks a status line. It accepts a line that ends with the status: many
 // servers leave out the blank before an empty reason, which means nothing.
 func checkStatusLine(line []byte) error {
-	const prefix, example = "HTTP/1.", "HTTP/1.1 200"
+	const prefix, example = versionPrefix, "HTTP/1.1 200"
 	if len(line) < len(example) || !bytes.HasPrefix(line, []byte(prefix)) || !isDigit(line[len(prefix)]) || line[len(prefix)+1] != ' ' {
 		return malformed("not a status line of HTTP/1")
 	}
@@ -68,8 +96,22 @@
 	return nil
 }
 
-// framing tells which fields that frame the body a header has.
-type framing struct{ length, coding bool }
+// framing tells which fields that frame a message a header has.
+type framing struct {
+	length, coding bool
+	hosts          int // lines
+}
+
+// check checks the fields together, for the digit of the minor version.
+func (f framing) check(minor byte) error {
+	switch {
+	case f.coding && f.length:
+		return malformed("Content-Length beside Transfer-Encoding")
+	case f.coding && minor == '0':
+		return malformed("Transfer-Encoding in HTTP/1.0")
+	}
+	return nil
+}
 
 // checkFields checks field lines up to the empty line.
 func checkFields(data []byte) (framing, error) {
@@ -90,6 +132,9 @@
 		}
 		f.length = f.length || bytes.EqualFold(name, []byte("Content-Length"))
 		f.coding = f.coding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+		if bytes.EqualFold(name, []byte("Host")) {
+			f.hosts++
+		}
 	}
 }
 
