Deliver the end of a response while the client is still sending

Seen by callers: a server answers a long upload early, and the caller gets a part of the response and a reset, or 502 through another host.

Cause: a connection whose request was not read to its end discards the rest for lingerTimeout after the response, because closing it with unread bytes resets it. The stop of the body's reader sets the read deadline to the present, which ended that time at once.

Change: the deadline is set again after the stop.

--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -258,8 +258,12 @@
 		case <-body.eof:
 		case <-w.done:
 			if !body.fullyRead() {
+				// The rest of the body precedes the next request. It is discarded for a
+				// while: closing the connection with unread bytes would reset it, and the
+				// client would lose the end of the response.
 				body.stop()
-				return false // the rest of the body precedes the next request
+				c.setReadTimeout(lingerTimeout)
+				return false
 			}
 		}
 	}
--- a/internal/connection/server_test.go
+++ b/internal/connection/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -441,3 +442,41 @@
 		_ = c.Close()
 	}
 }
+
+// Guards against losing the end of a response to a client that is still sending the body
+// of its request: a connection that is closed with unread bytes is reset, and what the
+// client has not received by then is lost.
+func TestResponseBeforeEndOfRequest(t *testing.T) {
+	const size = 4 << 20 // more than a client that does not read can receive
+	_, addr := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	}, connection.DefaultLimits())
+	for _, framing := range []string{"Content-Length: 1000000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n3b9aca00\r\n"} {
+		c := newRawClient(t, addr)
+		c.send("POST / HTTP/1.1\r\nHost: x\r\n" + framing)
+		go func() {
+			for {
+				if _, err := c.Write(make([]byte, 16<<10)); err != nil {
+					return
+				}
+			}
+		}()
+		time.Sleep(20 * time.Millisecond) // until the sockets are full
+		r, err := http.ReadResponse(c.in, nil)
+		if err != nil {
+			t.Errorf("%q: got no response: %v", framing, err)
+			continue
+		}
+		for n := 0; ; {
+			read, err := io.ReadFull(r.Body, make([]byte, 64<<10))
+			if n += read; err != nil {
+				if n != size || !errors.Is(err, io.EOF) {
+					t.Errorf("%q: got %d bytes of %d, error %v", framing, n, size, err)
+				}
+				break
+			}
+			time.Sleep(time.Millisecond) // a client that reads slowly
+		}
+		_ = c.Close()
+	}
+}
