Split the client of connections by job

Idle connections and their deadlines move to idle.go, and the body of a response, with what decides that it is whole, to responsebody.go.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
 	"time"
 
@@ -196,89 +194,6 @@
 	return cc, nil
 }
 
-// takeIdle returns an idle connection, or nil if there is none.
-func (c *Client) takeIdle(addr netip.AddrPort, o Options) *clientConn {
-	for {
-		cc := c.popIdle(addr)
-		if cc == nil {
-			return nil
-		}
-		now := time.Now()
-		fresh := o.MaxIdleTime == 0 || now.Add(c.config.IdleTimeout-o.MaxIdleTime).Before(cc.reusableUntil)
-		if now.Before(cc.reusableUntil) && fresh && cc.alive() {
-			return cc
-		}
-		_ = cc.raw.Close()
-	}
-}
-
-func (c *Client) popIdle(addr netip.AddrPort) *clientConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[addr]
-	if len(list) == 0 {
-		return nil
-	}
-	cc := list[len(list)-1]
-	list[len(list)-1] = nil
-	if list = list[:len(list)-1]; len(list) == 0 {
-		delete(c.idle, addr)
-	} else {
-		c.idle[addr] = list
-	}
-	return cc
-}
-
-// putIdle keeps a connection for the next request.
-func (c *Client) putIdle(cc *clientConn) {
-	c.mu.Lock()
-	var surplus *clientConn
-	list := append(c.idle[cc.addr], cc)
-	if len(list) > max(c.config.MaxIdleConns, 1) {
-		surplus, list = list[0], list[1:]
-	}
-	c.idle[cc.addr] = list
-	c.mu.Unlock()
-	if surplus != nil {
-		_ = surplus.raw.Close()
-	}
-}
-
-// CloseExpired closes the connections that were idle for too long.
-func (c *Client) CloseExpired() {
-	now := time.Now()
-	c.closeIdle(func(cc *clientConn) bool { return !now.Before(cc.reusableUntil) })
-}
-
-// CloseIdle closes all connections that carry no request.
-func (c *Client) CloseIdle() {
-	c.closeIdle(func(*clientConn) bool { return true })
-}
-
-func (c *Client) closeIdle(shouldClose func(*clientConn) bool) {
-	var closed []*clientConn
-	c.mu.Lock()
-	for addr, list := range c.idle {
-		var kept []*clientConn
-		for _, cc := range list {
-			if shouldClose(cc) {
-				closed = append(closed, cc)
-			} else {
-				kept = append(kept, cc)
-			}
-		}
-		if len(kept) == 0 {
-			delete(c.idle, addr)
-		} else {
-			c.idle[addr] = kept
-		}
-	}
-	c.mu.Unlock()
-	for _, cc := range closed {
-		_ = cc.raw.Close()
-	}
-}
-
 // roundTrip is one request and its response on a connection.
 type roundTrip struct {
 	client    *Client
@@ -428,97 +343,3 @@
 	}
 	return r, nil
 }
-
-// setReuseDeadline sets the time until which the connection may be reused.
-func (cc *clientConn) setReuseDeadline(idle time.Duration, r *http.Response) {
-	if announced, ok := keepAliveTimeout(r.Header); ok {
-		idle = min(idle, max(0, announced-keepAliveMargin))
-	}
-	cc.reusableUntil = time.Now().Add(idle)
-}
-
-// keepAliveTimeout returns the timeout of a Keep-Alive header.
-func keepAliveTimeout(h http.Header) (time.Duration, bool) {
-	for _, list := range h["Keep-Alive"] {
-		for item := range bytes.SplitSeq([]byte(list), []byte(",")) {
-			value, ok := bytes.CutPrefix(bytes.TrimSpace(item), []byte("timeout="))
-			if n, err := strconv.Atoi(string(value)); ok && err == nil && n >= 0 {
-				return time.Duration(n) * time.Second, true
-			}
-		}
-	}
-	return 0, false
-}
-
-// responseBody makes the connection available again when the body was read to its
-// end.
-type responseBody struct {
-	io.ReadCloser
-	roundTrip      *roundTrip
-	closeAfter     bool // the connection ends with the response or must not be reused
-	closeDelimited bool // the body ends with the connection
-	response       *http.Response
-	sawEOF         bool
-	closed         bool
-}
-
-// Reused reports whether a response of Client.Send came on a connection that had
-// carried an earlier request.
-func Reused(r *http.Response) bool {
-	b, ok := r.Body.(*responseBody)
-	return ok && b.roundTrip.reused
-}
-
-// Read implements io.Reader.
-func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if !errors.Is(err, io.EOF) {
-		return n, err
-	}
-	if w := b.roundTrip.writer; b.closeDelimited && w != nil {
-		if cause := w.end(); cause != nil {
-			return n, fmt.Errorf("%w: %w", errCutWhileWriting, cause)
-		}
-	}
-	if err := header.CheckNames(b.response.Trailer); err != nil {
-		return n, fmt.Errorf("check the trailer: %w", err)
-	}
-	b.sawEOF = true
-	return n, err
-}
-
-// Close implements io.Closer. It ends the request: the rest of its body is not read
-// any more. It closes the connection unless the body of the response was read to its
-// end.
-func (b *responseBody) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	x := b.roundTrip
-	x.stopRest()
-	if !x.stopWatch() {
-		return x.conn.raw.Close()
-	}
-	if !b.sawEOF || b.closeAfter || !x.reusable() {
-		return x.conn.raw.Close()
-	}
-	x.client.putIdle(x.conn)
-	return nil
-}
-
-// reusable reports whether the request was written completely and no data follows
-// the response.
-func (x *roundTrip) reusable() bool {
-	if x.writeDone != nil {
-		select {
-		case err := <-x.writeDone:
-			if err != nil {
-				return false
-			}
-		default:
-			return false
-		}
-	}
-	return x.conn.reader.Buffered() == 0 && !x.conn.source.hasPending()
-}
