Do not quote malformed responses in errors

Cause: the parser of the standard library quotes a length, coding or line of a trailer that it can't read, and the error is logged with the failed call. What a server in trouble sends may be the data of another caller.

Change: these errors count as header.ErrMalformed and lose their quotation, as errors of requests do; such calls end as bad-response, where they ended as server-broke or response-cut.

--- a/internal/connection/client.go
+++ b/internal/connection/client.go
@@ -339,7 +339,7 @@
 	}
 	r, err := http.ReadResponse(x.conn.reader, request)
 	if err != nil {
-		return nil, fmt.Errorf("parse the response: %w", err)
+		return nil, fmt.Errorf("parse the response: %w: %s", header.ErrMalformed, withoutQuotation(err))
 	}
 	return r, nil
 }
--- a/internal/connection/client_test.go
+++ b/internal/connection/client_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/peridotlb/peridotlb/internal/connection"
+	"github.com/peridotlb/peridotlb/internal/header"
 )
 
 // peer accepts connections and serves each with a function that gets its number,
@@ -380,3 +381,26 @@
 		}
 	}
 }
+
+// Guards against errors, which are logged, that quote a malformed response: it may hold
+// what a caller must not see.
+func TestMalformedResponseIsNotQuoted(t *testing.T) {
+	for _, text := range []string{
+		"Content-Length: secret\r\n\r\n",
+		"Transfer-Encoding: secret\r\n\r\n",
+		"A secret: b\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n0\r\nsecret\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n0\r\nA secret: b\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n0\r\nA\x01secret: b\r\n\r\n",
+	} {
+		addr := peer(t, func(_ int64, in *bufio.Reader, c net.Conn) {
+			if _, err := http.ReadRequest(in); err == nil {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 1\r\n%s", text)
+			}
+		})
+		_, err := roundTrip(t.Context(), newClient(t), addr, message("1", ""))
+		if !errors.Is(err, header.ErrMalformed) || strings.Contains(err.Error(), "secret") {
+			t.Errorf("%q: got error %v, want %v without a quotation", text, err, header.ErrMalformed)
+		}
+	}
+}
--- a/internal/connection/responsebody.go
+++ b/internal/connection/responsebody.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 
 	"github.com/peridotlb/peridotlb/internal/header"
 )
@@ -31,6 +32,10 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	var trailer textproto.ProtocolError
+	if errors.As(err, &trailer) {
+		return n, fmt.Errorf("parse the trailer: %w: %s", header.ErrMalformed, withoutQuotation(err))
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
