Log and count responses that break off while they are passed on

Cause: a response whose status was passed on and whose body or trailer then proves malformed or cut ended with an aborted connection and no line in any log. An on-call engineer could not tell the server or what was wrong with it.

Change: the gate logs such a response with call, server, reason and error, and counts it in peridotlb_responses_broken_total by reason; one that breaks off because its caller left is counted only.

--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -105,7 +105,10 @@
 	}
 	switch {
 	case result.reply != nil && result.reply.rest != nil:
-		result.reply.rest = &slotReleasingBody{result.reply.rest, permit, func() { g.endTracked(tracked, result) }}
+		result.reply.rest = &slotReleasingBody{
+			ReadCloser: result.reply.rest, permit: permit, end: func() { g.endTracked(tracked, result) },
+			broken: func(err error) { g.reportBrokenResponse(ctx, c, id, q, result, err) },
+		}
 	case result.reply != nil:
 		permit.Release()
 		g.endTracked(tracked, result)
@@ -121,6 +124,17 @@
 	io.ReadCloser
 	permit *gate.Permit
 	end    func()
+	broken func(error) // called if reading fails
+}
+
+// Read implements io.Reader.
+func (b *slotReleasingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) && b.broken != nil {
+		b.broken(err)
+		b.broken = nil
+	}
+	return n, err
 }
 
 func (b *slotReleasingBody) Close() error {
@@ -150,6 +164,16 @@
 	return f
 }
 
+// reportBrokenResponse counts and logs a response that breaks off while it is passed on:
+// its status has been sent, so that no failure can be.
+func (g *gateHandler) reportBrokenResponse(ctx context.Context, c *call, id backend.ServerID, q gate.Call, result gateResult, err error) {
+	result.failure = responseFailure(ctx, err)
+	g.metrics.broken.inc(result.failure.reason)
+	if result.failure.reason != reasonCallerGone {
+		g.logFailure("A response broke off while it was passed on.", c, id, q, result)
+	}
+}
+
 // sendToServer sends a call to the backend server. It checks the deadline again,
 // because the process may have been paused.
 func (g *gateHandler) sendToServer(ctx context.Context, c *call, permit *gate.Permit, runBy time.Time) gateResult {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -13,6 +13,7 @@
 	calls         labelledCounter // by service
 	failures      labelledCounter // by reason
 	refused       labelledCounter // by reason
+	broken        labelledCounter // responses that broke off while they were passed on, by reason
 	forwarded     *metrics.Counter
 	nested        *metrics.Counter // calls that got the priority of a request that a server of this host runs
 	sentToServers *metrics.Counter // calls that the gate sent to backend servers
@@ -29,6 +30,7 @@
 		calls:         labelledCounter{set: set, name: "peridotlb_calls_total", label: "service"},
 		failures:      labelledCounter{set: set, name: "peridotlb_failures_total", label: "reason"},
 		refused:       labelledCounter{set: set, name: "peridotlb_refused_total", label: "reason"},
+		broken:        labelledCounter{set: set, name: "peridotlb_responses_broken_total", label: "reason"},
 		nested:        set.GetOrCreateCounter("peridotlb_calls_nested_total"),
 		forwarded:     set.GetOrCreateCounter("peridotlb_calls_forwarded_total"),
 		sentToServers: set.GetOrCreateCounter("peridotlb_gate_calls_total"),
--- a/internal/proxy/unsound_test.go
+++ b/internal/proxy/unsound_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,10 @@
 	"strings"
 	"testing"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/peridotlb/peridotlb/internal/backend"
 )
 
@@ -39,18 +44,18 @@
 // exist, a line whose name is no name, or a body whose framing such a line hides.
 func TestUnsoundResponseIsNotPassedOn(t *testing.T) {
 	for name, text := range unsoundResponses(t) {
-		for _, atGate := range []bool{false, true} {
-			t.Run(name+", at gate "+strconv.FormatBool(atGate), func(t *testing.T) {
+		for _, place := range []string{"own gate", "gate of another host", "in place of a gate"} {
+			t.Run(name+", "+place, func(t *testing.T) {
 				m := newMesh(t)
 				m.routes[0].Retries, m.dialect.CloseDelimited = 0, true
-				m.serveGate = serveGate(t)
+				m.serveGate, m.local = serveGate(t), place == "own gate"
 				addr := rawServer(t, func(_ int64, r *http.Request, conn net.Conn) bool {
 					_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", HeaderCallID+": "+r.Header.Get(HeaderCallID)+"\r\n"))
 					return false
 				})
 				rows := m.rawRows(addr)
 				var gates map[backend.ServerID]netip.AddrPort
-				if atGate {
+				if place == "in place of a gate" {
 					gates = map[backend.ServerID]netip.AddrPort{rows[0].ID: addr}
 				}
 				m.startRows(rows, gates)
@@ -62,3 +67,37 @@
 		}
 	}
 }
+
+// Guards against a malformed response that nobody can explain: the log of the gate must
+// name its server and what is wrong, and quote none of its bytes, also when it shows only
+// after the status was passed on.
+func TestMalformedResponseIsLogged(t *testing.T) {
+	large := strings.Repeat("b", 3*bufferLimit)
+	for text, reason := range map[string]string{
+		"HTTP/1.1 000 secret\r\n%s\r\n":            "bad-response",
+		"HTTP/1.1 200 OK\r\n%sA secret: b\r\n\r\n": "bad-response",
+		"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n30000\r\n" + large + "\r\n0\r\nA secret: b\r\n\r\n": "bad-response",
+		"HTTP/1.1 200 OK\r\n%sContent-Length: 200000\r\n\r\n" + large:                                               "response-cut",
+	} {
+		core, logs := observer.New(zapcore.InfoLevel)
+		m := newMesh(t)
+		m.routes[0].Retries, m.log = 0, zap.New(core)
+		m.serveGate = serveGate(t)
+		m.startRows(m.rawRows(rawServer(t, func(_ int64, r *http.Request, conn net.Conn) bool {
+			_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", HeaderCallID+": "+r.Header.Get(HeaderCallID)+"\r\n"))
+			return false
+		})), nil)
+		m.do("GET", "/stock", "")
+		named := false
+		for _, e := range logs.TakeAll() {
+			fields := e.ContextMap()
+			if strings.Contains(fmt.Sprint(fields), "secret") {
+				t.Errorf("%.60q: got line %q with bytes of the response: %v", text, e.Message, fields)
+			}
+			named = named || fields["server"] == "stock-0" && fields["reason"] == reason && fields["error"] != nil
+		}
+		if !named {
+			t.Errorf("%.60q: got no line with the server, the reason %s and an error", text, reason)
+		}
+	}
+}
