Log why a malformed response to a health probe counts as failing

Cause: a server whose probes get a status 000 or a malformed header counts as failing since the check of responses, and no line said so or why.

Change: the announcement API logs server, address and error once for each series of malformed responses. The error quotes nothing of the response.

TestMalformedProbeIsLogged is new (without the change there is no logger to give it); the tests of announcement and daemon pass.

--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"github.com/peridotlb/peridotlb/internal/backend"
@@ -60,6 +61,7 @@
 	// nil.
 	OnWarmUp func(backend.ServerID, time.Duration)
 	Now      func() time.Time // nil uses time.Now
+	Log      *zap.Logger      // nil disables logging
 }
 
 // API is the handler of the announcement API.
@@ -93,6 +95,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
 	a := &API{config: c, mux: http.NewServeMux(), servers: make(map[backend.ServerID]*entry), withdrawn: make(map[backend.ServerID]withdrawal)}
 	a.otherLimiter = rate.NewLimiter(otherRequestsPerSecond, otherRequestsPerSecond)
 	a.client = &http.Client{
@@ -254,19 +259,25 @@
 		return
 	}
 	for _, e := range a.probeTargets() {
-		go func() { a.reportHealth(e, a.healthy(ctx, "http://"+e.row.Addr.String()+e.healthPath)) }()
+		go func() { a.reportHealth(e, a.probeURL(ctx, "http://"+e.row.Addr.String()+e.healthPath)) }()
 	}
 }
 
 // reportHealth reports the result of a probe, unless the server was withdrawn or
 // changed its address or health path in the meantime.
-func (a *API) reportHealth(probed entry, healthy bool) {
+func (a *API) reportHealth(probed entry, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	e := a.servers[probed.row.ID]
-	if e != nil && e.healthPath == probed.healthPath && e.row.Addr == probed.row.Addr {
-		a.config.OnHealth(e.row.ID, healthy)
+	if e == nil || e.healthPath != probed.healthPath || e.row.Addr != probed.row.Addr {
+		return
 	}
+	malformed := errors.Is(err, header.ErrMalformed)
+	if malformed && !e.probeMalformed {
+		a.config.Log.Warn("A backend server answers health probes with bytes that are no response; it counts as failing.", zap.String("server", string(e.row.ID)), zap.Stringer("address", e.row.Addr), zap.Error(err))
+	}
+	e.probeMalformed = malformed
+	a.config.OnHealth(e.row.ID, err == nil)
 }
 
 func (a *API) probeTargets() []entry {
@@ -281,19 +292,25 @@
 	return list
 }
 
-// healthy probes a URL. Every response with a status below 500 counts as healthy,
-// including a redirect, which is not followed. Bytes that are no response don't.
-func (a *API) healthy(ctx context.Context, url string) bool {
+// probeURL probes a URL and returns nil if the server is healthy. Every response with a
+// status below 500 counts as healthy, including a redirect, which is not followed.
+func (a *API) probeURL(ctx context.Context, url string) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return false
+		return fmt.Errorf("create the probe: %w", err)
 	}
 	response, err := a.client.Do(r)
 	if err != nil {
-		return false
+		return fmt.Errorf("send the probe: %w", err)
 	}
 	defer response.Body.Close()
-	return header.CheckParsed(response) == nil && response.StatusCode < http.StatusInternalServerError
+	if err := header.CheckParsed(response); err != nil {
+		return fmt.Errorf("check the response to the probe: %w", err)
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	return nil
 }
 
 func (a *API) handleList(w http.ResponseWriter, _ *http.Request) {
--- a/internal/announcement/announcement_test.go
+++ b/internal/announcement/announcement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,7 +14,12 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/peridotlb/peridotlb/internal/backend"
+	"github.com/peridotlb/peridotlb/internal/header"
 	"github.com/peridotlb/peridotlb/test/endless"
 )
 
@@ -249,7 +255,7 @@
 		"body": "HTTP/1.1 200 OK\r\n\r\n", "bytes after a response": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
 	} {
 		server := endless.Serve(t, endless.Config{First: first, Limit: 16 * maxTaken})
-		newFixture().healthy(t.Context(), "http://"+server.Addr)
+		_ = newFixture().probeURL(t.Context(), "http://"+server.Addr)
 		if got := <-server.Taken; got > maxTaken {
 			t.Errorf("%s: got %d bytes taken from the endpoint, want at most %d", name, got, maxTaken)
 		}
@@ -281,9 +287,27 @@
 				_, _ = io.WriteString(c, text)
 			}
 		}()
-		if got := newFixture().healthy(t.Context(), "http://"+l.Addr().String()); got != want {
+		if got := newFixture().probeURL(t.Context(), "http://"+l.Addr().String()) == nil; got != want {
 			t.Errorf("%q: got healthy %t, want %t", text, got, want)
 		}
 		_ = l.Close()
 	}
 }
+
+// Guards against a server that counts as failing without a line that says why, against a
+// line for each probe, and against bytes of the response in it.
+func TestMalformedProbeIsLogged(t *testing.T) {
+	core, logs := observer.New(zapcore.InfoLevel)
+	f := newFixture()
+	f.config.Log = zap.New(core)
+	f.config.OnHealth = func(backend.ServerID, bool) {}
+	f.servers["stock-1"] = &entry{row: backend.Server{ID: "stock-1"}}
+	malformed := fmt.Errorf("check: %w", header.ErrMalformed)
+	for _, err := range []error{malformed, malformed, nil, errors.New("status 503"), malformed} {
+		f.reportHealth(*f.servers["stock-1"], err)
+	}
+	lines := logs.TakeAll()
+	if len(lines) != 2 || lines[0].ContextMap()["server"] != "stock-1" || lines[0].ContextMap()["error"] != malformed.Error() {
+		t.Errorf("got lines %v, want one for each of two series of malformed responses", lines)
+	}
+}
--- a/internal/announcement/registry.go
+++ b/internal/announcement/registry.go
@@ -29,6 +29,7 @@
 	healthPath     string
 	renewedAt      time.Time
 	renewalLimiter *rate.Limiter
+	probeMalformed bool // the response to the last probe was malformed
 	// requested is the state last requested by the server or an operator. It
 	// differs from the state of the row after the lease has expired.
 	requested backend.State
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -52,6 +52,7 @@
 	}
 	d.announcements = announcement.New(announcement.Config{
 		Lease:    s.AnnounceLease,
+		Log:      d.log,
 		Publish:  func(b backend.Server) <-chan struct{} { return d.loop.announce(ctx, b) },
 		OnWarmUp: func(id backend.ServerID, remaining time.Duration) { d.tracker.SetWarmUp(id, time.Now(), remaining) },
 		OnHealth: func(id backend.ServerID, healthy bool) {
