Test responses with trailers in TestEndsOfResponses, and share a raw listener

The table of ends lacked chunks with a trailer, sound and broken off: 108 more combinations, 432 in all, and the trailer must arrive with a sound one.

--- a/internal/proxy/ends_test.go
+++ b/internal/proxy/ends_test.go
@@ -17,12 +17,15 @@
 type responseCell struct {
 	request string // short, length or chunked
 	read    string // how much of the request is read before the response: none, half or all
-	framing string // of the response: length, chunked or close
+	framing string // of the response: length, chunked, trailer (chunked with one) or close
 	end     string // sound, closed or reset; the last two after a part of the body
 	size    int    // bytes of the response body
 	local   bool   // the server is that of the entry's own host
 }
 
+// cellTrailer is the name of the trailer of a response.
+const cellTrailer = "X-Digest"
+
 // Guards against a part of a response that is passed on as whole, and against a whole one
 // that is not passed on, in every combination of how the request is framed and read and
 // how the response is framed and ended.
@@ -33,7 +36,7 @@
 		u := startUploadsTo(t, local, cellServer(t, &cell, bodySize))
 		for _, request := range []string{"short", "length", "chunked"} {
 			for _, read := range []string{"none", "half", "all"} {
-				for _, framing := range []string{"length", "chunked", "close"} {
+				for _, framing := range []string{"length", "chunked", "trailer", "close"} {
 					for _, end := range []string{"sound", "closed", "reset"} {
 						for _, size := range []int{100, 3 * bufferLimit} {
 							c := &responseCell{request, read, framing, end, size, local}
@@ -64,6 +67,8 @@
 	switch {
 	case c.end == "sound" && (!whole || string(body) != c.body()):
 		t.Errorf("%+v: got %d and %d bytes, error %v, want the whole response", *c, r.StatusCode, len(body), err)
+	case c.end == "sound" && c.framing == "trailer" && r.Trailer.Get(cellTrailer) != "whole":
+		t.Errorf("%+v: got trailer %v, want %s", *c, r.Trailer, cellTrailer)
 	case c.end == "closed" && c.framing == "close":
 		// Nothing tells such a response from a whole one.
 	case c.end != "sound" && whole:
@@ -89,26 +94,11 @@
 // cellServer serves each call like the current cell.
 func cellServer(t *testing.T, cell *atomic.Pointer[responseCell], bodySize int) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go cell.Load().serve(conn, bodySize)
-		}
-	}()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return listen(t, func(conn net.Conn) { cell.Load().serve(conn, bodySize) })
 }
 
 // serve answers one request and ends the connection.
 func (c *responseCell) serve(conn net.Conn, bodySize int) {
-	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(30 * time.Second)) // limits a test that hangs
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
@@ -143,8 +133,12 @@
 	switch c.framing {
 	case "length":
 		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", text, len(body), body)
-	case "chunked":
-		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", text, 7, body[:7], len(body)-7, body[7:])
+	case "chunked", "trailer":
+		trailer := ""
+		if c.framing == "trailer" {
+			trailer = cellTrailer + ": whole\r\n"
+		}
+		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n%s\r\n", text, 7, body[:7], len(body)-7, body[7:], trailer)
 	default:
 		return text + "\r\n" + body
 	}
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -26,12 +26,30 @@
 // across all connections, starting at 1; if it returns false, the connection is
 // closed.
 func rawServer(t testing.TB, serve func(n int64, r *http.Request, conn net.Conn) bool) netip.AddrPort {
+	var count atomic.Int64
+	return listen(t, func(conn net.Conn) {
+		in := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if !serve(count.Add(1), r, conn) {
+				return
+			}
+		}
+	})
+}
+
+// listen serves each connection to the returned address and closes it.
+func listen(t testing.TB, serve func(net.Conn)) netip.AddrPort {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	var count atomic.Int64
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -40,17 +58,7 @@
 			}
 			go func() {
 				defer conn.Close()
-				in := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					if !serve(count.Add(1), r, conn) {
-						return
-					}
-				}
+				serve(conn)
 			}()
 		}
 	}()
--- a/internal/proxy/reset_test.go
+++ b/internal/proxy/reset_test.go
@@ -19,32 +19,17 @@
 // It counts the uploads.
 func resettingServer(t *testing.T, uploads *atomic.Int64) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				r, err := http.ReadRequest(in)
-				if err != nil {
-					return
-				}
-				n := uploads.Add(1)
-				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart", HeaderCallID, r.Header.Get(HeaderCallID))
-				_, _ = io.CopyN(io.Discard, in, n%16<<14)
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}()
+	return listen(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
 		}
-	}()
-	return netip.MustParseAddrPort(l.Addr().String())
+		n := uploads.Add(1)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart", HeaderCallID, r.Header.Get(HeaderCallID))
+		_, _ = io.CopyN(io.Discard, in, n%16<<14)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
 }
 
 // Guards against passing on as whole a part of a response without a length whose server
