Withhold fields of framing and of one connection from trailers

A call whose request or response had Content-Length, Transfer-Encoding or Trailer in an unannounced trailer got 502 with an unknown outcome although it ran and its response was whole. Host, Connection, Te, Upgrade and the like were passed on in trailers.

Cause: fields of one connection were removed from headers only. The product announces each trailer that it passes on, and the parser of the next hop refuses a message that announces one of these three.

Change: the call path withholds them from trailers in both directions, as RFC 9110 section 6.5.1 asks.

--- a/internal/proxy/headertable.go
+++ b/internal/proxy/headertable.go
@@ -86,6 +86,10 @@
 
 func (d Dialect) headerTable() *headerTable {
 	t := &headerTable{}
+	for _, name := range slices.Concat(hopByHop, notInTrailers) {
+		t.request.withhold(name)
+		t.response.withhold(name)
+	}
 	for _, r := range d.headerRules() {
 		t.request.add(r.name, r.fromCaller)
 		t.response.add(r.name, r.fromServer)
@@ -136,3 +140,8 @@
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
+
+// notInTrailers lists the fields besides hopByHop that frame or route a message. A trailer
+// must not have them (RFC 9110 section 6.5.1): a receiver refuses the message, or takes
+// them for those of its header.
+var notInTrailers = []string{"Content-Length", "Host"}
--- a/internal/proxy/headertable_test.go
+++ b/internal/proxy/headertable_test.go
@@ -137,6 +137,49 @@
 	}
 }
 
+// TestTrailersCarryNoFraming guards against fields that frame a message, route it or apply
+// to one connection and arrive in a trailer: a receiver that merges trailers into the
+// header may take them for those of the message. It goes through both directions, at the
+// entry, between hosts and at the gate.
+func TestTrailersCarryNoFraming(t *testing.T) {
+	for _, local := range []bool{false, true} {
+		for _, name := range append([]string{"Content-Length", "Host"}, hopByHop...) {
+			t.Run(fmt.Sprintf("%s local=%t", name, local), func(t *testing.T) {
+				trailer := name + ": " + strangersValue + "\r\nX-Other: 1\r\n"
+				var got received
+				m := headerMesh(t, Dialect{}, local, func(w http.ResponseWriter, q *http.Request) {
+					_, _ = io.Copy(io.Discard, q.Body)
+					got = received{q.Header.Clone(), q.Trailer.Clone()}
+					conn, _, err := w.(http.Hijacker).Hijack()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					defer conn.Close()
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n%s\r\n", HeaderCallID, q.Header.Get(HeaderCallID), trailer)
+				})
+				conn, err := net.Dial("tcp", m.entry.Listener.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				fmt.Fprintf(conn, "POST /stock HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n%s\r\n", trailer)
+				answer, err := io.ReadAll(conn)
+				_, body, _ := strings.Cut(string(answer), "\r\n\r\n")
+				if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200") || !strings.HasSuffix(body, "\r\n\r\n") {
+					t.Fatalf("got %q and error %v, want a whole response", answer, err)
+				}
+				if len(got.Trailer.Values(name)) > 0 || got.Trailer.Get("X-Other") != "1" {
+					t.Errorf("got trailer %v at the server, want X-Other only", got.Trailer)
+				}
+				if strings.Contains(body, name+":") || !strings.Contains(body, "X-Other: 1\r\n") {
+					t.Errorf("got body and trailer %q at the caller, want X-Other only", body)
+				}
+			})
+		}
+	}
+}
+
 // TestHeaderRulesAreComplete guards against a header of the call path without a rule, and
 // against two rules for one.
 func TestHeaderRulesAreComplete(t *testing.T) {
