Do not take a new connection of the fake store for a silent one

Nothing of the product is at fault.

Cause: the fake store remembers silent connections by the client's address and never forgets them. The system gives the port of a closed connection out again, so a new connection was silent too. The product does not send a call on a new connection again, by design, and the test's calls have no deadline.

Change: the fake store forgets an address when a new connection comes from it (http.Server.ConnState).

--- a/test/platform/store/store.go
+++ b/test/platform/store/store.go
@@ -115,7 +115,7 @@
 
 // SilenceConnections makes a share of the connections that have carried a call silent
 // for good: calls on them are neither run nor answered. New connections are not
-// affected.
+// affected, if the server calls ConnState.
 func (s *Store) SilenceConnections(share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,6 +126,18 @@
 	}
 }
 
+// ConnState is for the ConnState of the http.Server. It forgets the earlier connection of
+// an address: the system gives the ports of closed connections out again, and a new
+// connection would be taken for the silent one before it.
+func (s *Store) ConnState(c net.Conn, state http.ConnState) {
+	if state != http.StateNew {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c.RemoteAddr().String())
+}
+
 func (s *Store) currentEra() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
