Wait for the end of the server's connection in TestEndsOfResponses

The test is at fault.

Cause: its server closes each connection without saying so in the response. If it is preempted between the response and the close, the gate takes the connection for the next request, which then gets no response, and may have run. 502 with an unknown outcome is right for that.

Change: the test goes on to the next combination when the server has sent the end of its connection. All 432 combinations and their checks are the same.

--- a/internal/proxy/ends_test.go
+++ b/internal/proxy/ends_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,6 +22,8 @@
 	end     string // sound, closed or reset; the last two after a part of the body
 	size    int    // bytes of the response body
 	local   bool   // the server is that of the entry's own host
+	// open counts the connections of the server with a request whose end was not sent yet.
+	open *sync.WaitGroup
 }
 
 // cellTrailer is the name of the trailer of a response.
@@ -39,9 +42,12 @@
 				for _, framing := range []string{"length", "chunked", "trailer", "close"} {
 					for _, end := range []string{"sound", "closed", "reset"} {
 						for _, size := range []int{100, 3 * bufferLimit} {
-							c := &responseCell{request, read, framing, end, size, local}
+							c := &responseCell{request, read, framing, end, size, local, new(sync.WaitGroup)}
 							cell.Store(c)
 							testCell(t, u, c, bodySize)
+							// The server closes connections without saying so: the next request,
+							// sent on one that is about to be closed, would get no response.
+							c.open.Wait()
 						}
 					}
 				}
@@ -104,6 +110,9 @@
 	if err != nil {
 		return
 	}
+	c.open.Add(1)
+	sent := sync.OnceFunc(c.open.Done)
+	defer sent()
 	switch c.read {
 	case "half":
 		_, _ = io.CopyN(io.Discard, r.Body, int64(bodySize/2))
@@ -123,6 +132,7 @@
 	// A connection that is closed with unread bytes is reset. The peer closes it when the
 	// response has ended for it.
 	_ = conn.(*net.TCPConn).CloseWrite()
+	sent()
 	_, _ = io.Copy(io.Discard, conn)
 }
 
