--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -15,7 +15,7 @@
 )
 
 var cases = map[string]func(record string, trouble bool) (int, error){
-	"chaos": chaos, "reuse": reuse, "shorter": shorter, "odd": odd,
+	"chaos": chaos, "reuse": reuse, "shorter": shorter, "odd": odd, "foreign": foreign,
 }
 
 func main() {
