--- a/review/harness-3/case_timeout.go
+++ b/review/harness-3/case_timeout.go
@@ -19,8 +19,12 @@
 // shorter shortens the time-out of a route that was added later.
 func shorter(record string, trouble bool) (int, error) {
 	s, err := newSite(record, []machine{
-		{"regina-a", "regina", "stock"}, {"regina-b", "regina", "stock"}, {"winnipeg-a", "winnipeg", "stock"},
-		{"winnipeg-b", "winnipeg", "hub"}, {"regina-a", "regina", "hub"}, {"winnipeg-a", "winnipeg", "hub"},
+		{"regina-a", "regina", "stock"},
+		{"regina-b", "regina", "stock"},
+		{"winnipeg-a", "winnipeg", "stock"},
+		{"winnipeg-b", "winnipeg", "hub"},
+		{"regina-a", "regina", "hub"},
+		{"winnipeg-a", "winnipeg", "hub"},
 	})
 	if err != nil {
 		return failed, err
--- a/review/harness-3/node.go
+++ b/review/harness-3/node.go
@@ -28,7 +28,11 @@
 func newNode(dir, name, zone, region, service, ip, store string) (*node, error) {
 	n := &node{name: name, zone: zone, region: region, service: service, ip: ip, store: store, dir: dir, ports: make(map[string]int)}
 	for _, p := range []string{"outbound", "inbound", "control", "ready", "app", "operator", "metrics"} {
-		port, err := freePort(ip)
+		at := ip
+		if p == "operator" {
+			at = "127.0.0.1"
+		}
+		port, err := freePort(at)
 		if err != nil {
 			return nil, err
 		}
@@ -82,7 +86,6 @@
 		"PERIDOTLB_QUOTA_SLACK=", "PERIDOTLB_ROLLOUT_EXPOSURE_SHARE=", "PERIDOTLB_ROLLOUT_EXPOSURE_SLACK=",
 	}
 	c.Stdout, c.Stderr = n.log, n.log
-	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		return err
 	}
--- a/review/harness-3/site.go
+++ b/review/harness-3/site.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,13 @@
 		return nil, err
 	}
 	s.store = newStore(l)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		s.end()
+		os.Exit(failed)
+	}()
 	for i, m := range machines {
 		n, err := newNode(dir, fmt.Sprintf("sidecar-%s-%d", m.zone, i+1), m.zone, m.region, m.service, fmt.Sprintf("127.77.%d.%d", net3, i+10), s.store.address)
 		if err != nil {
