--- a/review/harness-3/case_reuse.go
+++ b/review/harness-3/case_reuse.go
@@ -17,7 +17,15 @@
 
 // reuse replaces the server of a machine by one of another service at the same address.
 func reuse(record string, trouble bool) (int, error) {
-	s, err := newSite(record, []machine{{"regina-a", "regina", "stock"}, {"regina-b", "regina", "mill"}, {"winnipeg-a", "winnipeg", "stock"}})
+	s, err := newSite(record, []machine{
+		{"regina-a", "regina", "stock"},
+		{"regina-b", "regina", "mill"},
+		{"winnipeg-a", "winnipeg", "stock"},
+		{"winnipeg-b", "winnipeg", "mill"},
+		{"regina-a", "regina", "mill"},
+		{"regina-b", "regina", "stock"},
+		{"winnipeg-a", "winnipeg", "stock"},
+	})
 	if err != nil {
 		return failed, err
 	}
--- a/review/harness-3/case_timeout.go
+++ b/review/harness-3/case_timeout.go
@@ -7,8 +7,8 @@
 )
 
 // usualRun is the mean run time of the route with the changed time-out: that of
-// order-status of the site kujaza-mesh.
-const usualRun = 880 * time.Millisecond
+// history-pull of the site prh-mesh.
+const usualRun = 240 * time.Millisecond
 
 // runTime returns a run time between 0.4 and 1.6 of the mean, which depends on the attempt.
 func runTime(attempt string, mean time.Duration) time.Duration {
@@ -31,7 +31,7 @@
 	}
 	defer s.end()
 	first := route{"r-stock", "a.example", "/stock/", "safe", "stock", 1, 2}
-	added := route{"r-hub", "b.example", "/hub/", "safe", "hub", 3, 2}
+	added := route{"r-hub", "b.example", "/hub/", "safe", "hub", 2.5, 2}
 	s.configure([]string{"stock", "hub"}, []route{first})
 	err = s.start(18, func(r *http.Request) plan {
 		if r.Host == added.host {
@@ -49,7 +49,7 @@
 		return failed, nil
 	}
 	if trouble {
-		added.timeout = 0.75
+		added.timeout = 0.2
 	}
 	s.configure([]string{"stock", "hub"}, []route{first, added})
 	time.Sleep(contactTime + configApply)
@@ -75,7 +75,7 @@
 			group.Add(1)
 			go func() {
 				defer group.Done()
-				r := &request{attempt: newAttempt(), host: to.host, deadline: 6 * time.Second, method: "GET", path: to.prefix + "x?size=400"}
+				r := &request{attempt: newAttempt(), host: to.host, deadline: 5 * time.Second, method: "GET", path: to.prefix + "x?size=400"}
 				c, err := dial(n.at("outbound"))
 				if err != nil {
 					return
